--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurements of decisions, waiting time, packing, shares, request path and control cost. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export {};
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,39 @@
+/** Types and small parts shared by all packages. */
+export { Clock, ManualClock, SystemClock } from "./clock.js";
+export type { Timer } from "./clock.js";
+export { getShardZone, isName, maxNameLength, parseTaskId, toId, toShardId, toTaskId } from "./ids.js";
+export type {
+    AttemptId,
+    ExecutorId,
+    HostId,
+    Id,
+    IncarnationId,
+    JobId,
+    KeyId,
+    QueueId,
+    RackId,
+    RegionId,
+    RequestKey,
+    ShardId,
+    TaskId,
+    TeamId,
+    WorkerId,
+    WriterToken,
+    ZoneId,
+} from "./ids.js";
+export { RandomSource, SeededRandom, SystemRandom } from "./random.js";
+export {
+    addResources,
+    computeDominantShare,
+    fitsWithin,
+    multiplyResources,
+    resourceNames,
+    subtractResources,
+    zeroResources,
+} from "./resource-vector.js";
+export type { ResourceName, ResourceVector } from "./resource-vector.js";
+export { Err, Ok } from "./results.js";
+export type { Result } from "./results.js";
+export { Table } from "./table.js";
+export { canRetry, createFailure, mergeVerdicts } from "./verdict.js";
+export type { Failure, Verdict } from "./verdict.js";
--- /dev/null
+++ b/packages/core/src/verdict.ts
@@ -0,0 +1,61 @@
+/**
+ * The verdict on a failed operation: whether the work that it asked for may have run.
+ *
+ * Every failure that crosses a module boundary carries a verdict, because the verdict alone decides whether a retry is
+ * safe.
+ */
+import { match } from "ts-pattern";
+
+/**
+ * - `notRun`: the work did not run and will not run because of this attempt.
+ * - `mayHaveRun`: the work may have run, may be running, or may still run.
+ * - `ran`: the work ran; its answer may have been lost.
+ */
+export type Verdict = "notRun" | "mayHaveRun" | "ran";
+
+/** A failure with a stable code, a message for people, and a verdict. */
+export interface Failure {
+    /** Stable identifier in kebab-case, for example `queue-full`. */
+    readonly code: string;
+    /** One sentence that names what failed and with which values. */
+    readonly message: string;
+    readonly verdict: Verdict;
+    /** Milliseconds after which another attempt may succeed, if known. */
+    readonly retryAfterMs?: number;
+}
+
+/**
+ * Creates a failure.
+ *
+ * @example
+ * ```ts
+ * return Err(createFailure("queue-full", `queue "orders" holds 100 requests, its bound`, "notRun"));
+ * ```
+ */
+export function createFailure(code: string, message: string, verdict: Verdict, retryAfterMs?: number): Failure {
+    return retryAfterMs === undefined ? { code, message, verdict } : { code, message, verdict, retryAfterMs };
+}
+
+/** Returns the verdict for two attempts at the same work, of which either may have run. */
+export function mergeVerdicts(first: Verdict, second: Verdict): Verdict {
+    return match([first, second] as const)
+        .with(
+            ["ran", "ran"],
+            ["ran", "notRun"],
+            ["notRun", "ran"],
+            ["ran", "mayHaveRun"],
+            ["mayHaveRun", "ran"],
+            () => "ran" as const,
+        )
+        .with(["notRun", "notRun"], () => "notRun" as const)
+        .otherwise(() => "mayHaveRun" as const);
+}
+
+/** Returns whether an attempt with this verdict may be repeated without running non-idempotent work twice. */
+export function canRetry(verdict: Verdict, isIdempotent: boolean): boolean {
+    return match(verdict)
+        .with("notRun", () => true)
+        .with("mayHaveRun", () => isIdempotent)
+        .with("ran", () => false)
+        .exhaustive();
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The program that takes requests from callers. */
+export {};
--- /dev/null
+++ b/packages/grants/src/index.ts
@@ -0,0 +1,2 @@
+/** Splits each team's upper limit into grants to shards. */
+export {};
--- /dev/null
+++ b/packages/journal/src/index.ts
@@ -0,0 +1,2 @@
+/** Group-committed, recoverable records of the jobs of a shard. */
+export {};
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+/** The program that serves the resource interface to operators. */
+export {};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+/** Pure placement decisions over tables of workers, jobs and teams. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,9 @@
+/** Abstract interfaces to the platform and their HTTP adapters. */
+export { Executor } from "./executor.js";
+export type { ExecutorAddress, ExecutorAnswer, ExecutorReport, ExecutorRequest } from "./executor.js";
+export { HostList } from "./host-list.js";
+export type { HostListing, HostState } from "./host-list.js";
+export { Store } from "./store.js";
+export type { Expectation, StoreChange, StoreEntry, StoreRange, StoreWatchResult, StoreWrite } from "./store.js";
+export { Worker } from "./worker.js";
+export type { TaskOutcome, TaskStart, WorkerAddress, WorkerRenewal, WorkerReport, WorkerTask } from "./worker.js";
--- /dev/null
+++ b/packages/resources/src/index.ts
@@ -0,0 +1,2 @@
+/** Schemas, checks and the store repository of operator resources. */
+export {};
--- /dev/null
+++ b/packages/scenario/src/index.ts
@@ -0,0 +1,2 @@
+/** A small language for failure scenarios, its parser and its runner. */
+export {};
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** The program that owns shards: placement, executor slots, journal and configuration relay. */
+export {};
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** The JSON settings of the programs and their checks. */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins for the platform, with fault injection, for tests and the demo. */
+export {};
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+/** Logs, metrics, health endpoints and graceful shutdown for the programs. */
+export {};
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,2 @@
+/** gRPC services between the system's own processes. */
+export {};
