Add transport, settings and telemetry

Cause: the programs need calls between processes, checked settings, logs, metrics, health endpoints and graceful shutdown before they can be built.

Change: transport carries MessagePack over gRPC and gives each failed call a verdict; settings checks one JSON file for the cluster and names path, value and remedy of each problem; telemetry writes log lines in batches.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,6 +42,9 @@
         rules: {
             "@typescript-eslint/no-floating-promises": "off",
             "@typescript-eslint/naming-convention": "off",
+            "@typescript-eslint/no-explicit-any": "off",
+            "@typescript-eslint/no-unsafe-member-access": "off",
+            "@typescript-eslint/no-unsafe-assignment": "off",
         },
     },
 );
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,13 @@
 /** The JSON settings of the programs and their checks. */
-export {};
+export {
+    chooseEndpointShard,
+    findHost,
+    getSchedulerAddress,
+    listHosts,
+    listShards,
+    listZoneHosts,
+    listZoneShards,
+} from "./layout.js";
+export type { HostPlace } from "./layout.js";
+export { loadSettings, parseSettings } from "./load-settings.js";
+export type { HostSettings, Settings, ZoneSettings } from "./schema.js";
--- /dev/null
+++ b/packages/telemetry/src/health-server.ts
@@ -0,0 +1,63 @@
+/**
+ * Health endpoints of a program.
+ *
+ * `GET /healthz` answers 200 while the process can handle events. `GET /readyz` answers 200 only when the program can serve,
+ * otherwise 503 with the reasons; the platform's balancer uses it.
+ */
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+
+export interface HealthServerOptions {
+    readonly address: string;
+    readonly port: number;
+    readonly program: string;
+    readonly version: string;
+    /** Returns why the program is not ready; empty when it is. */
+    readonly listProblems: () => readonly string[];
+    /** Further facts for `GET /statusz`; default none. */
+    readonly describeStatus?: () => Readonly<Record<string, unknown>>;
+}
+
+/** Serves the health endpoints. */
+export class HealthServer {
+    private readonly server: Server;
+
+    constructor(private readonly options: HealthServerOptions) {
+        this.server = createServer((request, response) => {
+            const [status, body] = this.buildReply(request.url ?? "/");
+            response.writeHead(status, { "content-type": "application/json" });
+            response.end(`${JSON.stringify(body)}\n`);
+        });
+        this.server.requestTimeout = 5_000;
+    }
+
+    listen(): Promise<void> {
+        const { address, port } = this.options;
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, address, () => resolve());
+        });
+    }
+
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeAllConnections();
+        });
+    }
+
+    private buildReply(path: string): readonly [number, unknown] {
+        const { program, version } = this.options;
+        const problems = this.options.listProblems();
+        switch (path) {
+            case "/healthz":
+                return [200, { status: "alive", program, version }];
+            case "/readyz":
+                return problems.length === 0 ? [200, { status: "ready" }] : [503, { status: "not ready", problems }];
+            case "/statusz":
+                return [200, { program, version, problems, ...this.options.describeStatus?.() }];
+            default:
+                return [404, { error: { code: "not-found", message: "use /healthz, /readyz or /statusz" } }];
+        }
+    }
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,2 +1,9 @@
 /** Logs, metrics, health endpoints and graceful shutdown for the programs. */
-export {};
+export { installGracefulShutdown } from "./graceful-shutdown.js";
+export type { GracefulShutdownOptions, ShutdownStep } from "./graceful-shutdown.js";
+export { HealthServer } from "./health-server.js";
+export type { HealthServerOptions } from "./health-server.js";
+export { createLogger, Logger } from "./logger.js";
+export type { LogFields, LoggerOptions, LogLevel } from "./logger.js";
+export { Metrics } from "./metrics.js";
+export type { MetricsOptions } from "./metrics.js";
--- /dev/null
+++ b/packages/telemetry/src/logger.ts
@@ -0,0 +1,109 @@
+/**
+ * Structured logs: one JSON line per event, written in batches.
+ *
+ * Decisions can come thousands a second, so that a write per line would block the tick. Lines are kept for up to 50 ms and
+ * written together; lines that are still kept are written at exit.
+ */
+import { writeSync } from "node:fs";
+import type { Logger as RoarrLogger } from "roarr";
+import { match } from "ts-pattern";
+
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+export interface LoggerOptions {
+    /** Name of the program, for example `waxwing-scheduler`. */
+    readonly program: string;
+    readonly host: string;
+    readonly zone: string;
+    /** Lowest level that is written; default `info`. */
+    readonly level?: LogLevel;
+    /** Receives each batch of lines; default writes to standard output. */
+    readonly write?: (lines: string) => void;
+    /** Longest time that a line is kept, in milliseconds; default 50. */
+    readonly flushIntervalMs?: number;
+}
+
+/** Fields of a log line. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+const levelOrder: readonly LogLevel[] = ["debug", "info", "warn", "error"];
+
+/** Largest batch in bytes; a larger one is written at once. */
+const maxBatchBytes = 64 * 1024;
+
+/**
+ * Writes log lines of one program.
+ *
+ * @example
+ * ```ts
+ * const logger = await createLogger({ program: "waxwing-entry", host: "glasgow-1", zone: "glasgow" });
+ * logger.write("info", "request served", { queue: "orders", verdict: "ran", status: 200 });
+ * ```
+ */
+export class Logger {
+    private readonly lines: string[] = [];
+    private bytes = 0;
+    private timer: NodeJS.Timeout | undefined;
+    private readonly minimum: number;
+
+    constructor(private readonly roarr: RoarrLogger, private readonly options: LoggerOptions) {
+        this.minimum = levelOrder.indexOf(options.level ?? "info");
+    }
+
+    write(level: LogLevel, message: string, fields: LogFields = {}): void {
+        if (levelOrder.indexOf(level) < this.minimum) {
+            return;
+        }
+        match(level)
+            .with("debug", () => this.roarr.debug(fields, message))
+            .with("info", () => this.roarr.info(fields, message))
+            .with("warn", () => this.roarr.warn(fields, message))
+            .with("error", () => this.roarr.error(fields, message))
+            .exhaustive();
+    }
+
+    /** Takes a finished line from the log library. */
+    appendLine(line: string): void {
+        this.lines.push(line);
+        this.bytes += line.length;
+        if (this.bytes >= maxBatchBytes) {
+            this.flush();
+        }
+        else {
+            this.timer ??= setTimeout(() => this.flush(), this.options.flushIntervalMs ?? 50).unref();
+        }
+    }
+
+    /** Writes the kept lines. */
+    flush(): void {
+        clearTimeout(this.timer);
+        this.timer = undefined;
+        if (this.lines.length > 0) {
+            const batch = `${this.lines.join("\n")}\n`;
+            this.lines.length = 0;
+            this.bytes = 0;
+            (this.options.write ?? writeStandardOutput)(batch);
+        }
+    }
+}
+
+/** Creates the logger of a program. Only one per process, because the log library has one output per process. */
+export async function createLogger(options: LoggerOptions): Promise<Logger> {
+    // The library reads this when it is loaded; without it, it prints nothing.
+    process.env.ROARR_LOG = "true";
+    const { Roarr, ROARR } = await import("roarr");
+    const { program, host, zone } = options;
+    const logger = new Logger(Roarr.child({ program, host, zone }), options);
+    ROARR.write = line => logger.appendLine(line);
+    process.on("exit", () => logger.flush());
+    return logger;
+}
+
+function writeStandardOutput(lines: string): void {
+    try {
+        writeSync(1, lines);
+    }
+    catch {
+        // A full pipe or a closed terminal must not end the program.
+    }
+}
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,50 @@
+/**
+ * Metrics over StatsD.
+ */
+import { StatsD } from "hot-shots";
+
+export interface MetricsOptions {
+    /** StatsD address; without it, metrics are dropped. */
+    readonly target?: { readonly address: string; readonly port: number; readonly prefix: string; };
+    readonly host: string;
+    readonly zone: string;
+}
+
+/** Counters, gauges and timings of one program. */
+export class Metrics {
+    private readonly client: StatsD;
+
+    constructor(options: MetricsOptions) {
+        this.client = new StatsD({
+            host: options.target?.address ?? "127.0.0.1",
+            port: options.target?.port ?? 8_125,
+            prefix: options.target?.prefix ?? "",
+            mock: options.target === undefined,
+            globalTags: { host: options.host, zone: options.zone },
+            // Lines are sent together, so that a metric per request does not cost a packet per request.
+            maxBufferSize: 1_400,
+            bufferFlushInterval: 1_000,
+            errorHandler: () => undefined,
+        });
+    }
+
+    increment(name: string, amount = 1, tags: Record<string, string> = {}): void {
+        this.client.increment(name, amount, tags);
+    }
+
+    setGauge(name: string, value: number, tags: Record<string, string> = {}): void {
+        this.client.gauge(name, value, tags);
+    }
+
+    /** Records a duration in milliseconds. */
+    recordTiming(name: string, durationMs: number, tags: Record<string, string> = {}): void {
+        this.client.timing(name, durationMs, tags);
+    }
+
+    /** Sends what is kept and closes the socket. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.client.close(() => resolve());
+        });
+    }
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,2 +1,8 @@
 /** gRPC services between the system's own processes. */
-export {};
+export { decodeMessage, encodeMessage } from "./codec.js";
+export { RpcClient } from "./rpc-client.js";
+export type { RpcClientOptions, RpcStream, StreamHandlers } from "./rpc-client.js";
+export { RpcServer } from "./rpc-server.js";
+export type { RpcServerOptions, ServiceHandlers, StreamWriter } from "./rpc-server.js";
+export { createStreamMethod, createUnaryMethod, failureSchema } from "./service.js";
+export type { StreamMethod, UnaryMethod } from "./service.js";
--- /dev/null
+++ b/packages/transport/src/rpc-server.ts
@@ -0,0 +1,164 @@
+/**
+ * Serves methods to the other processes of the system.
+ */
+import { Server, ServerCredentials, status } from "@grpc/grpc-js";
+import type {
+    sendUnaryData,
+    ServerUnaryCall,
+    ServerWritableStream,
+    ServiceDefinition,
+    UntypedHandleCall,
+} from "@grpc/grpc-js";
+import { createFailure } from "@waxwingroute/core";
+import type { Failure, Result } from "@waxwingroute/core";
+import { decodeMessage, encodeMessage } from "./codec.js";
+import type { StreamMethod, UnaryMethod, WireReply } from "./service.js";
+
+/** Sends messages of a stream; `isOpen` turns false when the client went away. */
+export interface StreamWriter<Response> {
+    readonly isOpen: boolean;
+    send(message: Response): void;
+    end(): void;
+    onClose(callback: () => void): void;
+}
+
+/** The functions that serve the methods of a service. */
+export type ServiceHandlers<Methods> = {
+    readonly [Name in keyof Methods]: Methods[Name] extends UnaryMethod<infer Request, infer Response>
+        ? (request: Request) => Promise<Result<Response, Failure>>
+        : Methods[Name] extends StreamMethod<infer Request, infer Response>
+            ? (request: Request, writer: StreamWriter<Response>) => void
+        : never;
+};
+
+export interface RpcServerOptions {
+    /** `<ip>:<port>`; port 0 picks a free one. */
+    readonly address: string;
+    /** Longest message in bytes, either way; default 8 MiB. */
+    readonly maxMessageBytes?: number;
+}
+
+/**
+ * A gRPC server of one process.
+ *
+ * @example
+ * ```ts
+ * const server = new RpcServer({ address: "127.0.0.1:0" });
+ * server.addService(relayService, { digest: async () => Ok({ revision: 7 }) });
+ * const port = await server.listen();
+ * ```
+ */
+export class RpcServer {
+    private readonly server: Server;
+
+    constructor(private readonly options: RpcServerOptions) {
+        const maxMessageBytes = options.maxMessageBytes ?? 8 * 1024 * 1024;
+        this.server = new Server({
+            "grpc.max_receive_message_length": maxMessageBytes,
+            "grpc.max_send_message_length": maxMessageBytes,
+        });
+    }
+
+    /** Adds a service. Must be called before `listen`. */
+    addService<Methods extends object>(
+        methods: Methods,
+        handlers: ServiceHandlers<Methods>,
+    ): void {
+        const definition: Record<string, ServiceDefinition[string]> = {};
+        const implementation: Record<string, UntypedHandleCall> = {};
+        type AnyMethod = UnaryMethod<unknown, unknown> | StreamMethod<unknown, unknown>;
+        for (const [name, method] of Object.entries(methods) as [string, AnyMethod][]) {
+            definition[name] = {
+                path: method.path,
+                requestStream: false,
+                responseStream: method.kind === "stream",
+                requestSerialize: (message: unknown) => encodeMessage(message),
+                requestDeserialize: (bytes: Buffer) => decodeMessage(method.request, bytes),
+                responseSerialize: (message: unknown) => encodeMessage(message),
+                responseDeserialize: (bytes: Buffer) => bytes,
+            };
+            const handler = handlers[name as keyof Methods] as (
+                request: unknown,
+                writer?: StreamWriter<unknown>,
+            ) => unknown;
+            implementation[name] = method.kind === "unary"
+                ? createUnaryHandler(handler as (request: unknown) => Promise<Result<unknown, Failure>>)
+                : createStreamHandler(handler);
+        }
+        this.server.addService(definition, implementation);
+    }
+
+    /** Starts to listen and returns the port. */
+    listen(): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.bindAsync(this.options.address, ServerCredentials.createInsecure(), (error, port) => {
+                if (error === null) {
+                    resolve(port);
+                }
+                else {
+                    reject(new Error(`cannot listen on ${this.options.address}: ${error.message}`));
+                }
+            });
+        });
+    }
+
+    /** Refuses new calls, waits up to `boundMs` for the running ones, then ends them. */
+    shutdown(boundMs: number): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                this.server.forceShutdown();
+                resolve();
+            }, boundMs);
+            this.server.tryShutdown(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+}
+
+function createUnaryHandler(handler: (request: unknown) => Promise<Result<unknown, Failure>>): UntypedHandleCall {
+    return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<WireReply>) => {
+        handler(call.request).then(
+            result => callback(null, result.ok ? { value: result.val } : { failure: result.val }),
+            (error: unknown) => {
+                const failure = createFailure("internal", `handler failed: ${String(error)}`, "mayHaveRun");
+                callback(null, { failure });
+            },
+        );
+    };
+}
+
+function createStreamHandler(handler: (request: unknown, writer: StreamWriter<unknown>) => void): UntypedHandleCall {
+    return (call: ServerWritableStream<unknown, unknown>) => {
+        let isOpen = true;
+        const callbacks: (() => void)[] = [];
+        const close = () => {
+            if (isOpen) {
+                isOpen = false;
+                callbacks.forEach(callback => callback());
+            }
+        };
+        call.on("cancelled", close);
+        call.on("close", close);
+        call.on("error", close);
+        const writer: StreamWriter<unknown> = {
+            get isOpen() {
+                return isOpen;
+            },
+            send: message => {
+                if (isOpen) {
+                    call.write(message);
+                }
+            },
+            end: () => call.end(),
+            onClose: callback => callbacks.push(callback),
+        };
+        try {
+            handler(call.request, writer);
+        }
+        catch (error) {
+            call.destroy(Object.assign(new Error(String(error)), { code: status.INTERNAL }));
+        }
+    };
+}
--- a/scripts/verbs.js
+++ b/scripts/verbs.js
@@ -19,6 +19,7 @@
     "begin",
     "bind",
     "build",
+    "call",
     "cancel",
     "check",
     "checkpoint",
