--- a/packages/platform/src/executor.ts
+++ b/packages/platform/src/executor.ts
@@ -53,7 +53,8 @@
     /**
      * Runs one request and returns its whole answer, whatever its status. Failures: `executor-unreachable` (`notRun`, the
      * connection was never made), `executor-refused` (`notRun`, the executor said that it did not start), `executor-lost`
-     * (`mayHaveRun`: the connection ended, the time ran out, or the answer was cut short).
+     * (`mayHaveRun`: the connection ended, the time ran out, or the answer was cut short), `executor-invalid-request` (`notRun`:
+     * the content type or an id holds a character that HTTP does not allow in a header).
      */
     abstract execute(request: ExecutorRequest): Promise<Result<ExecutorAnswer, Failure>>;
     abstract list(): Promise<Result<ExecutorReport, Failure>>;
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -52,7 +52,7 @@
  *
  * Failure codes: `store-conflict` (verdict `notRun`: the expectation did not hold), `store-unavailable` (`notRun` when the
  * call was not sent, else `mayHaveRun`), `store-timeout` (`mayHaveRun`), `store-compacted` (a watch from a revision that the
- * store no longer keeps: read the range again).
+ * store no longer keeps: read the range again), `store-too-large` (`notRun`: the value is above 1 MB).
  */
 export abstract class Store {
     /** Reads one key; `undefined` if it does not exist. */
