Add the stand-ins and the program waxwing-stand-in

Cause: programs and tests need a platform with fault injection. Change: adds in-process fakes for store, worker, executor and host list on a shared clock, the records of what they saw, HTTP servers before them, control commands and the program. Adds the verbs kill and compact.

--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -10,6 +10,7 @@
     JobId,
     QueueId,
     RackId,
+    RequestKey,
     TaskId,
     TeamId,
     WorkerId,
@@ -63,6 +64,8 @@
     return z.string().min(1).max(maxIdLength) as unknown as z.ZodType<T, string>;
 }
 
+export const zoneSchema = createIdSchema<ZoneId>();
+
 const amountSchema = z.number().int().min(0);
 const revisionSchema = z.number().int().min(0);
 
@@ -145,6 +148,18 @@
 /** Body of an answer that carries nothing. */
 export const emptySchema = z.object({});
 
+/** Header values of a request to an executor. */
+export const executorHeadersSchema = z.object({
+    attempt: createIdSchema<AttemptId>(),
+    requestKey: createIdSchema<RequestKey>(),
+    queue: createIdSchema<QueueId>(),
+    team: createIdSchema<TeamId>(),
+    isIdempotent: z.enum(["true", "false"]).transform(text => text === "true"),
+    epoch: z.coerce.number().int(),
+    timeoutMs: z.coerce.number().min(0),
+    contentType: z.string().default("application/octet-stream"),
+});
+
 export const executorReportSchema = z.object({
     executor: createIdSchema<ExecutorId>(),
     slots: z.number().int().min(0),
--- /dev/null
+++ b/packages/stand-ins/src/control.ts
@@ -0,0 +1,132 @@
+/**
+ * Control commands: fault injection as data, for `POST /control` and for the scenario runner.
+ */
+import type { Failure, QueueId, Result, TaskId } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import { match } from "ts-pattern";
+import { z } from "zod";
+import type { Fleet } from "./fleet.js";
+
+const nameSchema = z.string().min(1);
+const durationSchema = z.number().min(0);
+const countSchema = z.number().int().min(0);
+
+/**
+ * One command. `target` is `store`, `host-list`, `platform`, a zone, a worker or an executor. `source` is the zone or host
+ * that calls.
+ */
+export const controlSchema = z.discriminatedUnion("action", [
+    /** Refuses connections; what was in flight is dropped. */
+    z.strictObject({ action: z.literal("down"), target: nameSchema }),
+    /** Ends `down`. */
+    z.strictObject({ action: z.literal("up"), target: nameSchema }),
+    /** Delays each call by `delayMs`; 0 ends it. */
+    z.strictObject({ action: z.literal("slow"), target: nameSchema, delayMs: durationSchema }),
+    /** Holds calls until `go-on`; then they take effect. */
+    z.strictObject({ action: z.literal("hang"), target: nameSchema }),
+    z.strictObject({ action: z.literal("go-on"), target: nameSchema }),
+    /** The next `count` writes take effect, but their answers are lost. */
+    z.strictObject({ action: z.literal("lose-answers"), target: nameSchema, count: countSchema }),
+    /** Drops calls from `source`. */
+    z.strictObject({ action: z.literal("cut"), source: nameSchema, target: nameSchema }),
+    z.strictObject({ action: z.literal("mend"), source: nameSchema, target: nameSchema }),
+    /** Drops the history of the store, so that older watches fail. */
+    z.strictObject({ action: z.literal("compact-store") }),
+    /** Ends the lease of a task. */
+    z.strictObject({ action: z.literal("lapse-lease"), task: nameSchema }),
+    /** Ends a worker or executor with all that it runs. */
+    z.strictObject({ action: z.literal("kill"), target: nameSchema }),
+    z.strictObject({ action: z.literal("restart"), target: nameSchema }),
+    /** Every task that a worker starts fails at once. */
+    z.strictObject({ action: z.literal("fail-tasks"), target: nameSchema, isFailing: z.boolean() }),
+    z.strictObject({ action: z.literal("drain"), target: nameSchema, isDraining: z.boolean() }),
+    /** How an executor treats requests, of one queue or of all. */
+    z.strictObject({
+        action: z.literal("executor-behaviour"),
+        target: nameSchema,
+        queue: nameSchema.optional(),
+        mode: z.enum(["echo", "fail", "refuse", "hang", "cut", "twice", "late"]),
+        delayMs: durationSchema.default(0),
+    }),
+    z.strictObject({ action: z.literal("host-list"), mode: z.enum(["normal", "frozen", "empty", "wrong"]) }),
+    /** Ends all faults of gates: down, slow, hang, lost answers, cuts. */
+    z.strictObject({ action: z.literal("clear"), target: nameSchema }),
+]);
+
+/** One control command. */
+export type ControlCommand = z.infer<typeof controlSchema>;
+
+/** Applies a command. Fails with `unknown-target` and changes nothing if its target does not exist. */
+export function applyControl(fleet: Fleet, command: ControlCommand): Result<void, Failure> {
+    return match(command)
+        .returnType<Result<void, Failure>>()
+        .with({ action: "compact-store" }, () => {
+            fleet.store.state.compact();
+            return Ok(undefined);
+        })
+        .with({ action: "host-list" }, ({ mode }) => {
+            fleet.hostList.state.setMode(mode);
+            return Ok(undefined);
+        })
+        .with({ action: "lapse-lease" }, ({ task }) => checkFound(fleet.expireLease(task as TaskId), task))
+        .with({ action: "kill" }, ({ target }) => checkFound(fleet.killEndpoint(target), target))
+        .with({ action: "restart" }, ({ target }) => checkFound(fleet.restartEndpoint(target), target))
+        .with({ action: "drain" }, ({ target, isDraining }) => {
+            return checkFound(fleet.drainEndpoint(target, isDraining), target);
+        })
+        .with({ action: "fail-tasks" }, ({ target, isFailing }) => {
+            const workers = selectEndpoints([...fleet.workers.values()], target, worker => worker.address.worker);
+            for (const worker of workers) {
+                worker.state.isFailingEverything = isFailing;
+            }
+            return checkFound(workers.length > 0, target);
+        })
+        .with({ action: "executor-behaviour" }, ({ target, queue, mode, delayMs }) => {
+            const executors = selectEndpoints([...fleet.executors.values()], target, other => other.address.executor);
+            for (const executor of executors) {
+                executor.state.setBehaviour({ mode, delayMs }, queue as QueueId | undefined);
+            }
+            return checkFound(executors.length > 0, target);
+        })
+        .otherwise(gateCommand => applyToGates(fleet, gateCommand));
+}
+
+type GateCommand = Extract<
+    ControlCommand,
+    { action: "down" | "up" | "slow" | "hang" | "go-on" | "lose-answers" | "cut" | "mend" | "clear"; }
+>;
+
+function applyToGates(fleet: Fleet, command: GateCommand): Result<void, Failure> {
+    const gates = fleet.findGates(command.target);
+    for (const gate of gates ?? []) {
+        match(command)
+            .with({ action: "down" }, () => gate.setDown(true))
+            .with({ action: "up" }, () => gate.setDown(false))
+            .with({ action: "slow" }, ({ delayMs }) => {
+                gate.delayMs = delayMs;
+            })
+            .with({ action: "hang" }, () => gate.setHanging(true))
+            .with({ action: "go-on" }, () => gate.setHanging(false))
+            .with({ action: "lose-answers" }, ({ count }) => {
+                gate.answersToLose = count;
+            })
+            .with({ action: "cut" }, ({ source }) => gate.setCut(source, true))
+            .with({ action: "mend" }, ({ source }) => gate.setCut(source, false))
+            .with({ action: "clear" }, () => gate.clear())
+            .exhaustive();
+    }
+    return checkFound(gates !== undefined, command.target);
+}
+
+function selectEndpoints<T extends { readonly address: { readonly zone: string; }; }>(
+    endpoints: readonly T[],
+    target: string,
+    getId: (endpoint: T) => string,
+): readonly T[] {
+    return endpoints.filter(endpoint => getId(endpoint) === target || endpoint.address.zone === target);
+}
+
+function checkFound(isFound: boolean, name: string): Result<void, Failure> {
+    const message = `the stand-ins have no "${name}" to which this command applies`;
+    return isFound ? Ok(undefined) : Err(createFailure("unknown-target", message, "notRun"));
+}
--- /dev/null
+++ b/packages/stand-ins/src/executor-state.ts
@@ -0,0 +1,158 @@
+/**
+ * The requests of one executor stand-in. It starts whatever it is given and records what a correct scheduler never sends.
+ */
+import type { AttemptId, Clock, Failure, QueueId, Result } from "@waxwingroute/core";
+import { Ok } from "@waxwingroute/core";
+import type { ExecutorAddress, ExecutorAnswer, ExecutorReport, ExecutorRequest } from "@waxwingroute/platform";
+import { match } from "ts-pattern";
+import type { Records } from "./records.js";
+
+/**
+ * How an executor treats requests:
+ * - `echo`: answers the body, a line feed, the attempt id and a line feed.
+ * - `fail`: answers status 500.
+ * - `refuse`: says that it did not start the request.
+ * - `hang`: runs until the behaviour changes.
+ * - `cut`: runs the request and sends part of the answer.
+ * - `twice`: sends the answer two times.
+ * - `late`: answers 200 ms after the caller's time-out.
+ */
+export type ExecutorMode = "echo" | "fail" | "refuse" | "hang" | "cut" | "twice" | "late";
+
+/** How an executor treats requests, and for how long. */
+export interface ExecutorBehaviour {
+    readonly mode: ExecutorMode;
+    /** Milliseconds for which a request runs. */
+    readonly delayMs: number;
+}
+
+/** How a request ended. `lost` means that the executor died while it ran. */
+export type ExecutorOutcome =
+    | { readonly kind: "answer" | "cut" | "twice"; readonly answer: ExecutorAnswer; }
+    | { readonly kind: "refused" | "lost"; };
+
+/** Options of an executor stand-in. */
+export interface ExecutorStateOptions {
+    readonly clock: Clock;
+    readonly records: Records;
+    readonly address: ExecutorAddress;
+}
+
+/** Milliseconds after the caller's time-out at which a late answer is sent. */
+const lateByMs = 200;
+
+/** The state of one executor. */
+export class ExecutorState {
+    isDraining = false;
+    private behaviour: ExecutorBehaviour = { mode: "echo", delayMs: 0 };
+    private readonly behaviourByQueue = new Map<QueueId, ExecutorBehaviour>();
+    private readonly running = new Map<symbol, AttemptId>();
+    private hanging: (() => void)[] = [];
+    private generation = 0;
+
+    constructor(private readonly options: ExecutorStateOptions) {}
+
+    /** Sets the behaviour for a queue, or for all queues without their own. Requests that hang are released. */
+    setBehaviour(behaviour: ExecutorBehaviour, queue?: QueueId): void {
+        if (queue === undefined) {
+            this.behaviour = behaviour;
+        }
+        else {
+            this.behaviourByQueue.set(queue, behaviour);
+        }
+        this.releaseHanging();
+    }
+
+    /** Runs one request. */
+    async execute(request: ExecutorRequest): Promise<ExecutorOutcome> {
+        const { records, address, clock } = this.options;
+        const behaviour = this.behaviourByQueue.get(request.queue) ?? this.behaviour;
+        if (behaviour.mode === "refuse") {
+            return { kind: "refused" };
+        }
+        const { attempt, requestKey, queue, team } = request;
+        const { executor } = address;
+        const run = records.recordRequestStart({ executor, requestKey, attempt, queue, team }, request.isIdempotent);
+        const id = Symbol(attempt);
+        const { generation } = this;
+        this.running.set(id, attempt);
+        this.recordOverload("slots", address.slots, this.running.size);
+        await this.waitForEnd(behaviour, request);
+        run.endedAt = clock.getNow();
+        this.running.delete(id);
+        return generation === this.generation ? createOutcome(behaviour.mode, request) : { kind: "lost" };
+    }
+
+    list(): Result<ExecutorReport, Failure> {
+        return Ok({
+            executor: this.options.address.executor,
+            slots: this.options.address.slots,
+            isDraining: this.isDraining,
+            running: [...this.running.values()],
+        });
+    }
+
+    /** Notes the number of open connections. */
+    recordConnections(count: number): void {
+        this.recordOverload("connections", this.options.address.connections, count);
+    }
+
+    /** Drops all requests, as a power failure does. */
+    reset(): void {
+        this.generation++;
+        this.running.clear();
+        this.releaseHanging();
+    }
+
+    private async waitForEnd(behaviour: ExecutorBehaviour, request: ExecutorRequest): Promise<void> {
+        if (behaviour.mode === "hang") {
+            await new Promise<void>(resolve => {
+                this.hanging.push(resolve);
+            });
+        }
+        const delayMs = behaviour.mode === "late" ? request.timeoutMs + lateByMs : behaviour.delayMs;
+        if (delayMs > 0) {
+            await this.options.clock.wait(delayMs);
+        }
+    }
+
+    private releaseHanging(): void {
+        const released = this.hanging;
+        this.hanging = [];
+        for (const resolve of released) {
+            resolve();
+        }
+    }
+
+    private recordOverload(kind: "slots" | "connections", bound: number, count: number): void {
+        const { records, address, clock } = this.options;
+        if (count > bound) {
+            records.overloads.push({ executor: address.executor, kind, bound, count, at: clock.getNow() });
+        }
+    }
+}
+
+function createOutcome(mode: ExecutorMode, request: ExecutorRequest): ExecutorOutcome {
+    const { attempt, contentType } = request;
+    const echo: ExecutorAnswer = { attempt, status: 200, contentType, body: createEcho(request) };
+    return match(mode)
+        .returnType<ExecutorOutcome>()
+        .with("fail", () => ({ kind: "answer", answer: { ...echo, status: 500 } }))
+        .with("cut", () => ({ kind: "cut", answer: echo }))
+        .with("twice", () => ({ kind: "twice", answer: echo }))
+        .with("refuse", () => ({ kind: "refused" }))
+        .with("echo", "hang", "late", () => ({ kind: "answer", answer: echo }))
+        .exhaustive();
+}
+
+/** Returns the body of the answer to a request: its body, a line feed, the attempt id and a line feed. */
+function createEcho(request: ExecutorRequest): Uint8Array {
+    return Buffer.concat([request.body, Buffer.from(`\n${request.attempt}\n`)]);
+}
+
+/** Returns whether `answer` is the whole echo of the request body `body`. */
+export function isWholeEcho(body: Uint8Array, answer: Uint8Array): boolean {
+    const start = Buffer.from(answer.subarray(0, body.length));
+    const rest = Buffer.from(answer.subarray(body.length)).toString("utf8");
+    return start.equals(body) && /^\n[^\n]+\n$/.test(rest);
+}
--- /dev/null
+++ b/packages/stand-ins/src/fake-host-list.ts
@@ -0,0 +1,58 @@
+/**
+ * The host list as an in-process fake.
+ */
+import type { Failure, Result, ZoneId } from "@waxwingroute/core";
+import type { HostListing } from "@waxwingroute/platform";
+import { HostList } from "@waxwingroute/platform";
+import { FaultGate } from "./fault-gate.js";
+import type { FakeOptions } from "./gated-call.js";
+import { runGated } from "./gated-call.js";
+import { HostListState } from "./host-list-state.js";
+
+const codes = { unreachable: "host-list-unavailable", timedOut: "host-list-unavailable" };
+
+/** Options of `FakeHostList`. */
+export interface FakeHostListOptions extends FakeOptions {
+    /** Milliseconds after which a change shows. Default 5,000. */
+    readonly lagMs?: number;
+}
+
+/**
+ * A host list in memory.
+ *
+ * @example
+ * ```ts
+ * const hostList = new FakeHostList({ clock });
+ * hostList.state.addWorker(address);
+ * hostList.state.setMode("frozen");
+ * ```
+ */
+export class FakeHostList extends HostList {
+    readonly gate: FaultGate;
+    readonly state: HostListState;
+
+    constructor(
+        private readonly options: FakeHostListOptions,
+        private readonly source?: string,
+        shared?: { readonly gate: FaultGate; readonly state: HostListState; },
+    ) {
+        super();
+        this.gate = shared?.gate ?? new FaultGate(options.clock);
+        this.state = shared?.state ?? new HostListState(options.clock, options.lagMs);
+    }
+
+    /** Returns access to the same host list from a source that can be cut off. */
+    forSource(source: string): FakeHostList {
+        return new FakeHostList(this.options, source, this);
+    }
+
+    list(zone: ZoneId): Promise<Result<HostListing, Failure>> {
+        return runGated(this.options.clock, this.gate, codes, {
+            operation: "list",
+            source: this.source,
+            isWrite: false,
+            timeoutMs: this.options.timeoutMs ?? 1_000,
+            run: () => this.state.list(zone),
+        });
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/fleet.ts
@@ -0,0 +1,129 @@
+/**
+ * A whole platform in one process: store, host list, workers and executors that share one clock and one set of records.
+ */
+import type { Clock, ExecutorId, TaskId, WorkerId } from "@waxwingroute/core";
+import type { ExecutorAddress, WorkerAddress } from "@waxwingroute/platform";
+import { FakeExecutor } from "./fake-executor.js";
+import { FakeHostList } from "./fake-host-list.js";
+import { FakeStore } from "./fake-store.js";
+import { FakeWorker } from "./fake-worker.js";
+import type { FaultGate } from "./fault-gate.js";
+import { Records } from "./records.js";
+
+/** Options of `Fleet`. */
+export interface FleetOptions {
+    readonly clock: Clock;
+    /** Milliseconds after which the host list shows a change. Default 5,000. */
+    readonly hostListLagMs?: number;
+    /** Milliseconds after its start at which a task first reports its use. Default 2,000. */
+    readonly usageLagMs?: number;
+    /** Milliseconds after which a call to an in-process fake without an answer fails. Default 1,000. */
+    readonly timeoutMs?: number;
+}
+
+/**
+ * The stand-ins of a platform.
+ *
+ * @example
+ * ```ts
+ * const fleet = new Fleet({ clock });
+ * fleet.addWorker(address);
+ * fleet.killWorker(address.worker);
+ * ```
+ */
+export class Fleet {
+    readonly clock: Clock;
+    readonly records: Records;
+    readonly store: FakeStore;
+    readonly hostList: FakeHostList;
+    readonly workers = new Map<WorkerId, FakeWorker>();
+    readonly executors = new Map<ExecutorId, FakeExecutor>();
+
+    constructor(private readonly options: FleetOptions) {
+        const { clock, timeoutMs, hostListLagMs } = options;
+        this.clock = clock;
+        this.records = new Records(clock);
+        this.store = new FakeStore({ clock, timeoutMs });
+        this.hostList = new FakeHostList({ clock, timeoutMs, lagMs: hostListLagMs });
+    }
+
+    /** Adds a worker and lists it. `gate` replaces the worker's own fault gate. */
+    addWorker(address: WorkerAddress, gate?: FaultGate): FakeWorker {
+        const { clock, timeoutMs, usageLagMs } = this.options;
+        const worker = new FakeWorker({ clock, timeoutMs, usageLagMs, records: this.records, address, gate });
+        this.workers.set(address.worker, worker);
+        this.hostList.state.addWorker(address);
+        return worker;
+    }
+
+    /** Adds an executor and lists it. `gate` replaces the executor's own fault gate. */
+    addExecutor(address: ExecutorAddress, gate?: FaultGate): FakeExecutor {
+        const { clock, timeoutMs } = this.options;
+        const executor = new FakeExecutor({ clock, timeoutMs, records: this.records, address, gate });
+        this.executors.set(address.executor, executor);
+        this.hostList.state.addExecutor(address);
+        return executor;
+    }
+
+    /** Returns the worker or executor of a name, or `undefined`. */
+    findEndpoint(id: string): FakeWorker | FakeExecutor | undefined {
+        return this.workers.get(id as WorkerId) ?? this.executors.get(id as ExecutorId);
+    }
+
+    /** Kills a worker or executor; after the lag the host list no longer has it. Returns whether it exists. */
+    killEndpoint(id: string): boolean {
+        this.findEndpoint(id)?.kill();
+        return this.setListed(id, "gone");
+    }
+
+    /** Brings a killed worker or executor back. Returns whether it exists. */
+    restartEndpoint(id: string): boolean {
+        this.findEndpoint(id)?.restart();
+        return this.setListed(id, "live");
+    }
+
+    /** Marks a worker or executor as draining or not. Returns whether it exists. */
+    drainEndpoint(id: string, isDraining: boolean): boolean {
+        const endpoint = this.findEndpoint(id);
+        if (endpoint !== undefined) {
+            endpoint.state.isDraining = isDraining;
+        }
+        return this.setListed(id, isDraining ? "leaving" : "live");
+    }
+
+    /** Ends the lease of a task wherever it runs. Returns whether it ran. */
+    expireLease(task: TaskId): boolean {
+        return [...this.workers.values()].filter(worker => worker.state.expireLease(task)).length > 0;
+    }
+
+    /**
+     * Returns the fault gates that a name stands for: `store`, `host-list`, `platform` (both), a zone (all its workers and
+     * executors), a worker or an executor; `undefined` for an unknown name.
+     */
+    findGates(name: string): readonly FaultGate[] | undefined {
+        if (name === "store") {
+            return [this.store.gate];
+        }
+        if (name === "host-list") {
+            return [this.hostList.gate];
+        }
+        if (name === "platform") {
+            return [this.store.gate, this.hostList.gate];
+        }
+        const endpoint = this.findEndpoint(name);
+        if (endpoint !== undefined) {
+            return [endpoint.gate];
+        }
+        const endpoints = [...this.workers.values(), ...this.executors.values()];
+        const gates = endpoints.filter(other => other.address.zone === name).map(other => other.gate);
+        return gates.length === 0 ? undefined : gates;
+    }
+
+    private setListed(id: string, state: "live" | "leaving" | "gone"): boolean {
+        if (this.findEndpoint(id) === undefined) {
+            return false;
+        }
+        this.hostList.state.setState(id, state);
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/gated-call.ts
@@ -0,0 +1,64 @@
+/**
+ * Runs a call of an in-process fake through its fault gate, with the failures that the HTTP adapters would report.
+ */
+import type { Clock, Failure, Result } from "@waxwingroute/core";
+import { createFailure, Err } from "@waxwingroute/core";
+import type { FaultGate } from "./fault-gate.js";
+
+/** Options of every in-process fake. */
+export interface FakeOptions {
+    readonly clock: Clock;
+    /** Milliseconds after which a call without an answer fails. Default 1,000. */
+    readonly timeoutMs?: number;
+}
+
+/** Failure codes of one kind of stand-in. */
+export interface GatedCodes {
+    readonly unreachable: string;
+    readonly timedOut: string;
+}
+
+/** One call of a fake. */
+export interface GatedCall<T> {
+    /** Name for messages, for example `write`. */
+    readonly operation: string;
+    readonly source: string | undefined;
+    readonly isWrite: boolean;
+    /** Milliseconds until the caller gives up. */
+    readonly timeoutMs: number;
+    /** Takes effect. Called at most once. */
+    readonly run: () => Result<T, Failure> | Promise<Result<T, Failure>>;
+}
+
+/** Runs one call. A caller that gave up does not stop the call from taking effect. */
+export function runGated<T>(
+    clock: Clock,
+    gate: FaultGate,
+    codes: GatedCodes,
+    call: GatedCall<T>,
+): Promise<Result<T, Failure>> {
+    return new Promise((resolve, reject) => {
+        const expire = () => {
+            const message = `${call.operation} got no answer within ${call.timeoutMs} ms`;
+            resolve(Err(createFailure(codes.timedOut, message, "mayHaveRun")));
+        };
+        const timer = clock.schedule(call.timeoutMs, expire);
+        const pass = async () => {
+            const admission = await gate.acceptCall(call.source);
+            if (admission === "refuse") {
+                timer.cancel();
+                resolve(Err(createFailure(codes.unreachable, `${call.operation}: connection refused`, "notRun")));
+                return;
+            }
+            if (admission === "drop") {
+                return;
+            }
+            const result = await call.run();
+            if (!gate.takeAnswerLoss(call.source, call.isWrite)) {
+                timer.cancel();
+                resolve(result);
+            }
+        };
+        pass().catch(reject);
+    });
+}
