Add the ownership state machine and its driver

Change: pure state machine, driver over Store, Clock and OwnershipPeers. Not tested yet; tests follow. Conclusion: the public interface is ready to build on.

--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,2 +1,26 @@
 /** The state machine that decides which entry host may place work in a shard. */
-export {};
+export { OwnershipDriver } from "./driver.js";
+export type { OwnershipDriverOptions, OwnershipListener } from "./driver.js";
+export { applyOwnershipEvent, createOwnershipState } from "./machine.js";
+export { OwnershipPeers } from "./peers.js";
+export { encodeOwnershipRecord, parseOwnershipRecord } from "./record.js";
+export { canPlace } from "./right.js";
+export { defaultOwnershipTimings } from "./types.js";
+export type {
+    ArmAnswer,
+    ArmRequest,
+    DisarmAnswer,
+    DisarmRequest,
+    Heartbeat,
+    IdentifyAnswer,
+    IdentifyRequest,
+    OwnershipAction,
+    OwnershipEvent,
+    OwnershipRecord,
+    OwnershipSettings,
+    OwnershipState,
+    OwnershipTimings,
+    ReleaseAnswer,
+    ReleaseRequest,
+    RightBasis,
+} from "./types.js";
--- /dev/null
+++ b/packages/ownership/src/machine.ts
@@ -0,0 +1,227 @@
+/**
+ * The ownership state machine of one shard on one host. It is pure: the same state, event and time give the same result.
+ */
+import { match } from "ts-pattern";
+import {
+    applyArmAnswer,
+    applyDisarmAnswer,
+    applyIdentifyAnswer,
+    beginHandOver,
+    forceSuccessorRelease,
+    runOwnerDuties,
+} from "./owner.js";
+import { learnRecord } from "./record.js";
+import { expireRight, settleRight } from "./right.js";
+import { generateRequestId, hasUnresolvedWrite } from "./step.js";
+import type { Step } from "./step.js";
+import { replyToArm, replyToDisarm, replyToIdentify, replyToRelease } from "./successor.js";
+import { applyReleaseAnswer, forceRecordRelease, runStandbyDuties } from "./takeover.js";
+import type {
+    Heartbeat,
+    OwnershipAction,
+    OwnershipEvent,
+    OwnershipSettings,
+    OwnershipState,
+    RecordReading,
+    WriteAnswer,
+} from "./types.js";
+
+/** Creates the state of a process that has just started and has bound its configured address. */
+export function createOwnershipState(settings: OwnershipSettings, now: number): OwnershipState {
+    return {
+        settings,
+        startedAt: now,
+        known: undefined,
+        absentSince: undefined,
+        read: undefined,
+        lastReadAt: -Infinity,
+        lastWriteAt: -Infinity,
+        requestSequence: 0,
+        pending: [],
+        owner: undefined,
+        successor: {
+            lastConsentAt: undefined,
+            armed: undefined,
+            solo: undefined,
+            disarmed: undefined,
+            releasedRevision: 0,
+            takeoverRevision: 0,
+            soloTakeoverRevision: 0,
+        },
+        peers: {},
+        ownerHeardAt: -Infinity,
+        heartbeatNumber: 0,
+        lastHeartbeatAt: -Infinity,
+        recentHeartbeats: [],
+        release: undefined,
+        forcedRevision: undefined,
+        right: undefined,
+        generation: 0,
+    };
+}
+
+/**
+ * Applies one event and returns the new state and the actions to perform. Every event also does what has become due, so a
+ * late tick delays nothing that another event can do.
+ *
+ * @param now - Milliseconds of a monotonic clock of this host, not lower than in earlier calls.
+ */
+export function applyOwnershipEvent(
+    state: OwnershipState,
+    event: OwnershipEvent,
+    now: number,
+): { readonly state: OwnershipState; readonly actions: readonly OwnershipAction[]; } {
+    const step: Step = { state: { ...state }, actions: [], now, timings: state.settings.timings };
+    expireRight(step);
+    applyEvent(step, event);
+    sendHeartbeatsIfDue(step);
+    readRecordIfDue(step);
+    runOwnerDuties(step);
+    runStandbyDuties(step);
+    settleRight(step);
+    return { state: step.state, actions: step.actions };
+}
+
+function applyEvent(step: Step, event: OwnershipEvent): void {
+    match(event)
+        .with({ kind: "tick" }, () => {})
+        .with({ kind: "recordRead" }, ({ requestId, reading }) => applyReading(step, requestId, reading))
+        .with({ kind: "writeAnswered" }, ({ token, answer }) => applyWriteAnswer(step, token, answer))
+        .with({ kind: "heartbeatReceived" }, ({ heartbeat }) => applyHeartbeat(step, heartbeat))
+        .with({ kind: "armRequested" }, ({ request }) => replyToArm(step, request))
+        .with({ kind: "armAnswered" }, ({ answer }) => applyArmAnswer(step, answer))
+        .with({ kind: "disarmRequested" }, ({ request }) => replyToDisarm(step, request))
+        .with({ kind: "disarmAnswered" }, ({ answer }) => applyDisarmAnswer(step, answer))
+        .with({ kind: "releaseRequested" }, ({ request }) => replyToRelease(step, request))
+        .with({ kind: "releaseAnswered" }, ({ answer }) => applyReleaseAnswer(step, answer))
+        .with({ kind: "identifyRequested" }, ({ request }) => replyToIdentify(step, request))
+        .with({ kind: "identifyAnswered" }, ({ answer }) => applyIdentifyAnswer(step, answer))
+        .with({ kind: "recoveryCompleted" }, ({ generation }) => completeRecovery(step, generation))
+        .with({ kind: "handOver" }, () => beginHandOver(step))
+        .with({ kind: "forceRelease" }, () => {
+            forceSuccessorRelease(step);
+            forceRecordRelease(step);
+        })
+        .exhaustive();
+}
+
+function applyReading(step: Step, requestId: number, reading: RecordReading): void {
+    const { state } = step;
+    const sentAt = state.read?.requestId === requestId ? state.read.sentAt : undefined;
+    if (sentAt !== undefined) {
+        state.read = undefined;
+    }
+    const isCurrent = match(reading)
+        .with({ kind: "found" }, ({ record, revision }) => {
+            learnRecord(step, record, revision);
+            return true;
+        })
+        .with({ kind: "absent" }, () => {
+            // A record that disappears after it was seen is a fault of the store; creating it anew would repeat epochs.
+            state.absentSince = state.known === undefined ? state.absentSince ?? step.now : undefined;
+            return state.known === undefined;
+        })
+        .with({ kind: "unreadable" }, { kind: "failed" }, () => false)
+        .exhaustive();
+    if (isCurrent && sentAt !== undefined) {
+        state.pending = state.pending.map(write => ({
+            ...write,
+            isChecked: write.isChecked || write.sentAt < sentAt && isOverdue(step, write.sentAt, write.isAnswered),
+        }));
+    }
+}
+
+function applyWriteAnswer(step: Step, token: string, answer: WriteAnswer): void {
+    const { state } = step;
+    const write = state.pending.find(pending => pending.record.token === token);
+    if (write === undefined) {
+        return;
+    }
+    match(answer)
+        .with({ kind: "written" }, ({ revision }) => learnRecord(step, write.record, revision))
+        .with({ kind: "conflict" }, () => {
+            state.pending = state.pending.filter(pending => pending !== write);
+            state.lastReadAt = -Infinity;
+            state.read = undefined;
+            readRecord(step);
+        })
+        .with({ kind: "notSent" }, () => {
+            state.pending = state.pending.filter(pending => pending !== write);
+        })
+        .with({ kind: "unknown" }, () => {
+            state.pending = state.pending.map(pending => pending === write ? { ...write, isAnswered: true } : pending);
+        })
+        .exhaustive();
+}
+
+function applyHeartbeat(step: Step, heartbeat: Heartbeat): void {
+    const { state, now } = step;
+    const { from, incarnation, number, confirmed } = heartbeat;
+    const previous = state.peers[from];
+    const isStale = previous?.incarnation === incarnation && previous.number >= number;
+    if (!isStale) {
+        state.peers = { ...state.peers, [from]: { incarnation, number, heardAt: now } };
+    }
+    if (confirmed !== undefined) {
+        learnRecord(step, confirmed.record, confirmed.revision);
+    }
+    if (state.known?.record.owner === from && state.known.record.ownerIncarnation === incarnation) {
+        state.ownerHeardAt = now;
+    }
+}
+
+function completeRecovery(step: Step, generation: number): void {
+    const { right } = step.state;
+    if (right !== undefined && right.generation === generation && step.now >= right.recoveryNotBefore) {
+        step.state.right = { ...right, isRecovering: false };
+    }
+}
+
+/** The owner and the other hosts exchange heartbeats; the other hosts send none to each other. */
+function sendHeartbeatsIfDue(step: Step): void {
+    const { state, now, timings } = step;
+    if (now < state.lastHeartbeatAt + timings.heartbeatMs) {
+        return;
+    }
+    const { self, incarnation, hosts } = state.settings;
+    state.heartbeatNumber++;
+    state.lastHeartbeatAt = now;
+    state.recentHeartbeats = [
+        ...state.recentHeartbeats.filter(sent => now < sent.sentAt + timings.armFreshMs),
+        { number: state.heartbeatNumber, sentAt: now },
+    ];
+    const confirmed = state.known === undefined
+        ? undefined
+        : { record: state.known.record, revision: state.known.revision };
+    const heartbeat: Heartbeat = { from: self, incarnation, number: state.heartbeatNumber, confirmed };
+    const owner = state.known?.record.owner;
+    for (const to of hosts) {
+        if (to !== self && (state.owner !== undefined || owner === undefined || owner === to)) {
+            step.actions.push({ kind: "sendHeartbeat", to, heartbeat });
+        }
+    }
+}
+
+/** Reads the record when its content, the owner's life or the outcome of a write is in doubt, and now and then otherwise. */
+function readRecordIfDue(step: Step): void {
+    const { state, now, timings } = step;
+    const isWriteOverdue = hasUnresolvedWrite(state)
+        && state.pending.some(write => isOverdue(step, write.sentAt, write.isAnswered));
+    const isOwnerSilent = state.owner === undefined && now >= state.ownerHeardAt + 3 * timings.heartbeatMs;
+    const isInDoubt = state.known === undefined || isWriteOverdue || isOwnerSilent;
+    const intervalMs = isInDoubt ? timings.renewIntervalMs : timings.observeIntervalMs;
+    if (now >= state.lastReadAt + intervalMs) {
+        readRecord(step);
+    }
+}
+
+function readRecord(step: Step): void {
+    const requestId = generateRequestId(step);
+    step.state.read = { requestId, sentAt: step.now };
+    step.state.lastReadAt = step.now;
+    step.actions.push({ kind: "readRecord", requestId });
+}
+
+function isOverdue(step: Step, sentAt: number, isAnswered: boolean): boolean {
+    return isAnswered || step.now >= sentAt + step.timings.renewIntervalMs;
+}
--- /dev/null
+++ b/packages/ownership/src/owner.ts
@@ -0,0 +1,242 @@
+/**
+ * The owner's side: renewals, choice of the successor, consent mode and graceful handover.
+ */
+import type { IncarnationId } from "@waxwingroute/core";
+import { match } from "ts-pattern";
+import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
+import type { Step } from "./step.js";
+import type { ArmAnswer, DisarmAnswer, IdentifyAnswer, KnownRecord, OwnerSide, PeerView } from "./types.js";
+
+/** Does what is due for the owner named in the record. */
+export function runOwnerDuties(step: Step): void {
+    const { owner, known } = step.state;
+    if (owner === undefined || known === undefined) {
+        return;
+    }
+    renewIfDue(step, owner, known);
+    if (!owner.isHandingOver && owner.renewedAt !== undefined) {
+        keepConsent(step, known, owner.renewedAt);
+    }
+}
+
+/** Gives up the right and begins to write the successor as the new owner. */
+export function beginHandOver(step: Step): void {
+    const { owner, known } = step.state;
+    if (owner !== undefined && known !== undefined && isSuccessorLive(step, known)) {
+        step.state.owner = { ...owner, isHandingOver: true };
+        step.state.lastWriteAt = -Infinity;
+    }
+}
+
+/** Applies the operator's statement that the successor has ended. */
+export function forceSuccessorRelease(step: Step): void {
+    if (step.state.owner?.basis === "consent") {
+        returnToStoreMode(step, step.state.owner);
+    }
+}
+
+export function applyArmAnswer(step: Step, answer: ArmAnswer): void {
+    const { owner } = step.state;
+    if (owner === undefined || owner.basis !== "consent" || owner.epoch !== answer.epoch) {
+        return;
+    }
+    match(answer.status)
+        .with("consented", () => {
+            const sentAt = owner.arms.find(arm => arm.sequence === answer.sequence)?.sentAt;
+            if (sentAt !== undefined) {
+                const consentSentAt = Math.max(sentAt, owner.consentSentAt ?? -Infinity);
+                step.state.owner = { ...owner, consentSentAt };
+            }
+        })
+        .with("notArmed", () => {
+            // A later arm request can still arm the successor, so that only the answer to the last one counts.
+            if (answer.sequence >= getLastArmSequence(owner)) {
+                returnToStoreMode(step, owner);
+            }
+        })
+        .with("armed", "solo", () => {})
+        .exhaustive();
+}
+
+export function applyDisarmAnswer(step: Step, answer: DisarmAnswer): void {
+    const { owner } = step.state;
+    const applies = owner !== undefined && owner.basis === "consent" && owner.epoch === answer.epoch;
+    if (applies && answer.isDisarmed && answer.sequence > getLastArmSequence(owner)) {
+        returnToStoreMode(step, owner);
+    }
+}
+
+/** A new incarnation on the successor's address proves that the armed one has ended. */
+export function applyIdentifyAnswer(step: Step, answer: IdentifyAnswer): void {
+    const { owner, known } = step.state;
+    const applies = owner?.basis === "consent" && owner.identify?.requestId === answer.requestId;
+    if (applies && answer.incarnation !== known?.record.successorIncarnation) {
+        returnToStoreMode(step, owner);
+    }
+}
+
+function renewIfDue(step: Step, owner: OwnerSide, known: KnownRecord): void {
+    const { state, now, timings } = step;
+    if (hasUnresolvedWrite(state) || now < state.lastWriteAt + timings.renewIntervalMs) {
+        return;
+    }
+    const { record } = known;
+    if (!owner.isHandingOver) {
+        sendWrite(step, { ...record, ...chooseSuccessor(step, owner, known), renewal: record.renewal + 1 });
+    }
+    else if (record.successor !== undefined && record.successorIncarnation !== undefined) {
+        sendWrite(step, {
+            epoch: record.epoch + 1,
+            owner: record.successor,
+            ownerIncarnation: record.successorIncarnation,
+            successor: undefined,
+            successorIncarnation: undefined,
+            renewal: 0,
+        });
+    }
+}
+
+interface SuccessorChoice {
+    readonly successor: KnownRecord["record"]["successor"];
+    readonly successorIncarnation: KnownRecord["record"]["successorIncarnation"];
+}
+
+/** Keeps a live successor; else names the first live host in the configured order. Never changes an armed successor. */
+function chooseSuccessor(step: Step, owner: OwnerSide, known: KnownRecord): SuccessorChoice {
+    const { settings, peers } = step.state;
+    const { successor, successorIncarnation } = known.record;
+    if (owner.basis === "consent" || isSuccessorLive(step, known)) {
+        return { successor, successorIncarnation };
+    }
+    const chosen = settings.hosts.find(host => host !== settings.self && isLive(step, peers[host]));
+    return chosen === undefined
+        ? { successor, successorIncarnation }
+        : { successor: chosen, successorIncarnation: peers[chosen]?.incarnation };
+}
+
+function isLive(step: Step, peer: PeerView | undefined): boolean {
+    return peer !== undefined && step.now < peer.heardAt + step.timings.storeRightMs;
+}
+
+function isSuccessorLive(step: Step, known: KnownRecord): boolean {
+    const { successor, successorIncarnation } = known.record;
+    const peer = successor === undefined ? undefined : step.state.peers[successor];
+    return peer?.incarnation === successorIncarnation && isLive(step, peer);
+}
+
+/** Enters consent mode when renewals go unanswered, and keeps consents, disarm requests and identification going there. */
+function keepConsent(step: Step, known: KnownRecord, renewedAt: number): void {
+    const { state, now, timings } = step;
+    const isStoreSilent = now >= renewedAt + 2 * timings.renewIntervalMs;
+    if (state.owner?.basis === "store") {
+        if (isStoreSilent) {
+            sendArmIfPossible(step, known, renewedAt);
+        }
+        return;
+    }
+    const lastArmAt = state.owner?.arms.at(-1)?.sentAt ?? -Infinity;
+    if (now >= lastArmAt + computeWait(timings, timings.pairBoundMs)) {
+        returnToStoreMode(step, state.owner as OwnerSide);
+        return;
+    }
+    if (now >= lastArmAt + timings.heartbeatMs) {
+        sendArmIfPossible(step, known, renewedAt);
+    }
+    if (!isStoreSilent) {
+        sendDisarmIfDue(step, known);
+    }
+    identifySuccessorIfDue(step, known);
+}
+
+function sendArmIfPossible(step: Step, known: KnownRecord, renewedAt: number): void {
+    const { state, now, timings } = step;
+    const { successor, successorIncarnation } = known.record;
+    const peer = successor === undefined ? undefined : state.peers[successor];
+    const isFresh = peer !== undefined && peer.incarnation === successorIncarnation
+        && now < peer.heardAt + timings.armFreshMs;
+    // The record may name another successor already when a write that changes it has no answer.
+    const isChanging = state.pending.some(write => write.record.successorIncarnation !== successorIncarnation);
+    const { owner } = state;
+    if (
+        owner === undefined || successor === undefined || successorIncarnation === undefined || !isFresh || isChanging
+        || now >= renewedAt + timings.pairBoundMs
+    ) {
+        return;
+    }
+    const sequence = owner.sequence + 1;
+    const recent = owner.arms.filter(arm => now < arm.sentAt + timings.consentMs);
+    const isFirst = owner.basis === "store";
+    state.owner = {
+        ...owner,
+        basis: "consent",
+        sequence,
+        arms: [...recent, { sequence, sentAt: now }],
+        consentSentAt: isFirst ? undefined : owner.consentSentAt,
+        heldUntil: isFirst ? renewedAt + timings.storeRightMs : owner.heldUntil,
+        identify: isFirst ? undefined : owner.identify,
+    };
+    step.actions.push({
+        kind: "sendArm",
+        to: successor,
+        request: {
+            ...describeSender(step, owner, successorIncarnation),
+            sequence,
+            revision: known.revision,
+            echo: peer.number,
+            sinceRenewalMs: now - renewedAt,
+        },
+    });
+}
+
+/** Disarms half a period after an arm request, so that the acknowledgement can arrive before the next arm request. */
+function sendDisarmIfDue(step: Step, known: KnownRecord): void {
+    const { state, now, timings } = step;
+    const { owner } = state;
+    const { successor, successorIncarnation } = known.record;
+    const lastArmAt = owner?.arms.at(-1)?.sentAt ?? -Infinity;
+    const isDue = owner !== undefined && now >= owner.lastDisarmAt + timings.heartbeatMs
+        && now >= lastArmAt + timings.heartbeatMs / 2;
+    if (!isDue || successor === undefined || successorIncarnation === undefined) {
+        return;
+    }
+    const sequence = owner.sequence + 1;
+    state.owner = { ...owner, sequence, lastDisarmAt: now };
+    step.actions.push({
+        kind: "sendDisarm",
+        to: successor,
+        request: { ...describeSender(step, owner, successorIncarnation), sequence, revision: known.revision },
+    });
+}
+
+function identifySuccessorIfDue(step: Step, known: KnownRecord): void {
+    const { state, now, timings } = step;
+    const { owner } = state;
+    const { successor } = known.record;
+    const isConsented = owner?.consentSentAt !== undefined && now < owner.consentSentAt + timings.consentMs;
+    const isAsked = owner?.identify !== undefined && now < owner.identify.sentAt + timings.renewIntervalMs;
+    if (owner === undefined || successor === undefined || isConsented || isAsked) {
+        return;
+    }
+    const requestId = generateRequestId(step);
+    state.owner = { ...owner, identify: { requestId, sentAt: now } };
+    step.actions.push({ kind: "sendIdentify", to: successor, request: { from: state.settings.self, requestId } });
+}
+
+function returnToStoreMode(step: Step, owner: OwnerSide): void {
+    step.state.owner = {
+        ...owner,
+        basis: "store",
+        consentSentAt: undefined,
+        heldUntil: -Infinity,
+        identify: undefined,
+    };
+}
+
+function getLastArmSequence(owner: OwnerSide): number {
+    return owner.arms.at(-1)?.sequence ?? 0;
+}
+
+function describeSender(step: Step, owner: OwnerSide, successorIncarnation: IncarnationId) {
+    const { self, incarnation } = step.state.settings;
+    return { from: self, ownerIncarnation: incarnation, successorIncarnation, epoch: owner.epoch };
+}
--- /dev/null
+++ b/packages/ownership/src/record.ts
@@ -0,0 +1,115 @@
+/**
+ * What a host knows of the stored record: encoding, learning of newer revisions, and resolving writes without an answer.
+ */
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import type { Failure, HostId, IncarnationId, Result, WriterToken } from "@waxwingroute/core";
+import { z } from "zod";
+import type { Step } from "./step.js";
+import type { OwnershipRecord, PendingWrite } from "./types.js";
+
+const recordVersion = 1;
+
+const recordSchema = z.object({
+    version: z.number().int(),
+    epoch: z.number().int().positive(),
+    owner: z.string().min(1).transform(value => value as HostId),
+    ownerIncarnation: z.string().min(1).transform(value => value as IncarnationId),
+    successor: z.string().min(1).transform(value => value as HostId).optional(),
+    successorIncarnation: z.string().min(1).transform(value => value as IncarnationId).optional(),
+    renewal: z.number().int().nonnegative(),
+    token: z.string().min(1).transform(value => value as WriterToken),
+});
+
+/** Encodes a record as a store value. */
+export function encodeOwnershipRecord(record: OwnershipRecord): string {
+    return JSON.stringify({ version: recordVersion, ...record });
+}
+
+/** Parses a store value. Fails with `ownership-record-unreadable` for a damaged value or one of a newer version. */
+export function parseOwnershipRecord(value: string): Result<OwnershipRecord, Failure> {
+    const parsed = recordSchema.safeParse(parseJson(value));
+    if (!parsed.success) {
+        return Err(createFailure(
+            "ownership-record-unreadable",
+            `the ownership record is damaged: ${z.prettifyError(parsed.error)}`,
+            "notRun",
+        ));
+    }
+    const { version, successor, successorIncarnation, ...rest } = parsed.data;
+    if (version > recordVersion) {
+        return Err(createFailure(
+            "ownership-record-unreadable",
+            `the ownership record has version ${version}; this program reads versions up to ${recordVersion}`,
+            "notRun",
+        ));
+    }
+    return Ok({ ...rest, successor, successorIncarnation });
+}
+
+function parseJson(value: string): unknown {
+    try {
+        return JSON.parse(value);
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Learns of a record at a revision, from the store or from the owner; an older revision than the known one is ignored. */
+export function learnRecord(step: Step, record: OwnershipRecord, revision: number): void {
+    const { state } = step;
+    if (state.known !== undefined && revision <= state.known.revision) {
+        return;
+    }
+    const own = state.pending.find(write => write.record.token === record.token);
+    state.known = { record, revision, observedAt: step.now };
+    state.absentSince = undefined;
+    // A write that expected an older revision can no longer take effect.
+    state.pending = state.pending.filter(write => write.expected !== undefined && write.expected >= revision);
+    state.release = undefined;
+    updateOwnerSide(step, record, own);
+    updateSuccessorSide(step, record);
+}
+
+function updateOwnerSide(step: Step, record: OwnershipRecord, own: PendingWrite | undefined): void {
+    const { state } = step;
+    const { self, incarnation } = state.settings;
+    if (record.owner !== self || record.ownerIncarnation !== incarnation) {
+        if (state.owner?.isHandingOver === true) {
+            step.actions.push({ kind: "handedOver" });
+        }
+        state.owner = undefined;
+        return;
+    }
+    if (state.owner === undefined || state.owner.epoch !== record.epoch) {
+        state.owner = {
+            epoch: record.epoch,
+            renewedAt: own?.sentAt,
+            basis: "store",
+            sequence: 0,
+            arms: [],
+            lastDisarmAt: -Infinity,
+            consentSentAt: undefined,
+            heldUntil: -Infinity,
+            identify: undefined,
+            isHandingOver: false,
+        };
+    }
+    else if (own !== undefined) {
+        state.owner = { ...state.owner, renewedAt: Math.max(own.sentAt, state.owner.renewedAt ?? -Infinity) };
+    }
+}
+
+/** Drops an arm or a solo takeover of an epoch that has ended or whose successor is no longer this process. */
+function updateSuccessorSide(step: Step, record: OwnershipRecord): void {
+    const { state } = step;
+    const { armed, solo } = state.successor;
+    const isNamed = record.successor === state.settings.self
+        && record.successorIncarnation === state.settings.incarnation;
+    const keeps = (epoch: number | undefined): boolean => epoch !== undefined && isNamed && epoch >= record.epoch;
+    state.successor = {
+        ...state.successor,
+        armed: keeps(armed?.epoch) ? armed : undefined,
+        solo: keeps(solo?.epoch) ? solo : undefined,
+    };
+}
--- /dev/null
+++ b/packages/ownership/src/right.ts
@@ -0,0 +1,87 @@
+/**
+ * The right to place: how long it lasts, when it is gained and lost.
+ */
+import { computeWait } from "./step.js";
+import type { Step } from "./step.js";
+import type { OwnershipState, RightBasis } from "./types.js";
+
+/**
+ * Returns whether this host may place at `now`. Callers check it after each decision and immediately before each send.
+ *
+ * @param now - Milliseconds of the clock that drives the state machine.
+ */
+export function canPlace(state: OwnershipState, now: number): boolean {
+    return state.right !== undefined && !state.right.isRecovering && now < computeRightEnd(state);
+}
+
+/** Returns the time at which the present right ends without further confirmation; minus infinity without a right. */
+export function computeRightEnd(state: OwnershipState): number {
+    const { timings } = state.settings;
+    if (state.successor.solo !== undefined) {
+        return state.successor.solo.until;
+    }
+    const { owner } = state;
+    if (owner === undefined || owner.renewedAt === undefined || owner.isHandingOver) {
+        return -Infinity;
+    }
+    if (owner.basis === "store") {
+        return owner.renewedAt + timings.storeRightMs;
+    }
+    return owner.consentSentAt === undefined
+        ? -Infinity
+        : Math.min(owner.consentSentAt + timings.consentMs, owner.renewedAt + timings.pairBoundMs);
+}
+
+/** Ends a right that expired before this step. Runs before the event is applied, so that a late answer does not hide a lapse. */
+export function expireRight(step: Step): void {
+    if (step.state.right !== undefined && step.now >= computeHoldEnd(step.state)) {
+        loseRight(step);
+    }
+}
+
+/** Compares the right with the state after an event and reports a gain, a loss or a change of epoch. */
+export function settleRight(step: Step): void {
+    const { state } = step;
+    const isHeld = step.now < computeHoldEnd(state);
+    const epoch = state.successor.solo?.epoch ?? state.owner?.epoch;
+    if (state.right !== undefined && (!isHeld || state.right.epoch !== epoch)) {
+        loseRight(step);
+    }
+    if (state.right === undefined && epoch !== undefined && step.now < computeRightEnd(state)) {
+        gainRight(step, epoch);
+    }
+}
+
+/**
+ * Returns until when no other host can have gained a right. It outlasts the right itself between the first arm request and
+ * its consent, so that the change to consent mode does not count as a lapse.
+ */
+function computeHoldEnd(state: OwnershipState): number {
+    const { owner } = state;
+    const isWaiting = owner !== undefined && owner.basis === "consent" && !owner.isHandingOver
+        && state.successor.solo === undefined;
+    return Math.max(computeRightEnd(state), isWaiting ? owner.heldUntil : -Infinity);
+}
+
+function gainRight(step: Step, epoch: number): void {
+    const { state, timings } = step;
+    const basis: RightBasis = state.successor.solo !== undefined ? "solo" : state.owner?.basis ?? "store";
+    // The earlier holder's right has ended by the rule that granted this one; only its last starts can be in flight.
+    const waitMs = computeWait(timings, timings.startInFlightMs);
+    state.generation++;
+    state.right = {
+        generation: state.generation,
+        epoch,
+        isRecovering: true,
+        recoveryNotBefore: step.now + waitMs,
+    };
+    step.actions.push({ kind: "rightGained", generation: state.generation, epoch, basis, waitMs });
+}
+
+function loseRight(step: Step): void {
+    const { state } = step;
+    if (state.right !== undefined) {
+        step.actions.push({ kind: "rightLost", generation: state.right.generation });
+        state.right = undefined;
+    }
+}
--- /dev/null
+++ b/packages/ownership/src/successor.ts
@@ -0,0 +1,144 @@
+/**
+ * The successor's answers to requests of the owner and of third hosts.
+ */
+import { computeWait } from "./step.js";
+import type { Step } from "./step.js";
+import type { ArmRequest, ArmStatus, DisarmRequest, IdentifyRequest, OwnershipState, ReleaseRequest } from "./types.js";
+
+export function replyToArm(step: Step, request: ArmRequest): void {
+    noticeNewerEpoch(step, request.epoch);
+    const status = decideArm(step, request);
+    const { state } = step;
+    if (status === "consented") {
+        const echo = state.recentHeartbeats.find(sent => sent.number === request.echo);
+        state.successor = {
+            ...state.successor,
+            lastConsentAt: step.now,
+            armed: {
+                epoch: request.epoch,
+                ownerIncarnation: request.ownerIncarnation,
+                anchorAt: computeAnchor(step, request, echo?.sentAt ?? -Infinity),
+                expiredSeenAt: undefined,
+            },
+        };
+    }
+    else if (status === "notArmed") {
+        recordDisarm(step, request);
+    }
+    const { epoch, sequence } = request;
+    step.actions.push({ kind: "replyArm", answer: { epoch, sequence, status } });
+}
+
+export function replyToDisarm(step: Step, request: DisarmRequest): void {
+    noticeNewerEpoch(step, request.epoch);
+    const { state } = step;
+    const { epoch, sequence } = request;
+    // A takeover write that relied on being solo may still replace the record on which the owner relies.
+    const isDisarmed = !isNamed(step, request) || state.successor.soloTakeoverRevision < request.revision;
+    if (isDisarmed) {
+        const { armed, solo } = state.successor;
+        state.successor = {
+            ...state.successor,
+            armed: armed !== undefined && armed.epoch <= epoch ? undefined : armed,
+            solo: solo !== undefined && solo.epoch <= epoch ? undefined : solo,
+        };
+        recordDisarm(step, request);
+    }
+    step.actions.push({ kind: "replyDisarm", answer: { epoch, sequence, isDisarmed } });
+}
+
+/** Gives a release to a third host unless this process may place or may yet do so without the store. */
+export function replyToRelease(step: Step, request: ReleaseRequest): void {
+    const { state, now, timings } = step;
+    const { successor } = state;
+    const consentWaitMs = computeWait(timings, timings.consentMs);
+    // An earlier incarnation may have consented just before it ended.
+    const isConsentOver = now > Math.max(successor.lastConsentAt ?? -Infinity, state.startedAt) + consentWaitMs;
+    const isReleased = successor.solo === undefined && successor.armed === undefined && state.owner === undefined
+        && isConsentOver;
+    if (isReleased) {
+        const releasedRevision = Math.max(successor.releasedRevision, request.revision);
+        state.successor = { ...successor, releasedRevision };
+    }
+    const { requestId, revision } = request;
+    step.actions.push({ kind: "replyRelease", answer: { requestId, revision, isReleased } });
+}
+
+export function replyToIdentify(step: Step, request: IdentifyRequest): void {
+    const { incarnation } = step.state.settings;
+    step.actions.push({ kind: "replyIdentify", answer: { requestId: request.requestId, incarnation } });
+}
+
+/** An owner of a later epoch exists, so that whatever this process held in earlier epochs has ended. */
+function noticeNewerEpoch(step: Step, epoch: number): void {
+    const { state } = step;
+    const { armed, solo } = state.successor;
+    if (state.owner !== undefined && state.owner.epoch < epoch) {
+        state.owner = undefined;
+    }
+    state.successor = {
+        ...state.successor,
+        armed: armed !== undefined && armed.epoch < epoch ? undefined : armed,
+        solo: solo !== undefined && solo.epoch < epoch ? undefined : solo,
+    };
+}
+
+function decideArm(step: Step, request: ArmRequest): ArmStatus {
+    const { successor } = step.state;
+    if (!isNamed(step, request)) {
+        return "notArmed";
+    }
+    if (successor.solo !== undefined) {
+        return "solo";
+    }
+    if (canConsent(step, request)) {
+        return "consented";
+    }
+    const isArmed = successor.armed?.epoch === request.epoch;
+    return isArmed || successor.soloTakeoverRevision >= request.revision ? "armed" : "notArmed";
+}
+
+function canConsent(step: Step, request: ArmRequest): boolean {
+    const { state, now, timings } = step;
+    const { successor, known } = state;
+    const echo = state.recentHeartbeats.find(sent => sent.number === request.echo);
+    if (echo === undefined || now >= echo.sentAt + timings.armFreshMs) {
+        return false;
+    }
+    const { disarmed } = successor;
+    const isDisarmed = disarmed !== undefined
+        && (disarmed.epoch > request.epoch
+            || disarmed.epoch === request.epoch && disarmed.sequence >= request.sequence);
+    const promised = Math.max(successor.releasedRevision, successor.takeoverRevision);
+    return !isDisarmed
+        && state.owner === undefined
+        && request.revision > promised
+        && (known === undefined || known.record.epoch <= request.epoch)
+        && isStillNamed(state, request)
+        && now < computeAnchor(step, request, echo.sentAt) + timings.pairBoundMs;
+}
+
+function isStillNamed(state: OwnershipState, request: ArmRequest): boolean {
+    const { known } = state;
+    return known === undefined || known.revision <= request.revision
+        || known.record.successorIncarnation === state.settings.incarnation;
+}
+
+function isNamed(step: Step, request: ArmRequest | DisarmRequest): boolean {
+    return request.successorIncarnation === step.state.settings.incarnation;
+}
+
+/** The echoed heartbeat was sent before the request, so that this is not later than the sending of the owner's renewal. */
+function computeAnchor(step: Step, request: ArmRequest, echoSentAt: number): number {
+    return echoSentAt - computeWait(step.timings, request.sinceRenewalMs);
+}
+
+function recordDisarm(step: Step, request: ArmRequest | DisarmRequest): void {
+    const { disarmed } = step.state.successor;
+    const { epoch, sequence } = request;
+    const isLater = disarmed === undefined || epoch > disarmed.epoch
+        || epoch === disarmed.epoch && sequence > disarmed.sequence;
+    if (isLater) {
+        step.state.successor = { ...step.state.successor, disarmed: { epoch, sequence } };
+    }
+}
--- /dev/null
+++ b/packages/ownership/src/takeover.ts
@@ -0,0 +1,151 @@
+/**
+ * What a host that is not the owner does: go solo, take over through the store, create the first record.
+ */
+import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
+import type { Step } from "./step.js";
+import type { KnownRecord, ReleaseAnswer } from "./types.js";
+
+/** Does what is due for a host that the record does not name as owner. */
+export function runStandbyDuties(step: Step): void {
+    const { state } = step;
+    if (state.owner !== undefined) {
+        return;
+    }
+    updateSolo(step);
+    if (hasUnresolvedWrite(state) || step.now < state.lastWriteAt + step.timings.renewIntervalMs) {
+        return;
+    }
+    if (state.known !== undefined) {
+        takeOverIfAllowed(step, state.known);
+    }
+    else {
+        createRecordIfDue(step);
+    }
+}
+
+export function applyReleaseAnswer(step: Step, answer: ReleaseAnswer): void {
+    const { release } = step.state;
+    if (answer.isReleased && release !== undefined && release.revision === answer.revision) {
+        step.state.release = { ...release, isGiven: true };
+    }
+}
+
+/** Applies the operator's statement that the owner's and the successor's processes have ended. */
+export function forceRecordRelease(step: Step): void {
+    step.state.forcedRevision = step.state.known?.revision;
+}
+
+function updateSolo(step: Step): void {
+    const { state, now, timings } = step;
+    const { armed, solo, lastConsentAt } = state.successor;
+    const until = armed === undefined ? -Infinity : armed.anchorAt + timings.pairBoundMs;
+    if (solo !== undefined && now >= solo.until) {
+        state.successor = { ...state.successor, solo: undefined, armed: undefined };
+        return;
+    }
+    const hasExpired = lastConsentAt === undefined || now > lastConsentAt + computeWait(timings, timings.consentMs);
+    if (armed === undefined || solo !== undefined || !hasExpired) {
+        return;
+    }
+    if (now >= until) {
+        state.successor = { ...state.successor, armed: undefined };
+    }
+    else if (armed.expiredSeenAt === undefined) {
+        state.successor = { ...state.successor, armed: { ...armed, expiredSeenAt: now } };
+    }
+    else if (now >= armed.expiredSeenAt + timings.heartbeatMs) {
+        // The extra period lets requests that waited while this process was paused be answered first.
+        state.successor = { ...state.successor, solo: { epoch: armed.epoch, until } };
+    }
+}
+
+function takeOverIfAllowed(step: Step, known: KnownRecord): void {
+    const { state, now, timings } = step;
+    const { successor } = state;
+    if (successor.solo !== undefined) {
+        if (successor.solo.epoch === known.record.epoch) {
+            state.successor = { ...successor, soloTakeoverRevision: known.revision };
+            writeTakeover(step, known);
+        }
+        return;
+    }
+    const unchangedMs = now - known.observedAt;
+    const consentEnd = Math.max(successor.lastConsentAt ?? -Infinity, state.startedAt)
+        + computeWait(timings, timings.consentMs);
+    if (unchangedMs <= computeWait(timings, timings.storeRightMs) || now <= consentEnd) {
+        return;
+    }
+    if (isOwnSuccessor(step, known) || hasRelease(step, known, unchangedMs)) {
+        writeTakeover(step, known);
+    }
+    else {
+        requestRelease(step, known, unchangedMs);
+    }
+}
+
+/** Whether the record names this host as successor, this process or an ended one; either way no other process can go solo. */
+function isOwnSuccessor(step: Step, known: KnownRecord): boolean {
+    return known.record.successor === step.state.settings.self;
+}
+
+function hasRelease(step: Step, known: KnownRecord, unchangedMs: number): boolean {
+    const { state, timings } = step;
+    const isPairOver = unchangedMs > computeWait(timings, timings.pairBoundMs);
+    const isForced = state.forcedRevision === known.revision;
+    const isGiven = state.release?.isGiven === true && state.release.revision === known.revision;
+    const isAlone = known.record.successor === undefined && unchangedMs > computeTurnMs(step);
+    return isPairOver || isForced || isGiven || isAlone;
+}
+
+function requestRelease(step: Step, known: KnownRecord, unchangedMs: number): void {
+    const { state, now, timings } = step;
+    const { successor } = known.record;
+    const isAsked = state.release !== undefined && now < state.release.requestedAt + timings.renewIntervalMs;
+    // The successor can take over at once, so that others leave it the first turn.
+    if (successor === undefined || isAsked || unchangedMs <= computeTurnMs(step)) {
+        return;
+    }
+    const requestId = generateRequestId(step);
+    state.release = { revision: known.revision, isGiven: false, requestedAt: now };
+    step.actions.push({
+        kind: "sendRelease",
+        to: successor,
+        request: { from: state.settings.self, requestId, revision: known.revision },
+    });
+}
+
+/** Hosts try one after the other in the configured order, so that they rarely compete. */
+function computeTurnMs(step: Step): number {
+    const { hosts, self } = step.state.settings;
+    return computeWait(step.timings, step.timings.storeRightMs)
+        + (1 + hosts.indexOf(self)) * step.timings.renewIntervalMs / 2;
+}
+
+function writeTakeover(step: Step, known: KnownRecord): void {
+    const { state } = step;
+    state.successor = {
+        ...state.successor,
+        takeoverRevision: Math.max(state.successor.takeoverRevision, known.revision),
+    };
+    writeOwnRecord(step, known.record.epoch + 1);
+}
+
+function createRecordIfDue(step: Step): void {
+    const { absentSince, settings } = step.state;
+    const rank = settings.hosts.indexOf(settings.self);
+    if (absentSince !== undefined && step.now >= absentSince + rank * step.timings.renewIntervalMs) {
+        writeOwnRecord(step, 1);
+    }
+}
+
+function writeOwnRecord(step: Step, epoch: number): void {
+    const { self, incarnation } = step.state.settings;
+    sendWrite(step, {
+        epoch,
+        owner: self,
+        ownerIncarnation: incarnation,
+        successor: undefined,
+        successorIncarnation: undefined,
+        renewal: 0,
+    });
+}
