Add the request router of the shard owner

Change: request keys with a low-water number, duplicate table bounded in time and bytes, executor slots that stay in use until a list shows the end of an attempt, bounded queues per team with earliest deadline first and weighted fairness, early refusal, retry budget, outlier ejection, graceful stop. The comment on RequestKey in core now names all five parts.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -25,7 +25,7 @@
 export type TaskId = Id<"task">;
 /** One attempt at a request or a task start. */
 export type AttemptId = Id<"attempt">;
-/** `<zone>.<shard>.<epoch>.<random>`. */
+/** `<zone>.<shard>.<epoch>.<sequence>.<random>`. */
 export type RequestKey = Id<"requestKey">;
 /** Unique per store write; a read after a lost answer compares it. */
 export type WriterToken = Id<"writerToken">;
--- /dev/null
+++ b/packages/routing/src/admission.ts
@@ -0,0 +1,90 @@
+/**
+ * Decides whether a request is accepted. A refusal must stay far cheaper than a served request, so the cheap checks come
+ * first and nothing is allocated for the request before the last one.
+ */
+import { createFailure } from "@waxwingroute/core";
+import { match } from "ts-pattern";
+import type { JobTable } from "./job-table.js";
+import { encodeKeyPrefix, parseRequestKey } from "./request-key.js";
+import type { RequestKeyParts } from "./request-key.js";
+import type { ServiceTimes } from "./service-times.js";
+import type { TeamQueues, TeamRow } from "./team-queues.js";
+import type { RequestFailure, ResolvedRouterOptions, RouterRequest } from "./types.js";
+
+// Waiting times scatter around their estimate. The allowance keeps accepted work from missing its deadline in the queue.
+const waitAllowance = 1.2;
+
+export class Admission {
+    constructor(
+        private readonly options: ResolvedRouterOptions,
+        private readonly jobs: JobTable,
+        private readonly queues: TeamQueues,
+        private readonly serviceTimes: ServiceTimes,
+    ) {}
+
+    /** Returns why a key that is not in use cannot be used, or its parts. `nextSequence` is the first not issued. */
+    checkKey(key: string, nextSequence: number): RequestFailure | RequestKeyParts {
+        const parts = parseRequestKey(key);
+        if (parts === undefined) {
+            return createFailure("bad-request-key", "the request key is not one that this system issued", "notRun");
+        }
+        const { shard, epoch } = this.options;
+        const own = `"${encodeKeyPrefix(shard, epoch)}"`;
+        const position = parts.shard !== shard
+            ? "otherShard"
+            : parts.epoch < epoch
+            ? "olderEpoch"
+            : parts.epoch > epoch
+            ? "newerEpoch"
+            : parts.sequence < this.jobs.lowWater
+            ? "forgotten"
+            : parts.sequence >= nextSequence
+            ? "notIssued"
+            : "unused";
+        const refuse = (code: string, reason: string) =>
+            createFailure(code, `request key "${key}" ${reason}`, "mayHaveRun");
+        return match(position)
+            .with("otherShard", () => refuse("wrong-shard", `belongs to another shard than ${own}`))
+            .with("olderEpoch", () => refuse("request-key-expired", `was issued before the present owner ${own}`))
+            .with("newerEpoch", () => refuse("owner-replaced", `was issued by a later owner than ${own}`))
+            .with("forgotten", () => refuse("request-key-expired", "is too old to tell whether it was used"))
+            .with("notIssued", () => refuse("request-key-unknown", `was not issued by the present owner ${own}`))
+            .with("unused", () => parts)
+            .exhaustive();
+    }
+
+    /** Returns why a request is refused now, or `undefined`. */
+    checkCapacity(request: RouterRequest, team: TeamRow, now: number): RequestFailure | undefined {
+        if (team.waiting >= this.options.maxWaitingPerTeam) {
+            const message = `team "${request.team}" has ${team.waiting} waiting requests, the most allowed`;
+            return createFailure("queue-full", message, "notRun", this.estimateRetryAfter(request, team, now));
+        }
+        if (this.jobs.bodyBytes + request.body.byteLength > this.options.maxBodyBytes) {
+            const message = `the bodies of all requests in progress would exceed ${this.options.maxBodyBytes} bytes`;
+            return createFailure("bodies-full", message, "notRun", this.estimateRetryAfter(request, team, now));
+        }
+        return this.checkDeadline(request, team, now);
+    }
+
+    private checkDeadline(request: RouterRequest, team: TeamRow, now: number): RequestFailure | undefined {
+        const left = request.deadline - now;
+        if (left <= 0) {
+            return createFailure("deadline-exceeded", "the deadline had passed when the request arrived", "notRun");
+        }
+        const mean = this.serviceTimes.estimateMean(request.queue, now);
+        const wait = this.queues.estimateWait(team, request.queue, request.deadline, now);
+        const deviation = wait === 0 ? 0 : this.serviceTimes.estimateDeviation(request.queue, now);
+        const needed = wait * waitAllowance + mean + deviation;
+        if (needed <= left) {
+            return undefined;
+        }
+        const message = `the deadline is in ${Math.ceil(left)} ms, but queue "${request.queue}" needs about ${
+            Math.ceil(needed)
+        } ms`;
+        return createFailure("deadline-unreachable", message, "notRun", Math.ceil(wait));
+    }
+
+    private estimateRetryAfter(request: RouterRequest, team: TeamRow, now: number): number {
+        return Math.max(1, Math.ceil(this.queues.estimateWait(team, request.queue, request.deadline, now)));
+    }
+}
--- /dev/null
+++ b/packages/routing/src/executor-pool.ts
@@ -0,0 +1,226 @@
+/**
+ * The executors of a shard: which slots are in use, and which executor gets the next request.
+ */
+import type { AttemptId, ExecutorId, QueueId, TeamId } from "@waxwingroute/core";
+import { Table, toId } from "@waxwingroute/core";
+import type { ExecutorReport } from "@waxwingroute/platform";
+import { ExecutorHealth, selectOutliers } from "./executor-health.js";
+import { ExecutorRow } from "./executor-row.js";
+import type { SlotUse } from "./executor-row.js";
+import type { ResolvedRouterOptions, RouterExecutor } from "./types.js";
+
+/** What a request needs of an executor. */
+export interface ExecutorNeed {
+    readonly queue: QueueId;
+    readonly isIdempotent: boolean;
+    /** Executors that already had an attempt at the request. */
+    readonly tried: readonly ExecutorId[];
+}
+
+/** Returns the team that an attempt id of any owner names. */
+function parseAttemptTeam(attempt: AttemptId): TeamId | undefined {
+    const parts = attempt.split(".");
+    return parts.length === 6 ? toId<TeamId>(parts[5]!) : undefined;
+}
+
+export class ExecutorPool {
+    private readonly rows = new Table<ExecutorId, ExecutorRow>();
+    private readonly running = new Map<TeamId, number>();
+    private evaluateAt = 0;
+
+    /** `attemptPrefix` begins the id of each attempt of this owner. */
+    constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {}
+
+    list(): ExecutorRow[] {
+        return [...this.rows.values()];
+    }
+
+    get(executor: ExecutorId): ExecutorRow | undefined {
+        return this.rows.get(executor);
+    }
+
+    /** Adds an executor, or updates its definition and keeps its slots. */
+    update(definition: RouterExecutor): void {
+        const row = this.rows.get(definition.executor);
+        if (row === undefined) {
+            const health = new ExecutorHealth(this.options.ejectionMs);
+            this.rows.set(definition.executor, new ExecutorRow(definition, health));
+        }
+        else {
+            row.definition = definition;
+            row.isRemoved = false;
+        }
+    }
+
+    /** Removes an executor. Its row stays until its attempts have ended, in case the executor is added again. */
+    remove(executor: ExecutorId): void {
+        const row = this.rows.get(executor);
+        if (row !== undefined) {
+            row.isRemoved = true;
+            this.deleteUnused(row);
+        }
+    }
+
+    /** Returns the number of slots that a team uses in the shard. */
+    countRunning(team: TeamId): number {
+        return this.running.get(team) ?? 0;
+    }
+
+    /** Returns the slots of executors in rotation that serve a queue, without those whose use is uncertain. */
+    countUsableSlots(queue: QueueId): number {
+        let slots = 0;
+        for (const row of this.rows.values()) {
+            if (row.isInRotation && !row.health.isEjected && hasQueue(row, queue)) {
+                slots += Math.max(0, row.capacity - row.uncertainCount);
+            }
+        }
+        return slots;
+    }
+
+    /** Returns whether any executor in rotation that serves the queue has not been tried. */
+    hasUntried(need: ExecutorNeed): boolean {
+        return this.list().some(row =>
+            row.isInRotation && !row.health.isEjected && hasQueue(row, need.queue)
+            && !need.tried.includes(row.definition.executor)
+        );
+    }
+
+    /** Returns the executor with the largest free part of its slots; a due probe goes first. */
+    choose(need: ExecutorNeed, now: number): ExecutorRow | undefined {
+        let best: ExecutorRow | undefined;
+        let bestFree = 0;
+        for (const row of this.rows.values()) {
+            if (row.freeSlots <= 0 || !row.isInRotation || !hasQueue(row, need.queue)) {
+                continue;
+            }
+            if (need.tried.includes(row.definition.executor)) {
+                continue;
+            }
+            if (row.health.isEjected) {
+                if (row.uses.size === 0 && row.health.canProbe(need.isIdempotent, now)) {
+                    return row;
+                }
+                continue;
+            }
+            const free = row.freeSlots / row.capacity;
+            if (free > bestFree || free === bestFree && this.options.random.getFloat() < 0.5) {
+                best = row;
+                bestFree = free;
+            }
+        }
+        return best;
+    }
+
+    take(row: ExecutorRow, use: SlotUse): void {
+        row.uses.set(use.attempt, use);
+        row.uncertainCount += use.state === "running" ? 0 : 1;
+        if (use.team !== undefined) {
+            this.running.set(use.team, this.countRunning(use.team) + 1);
+        }
+    }
+
+    release(row: ExecutorRow, use: SlotUse): void {
+        if (!row.uses.delete(use.attempt)) {
+            return;
+        }
+        row.uncertainCount -= use.state === "running" ? 0 : 1;
+        if (use.team !== undefined) {
+            this.running.set(use.team, this.countRunning(use.team) - 1);
+        }
+        this.deleteUnused(row);
+    }
+
+    /** Keeps the slot of an attempt whose answer was lost until a list shows that it ended. */
+    markUncertain(row: ExecutorRow, use: SlotUse, now: number): void {
+        if (row.uses.has(use.attempt) && use.state === "running") {
+            use.state = "uncertain";
+            row.uncertainCount++;
+            row.nextListAt = Math.min(row.nextListAt, Math.max(now, use.listedFrom));
+        }
+    }
+
+    /** Counts attempts of an earlier owner against the executor's slots until its list no longer has them. */
+    setRunning(executor: ExecutorId, attempts: readonly AttemptId[], now: number): void {
+        const row = this.rows.get(executor);
+        if (row === undefined) {
+            return;
+        }
+        row.isListed = true;
+        for (const attempt of attempts) {
+            this.addForeign(row, attempt, now);
+        }
+    }
+
+    /** Applies a list that was requested at `requestedAt`. */
+    applyReport(row: ExecutorRow, report: ExecutorReport, requestedAt: number, now: number): void {
+        row.isReportedDraining = report.isDraining;
+        row.reportedSlots = report.slots;
+        row.listFailures = 0;
+        row.isListed = true;
+        for (const use of row.listEnded(report, requestedAt)) {
+            this.release(row, use);
+        }
+        const expired = new Map(row.expired);
+        row.expired.clear();
+        for (const attempt of report.running) {
+            const earlier = expired.get(attempt);
+            if (earlier !== undefined) {
+                this.take(row, { ...earlier, endsBy: Number.POSITIVE_INFINITY });
+            }
+            // An own attempt that takes no slot was answered after the list was requested.
+            else if (!row.uses.has(attempt) && !attempt.startsWith(this.attemptPrefix)) {
+                this.addForeign(row, attempt, now);
+            }
+        }
+    }
+
+    /** Frees slots whose attempts can no longer run, for executors that cannot be listed. */
+    expire(now: number): void {
+        for (const row of this.rows.values()) {
+            if (row.uncertainCount === 0) {
+                continue;
+            }
+            for (
+                const use of [...row.uses.values()].filter(other => other.state !== "running" && now >= other.endsBy)
+            ) {
+                this.release(row, use);
+                row.expired.set(use.attempt, use);
+            }
+        }
+    }
+
+    /** Takes outliers out of rotation, at most once a second; returns them. */
+    removeOutliers(now: number): ExecutorRow[] {
+        if (now < this.evaluateAt) {
+            return [];
+        }
+        this.evaluateAt = now + 1000;
+        const rows = this.list();
+        const ejectedCount = rows.filter(row => row.health.isEjected).length;
+        const rates = rows.map(row => row.health.isEjected ? undefined : row.health.computeSuccessRate(now));
+        const outliers = selectOutliers(rates, Math.floor(rows.length / 3) - ejectedCount).map(index => rows[index]!);
+        for (const row of outliers) {
+            row.health.startEjection(now);
+        }
+        return outliers;
+    }
+
+    private deleteUnused(row: ExecutorRow): void {
+        if (row.isRemoved && row.uses.size === 0) {
+            this.rows.delete(row.definition.executor);
+        }
+    }
+
+    private addForeign(row: ExecutorRow, attempt: AttemptId, now: number): void {
+        if (row.uses.has(attempt)) {
+            return;
+        }
+        const { maxDeadlineMs, startInFlightMs, clockRateBound } = this.options;
+        const endsBy = now + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
+        this.take(row, { attempt, team: parseAttemptTeam(attempt), state: "foreign", listedFrom: now, endsBy });
+    }
+}
+
+function hasQueue(row: ExecutorRow, queue: QueueId): boolean {
+    return row.definition.queues.length === 0 || row.definition.queues.includes(queue);
+}
--- /dev/null
+++ b/packages/routing/src/executor-row.ts
@@ -0,0 +1,66 @@
+/**
+ * One executor and the use of its slots.
+ *
+ * A slot is free only when the attempt in it is known to have ended: by its answer, by a failure that says it did not
+ * run, or by a list of the executor that was requested late enough to show it.
+ */
+import type { AttemptId, TeamId } from "@waxwingroute/core";
+import type { ExecutorReport } from "@waxwingroute/platform";
+import type { ExecutorHealth } from "./executor-health.js";
+import type { RouterExecutor } from "./types.js";
+
+/** An attempt that takes a slot. */
+export interface SlotUse {
+    readonly attempt: AttemptId;
+    /** `undefined` if the attempt belongs to another owner and names no team. */
+    readonly team: TeamId | undefined;
+    /**
+     * `running`: the answer is awaited. `uncertain`: the answer was lost. `foreign`: sent by an earlier owner. Only the
+     * last two can be ended by a list.
+     */
+    state: "running" | "uncertain" | "foreign";
+    /** A list requested before this time does not show that the attempt ended, because it may not have arrived yet. */
+    readonly listedFrom: number;
+    /** The attempt cannot run at this time any more, if the executor keeps to the time-out that it was given. */
+    readonly endsBy: number;
+}
+
+export class ExecutorRow {
+    readonly uses = new Map<AttemptId, SlotUse>();
+    /** Slots freed by `endsBy` without a list; a later list may still show them. */
+    readonly expired = new Map<AttemptId, SlotUse>();
+    reportedSlots = Number.POSITIVE_INFINITY;
+    isReportedDraining = false;
+    /** Whether it is known what the executor runs; nothing is sent before. */
+    isListed = false;
+    isListing = false;
+    isRemoved = false;
+    nextListAt = 0;
+    listFailures = 0;
+    uncertainCount = 0;
+
+    constructor(public definition: RouterExecutor, readonly health: ExecutorHealth) {}
+
+    get capacity(): number {
+        return Math.min(this.definition.slots, this.definition.connections, this.reportedSlots);
+    }
+
+    get freeSlots(): number {
+        return this.capacity - this.uses.size;
+    }
+
+    /** Whether the executor may get new work, apart from slots and ejection. */
+    get isInRotation(): boolean {
+        // Three failed lists in a row: one lost answer says little, and three take about as long as a leaving host has.
+        return this.isListed && !this.isRemoved && !this.isReportedDraining && !this.definition.isDraining
+            && this.listFailures < 3;
+    }
+
+    /** Returns the uses that a list, requested at `requestedAt`, shows to have ended. */
+    listEnded(report: ExecutorReport, requestedAt: number): SlotUse[] {
+        const running = new Set(report.running);
+        return [...this.uses.values()].filter(use =>
+            use.state !== "running" && requestedAt >= use.listedFrom && !running.has(use.attempt)
+        );
+    }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,15 @@
 /** Request keys, duplicate detection, executor slots, queues, retry budgets and outlier ejection. */
-export {};
+export { encodeRequestKey, maxRequestKeyLength, parseRequestKey } from "./request-key.js";
+export type { RequestKeyParts } from "./request-key.js";
+export { RequestRouter } from "./request-router.js";
+export type {
+    Answer,
+    RequestFailure,
+    RequestResult,
+    RequestRouterOptions,
+    RouterCounters,
+    RouterDecision,
+    RouterExecutor,
+    RouterRequest,
+    RouterTeam,
+} from "./types.js";
--- /dev/null
+++ b/packages/routing/src/job.ts
@@ -0,0 +1,35 @@
+/**
+ * A request inside the router, from its acceptance to its result.
+ */
+import type { AttemptId, ExecutorId, QueueId, RequestKey, TeamId, Verdict } from "@waxwingroute/core";
+import type { ExecutorNeed } from "./executor-pool.js";
+import type { RequestResult, RouterRequest } from "./types.js";
+
+/** A caller that waits for the result of a job. */
+export interface JobWaiter {
+    readonly resolve: (result: RequestResult) => void;
+    readonly deadline: number;
+    readonly signal: AbortSignal | undefined;
+    readonly onAbort: (() => void) | undefined;
+}
+
+export class Job implements ExecutorNeed {
+    readonly queue: QueueId;
+    readonly team: TeamId;
+    readonly isIdempotent: boolean;
+    readonly deadline: number;
+    readonly tried: ExecutorId[] = [];
+    waiters: JobWaiter[] = [];
+    state: "waiting" | "running" | "settled" = "waiting";
+    /** The attempt in progress. */
+    attempt: AttemptId | undefined;
+    /** Whether any earlier attempt may have run. */
+    verdict: Verdict = "notRun";
+
+    constructor(readonly key: RequestKey, readonly request: RouterRequest, readonly arrivedAt: number) {
+        this.queue = request.queue;
+        this.team = request.team;
+        this.isIdempotent = request.isIdempotent;
+        this.deadline = request.deadline;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/request-router.ts
@@ -0,0 +1,254 @@
+/**
+ * The request router of a shard owner.
+ *
+ * It owns the executors' slots, the waiting requests and the table of used keys. All state is in memory: a new owner
+ * creates a new router, refuses the keys of earlier epochs, and learns from the executors what they still run.
+ */
+import { createFailure, Err } from "@waxwingroute/core";
+import type { AttemptId, ExecutorId, RequestKey, TeamId } from "@waxwingroute/core";
+import { hash } from "node:crypto";
+import { Admission } from "./admission.js";
+import { Dispatcher } from "./dispatcher.js";
+import { ExecutorLister } from "./executor-lister.js";
+import { ExecutorPool } from "./executor-pool.js";
+import { JobTable } from "./job-table.js";
+import { encodeKeyPrefix, encodeRequestKey } from "./request-key.js";
+import { ServiceTimes } from "./service-times.js";
+import { TeamQueues } from "./team-queues.js";
+import type { TeamRow } from "./team-queues.js";
+import { resolveRouterOptions } from "./types.js";
+import type {
+    RequestFailure,
+    RequestResult,
+    RequestRouterOptions,
+    ResolvedRouterOptions,
+    RouterCounters,
+    RouterExecutor,
+    RouterRequest,
+    RouterTeam,
+} from "./types.js";
+
+/**
+ * Routes the requests of one shard.
+ *
+ * @example
+ * ```ts
+ * const router = new RequestRouter({ clock, random, shard, epoch, canSend: () => owner.canPlace() });
+ * router.updateTeam({ team, weight: 1, slots: 40 });
+ * router.updateExecutor({ executor, access, slots: 8, connections: 64, queues: [], isDraining: false });
+ * const timer = setInterval(() => router.tick(clock.getNow()), 20);
+ * const result = await router.execute({ team, queue, isIdempotent: false, deadline: clock.getNow() + 5000, body, contentType });
+ * ```
+ */
+export class RequestRouter {
+    private readonly options: ResolvedRouterOptions;
+    private readonly counters: RouterCounters = {
+        requests: 0,
+        answered: 0,
+        failed: 0,
+        refused: 0,
+        retries: 0,
+        duplicates: 0,
+        lateAnswers: 0,
+        mismatchedAnswers: 0,
+        cancelled: 0,
+        withheldSends: 0,
+        ejections: 0,
+    };
+    private readonly pool: ExecutorPool;
+    private readonly queues: TeamQueues;
+    private readonly jobs: JobTable;
+    private readonly admission: Admission;
+    private readonly dispatcher: Dispatcher;
+    private readonly lister: ExecutorLister;
+    private nextSequence = 1;
+    private stopAt: number | undefined;
+    private readonly onStopped: (() => void)[] = [];
+
+    constructor(options: RequestRouterOptions) {
+        this.options = resolveRouterOptions(options);
+        const attemptPrefix = `${encodeKeyPrefix(options.shard, options.epoch)}${options.random.getHex(8)}.`;
+        const serviceTimes = new ServiceTimes();
+        this.pool = new ExecutorPool(this.options, attemptPrefix);
+        this.queues = new TeamQueues(this.pool, serviceTimes);
+        this.jobs = new JobTable(this.options, this.counters, job => this.queues.removeJob(job));
+        this.admission = new Admission(this.options, this.jobs, this.queues, serviceTimes);
+        this.lister = new ExecutorLister(this.options, this.pool);
+        this.dispatcher = new Dispatcher(
+            this.options,
+            attemptPrefix,
+            this.jobs,
+            this.queues,
+            this.pool,
+            serviceTimes,
+            this.counters,
+        );
+    }
+
+    /** Issues a key for a request that follows. */
+    issueKey(): RequestKey {
+        const { shard, epoch, random } = this.options;
+        return encodeRequestKey({ shard, epoch, sequence: this.nextSequence++, random: random.getHex(16) });
+    }
+
+    /**
+     * Runs a request on an executor and returns its whole answer. A request with a used key gets the first result of that
+     * key. Failures: `notRun`: `stopping`, `unknown-team`, `bad-request-key`, `queue-full`, `bodies-full`,
+     * `deadline-unreachable`; `mayHaveRun`: `wrong-shard`, `request-key-expired`, `request-key-unknown`,
+     * `request-key-conflict`, `owner-replaced`; `ran`: `answer-evicted`; with the verdict that applies:
+     * `deadline-exceeded`, `cancelled`, `stopping`, and the failures of `Executor.execute`.
+     */
+    execute(request: RouterRequest): Promise<RequestResult> {
+        const now = this.options.clock.getNow();
+        this.counters.requests++;
+        const { requestKey } = request;
+        const used = requestKey === undefined ? undefined : this.jobs.find(requestKey);
+        if (requestKey !== undefined && used !== undefined) {
+            return this.joinUsed(request, requestKey, now);
+        }
+        if (this.stopAt !== undefined) {
+            return this.refuse(request, createFailure("stopping", "the owner of the shard is stopping", "notRun"), now);
+        }
+        const team = this.queues.get(request.team);
+        if (team === undefined) {
+            const message = `team "${request.team}" has no slots in shard "${this.options.shard}"`;
+            return this.refuse(request, createFailure("unknown-team", message, "notRun"), now);
+        }
+        return this.accept(request, team, now);
+    }
+
+    /** Adds or changes an executor. Nothing is sent to a new one before its first list or `setRunning`. */
+    updateExecutor(executor: RouterExecutor): void {
+        this.pool.update(executor);
+        this.dispatcher.dispatch(this.options.clock.getNow());
+    }
+
+    /** Sends nothing more to an executor; its running attempts still end in the usual way. */
+    removeExecutor(executor: ExecutorId): void {
+        this.pool.remove(executor);
+    }
+
+    /**
+     * Counts attempts that an executor was running when this owner took over against its slots, until a list of the
+     * executor no longer has them.
+     */
+    setRunning(executor: ExecutorId, attempts: readonly AttemptId[]): void {
+        const now = this.options.clock.getNow();
+        this.pool.setRunning(executor, attempts, now);
+        this.dispatcher.dispatch(now);
+    }
+
+    /** Adds or changes a team. */
+    updateTeam(team: RouterTeam): void {
+        this.queues.update(team);
+        this.dispatcher.dispatch(this.options.clock.getNow());
+    }
+
+    /** Removes a team and refuses its waiting requests. */
+    removeTeam(team: TeamId): void {
+        const now = this.options.clock.getNow();
+        for (const job of this.queues.remove(team)) {
+            const message = `team "${team}" was removed from shard "${this.options.shard}"`;
+            this.dispatcher.fail(job, createFailure("unknown-team", message, job.verdict), now);
+        }
+    }
+
+    /** Ends what is overdue, lists executors and sends what can be sent. Call every 10 to 50 ms. */
+    tick(now: number): void {
+        this.dispatcher.expireJobs(now);
+        this.jobs.expireWaiters(now);
+        this.jobs.evict(now);
+        this.pool.expire(now);
+        for (const row of this.pool.removeOutliers(now)) {
+            this.counters.ejections++;
+            this.options.onDecision({ kind: "ejected", at: now, executor: row.definition.executor });
+        }
+        this.lister.poll(now, () => this.dispatcher.dispatch(this.options.clock.getNow()));
+        this.dispatcher.dispatch(now);
+        this.finishStop(now);
+    }
+
+    /**
+     * Refuses new requests and resolves when those in progress have ended, or after `waitMs` milliseconds (default 5,000),
+     * when the rest fail: waiting ones with the verdict that applies, usually `notRun`, running ones as `mayHaveRun`.
+     * `tick` must continue to be called until then.
+     */
+    stop(waitMs = 5000): Promise<void> {
+        this.stopAt ??= this.options.clock.getNow() + waitMs;
+        return new Promise(resolve => {
+            this.onStopped.push(resolve);
+            this.finishStop(this.options.clock.getNow());
+        });
+    }
+
+    /** Returns the numbers since the start, and the present numbers of waiting and running requests. */
+    getCounters(): RouterCounters & { readonly waiting: number; readonly running: number; } {
+        return { ...this.counters, waiting: this.queues.waiting, running: this.jobs.running.size };
+    }
+
+    private accept(request: RouterRequest, team: TeamRow, now: number): Promise<RequestResult> {
+        team.retries.recordRequest(now);
+        let sequence = this.nextSequence;
+        if (request.requestKey !== undefined) {
+            const checked = this.admission.checkKey(request.requestKey, this.nextSequence);
+            if ("code" in checked) {
+                return this.refuse(request, checked, now);
+            }
+            sequence = checked.sequence;
+        }
+        const refusal = this.admission.checkCapacity(request, team, now);
+        if (refusal !== undefined) {
+            return this.refuse(request, refusal, now);
+        }
+        const key = request.requestKey ?? this.issueKey();
+        const job = this.jobs.create(request, key, sequence, computeFingerprint(request), now);
+        this.queues.enqueue(team, job);
+        const result = this.jobs.join(job, request);
+        this.dispatcher.dispatch(now);
+        return result;
+    }
+
+    private joinUsed(request: RouterRequest, requestKey: RequestKey, now: number): Promise<RequestResult> {
+        const used = this.jobs.find(requestKey)!;
+        const { team, queue } = request;
+        if (used.team !== team || used.fingerprint !== computeFingerprint(request)) {
+            const message = `request key "${requestKey}" was used for another request`;
+            return this.refuse(request, createFailure("request-key-conflict", message, "mayHaveRun"), now);
+        }
+        this.counters.duplicates++;
+        this.options.onDecision({ kind: "duplicate", at: now, requestKey, team, queue });
+        return used.result === undefined ? this.jobs.join(used.work!, request) : Promise.resolve(used.result);
+    }
+
+    private refuse(request: RouterRequest, failure: RequestFailure, now: number): Promise<RequestResult> {
+        this.counters.refused++;
+        const { requestKey, team, queue } = request;
+        const { code, verdict } = failure;
+        this.options.onDecision({ kind: "refused", at: now, requestKey, team, queue, code, verdict, elapsedMs: 0 });
+        return Promise.resolve(Err(requestKey === undefined ? failure : { ...failure, requestKey }));
+    }
+
+    private finishStop(now: number): void {
+        if (this.stopAt === undefined) {
+            return;
+        }
+        if (now >= this.stopAt) {
+            const message = "the owner of the shard stopped before the request ended";
+            for (const job of this.queues.listWaiting()) {
+                this.queues.removeJob(job);
+                this.dispatcher.fail(job, createFailure("stopping", message, job.verdict), now);
+            }
+            for (const job of [...this.jobs.running]) {
+                this.dispatcher.fail(job, createFailure("stopping", message, "mayHaveRun"), now);
+            }
+        }
+        if (this.queues.waiting === 0 && this.jobs.running.size === 0) {
+            this.onStopped.splice(0).forEach(resolve => resolve());
+        }
+    }
+}
+
+/** Identifies the content of a request, so that a key is not used for two different ones. */
+function computeFingerprint({ queue, isIdempotent, contentType, body }: RouterRequest): string {
+    return `${queue} ${isIdempotent} ${contentType} ${hash("sha256", body, "base64")}`;
+}
--- /dev/null
+++ b/packages/routing/src/testing/fake-executor.ts
@@ -0,0 +1,76 @@
+/**
+ * A small executor for tests. It runs what it is sent, whether it has a slot or not, and records each run.
+ */
+import type { AttemptId, Clock, ExecutorId, Failure, RequestKey, Result } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import { Executor } from "@waxwingroute/platform";
+import type { ExecutorAnswer, ExecutorReport, ExecutorRequest } from "@waxwingroute/platform";
+
+/** How the fake treats one request. */
+export interface FakeBehaviour {
+    /** Milliseconds that the work takes. */
+    readonly durationMs: number;
+    /**
+     * `answer`: runs and answers. `error`: runs and answers with status 500. `refuse`: does not run. `lose`: runs, but the
+     * connection ends after half of the time. `silent`: runs, and the call never ends.
+     */
+    readonly kind: "answer" | "error" | "refuse" | "lose" | "silent";
+}
+
+export class FakeExecutor extends Executor {
+    readonly running = new Set<AttemptId>();
+    /** Each request that began to run. */
+    readonly runs: ExecutorRequest[] = [];
+    maxRunning = 0;
+    isDraining = false;
+    isReachable = true;
+    /** Chooses the treatment of each request. */
+    behave: (request: ExecutorRequest) => FakeBehaviour;
+
+    constructor(readonly executor: ExecutorId, readonly slots: number, private readonly clock: Clock, durationMs = 10) {
+        super();
+        this.behave = () => ({ durationMs, kind: "answer" });
+    }
+
+    async execute(request: ExecutorRequest): Promise<Result<ExecutorAnswer, Failure>> {
+        if (!this.isReachable) {
+            return Err(createFailure("executor-unreachable", `executor "${this.executor}" is unreachable`, "notRun"));
+        }
+        const { durationMs, kind } = this.behave(request);
+        if (kind === "refuse") {
+            return Err(createFailure("executor-refused", `executor "${this.executor}" refused`, "notRun"));
+        }
+        this.start(request, durationMs);
+        if (kind === "silent") {
+            return new Promise(() => undefined);
+        }
+        await this.clock.wait(kind === "lose" ? durationMs / 2 : durationMs);
+        if (kind === "lose") {
+            return Err(
+                createFailure("executor-lost", `executor "${this.executor}" closed the connection`, "mayHaveRun"),
+            );
+        }
+        const status = kind === "error" ? 500 : 200;
+        return Ok({ attempt: request.attempt, status, contentType: "text/plain", body: request.body });
+    }
+
+    async list(): Promise<Result<ExecutorReport, Failure>> {
+        if (!this.isReachable) {
+            return Err(createFailure("executor-unreachable", `executor "${this.executor}" is unreachable`, "notRun"));
+        }
+        const { executor, slots, isDraining } = this;
+        return Ok({ executor, slots, isDraining, running: [...this.running] });
+    }
+
+    /** Returns how often the work of a key ran. */
+    countRuns(key: RequestKey): number {
+        return this.runs.filter(run => run.requestKey === key).length;
+    }
+
+    private start(request: ExecutorRequest, durationMs: number): void {
+        this.runs.push(request);
+        this.running.add(request.attempt);
+        this.maxRunning = Math.max(this.maxRunning, this.running.size);
+        this.clock.schedule(durationMs, () => this.running.delete(request.attempt));
+    }
+}
--- /dev/null
+++ b/packages/routing/src/testing/router-fixture.ts
@@ -0,0 +1,84 @@
+/**
+ * A router with fake executors under a manual clock.
+ */
+import { ManualClock, SeededRandom, toId, toShardId } from "@waxwingroute/core";
+import type { ExecutorId, QueueId, TeamId, ZoneId } from "@waxwingroute/core";
+import { RequestRouter } from "../request-router.js";
+import type { RequestRouterOptions, RouterDecision, RouterRequest } from "../types.js";
+import { FakeExecutor } from "./fake-executor.js";
+
+export const quotes = toId<TeamId>("quotes");
+export const cutting = toId<TeamId>("cutting");
+export const orders = toId<QueueId>("orders");
+export const glasgow = toId<ZoneId>("glasgow");
+
+/** Options of a fixture. */
+export interface FixtureOptions extends Partial<RequestRouterOptions> {
+    /** Default 2. */
+    readonly executors?: number;
+    /** Slots of each executor. Default 2. */
+    readonly slots?: number;
+    /** Milliseconds that each request takes. Default 10. */
+    readonly durationMs?: number;
+}
+
+export class RouterFixture {
+    readonly clock: ManualClock;
+    readonly decisions: RouterDecision[] = [];
+    readonly executors: FakeExecutor[];
+    readonly router: RequestRouter;
+    canSend = true;
+
+    constructor(options: FixtureOptions = {}, earlier?: RouterFixture) {
+        const { executors = 2, slots = 2, durationMs = 10, ...routerOptions } = options;
+        const clock = earlier?.clock ?? new ManualClock();
+        this.clock = clock;
+        this.executors = earlier?.executors ?? Array.from(
+            { length: executors },
+            (_, index) => new FakeExecutor(toId<ExecutorId>(`executor-${index}`), slots, clock, durationMs),
+        );
+        this.router = new RequestRouter({
+            clock,
+            random: new SeededRandom(1),
+            shard: toShardId(glasgow, 0),
+            epoch: 1,
+            canSend: () => this.canSend,
+            onDecision: decision => this.decisions.push(decision),
+            ...routerOptions,
+        });
+        this.router.updateTeam({ team: quotes, weight: 1, slots: 1000 });
+        this.executors.forEach(executor => this.addExecutor(executor));
+    }
+
+    addExecutor(access: FakeExecutor, isDraining = false): void {
+        const { executor, slots } = access;
+        this.router.updateExecutor({ executor, access, slots, connections: 64, queues: [], isDraining });
+    }
+
+    /** Ticks every `stepMs` for `durationMs` of virtual time. */
+    async run(durationMs: number, stepMs = 10): Promise<void> {
+        for (let elapsed = 0; elapsed < durationMs; elapsed += stepMs) {
+            this.router.tick(this.clock.getNow());
+            await this.clock.advance(Math.min(stepMs, durationMs - elapsed));
+        }
+        this.router.tick(this.clock.getNow());
+        await this.clock.advance(0);
+    }
+
+    /** Builds a request whose body is `text`, with a deadline in `deadlineMs`. */
+    createRequest(text: string, fields: Partial<RouterRequest> = {}, deadlineMs = 5000): RouterRequest {
+        return {
+            team: quotes,
+            queue: orders,
+            isIdempotent: false,
+            deadline: this.clock.getNow() + deadlineMs,
+            body: Buffer.from(text),
+            contentType: "text/plain",
+            ...fields,
+        };
+    }
+
+    countRuns(): number {
+        return this.executors.reduce((sum, executor) => sum + executor.runs.length, 0);
+    }
+}
