--- a/packages/ownership/src/driver.ts
+++ b/packages/ownership/src/driver.ts
@@ -43,7 +43,7 @@
     ): void;
     /** Stop placing. `canPlace()` has been false since the right ended, which can be earlier than this call. */
     onRightLost(generation: number): void;
-    /** The record names the successor as owner after `handOver()`. */
+    /** The record names the successor as owner after `startHandover()`. */
     onHandedOver?(): void;
     /** A fault that an operator should see, for example a record of a newer version. */
     onFault?(failure: Failure): void;
@@ -97,7 +97,7 @@
         this.runTick();
     }
 
-    /** Stops the timer and ignores later answers. The right is not given up in the store: call `handOver()` before. */
+    /** Stops the timer and ignores later answers. The right is not given up in the store: call `startHandover()` before. */
     stop(): void {
         this.isStopped = true;
         this.timer?.cancel();
@@ -133,13 +133,13 @@
     }
 
     /** Gives up the right and names the successor as owner. Returns whether a live successor is there to take it. */
-    handOver(): boolean {
+    startHandover(): boolean {
         this.applyEvent({ kind: "handOver" });
         return this.state.owner?.isHandingOver === true;
     }
 
     /** Applies the operator's statement that the silent owner or successor has ended. The caller logs who issued it. */
-    forceRelease(): void {
+    applyForceRelease(): void {
         this.applyEvent({ kind: "forceRelease" });
     }
 
@@ -201,7 +201,7 @@
         match(action)
             .with({ kind: "readRecord" }, ({ requestId }) => void this.readRecord(requestId))
             .with({ kind: "writeRecord" }, ({ record, expected }) => void this.writeRecord(record, expected))
-            .with({ kind: "sendHeartbeat" }, ({ to, heartbeat }) => void peers.heartbeat(to, heartbeat))
+            .with({ kind: "sendHeartbeat" }, ({ to, heartbeat }) => void peers.sendHeartbeat(to, heartbeat))
             .with({ kind: "sendArm" }, ({ to, request }) => {
                 void this.awaitAnswer(peers.arm(to, request), answer => ({ kind: "armAnswered", answer }));
             })
--- a/packages/ownership/src/machine.ts
+++ b/packages/ownership/src/machine.ts
@@ -6,16 +6,16 @@
     applyArmAnswer,
     applyDisarmAnswer,
     applyIdentifyAnswer,
-    beginHandOver,
-    forceSuccessorRelease,
+    applySuccessorRelease,
+    beginHandover,
     runOwnerDuties,
 } from "./owner.js";
-import { learnRecord } from "./record.js";
+import { updateKnownRecord } from "./record.js";
 import { expireRight, settleRight } from "./right.js";
 import { generateRequestId, hasUnresolvedWrite } from "./step.js";
 import type { Step } from "./step.js";
 import { replyToArm, replyToDisarm, replyToIdentify, replyToRelease } from "./successor.js";
-import { applyReleaseAnswer, forceRecordRelease, runStandbyDuties } from "./takeover.js";
+import { applyRecordRelease, applyReleaseAnswer, runStandbyDuties } from "./takeover.js";
 import type {
     Heartbeat,
     OwnershipAction,
@@ -97,10 +97,10 @@
         .with({ kind: "identifyRequested" }, ({ request }) => replyToIdentify(step, request))
         .with({ kind: "identifyAnswered" }, ({ answer }) => applyIdentifyAnswer(step, answer))
         .with({ kind: "recoveryCompleted" }, ({ generation }) => completeRecovery(step, generation))
-        .with({ kind: "handOver" }, () => beginHandOver(step))
+        .with({ kind: "handOver" }, () => beginHandover(step))
         .with({ kind: "forceRelease" }, () => {
-            forceSuccessorRelease(step);
-            forceRecordRelease(step);
+            applySuccessorRelease(step);
+            applyRecordRelease(step);
         })
         .exhaustive();
 }
@@ -113,7 +113,7 @@
     }
     const isCurrent = match(reading)
         .with({ kind: "found" }, ({ record, revision }) => {
-            learnRecord(step, record, revision);
+            updateKnownRecord(step, record, revision);
             return true;
         })
         .with({ kind: "absent" }, () => {
@@ -138,7 +138,7 @@
         return;
     }
     match(answer)
-        .with({ kind: "written" }, ({ revision }) => learnRecord(step, write.record, revision))
+        .with({ kind: "written" }, ({ revision }) => updateKnownRecord(step, write.record, revision))
         .with({ kind: "conflict" }, () => {
             state.pending = state.pending.filter(pending => pending !== write);
             state.lastReadAt = -Infinity;
@@ -163,7 +163,7 @@
         state.peers = { ...state.peers, [from]: { incarnation, number, heardAt: now } };
     }
     if (confirmed !== undefined) {
-        learnRecord(step, confirmed.record, confirmed.revision);
+        updateKnownRecord(step, confirmed.record, confirmed.revision);
     }
     if (state.known?.record.owner === from && state.known.record.ownerIncarnation === incarnation) {
         state.ownerHeardAt = now;
--- a/packages/ownership/src/owner.ts
+++ b/packages/ownership/src/owner.ts
@@ -15,12 +15,12 @@
     }
     renewIfDue(step, owner, known);
     if (!owner.isHandingOver && owner.renewedAt !== undefined) {
-        keepConsent(step, known, owner.renewedAt);
+        renewConsent(step, known, owner.renewedAt);
     }
 }
 
 /** Gives up the right and begins to write the successor as the new owner. */
-export function beginHandOver(step: Step): void {
+export function beginHandover(step: Step): void {
     const { owner, known } = step.state;
     if (owner !== undefined && known !== undefined && isSuccessorLive(step, known)) {
         step.state.owner = { ...owner, isHandingOver: true };
@@ -29,7 +29,7 @@
 }
 
 /** Applies the operator's statement that the successor has ended. */
-export function forceSuccessorRelease(step: Step): void {
+export function applySuccessorRelease(step: Step): void {
     if (step.state.owner?.basis === "consent") {
         returnToStoreMode(step, step.state.owner);
     }
@@ -125,7 +125,7 @@
 }
 
 /** Enters consent mode when renewals go unanswered, and keeps consents, disarm requests and identification going there. */
-function keepConsent(step: Step, known: KnownRecord, renewedAt: number): void {
+function renewConsent(step: Step, known: KnownRecord, renewedAt: number): void {
     const { state, now, timings } = step;
     const isStoreSilent = now >= renewedAt + 2 * timings.renewIntervalMs;
     if (state.owner?.basis === "store") {
@@ -145,7 +145,7 @@
     if (!isStoreSilent) {
         sendDisarmIfDue(step, known);
     }
-    identifySuccessorIfDue(step, known);
+    identifyIfDue(step, known);
 }
 
 function sendArmIfPossible(step: Step, known: KnownRecord, renewedAt: number): void {
@@ -208,7 +208,7 @@
     });
 }
 
-function identifySuccessorIfDue(step: Step, known: KnownRecord): void {
+function identifyIfDue(step: Step, known: KnownRecord): void {
     const { state, now, timings } = step;
     const { owner } = state;
     const { successor } = known.record;
--- a/packages/ownership/src/peers.ts
+++ b/packages/ownership/src/peers.ts
@@ -20,7 +20,7 @@
  * counts as a lost message. Calls should end within one second.
  */
 export abstract class OwnershipPeers {
-    abstract heartbeat(to: HostId, heartbeat: Heartbeat): Promise<Result<void, Failure>>;
+    abstract sendHeartbeat(to: HostId, heartbeat: Heartbeat): Promise<Result<void, Failure>>;
     abstract arm(to: HostId, request: ArmRequest): Promise<Result<ArmAnswer, Failure>>;
     abstract disarm(to: HostId, request: DisarmRequest): Promise<Result<DisarmAnswer, Failure>>;
     abstract release(to: HostId, request: ReleaseRequest): Promise<Result<ReleaseAnswer, Failure>>;
--- a/packages/ownership/src/record.ts
+++ b/packages/ownership/src/record.ts
@@ -56,7 +56,7 @@
 }
 
 /** Learns of a record at a revision, from the store or from the owner; an older revision than the known one is ignored. */
-export function learnRecord(step: Step, record: OwnershipRecord, revision: number): void {
+export function updateKnownRecord(step: Step, record: OwnershipRecord, revision: number): void {
     const { state } = step;
     if (state.known !== undefined && revision <= state.known.revision) {
         return;
--- a/packages/ownership/src/right.ts
+++ b/packages/ownership/src/right.ts
@@ -35,7 +35,7 @@
 /** Ends a right that expired before this step. Runs before the event is applied, so that a late answer does not hide a lapse. */
 export function expireRight(step: Step): void {
     if (step.state.right !== undefined && step.now >= computeHoldEnd(step.state)) {
-        loseRight(step);
+        clearRight(step);
     }
 }
 
@@ -45,10 +45,10 @@
     const isHeld = step.now < computeHoldEnd(state);
     const epoch = state.successor.solo?.epoch ?? state.owner?.epoch;
     if (state.right !== undefined && (!isHeld || state.right.epoch !== epoch)) {
-        loseRight(step);
+        clearRight(step);
     }
     if (state.right === undefined && epoch !== undefined && step.now < computeRightEnd(state)) {
-        gainRight(step, epoch);
+        beginRight(step, epoch);
     }
 }
 
@@ -63,7 +63,7 @@
     return Math.max(computeRightEnd(state), isWaiting ? owner.heldUntil : -Infinity);
 }
 
-function gainRight(step: Step, epoch: number): void {
+function beginRight(step: Step, epoch: number): void {
     const { state, timings } = step;
     const basis: RightBasis = state.successor.solo !== undefined ? "solo" : state.owner?.basis ?? "store";
     // The earlier holder's right has ended by the rule that granted this one; only its last starts can be in flight.
@@ -78,7 +78,7 @@
     step.actions.push({ kind: "rightGained", generation: state.generation, epoch, basis, waitMs });
 }
 
-function loseRight(step: Step): void {
+function clearRight(step: Step): void {
     const { state } = step;
     if (state.right !== undefined) {
         step.actions.push({ kind: "rightLost", generation: state.right.generation });
--- a/packages/ownership/src/successor.ts
+++ b/packages/ownership/src/successor.ts
@@ -6,7 +6,7 @@
 import type { ArmRequest, ArmStatus, DisarmRequest, IdentifyRequest, OwnershipState, ReleaseRequest } from "./types.js";
 
 export function replyToArm(step: Step, request: ArmRequest): void {
-    noticeNewerEpoch(step, request.epoch);
+    observeEpoch(step, request.epoch);
     const status = decideArm(step, request);
     const { state } = step;
     if (status === "consented") {
@@ -30,7 +30,7 @@
 }
 
 export function replyToDisarm(step: Step, request: DisarmRequest): void {
-    noticeNewerEpoch(step, request.epoch);
+    observeEpoch(step, request.epoch);
     const { state } = step;
     const { epoch, sequence } = request;
     // A takeover write that relied on being solo may still replace the record on which the owner relies.
@@ -70,7 +70,7 @@
 }
 
 /** An owner of a later epoch exists, so that whatever this process held in earlier epochs has ended. */
-function noticeNewerEpoch(step: Step, epoch: number): void {
+function observeEpoch(step: Step, epoch: number): void {
     const { state } = step;
     const { armed, solo } = state.successor;
     if (state.owner !== undefined && state.owner.epoch < epoch) {
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -31,7 +31,7 @@
 }
 
 /** Applies the operator's statement that the owner's and the successor's processes have ended. */
-export function forceRecordRelease(step: Step): void {
+export function applyRecordRelease(step: Step): void {
     step.state.forcedRevision = step.state.known?.revision;
 }
 
--- a/scripts/verbs.js
+++ b/scripts/verbs.js
@@ -76,6 +76,7 @@
     "handle",
     "has",
     "hash",
+    "identify",
     "increment",
     "insert",
     "install",
