--- a/scripts/verbs.js
+++ b/scripts/verbs.js
@@ -78,6 +78,7 @@
     "handle",
     "has",
     "hash",
+    "identify",
     "increment",
     "insert",
     "install",
