--- /dev/null
+++ b/packages/placement/src/engine.ts
@@ -0,0 +1,356 @@
+/**
+ * The placement engine: tables of workers, teams, jobs and tasks, and systems that run over them in a fixed order each
+ * tick.
+ *
+ * The engine does no input or output and reads no clock; its decisions follow from the calls it got. Capacity is
+ * allocated when a start is decided, and released only when the caller records that the task ended or provably did not
+ * run.
+ */
+import type { JobId, ResourceVector, Result, TaskId, TeamId, WorkerId } from "@waxwingroute/core";
+import { createFailure, Err, Ok, parseTaskId } from "@waxwingroute/core";
+import type { Failure, Verdict } from "@waxwingroute/core";
+import { explainJob } from "./explain.js";
+import { createJobRow, validateSubmission } from "./job-submission.js";
+import { PlacementSystem } from "./placement-system.js";
+import { PreemptionSystem } from "./preemption-system.js";
+import { ReservationSystem } from "./reservation-system.js";
+import type { JobRow, TaskRow } from "./rows.js";
+import { countWaiting, takeIndex } from "./rows.js";
+import { PlacementState } from "./state.js";
+import { recordHealth } from "./task-outcomes.js";
+import type {
+    AdoptedTask,
+    Decision,
+    EndOutcome,
+    EngineSummary,
+    GrantDemand,
+    JobExplanation,
+    JobSubmission,
+    PlacementOptions,
+    TeamUpdate,
+    TickBudget,
+    TickResult,
+    WindowRequest,
+    WorkerUpdate,
+} from "./types.js";
+
+/** Bound on the decisions of one tick, unless the caller gives another. */
+const defaultMaxDecisions = 1000;
+
+/**
+ * Places the work of one shard.
+ *
+ * @example
+ * ```ts
+ * const engine = new PlacementEngine({ objective: "waiting" });
+ * engine.updateWorker({ worker, rack, capacity, isInRotation: true });
+ * engine.submitJob(now, { job, team, kind: "batch", taskCount: 10, resources });
+ * for (const decision of engine.tick(now).decisions) { ... }
+ * ```
+ */
+export class PlacementEngine {
+    private readonly state: PlacementState;
+    private readonly placement: PlacementSystem;
+    private readonly reservations: ReservationSystem;
+    private readonly preemption: PreemptionSystem;
+
+    constructor(options: PlacementOptions = {}) {
+        this.state = new PlacementState(options);
+        this.placement = new PlacementSystem(this.state);
+        this.reservations = new ReservationSystem(this.state);
+        this.preemption = new PreemptionSystem(this.state);
+    }
+
+    /** Adds or changes a worker. Its tasks keep what they hold, also above a lowered capacity. */
+    updateWorker(change: WorkerUpdate): void {
+        this.state.workers.update(change);
+    }
+
+    /** Takes a worker out of placement for good. Tasks on it hold the grant of their team until they are recorded as ended. */
+    removeWorker(worker: WorkerId): void {
+        const row = this.state.workers.findRow(worker);
+        if (row === undefined) {
+            return;
+        }
+        for (const reservation of this.state.reservations) {
+            if (reservation.parts.some(part => part.row === row)) {
+                this.state.removeReservation(reservation);
+            }
+        }
+        this.state.health.remove(row);
+        this.state.workers.remove(row);
+    }
+
+    /** Sets weight and limit of a team. A team with a limit starts nothing before `setGrant`. */
+    setTeam(change: TeamUpdate): void {
+        const team = this.state.ensureTeam(change.team);
+        team.weight = change.weight ?? 1;
+        team.limit = change.limit;
+        team.overLimit = change.overLimit ?? "finish";
+        this.state.queues.resumeTeam(team);
+    }
+
+    /** Sets what a team may use in this shard; `undefined` is unlimited for a team without a limit. */
+    setGrant(team: TeamId, grant: ResourceVector | undefined): void {
+        const row = this.state.ensureTeam(team);
+        row.grant = grant;
+        this.state.queues.resumeTeam(row);
+    }
+
+    /**
+     * Adds a job. Fails with `unschedulable` if its tasks could never run, with `invalid-job` for bad values and with
+     * `job-exists` for a known id; every failure has the verdict `notRun`.
+     */
+    submitJob(now: number, submission: JobSubmission): Result<void, Failure> {
+        this.advanceTo(now);
+        const failure = validateSubmission(this.state, submission);
+        if (failure !== undefined) {
+            return Err(failure);
+        }
+        const job = createJobRow(this.state, submission);
+        this.state.jobs.set(job.job, job);
+        this.state.addDemand(job, job.taskCount);
+        this.state.refreshWindow(job);
+        this.state.queues.refreshJob(job);
+        return Ok(undefined);
+    }
+
+    /** Cancels a job: waiting tasks are dropped now, and the next ticks stop the running ones. Returns whether it was known. */
+    cancelJob(job: JobId): boolean {
+        const row = this.state.jobs.get(job);
+        if (row === undefined || row.isCancelled) {
+            return row !== undefined;
+        }
+        this.state.addDemand(row, -countWaiting(row));
+        row.isCancelled = true;
+        this.state.queues.refreshJob(row);
+        this.reservations.releaseJob(row);
+        this.state.tasksToStop.push(...row.running.values());
+        this.state.refreshWindow(row);
+        this.state.removeFinished(row);
+        return true;
+    }
+
+    /**
+     * Adds a task that runs or may run already. It holds capacity even above what its worker has. Fails with
+     * `unknown-job` or `unknown-worker`.
+     */
+    adoptTask(now: number, adopted: AdoptedTask): Result<void, Failure> {
+        this.advanceTo(now);
+        const parsed = parseTaskId(adopted.task);
+        const job = parsed === undefined ? undefined : this.state.jobs.get(parsed.job);
+        const row = this.state.workers.findRow(adopted.worker);
+        if (parsed === undefined || job === undefined) {
+            return Err(createFailure("unknown-job", `task "${adopted.task}" belongs to no known job`, "mayHaveRun"));
+        }
+        if (row === undefined) {
+            return Err(createFailure("unknown-worker", `worker "${adopted.worker}" is not known`, "mayHaveRun"));
+        }
+        const known = this.state.tasks.get(adopted.task);
+        if (known !== undefined) {
+            known.state = known.state === "starting" || known.state === "uncertain" ? "running" : known.state;
+            return Ok(undefined);
+        }
+        this.takeIndexOf(job, parsed.index);
+        const runMs = job.kind === "service"
+            ? Infinity
+            : this.state.estimates.estimate(job.jobClass, job.declaredRunMs);
+        const shape = this.state.ensureShape(adopted.resources);
+        const taskState = adopted.isUncertain === true ? "uncertain" : "running";
+        this.state.addTask(adopted.task, job, parsed.index, row, shape, runMs, taskState, false);
+        return Ok(undefined);
+    }
+
+    /** Allows tasks of a job below `throughIndex` to start, because the journal holds that they may have started. */
+    markStartable(job: JobId, throughIndex: number): void {
+        const row = this.state.jobs.get(job);
+        if (row !== undefined && throughIndex > row.startedThrough) {
+            row.startedThrough = throughIndex;
+            this.state.refreshWindow(row);
+            this.state.queues.refreshJob(row);
+        }
+    }
+
+    /** Returns the jobs whose start window should become larger, until `markStartable` has made it so. */
+    collectWindowRequests(): WindowRequest[] {
+        return [...this.state.windowJobs].map(job => ({
+            job: job.job,
+            throughIndex: this.state.computeWantedWindow(job),
+        }));
+    }
+
+    /** Returns use and demand of every team, for the division of limits among shards. */
+    collectGrantDemands(): GrantDemand[] {
+        return [...this.state.teams.values()].map(team => ({
+            team: team.team,
+            used: { cpuMillis: team.usedCpu, memoryMb: team.usedMemory, accelerators: team.usedAccelerators },
+            waiting: {
+                cpuMillis: team.waitingCpu,
+                memoryMb: team.waitingMemory,
+                accelerators: team.waitingAccelerators,
+            },
+        }));
+    }
+
+    /** Records that a worker confirmed a start. */
+    recordTaskStarted(now: number, task: TaskId): void {
+        this.advanceTo(now);
+        const row = this.state.tasks.get(task);
+        if (row !== undefined && row.state !== "stopping") {
+            row.expectedEnd += now - row.startedAt;
+            row.startedAt = now;
+            row.state = "running";
+        }
+    }
+
+    /**
+     * Records that a start failed. With `notRun` the task waits again; otherwise it may run and keeps its capacity until
+     * `recordTaskEnded`.
+     */
+    recordStartFailed(now: number, task: TaskId, verdict: Verdict): void {
+        this.advanceTo(now);
+        const row = this.state.tasks.get(task);
+        if (row === undefined) {
+            return;
+        }
+        recordHealth(this.state, row, "failed");
+        if (verdict === "notRun") {
+            this.state.removeTask(row);
+            this.returnIndex(row);
+        }
+        else if (row.state !== "stopping") {
+            row.state = "uncertain";
+        }
+    }
+
+    /**
+     * Records that a task ended, or for a restored job that a task had ended, and returns whether the job is finished.
+     * `preempted` tasks wait again; others do so with `isRetried`.
+     */
+    recordTaskEnded(now: number, task: TaskId, outcome: EndOutcome, isRetried = outcome === "preempted"): boolean {
+        this.advanceTo(now);
+        const row = this.state.tasks.get(task);
+        if (row === undefined) {
+            return this.recordUnknownEnded(task, isRetried);
+        }
+        recordHealth(this.state, row, outcome);
+        this.state.removeTask(row);
+        if (isRetried && !row.job.isCancelled) {
+            this.returnIndex(row);
+        }
+        else {
+            row.job.finishedCount++;
+        }
+        return this.state.removeFinished(row.job);
+    }
+
+    /** Runs the systems once and returns what they decided. */
+    tick(now: number, budget: TickBudget = {}): TickResult {
+        const state = this.state;
+        this.advanceTo(now);
+        const decisions: Decision[] = [];
+        state.decisions = decisions;
+        state.maxDecisions = budget.maxDecisions ?? defaultMaxDecisions;
+        state.shares.refresh(state.teams.values());
+        this.stopCancelled();
+        this.preemption.applyGrants();
+        this.reservations.startReady();
+        state.queues.resumePaused(now);
+        state.queues.resumeGrown(state.workers);
+        this.placement.run();
+        this.reservations.fillHeld();
+        this.preemption.serveUrgent();
+        this.reservations.reserveNext();
+        return { decisions, isBudgetExhausted: state.isBudgetExhausted };
+    }
+
+    /** Explains why a job waits; `undefined` if it is not known or has ended. */
+    explain(job: JobId): JobExplanation | undefined {
+        const row = this.state.jobs.get(job);
+        return row === undefined ? undefined : explainJob(this.state, row);
+    }
+
+    /** Returns totals for metrics. */
+    getSummary(): EngineSummary {
+        const { workers } = this.state;
+        let waitingCount = 0;
+        let used = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+        for (const team of this.state.teams.values()) {
+            waitingCount += team.waitingCount;
+            used = {
+                cpuMillis: used.cpuMillis + team.usedCpu,
+                memoryMb: used.memoryMb + team.usedMemory,
+                accelerators: used.accelerators + team.usedAccelerators,
+            };
+        }
+        return {
+            workerCount: workers.size,
+            jobCount: this.state.jobs.size,
+            taskCount: this.state.tasks.size,
+            waitingCount,
+            ejectedWorkerCount: this.state.health.ejected.size,
+            reservationCount: this.state.reservations.size,
+            capacity: {
+                cpuMillis: workers.totalCpu,
+                memoryMb: workers.totalMemory,
+                accelerators: workers.totalAccelerators,
+            },
+            used,
+        };
+    }
+
+    private advanceTo(now: number): void {
+        this.state.now = Math.max(this.state.now, now);
+    }
+
+    private stopCancelled(): void {
+        const { state } = this;
+        while (state.tasksToStop.length > 0 && !state.isBudgetExhausted) {
+            const task = state.tasksToStop.pop() as TaskRow;
+            if (task.hasEnded) {
+                continue;
+            }
+            state.markStopping(task);
+            state.decisions.push({
+                kind: "stop",
+                task: task.task,
+                job: task.job.job,
+                team: task.job.team.team,
+                worker: state.workers.ids[task.row] as WorkerId,
+                reason: "cancelled",
+            });
+        }
+    }
+
+    private takeIndexOf(job: JobRow, index: number): void {
+        const waiting = countWaiting(job);
+        takeIndex(job, index);
+        this.state.addDemand(job, countWaiting(job) - waiting);
+        this.state.refreshWindow(job);
+        this.state.queues.refreshJob(job);
+    }
+
+    private returnIndex(task: TaskRow): void {
+        const job = task.job;
+        if (!job.isCancelled) {
+            job.returned.push(task.index);
+            this.state.addDemand(job, 1);
+            this.state.queues.refreshJob(job);
+        }
+        this.state.removeFinished(job);
+    }
+
+    /** A restored job learns of tasks that ended before the takeover, or that must not start again. */
+    private recordUnknownEnded(task: TaskId, isRetried: boolean): boolean {
+        const parsed = parseTaskId(task);
+        const job = parsed === undefined ? undefined : this.state.jobs.get(parsed.job);
+        if (parsed === undefined || job === undefined || isRetried || parsed.index >= job.taskCount) {
+            return false;
+        }
+        const waiting = countWaiting(job);
+        this.takeIndexOf(job, parsed.index);
+        // A second report of the same end takes nothing.
+        job.finishedCount += waiting - countWaiting(job);
+        return this.state.removeFinished(job);
+    }
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,2 +1,25 @@
-/** Pure placement decisions over tables of workers, jobs and teams. */
-export {};
+/** Placement decisions over tables of workers, jobs, tasks and teams. */
+export { PlacementEngine } from "./engine.js";
+export type {
+    AdoptedTask,
+    Decision,
+    EndOutcome,
+    EngineSummary,
+    GrantDemand,
+    JobExplanation,
+    JobKind,
+    JobSubmission,
+    Objective,
+    PlacementOptions,
+    PreemptDecision,
+    Priority,
+    StartDecision,
+    StartReason,
+    StopDecision,
+    TeamUpdate,
+    TickBudget,
+    TickResult,
+    WaitReason,
+    WindowRequest,
+    WorkerUpdate,
+} from "./types.js";
--- /dev/null
+++ b/packages/placement/src/job-submission.ts
@@ -0,0 +1,117 @@
+/**
+ * Checks of submitted jobs, and their rows.
+ */
+import type { Failure } from "@waxwingroute/core";
+import { createFailure } from "@waxwingroute/core";
+import type { JobRow } from "./rows.js";
+import type { PlacementState } from "./state.js";
+import type { JobSubmission } from "./types.js";
+
+/** Returns why a job cannot be accepted, or `undefined`. */
+export function validateSubmission(state: PlacementState, submission: JobSubmission): Failure | undefined {
+    const { job, resources, taskCount } = submission;
+    if (state.jobs.has(job)) {
+        return createFailure("job-exists", `job "${job}" exists already`, "notRun");
+    }
+    const amounts = [resources.cpuMillis, resources.memoryMb, resources.accelerators];
+    if (!Number.isSafeInteger(taskCount) || taskCount < 1) {
+        return createFailure(
+            "invalid-job",
+            `job "${job}" has task count ${taskCount}, not an integer above 0`,
+            "notRun",
+        );
+    }
+    const areValid = amounts.every(amount => Number.isSafeInteger(amount) && amount >= 0 && amount < 2 ** 31);
+    if (!areValid || amounts.every(amount => amount === 0)) {
+        return createFailure(
+            "invalid-job",
+            `job "${job}" declares task size ${
+                amounts.join(", ")
+            }; amounts must be integers from 0 to 2^31 - 1, not all 0`,
+            "notRun",
+        );
+    }
+    return submission.isRestored === true ? undefined : checkSchedulable(state, submission);
+}
+
+function checkSchedulable(state: PlacementState, submission: JobSubmission): Failure | undefined {
+    const { job, resources, taskCount, team } = submission;
+    const together = submission.kind === "gang" ? taskCount : 1;
+    const fitCount = state.workers.countFits(state.ensureShape(resources), together);
+    if (fitCount < together) {
+        return createFailure(
+            "unschedulable",
+            `job "${job}" needs room for ${together} tasks of ${
+                formatSize(resources)
+            } at a time; the ${state.workers.size} `
+                + `workers of this shard have room for ${fitCount} when they are empty`,
+            "notRun",
+        );
+    }
+    const limit = state.teams.get(team)?.limit;
+    const exceedsLimit = limit !== undefined
+        && (resources.cpuMillis * together > limit.cpuMillis || resources.memoryMb * together > limit.memoryMb
+            || resources.accelerators * together > limit.accelerators);
+    return exceedsLimit
+        ? createFailure(
+            "unschedulable",
+            `job "${job}" needs ${together} tasks of ${formatSize(resources)} at a time, more than the limit of team `
+                + `"${team}", ${formatSize(limit)}`,
+            "notRun",
+        )
+        : undefined;
+}
+
+function formatSize(resources: JobSubmission["resources"]): string {
+    return `${resources.cpuMillis} millis, ${resources.memoryMb} MB, ${resources.accelerators} accelerators`;
+}
+
+let nextSequence = 0;
+
+/** Creates the row of a valid job. */
+export function createJobRow(state: PlacementState, submission: JobSubmission): JobRow {
+    const team = state.ensureTeam(submission.team);
+    const shape = state.ensureShape(submission.resources);
+    const priority = submission.priority ?? "normal";
+    const gangSize = submission.kind === "gang" ? submission.taskCount : 0;
+    const jobClass = `${submission.team}/${submission.jobClass ?? submission.kind}`;
+    return {
+        job: submission.job,
+        team,
+        kind: submission.kind,
+        priority,
+        taskCount: submission.taskCount,
+        shape,
+        queue: state.queues.ensureQueue(team, priority, submission.kind, shape, gangSize),
+        jobClass,
+        declaredRunMs: submission.estimatedRunMs,
+        orderKey: computeOrderKey(state, submission, jobClass),
+        sequence: nextSequence++,
+        nextIndex: 0,
+        startedThrough: Math.min(submission.taskCount, submission.startedThrough ?? submission.taskCount),
+        returned: [],
+        takenAhead: new Set(),
+        running: new Map(),
+        reservations: new Set(),
+        finishedCount: 0,
+        isCancelled: false,
+        successCount: 0,
+        failureCount: 0,
+        lastFailedRow: -1,
+        rackCounts: new Map(),
+        rowCounts: new Map(),
+        heapIndex: -1,
+    };
+}
+
+/**
+ * Returns the time by which the job should start. It is fixed and not before the submission, so a job is delayed only by
+ * jobs that arrive within a bounded time.
+ */
+function computeOrderKey(state: PlacementState, submission: JobSubmission, jobClass: string): number {
+    if (submission.deadline !== undefined) {
+        const runMs = state.estimates.estimate(jobClass, submission.estimatedRunMs);
+        return Math.max(state.now, submission.deadline - runMs);
+    }
+    return submission.kind === "service" ? state.now : state.now + state.options.patienceMs;
+}
--- /dev/null
+++ b/packages/placement/src/policies.ts
@@ -0,0 +1,182 @@
+/**
+ * Where the next task of a job goes: one policy for each kind of job.
+ */
+import type { JobRow } from "./rows.js";
+import { countWaiting } from "./rows.js";
+import type { PlacementState } from "./state.js";
+import type { JobKind } from "./types.js";
+
+/**
+ * - `placed`: one task or one whole gang was started.
+ * - `full`: no worker has room.
+ * - `unclear`: the bounded search found nothing, but another search may.
+ */
+export type PlacementOutcome = "placed" | "full" | "unclear";
+
+/** Searches in one class look at this many workers before the search counts as bounded. */
+const completeSearchBound = 96;
+
+/** Chooses workers for the tasks of one kind of job. */
+export abstract class PlacementPolicy {
+    protected readonly state: PlacementState;
+
+    constructor(state: PlacementState) {
+        this.state = state;
+    }
+
+    /** Starts the next task of a job, or all of them for a gang. The grant was checked. */
+    abstract placeNext(job: JobRow): PlacementOutcome;
+
+    /** Returns the number of tasks that start together. */
+    countTogether(_job: JobRow): number {
+        return 1;
+    }
+
+    protected describeFailure(): PlacementOutcome {
+        return this.state.workers.index.rejectedCount >= completeSearchBound ? "unclear" : "full";
+    }
+}
+
+/** Packs tasks into the fullest workers with room, and sends probes to ejected workers. */
+export class BatchPolicy extends PlacementPolicy {
+    override placeNext(job: JobRow): PlacementOutcome {
+        const { workers } = this.state;
+        if (this.placeProbe(job)) {
+            return "placed";
+        }
+        const { cpu, memory, accelerators } = job.shape;
+        const row = workers.index.findBestFit(cpu, memory, accelerators);
+        if (row < 0) {
+            return this.describeFailure();
+        }
+        this.state.startTask(job, row, "bestFit", workers.index.rejectedCount);
+        return "placed";
+    }
+
+    private placeProbe(job: JobRow): boolean {
+        const { health, workers, now } = this.state;
+        // Urgent work is not risked on a worker that failed most of its tasks.
+        if (health.ejected.size === 0 || job.priority === "urgent") {
+            return false;
+        }
+        const row = health.findProbeRow(now, candidate => workers.fitsFree(candidate, job.shape, 1));
+        if (row < 0) {
+            return false;
+        }
+        health.markProbe(row);
+        this.state.startTask(job, row, "probe", 0);
+        return true;
+    }
+}
+
+/** Racks that one placement of a service compares. */
+const maxComparedRacks = 16;
+const maxComparedWorkers = 48;
+
+/** Spreads the tasks of a service over racks and then over workers. */
+export class ServicePolicy extends PlacementPolicy {
+    override placeNext(job: JobRow): PlacementOutcome {
+        const { workers } = this.state;
+        const spread = this.findSpread(job);
+        if (spread >= 0) {
+            this.state.startTask(job, spread, "spread", this.rejectedCount);
+            return "placed";
+        }
+        const { cpu, memory, accelerators } = job.shape;
+        const row = workers.index.findBestFit(cpu, memory, accelerators);
+        if (row < 0) {
+            return this.describeFailure();
+        }
+        this.state.startTask(job, row, "bestFit", this.rejectedCount + workers.index.rejectedCount);
+        return "placed";
+    }
+
+    private rejectedCount = 0;
+
+    /** Returns the worker with the fewest tasks of the job in the rack with the fewest, among some racks, or -1. */
+    private findSpread(job: JobRow): number {
+        const { workers } = this.state;
+        const rackCount = workers.rackRows.length;
+        // Each placement starts at another rack, so that jobs larger than the compared set reach all racks in turn.
+        const start = this.state.advanceCursor(1);
+        let bestRow = -1;
+        let bestCount = Infinity;
+        this.rejectedCount = 0;
+        for (let offset = 0; offset < Math.min(rackCount, maxComparedRacks); offset++) {
+            const rack = (start + offset) % rackCount;
+            const count = job.rackCounts.get(rack) ?? 0;
+            if (count >= bestCount) {
+                continue;
+            }
+            const row = this.findInRack(job, rack);
+            if (row >= 0) {
+                bestRow = row;
+                bestCount = count;
+            }
+        }
+        return bestRow;
+    }
+
+    private findInRack(job: JobRow, rack: number): number {
+        const { workers } = this.state;
+        const { cpu, memory, accelerators } = job.shape;
+        const rows = workers.rackRows[rack] as number[];
+        let bestRow = -1;
+        let bestCount = Infinity;
+        for (let offset = 0; offset < Math.min(rows.length, maxComparedWorkers); offset++) {
+            const row = rows[offset] as number;
+            const count = job.rowCounts.get(row) ?? 0;
+            if (count >= bestCount) {
+                continue;
+            }
+            if (workers.index.fitsRow(row, cpu, memory, accelerators)) {
+                bestRow = row;
+                bestCount = count;
+            }
+            else {
+                this.rejectedCount++;
+            }
+        }
+        return bestRow;
+    }
+}
+
+/** Starts all waiting tasks of a gang, or none. */
+export class GangPolicy extends PlacementPolicy {
+    override countTogether(job: JobRow): number {
+        return countWaiting(job);
+    }
+
+    override placeNext(job: JobRow): PlacementOutcome {
+        const { workers } = this.state;
+        const { cpu, memory, accelerators } = job.shape;
+        const count = countWaiting(job);
+        const rows: number[] = [];
+        let rejectedCount = 0;
+        while (rows.length < count) {
+            const row = workers.index.findBestFit(cpu, memory, accelerators);
+            rejectedCount += workers.index.rejectedCount;
+            if (row < 0) {
+                for (const allocated of rows) {
+                    workers.addTasks(allocated, job.shape, -1, false);
+                }
+                return "unclear";
+            }
+            workers.addTasks(row, job.shape, 1);
+            rows.push(row);
+        }
+        for (const row of rows) {
+            this.state.startTask(job, row, "gang", rejectedCount, true);
+        }
+        return "placed";
+    }
+}
+
+/** Returns the policy for each kind of job. */
+export function createPolicies(state: PlacementState): Readonly<Record<JobKind, PlacementPolicy>> {
+    return {
+        batch: new BatchPolicy(state),
+        service: new ServicePolicy(state),
+        gang: new GangPolicy(state),
+    };
+}
--- /dev/null
+++ b/packages/placement/src/preemption-system.ts
@@ -0,0 +1,199 @@
+/**
+ * Takes back borrowed capacity: for urgent work that no worker has room for, and for teams above a lowered grant.
+ *
+ * Only running batch tasks of normal priority are preempted, and only while their team stays at or above its share
+ * without them.
+ */
+import type { JobRow, Reservation, TaskRow, TeamRow } from "./rows.js";
+import type { PlacementState } from "./state.js";
+import { fitsGrant, isAboveGrant } from "./team-shares.js";
+import type { PreemptDecision } from "./types.js";
+
+/** Urgent tasks for which one tick preempts. */
+const maxPreemptions = 64;
+/** Running tasks of one team that are considered for one urgent task. */
+const maxConsideredTasks = 32;
+/** Urgent tasks that one set of preemptions on a worker makes room for. */
+const maxTasksPerWorker = 8;
+
+interface VictimPlan {
+    readonly row: number;
+    readonly victims: readonly TaskRow[];
+    readonly count: number;
+    readonly rejectedCount: number;
+}
+
+/** Decides preemptions. */
+export class PreemptionSystem {
+    private readonly state: PlacementState;
+
+    constructor(state: PlacementState) {
+        this.state = state;
+    }
+
+    /** Checkpoints the newest work of teams that are above their grant and asked for it. */
+    applyGrants(): void {
+        for (const team of this.state.teams.values()) {
+            if (team.overLimit !== "preempt" || !isAboveGrant(team)) {
+                continue;
+            }
+            for (let index = team.preemptible.length - 1; index >= 0; index--) {
+                if (!isAboveGrant(team) || this.state.isBudgetExhausted) {
+                    break;
+                }
+                const task = team.preemptible[index] as TaskRow;
+                if (isPreemptible(task)) {
+                    this.preempt(task, "overLimit", undefined, 0);
+                }
+            }
+        }
+    }
+
+    /** Makes room for urgent jobs that wait for capacity. */
+    serveUrgent(): void {
+        let borrowers: TeamRow[] | undefined;
+        let served = 0;
+        for (const queue of this.state.queues.parked) {
+            const job = queue.jobs.getFirst();
+            if (queue.priority !== "urgent" || queue.kind === "gang" || job === undefined) {
+                continue;
+            }
+            borrowers ??= this.listBorrowers();
+            while (served < maxPreemptions && !this.state.isBudgetExhausted && this.state.countUnreserved(job) > 0) {
+                if (borrowers.length === 0 || !this.serveJob(job, borrowers)) {
+                    break;
+                }
+                served++;
+            }
+        }
+    }
+
+    /** Returns the teams above their share, the one furthest above it first. */
+    private listBorrowers(): TeamRow[] {
+        return [...this.state.teams.values()]
+            .filter(team => this.state.shares.isOverShare(team))
+            .sort((first, second) => second.weightedShare - first.weightedShare)
+            .slice(0, 8);
+    }
+
+    private serveJob(job: JobRow, borrowers: readonly TeamRow[]): boolean {
+        const { shares } = this.state;
+        if (!fitsGrant(job.team, job.shape, 1)) {
+            return false;
+        }
+        const isBorrowing = shares.isOverShare(job.team);
+        for (const borrower of borrowers) {
+            // A team above its own share takes only from itself or from teams that are further above theirs.
+            if (isBorrowing && borrower !== job.team && borrower.weightedShare <= job.team.weightedShare) {
+                continue;
+            }
+            const plan = this.planVictims(job, borrower);
+            if (plan !== undefined) {
+                this.apply(job, plan);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private planVictims(job: JobRow, borrower: TeamRow): VictimPlan | undefined {
+        const { workers } = this.state;
+        let considered = 0;
+        for (let index = borrower.preemptible.length - 1; index >= 0 && considered < maxConsideredTasks; index--) {
+            const task = borrower.preemptible[index] as TaskRow;
+            if (!isPreemptible(task)) {
+                continue;
+            }
+            considered++;
+            if (!workers.canPlace(task.row) || workers.hasHolds(task.row)) {
+                continue;
+            }
+            const plan = this.planRow(job, task.row, borrower, considered);
+            if (plan !== undefined) {
+                return plan;
+            }
+        }
+        return undefined;
+    }
+
+    /** Returns the fewest newest tasks of the borrower whose end makes room on a worker. */
+    private planRow(job: JobRow, row: number, borrower: TeamRow, considered: number): VictimPlan | undefined {
+        const { shares, workers } = this.state;
+        const free = workers.computeFree(row);
+        let { cpuMillis, memoryMb, accelerators } = free;
+        const victims: TaskRow[] = [];
+        const tasks = [...this.state.rowTasks[row] ?? []].reverse();
+        const marked: TaskRow[] = [];
+        for (const task of tasks) {
+            const isStopping = task.state === "stopping";
+            if (!isStopping) {
+                if (task.job.team !== borrower || !isPreemptible(task) || !shares.canLose(borrower, task.shape)) {
+                    continue;
+                }
+                // Marked at once, so that the share of the borrower is judged without the earlier victims.
+                this.state.markStopping(task);
+                marked.push(task);
+                victims.push(task);
+            }
+            cpuMillis += task.shape.cpu;
+            memoryMb += task.shape.memory;
+            accelerators += task.shape.accelerators;
+            if (
+                cpuMillis >= job.shape.cpu && memoryMb >= job.shape.memory
+                && accelerators >= job.shape.accelerators
+            ) {
+                const bound = Math.min(maxTasksPerWorker, this.state.countUnreserved(job));
+                let count = 1;
+                while (
+                    count < bound && cpuMillis >= job.shape.cpu * (count + 1)
+                    && memoryMb >= job.shape.memory * (count + 1)
+                    && accelerators >= job.shape.accelerators * (count + 1)
+                    && fitsGrant(job.team, job.shape, count + 1)
+                ) {
+                    count++;
+                }
+                return { row, victims, count, rejectedCount: considered - 1 };
+            }
+        }
+        for (const task of marked) {
+            this.state.clearStopping(task);
+        }
+        return undefined;
+    }
+
+    private apply(job: JobRow, plan: VictimPlan): void {
+        for (const victim of plan.victims) {
+            this.preempt(victim, "urgent", job, plan.rejectedCount);
+        }
+        const reservation: Reservation = {
+            job,
+            purpose: "preemption",
+            parts: [{ row: plan.row, count: plan.count }],
+            readyAt: this.state.now,
+        };
+        this.state.addReservation(reservation);
+    }
+
+    private preempt(
+        task: TaskRow,
+        reason: PreemptDecision["reason"],
+        forJob: JobRow | undefined,
+        rejectedCount: number,
+    ): void {
+        this.state.markStopping(task);
+        this.state.decisions.push({
+            kind: "preempt",
+            task: task.task,
+            job: task.job.job,
+            team: task.job.team.team,
+            worker: this.state.workers.ids[task.row] as PreemptDecision["worker"],
+            reason,
+            forJob: forJob?.job,
+            rejectedCount,
+        });
+    }
+}
+
+function isPreemptible(task: TaskRow): boolean {
+    return !task.hasEnded && task.state === "running";
+}
--- /dev/null
+++ b/packages/placement/src/reservation-plan.ts
@@ -0,0 +1,130 @@
+/**
+ * Chooses the workers whose capacity is expected to be free first for a blocked job.
+ */
+import type { ReservationPart, Shape, TaskRow } from "./rows.js";
+import type { PlacementState } from "./state.js";
+
+/** Workers and the time by which they are expected to be free. */
+export interface ReservationPlan {
+    readonly parts: readonly ReservationPart[];
+    readonly readyAt: number;
+}
+
+interface Candidate {
+    readonly row: number;
+    readonly count: number;
+    readonly readyAt: number;
+}
+
+/** Workers that are compared for a single task, so that the cost does not grow with the fleet. */
+const maxComparedRows = 64;
+
+/** Returns when a task is expected to end; one that ran longer than expected is given a quarter of its time more. */
+export function computeExpectedEnd(task: TaskRow, now: number): number {
+    return task.expectedEnd > now ? task.expectedEnd : now + Math.max(1000, (now - task.startedAt) / 4);
+}
+
+/** Returns where `count` tasks can be placed together soonest, or `undefined` if that cannot be foreseen. */
+export function planParts(state: PlacementState, shape: Shape, count: number): ReservationPlan | undefined {
+    return count === 1 ? planSingle(state, shape) : planGang(state, shape, count);
+}
+
+function planSingle(state: PlacementState, shape: Shape): ReservationPlan | undefined {
+    const { workers } = state;
+    const rowCount = workers.rowCount;
+    const start = state.advanceCursor(maxComparedRows);
+    let bestRow = -1;
+    let bestTime = Infinity;
+    for (let offset = 0; offset < Math.min(rowCount, maxComparedRows); offset++) {
+        const row = (start + offset) % rowCount;
+        if (!workers.canPlace(row) || workers.hasHolds(row)) {
+            continue;
+        }
+        const readyAt = estimateReadyAt(state, row, shape);
+        if (readyAt < bestTime) {
+            bestRow = row;
+            bestTime = readyAt;
+        }
+    }
+    return bestRow < 0 ? undefined : { parts: [{ row: bestRow, count: 1 }], readyAt: bestTime };
+}
+
+/** Returns when one task is expected to fit on a worker. */
+function estimateReadyAt(state: PlacementState, row: number, shape: Shape): number {
+    const free = state.workers.computeFree(row);
+    let { cpuMillis, memoryMb, accelerators } = free;
+    if (cpuMillis >= shape.cpu && memoryMb >= shape.memory && accelerators >= shape.accelerators) {
+        return state.now;
+    }
+    const tasks = [...state.rowTasks[row] ?? []]
+        .map(task => ({ task, end: computeExpectedEnd(task, state.now) }))
+        .sort((first, second) => first.end - second.end);
+    for (const { task, end } of tasks) {
+        cpuMillis += task.shape.cpu;
+        memoryMb += task.shape.memory;
+        accelerators += task.shape.accelerators;
+        if (cpuMillis >= shape.cpu && memoryMb >= shape.memory && accelerators >= shape.accelerators) {
+            return end;
+        }
+    }
+    return Infinity;
+}
+
+/** Compares all workers: gangs are few, and one of them at a time holds a reservation. */
+function planGang(state: PlacementState, shape: Shape, count: number): ReservationPlan | undefined {
+    const candidates: Candidate[] = [];
+    for (let row = 0; row < state.workers.rowCount; row++) {
+        if (state.workers.canPlace(row) && !state.workers.hasHolds(row)) {
+            addCandidates(state, row, shape, candidates);
+        }
+    }
+    candidates.sort((first, second) => first.readyAt - second.readyAt || second.count - first.count);
+    const chosen = new Map<number, number>();
+    let found = 0;
+    for (const candidate of candidates) {
+        const known = chosen.get(candidate.row) ?? 0;
+        const added = Math.min(candidate.count - known, count - found);
+        if (added > 0) {
+            chosen.set(candidate.row, known + added);
+            found += added;
+        }
+        if (found === count) {
+            const parts = [...chosen].map(([row, taken]) => ({ row, count: taken }));
+            return { parts, readyAt: candidate.readyAt };
+        }
+    }
+    return undefined;
+}
+
+/** Adds what fits on a worker now and what fits after all its tasks with an expected end have ended. */
+function addCandidates(state: PlacementState, row: number, shape: Shape, candidates: Candidate[]): void {
+    const free = state.workers.computeFree(row);
+    let { cpuMillis, memoryMb, accelerators } = free;
+    const countNow = countFits(cpuMillis, memoryMb, accelerators, shape);
+    if (countNow > 0) {
+        candidates.push({ row, count: countNow, readyAt: state.now });
+    }
+    let readyAt = state.now;
+    for (const task of state.rowTasks[row] ?? []) {
+        const end = computeExpectedEnd(task, state.now);
+        if (end !== Infinity) {
+            cpuMillis += task.shape.cpu;
+            memoryMb += task.shape.memory;
+            accelerators += task.shape.accelerators;
+            readyAt = Math.max(readyAt, end);
+        }
+    }
+    const countLater = countFits(cpuMillis, memoryMb, accelerators, shape);
+    if (countLater > countNow) {
+        candidates.push({ row, count: countLater, readyAt });
+    }
+}
+
+function countFits(cpu: number, memory: number, accelerators: number, shape: Shape): number {
+    const count = Math.min(
+        shape.cpu > 0 ? Math.floor(cpu / shape.cpu) : Infinity,
+        shape.memory > 0 ? Math.floor(memory / shape.memory) : Infinity,
+        shape.accelerators > 0 ? Math.floor(accelerators / shape.accelerators) : Infinity,
+    );
+    return Math.max(0, count);
+}
--- /dev/null
+++ b/packages/placement/src/reservation-system.ts
@@ -0,0 +1,186 @@
+/**
+ * Reservations: capacity that is held for blocked jobs, so that smaller work cannot delay them for ever, and the
+ * backfill of that capacity with work that ends in time.
+ *
+ * At most one gang and `maxReservations` other jobs hold capacity at a time. The order of candidates is the latest start
+ * time, which is fixed when a job is submitted, so every job that can be reserved for becomes the first at some time.
+ * One gang at a time cannot deadlock with another.
+ */
+import { planParts } from "./reservation-plan.js";
+import type { JobRow, Reservation } from "./rows.js";
+import { countWaiting } from "./rows.js";
+import type { PlacementState } from "./state.js";
+import { fitsGrant } from "./team-shares.js";
+
+/** Delay before a job that nothing can be reserved for is considered again, in milliseconds. */
+const candidatePauseMs = 1000;
+/** Candidates that one tick considers. */
+const maxCandidates = 8;
+/** Workers with held capacity, and queues for each, that one tick considers for backfill. */
+const maxBackfillRows = 16;
+const maxBackfillQueues = 24;
+
+/** Creates, fulfils and releases reservations. */
+export class ReservationSystem {
+    private readonly state: PlacementState;
+
+    constructor(state: PlacementState) {
+        this.state = state;
+    }
+
+    /** Starts jobs whose reserved capacity has become free. */
+    startReady(): void {
+        for (const reservation of this.state.reservations) {
+            if (this.state.isBudgetExhausted) {
+                return;
+            }
+            const job = reservation.job;
+            if (!this.isNeeded(reservation)) {
+                this.state.removeReservation(reservation);
+            }
+            else if (this.isReady(reservation) && fitsGrant(job.team, job.shape, countTasks(reservation))) {
+                this.start(reservation);
+            }
+        }
+    }
+
+    /** Reserves capacity for the first blocked jobs. */
+    reserveNext(): void {
+        const { queues, now } = this.state;
+        let headCount = 0;
+        let gangCount = 0;
+        for (const reservation of this.state.reservations) {
+            headCount += reservation.purpose === "head" ? 1 : 0;
+            gangCount += reservation.purpose === "gang" ? 1 : 0;
+        }
+        for (let count = 0; count < maxCandidates; count++) {
+            const queue = queues.candidates.getFirst();
+            const job = queue?.jobs.getFirst();
+            if (queue === undefined || job === undefined) {
+                return;
+            }
+            const isGang = job.kind === "gang";
+            const hasPlace = isGang ? gangCount === 0 : headCount < this.state.options.maxReservations;
+            if (!isGang && !hasPlace && gangCount > 0) {
+                return;
+            }
+            const reservation = hasPlace && this.allowsReservation(job) ? this.plan(job) : undefined;
+            if (reservation === undefined) {
+                queues.pauseCandidate(queue, now + candidatePauseMs);
+                continue;
+            }
+            this.state.addReservation(reservation);
+            headCount += isGang ? 0 : 1;
+            gangCount += isGang ? 1 : 0;
+        }
+    }
+
+    /** Fills held capacity with work that is expected to end before the capacity is needed. */
+    fillHeld(): void {
+        let rowCount = 0;
+        for (const reservation of this.state.reservations) {
+            for (const part of reservation.parts) {
+                if (
+                    this.state.queues.parked.size === 0 || this.state.isBudgetExhausted || rowCount >= maxBackfillRows
+                ) {
+                    return;
+                }
+                if (this.state.workers.canPlace(part.row)) {
+                    rowCount++;
+                    this.fillRow(part.row, reservation);
+                }
+            }
+        }
+    }
+
+    /** Releases the reservations of a job. */
+    releaseJob(job: JobRow): void {
+        for (const reservation of job.reservations) {
+            this.state.removeReservation(reservation);
+        }
+    }
+
+    private isNeeded(reservation: Reservation): boolean {
+        const job = reservation.job;
+        if (
+            this.state.countUnreserved(job) < 0 || job.kind === "gang" && countTasks(reservation) !== countWaiting(job)
+        ) {
+            return false;
+        }
+        return reservation.parts.every(part => this.state.workers.canPlace(part.row));
+    }
+
+    private isReady(reservation: Reservation): boolean {
+        const { workers } = this.state;
+        return reservation.parts.every(part => workers.fitsFree(part.row, reservation.job.shape, part.count));
+    }
+
+    private start(reservation: Reservation): void {
+        const job = reservation.job;
+        this.state.removeReservation(reservation);
+        for (const part of reservation.parts) {
+            for (let count = 0; count < part.count; count++) {
+                this.state.startTask(job, part.row, "reservation", 0);
+            }
+        }
+    }
+
+    private allowsReservation(job: JobRow): boolean {
+        const { shares, teams } = this.state;
+        const count = job.kind === "gang" ? countWaiting(job) : 1;
+        // A team above its share gets only what is left while another team waits.
+        return fitsGrant(job.team, job.shape, count) && !(teams.size > 1 && shares.isOverShare(job.team));
+    }
+
+    private plan(job: JobRow): Reservation | undefined {
+        const isGang = job.kind === "gang";
+        const plan = planParts(this.state, job.shape, isGang ? countWaiting(job) : 1);
+        return plan === undefined
+            ? undefined
+            : { job, purpose: isGang ? "gang" : "head", parts: plan.parts, readyAt: plan.readyAt };
+    }
+
+    private fillRow(row: number, reservation: Reservation): void {
+        const { queues, workers } = this.state;
+        let checked = 0;
+        for (const queue of queues.parked) {
+            checked++;
+            if (checked > maxBackfillQueues || this.state.isBudgetExhausted) {
+                return;
+            }
+            const job = queue.jobs.getFirst();
+            if (job === undefined || queue.kind === "gang" || job === reservation.job) {
+                continue;
+            }
+            while (
+                queue.jobs.getFirst() === job
+                && workers.fitsFree(row, queue.shape, 1)
+                && fitsGrant(queue.team, queue.shape, 1)
+                && this.allowsBackfill(job, reservation)
+                && !this.state.isBudgetExhausted
+            ) {
+                this.state.startTask(job, row, "backfill", 0);
+            }
+        }
+    }
+
+    private allowsBackfill(job: JobRow, reservation: Reservation): boolean {
+        // Urgent work comes before normal work, also before normal work that waits on reserved capacity.
+        if (job.priority === "urgent" && reservation.job.priority === "normal") {
+            return true;
+        }
+        if (job.kind !== "batch" || reservation.purpose === "preemption") {
+            return false;
+        }
+        const runMs = this.state.estimates.estimateUpperBound(job.jobClass, job.declaredRunMs);
+        return this.state.now + runMs <= reservation.readyAt;
+    }
+}
+
+function countTasks(reservation: Reservation): number {
+    let count = 0;
+    for (const part of reservation.parts) {
+        count += part.count;
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/placement/src/rows.ts
@@ -0,0 +1,198 @@
+/**
+ * Rows of the engine's tables. Waiting tasks have no rows: a job counts them, so that they cost nothing.
+ */
+import type { JobId, ResourceVector, TaskId, TeamId } from "@waxwingroute/core";
+import type { HeapItem, IndexedHeap } from "./indexed-heap.js";
+import type { JobKind, Priority } from "./types.js";
+
+/** One task size. Equal sizes share a row, so that a size that does not fit is searched for once. */
+export interface Shape {
+    readonly cpu: number;
+    readonly memory: number;
+    readonly accelerators: number;
+    readonly resources: ResourceVector;
+    /** Queues that wait until a worker has grown enough for this size. */
+    readonly parked: Set<JobQueue>;
+}
+
+/**
+ * - `active`: in the heap of its team.
+ * - `capacity`: no worker has room.
+ * - `grant`: the grant of the team has no room.
+ * - `empty`: no job has startable tasks.
+ */
+export type QueueState = "active" | "capacity" | "grant" | "empty";
+
+/** Jobs of one team, priority, kind and size. Either the first of them can be placed or none can. */
+export interface JobQueue extends HeapItem {
+    readonly team: TeamRow;
+    readonly kind: JobKind;
+    readonly priority: Priority;
+    readonly shape: Shape;
+    readonly jobs: IndexedHeap<JobRow>;
+    /** Key in the queues of the team. */
+    readonly key: string;
+    state: QueueState;
+    /** The next attempt to place or to reserve is not before this time, because the last one failed. */
+    retryAt: number;
+}
+
+/** A team: its share, limits and use. */
+export interface TeamRow extends HeapItem {
+    readonly team: TeamId;
+    weight: number;
+    limit: ResourceVector | undefined;
+    grant: ResourceVector | undefined;
+    overLimit: "finish" | "preempt";
+    usedCpu: number;
+    usedMemory: number;
+    usedAccelerators: number;
+    /** Part of the use that is being preempted. */
+    stoppingCpu: number;
+    stoppingMemory: number;
+    stoppingAccelerators: number;
+    waitingCpu: number;
+    waitingMemory: number;
+    waitingAccelerators: number;
+    waitingCount: number;
+    runningCount: number;
+    /** Dominant share of what the team uses, divided by its weight. */
+    weightedShare: number;
+    /** 0 for teams that come first in the order of the objective, and 1 for others. */
+    rank: number;
+    /** Order among teams of one rank. */
+    orderKey: number;
+    readonly urgent: IndexedHeap<JobQueue>;
+    readonly normal: IndexedHeap<JobQueue>;
+    readonly queues: Map<string, JobQueue>;
+    readonly grantBlocked: Set<JobQueue>;
+    /** Tasks that may be preempted, oldest first. Ended tasks stay until the list is pruned. */
+    preemptible: TaskRow[];
+}
+
+/** A job and the counts of its tasks. */
+export interface JobRow extends HeapItem {
+    readonly job: JobId;
+    readonly team: TeamRow;
+    readonly kind: JobKind;
+    readonly priority: Priority;
+    readonly taskCount: number;
+    readonly shape: Shape;
+    readonly queue: JobQueue;
+    readonly jobClass: string;
+    readonly declaredRunMs: number | undefined;
+    /** Order within the team: the latest start time that meets the deadline, or one that bounds the wait. */
+    readonly orderKey: number;
+    readonly sequence: number;
+    /** Tasks below this index have been placed, ended or returned. */
+    nextIndex: number;
+    startedThrough: number;
+    /** Indexes that wait again. */
+    readonly returned: number[];
+    /** Indexes from `nextIndex` up that run or ended already. */
+    readonly takenAhead: Set<number>;
+    /** Tasks that hold capacity, by index. */
+    readonly running: Map<number, TaskRow>;
+    readonly reservations: Set<Reservation>;
+    finishedCount: number;
+    isCancelled: boolean;
+    successCount: number;
+    failureCount: number;
+    /** Worker row of the last failure, or -1. */
+    lastFailedRow: number;
+    /** Running tasks of a service by rack and by worker row. */
+    readonly rackCounts: Map<number, number>;
+    readonly rowCounts: Map<number, number>;
+}
+
+/**
+ * - `starting`: the start was decided.
+ * - `running`: the worker confirmed it.
+ * - `uncertain`: it may run.
+ * - `stopping`: it was asked to stop or to save its state.
+ */
+export type TaskState = "starting" | "running" | "uncertain" | "stopping";
+
+/** A task that holds capacity. */
+export interface TaskRow {
+    readonly task: TaskId;
+    readonly job: JobRow;
+    readonly index: number;
+    readonly row: number;
+    /** Rack of the worker when the task was placed. */
+    readonly rack: number;
+    readonly shape: Shape;
+    state: TaskState;
+    startedAt: number;
+    expectedEnd: number;
+    hasEnded: boolean;
+    isProbe: boolean;
+}
+
+/** Workers on which a reservation holds capacity. */
+export interface ReservationPart {
+    readonly row: number;
+    readonly count: number;
+}
+
+/** Capacity that is held for the next tasks of a job. */
+export interface Reservation {
+    readonly job: JobRow;
+    readonly purpose: "head" | "gang" | "preemption";
+    readonly parts: readonly ReservationPart[];
+    /** When the capacity is expected to be free; other work may use it until then. */
+    readonly readyAt: number;
+}
+
+/** Returns how many tasks of a job wait. */
+export function countWaiting(job: JobRow): number {
+    if (job.isCancelled) {
+        return 0;
+    }
+    return job.taskCount - job.nextIndex - job.takenAhead.size + job.returned.length;
+}
+
+/** Returns how many tasks of a job may be started now. */
+export function countStartable(job: JobRow): number {
+    if (job.isCancelled) {
+        return 0;
+    }
+    let ahead = Math.max(0, Math.min(job.startedThrough, job.taskCount) - job.nextIndex);
+    if (job.takenAhead.size > 0) {
+        for (const index of job.takenAhead) {
+            ahead -= index < job.startedThrough ? 1 : 0;
+        }
+    }
+    const startable = ahead + job.returned.length;
+    return job.kind === "gang" && startable < countWaiting(job) ? 0 : startable;
+}
+
+/** Takes the index of the next task to start. `countStartable` must be above 0. */
+export function takeNextIndex(job: JobRow): number {
+    const returned = job.returned.pop();
+    if (returned !== undefined) {
+        return returned;
+    }
+    const index = job.nextIndex;
+    job.nextIndex++;
+    advanceIndex(job);
+    return index;
+}
+
+/** Marks an index as running or ended, whether it waits or not. */
+export function takeIndex(job: JobRow, index: number): void {
+    const position = job.returned.indexOf(index);
+    if (position >= 0) {
+        job.returned.splice(position, 1);
+    }
+    else if (index >= job.nextIndex) {
+        job.takenAhead.add(index);
+        advanceIndex(job);
+    }
+}
+
+function advanceIndex(job: JobRow): void {
+    while (job.takenAhead.delete(job.nextIndex)) {
+        job.nextIndex++;
+    }
+}
--- /dev/null
+++ b/packages/placement/src/state.ts
@@ -0,0 +1,313 @@
+/**
+ * The tables of the engine and the changes that keep them consistent. Systems read and change them only through this
+ * class.
+ */
+import { Table, toTaskId } from "@waxwingroute/core";
+import type { JobId, ResourceVector, TaskId, TeamId } from "@waxwingroute/core";
+import { IndexedHeap } from "./indexed-heap.js";
+import { isQueueBefore, QueueBoard } from "./queues.js";
+import type { JobRow, Reservation, Shape, TaskRow, TaskState, TeamRow } from "./rows.js";
+import { countStartable, countWaiting, takeNextIndex } from "./rows.js";
+import { RunTimeEstimates } from "./run-time-estimates.js";
+import { TeamShares } from "./team-shares.js";
+import type { Decision, PlacementOptions, PreemptDecision, StartReason } from "./types.js";
+import { WorkerHealth } from "./worker-health.js";
+import { WorkerTable } from "./worker-table.js";
+
+/** All tables of one engine. */
+export class PlacementState {
+    now = 0;
+    /** Decisions of the current tick. */
+    decisions: Decision[] = [];
+    maxDecisions = 0;
+    readonly options: Required<PlacementOptions>;
+    readonly workers = new WorkerTable();
+    readonly teams = new Table<TeamId, TeamRow>();
+    readonly jobs = new Table<JobId, JobRow>();
+    readonly tasks = new Table<TaskId, TaskRow>();
+    /** Tasks by worker row. */
+    readonly rowTasks: Set<TaskRow>[] = [];
+    readonly queues = new QueueBoard();
+    readonly shares: TeamShares;
+    readonly health: WorkerHealth;
+    readonly estimates: RunTimeEstimates;
+    readonly reservations = new Set<Reservation>();
+    /** Jobs whose start window should become larger. */
+    readonly windowJobs = new Set<JobRow>();
+    /** Running tasks of cancelled jobs that have not been told to stop. */
+    readonly tasksToStop: TaskRow[] = [];
+    private readonly shapes = new Map<string, Shape>();
+    private placementCount = 0;
+
+    constructor(options: PlacementOptions) {
+        this.options = {
+            objective: options.objective ?? "waiting",
+            windowSize: options.windowSize ?? 64,
+            defaultRunMs: options.defaultRunMs ?? 600_000,
+            patienceMs: options.patienceMs ?? 1_800_000,
+            maxReservations: options.maxReservations ?? 4,
+            probeIntervalMs: options.probeIntervalMs ?? 15_000,
+        };
+        this.shares = new TeamShares(this.workers, this.options.objective);
+        this.health = new WorkerHealth(this.workers, this.options.probeIntervalMs);
+        this.estimates = new RunTimeEstimates(this.options.defaultRunMs);
+    }
+
+    get isBudgetExhausted(): boolean {
+        return this.decisions.length >= this.maxDecisions;
+    }
+
+    ensureTeam(id: TeamId): TeamRow {
+        return this.teams.ensure(id, () => createTeam(id));
+    }
+
+    ensureShape(resources: ResourceVector): Shape {
+        const key = `${resources.cpuMillis}/${resources.memoryMb}/${resources.accelerators}`;
+        let shape = this.shapes.get(key);
+        if (shape === undefined) {
+            shape = {
+                cpu: resources.cpuMillis,
+                memory: resources.memoryMb,
+                accelerators: resources.accelerators,
+                resources,
+                parked: new Set(),
+            };
+            this.shapes.set(key, shape);
+        }
+        return shape;
+    }
+
+    /** Adds waiting tasks of a job to the demand of its team; `count` may be negative. */
+    addDemand(job: JobRow, count: number): void {
+        const team = job.team;
+        team.waitingCount += count;
+        team.waitingCpu += job.shape.cpu * count;
+        team.waitingMemory += job.shape.memory * count;
+        team.waitingAccelerators += job.shape.accelerators * count;
+    }
+
+    /** Starts the next task of a job on a worker and records the decision. */
+    startTask(job: JobRow, row: number, reason: StartReason, rejectedCount: number, isAllocated = false): TaskRow {
+        const index = takeNextIndex(job);
+        this.addDemand(job, -1);
+        const runMs = job.kind === "service" ? Infinity : this.estimates.estimate(job.jobClass, job.declaredRunMs);
+        const task = this.addTask(toTaskId(job.job, index), job, index, row, job.shape, runMs, "starting", isAllocated);
+        task.isProbe = reason === "probe";
+        this.refreshWindow(job);
+        this.queues.refreshJob(job);
+        this.decisions.push({
+            kind: "start",
+            task: task.task,
+            job: job.job,
+            team: job.team.team,
+            worker: this.workers.ids[row] as PreemptDecision["worker"],
+            resources: task.shape.resources,
+            reason,
+            rejectedCount,
+        });
+        return task;
+    }
+
+    /** Adds a task that holds capacity of a worker and of its team. */
+    addTask(
+        id: TaskId,
+        job: JobRow,
+        index: number,
+        row: number,
+        shape: Shape,
+        runMs: number,
+        taskState: TaskState,
+        isAllocated: boolean,
+    ): TaskRow {
+        const task: TaskRow = {
+            task: id,
+            job,
+            index,
+            row,
+            rack: this.workers.racks[row] as number,
+            shape,
+            state: taskState,
+            startedAt: this.now,
+            expectedEnd: this.now + runMs,
+            hasEnded: false,
+            isProbe: false,
+        };
+        if (!isAllocated) {
+            this.workers.addTasks(row, shape, 1);
+        }
+        this.tasks.set(id, task);
+        job.running.set(index, task);
+        (this.rowTasks[row] ??= new Set()).add(task);
+        this.addTeamUse(task, 1);
+        if (job.kind === "service") {
+            this.addSpread(task, 1);
+        }
+        if (job.kind === "batch" && job.priority === "normal") {
+            job.team.preemptible.push(task);
+            this.prunePreemptible(job.team);
+        }
+        return task;
+    }
+
+    /** Removes a task and releases what it held. */
+    removeTask(task: TaskRow): void {
+        const job = task.job;
+        if (task.state === "stopping") {
+            this.addStopping(task, -1);
+        }
+        task.hasEnded = true;
+        this.tasks.delete(task.task);
+        job.running.delete(task.index);
+        this.rowTasks[task.row]?.delete(task);
+        this.workers.addTasks(task.row, task.shape, -1);
+        this.addTeamUse(task, -1);
+        if (job.kind === "service") {
+            this.addSpread(task, -1);
+        }
+        this.queues.resumeTeam(job.team);
+    }
+
+    /** Marks a task as stopping, so that its capacity counts as about to be released. */
+    markStopping(task: TaskRow): void {
+        if (task.state !== "stopping") {
+            task.state = "stopping";
+            this.addStopping(task, 1);
+        }
+    }
+
+    /** Takes back `markStopping` for a task that was not told to stop. */
+    clearStopping(task: TaskRow): void {
+        task.state = "running";
+        this.addStopping(task, -1);
+    }
+
+    /** Holds capacity for a job. */
+    addReservation(reservation: Reservation): void {
+        this.reservations.add(reservation);
+        reservation.job.reservations.add(reservation);
+        this.queues.candidates.remove(reservation.job.queue);
+        for (const part of reservation.parts) {
+            this.workers.addHolds(part.row, reservation.job.shape, part.count);
+        }
+    }
+
+    removeReservation(reservation: Reservation): void {
+        if (!this.reservations.delete(reservation)) {
+            return;
+        }
+        const job = reservation.job;
+        job.reservations.delete(reservation);
+        for (const part of reservation.parts) {
+            this.workers.addHolds(part.row, job.shape, -part.count);
+        }
+        this.queues.addCandidate(job.queue);
+    }
+
+    /** Notes whether the start window of a job should become larger. */
+    refreshWindow(job: JobRow): void {
+        const isWanted = !job.isCancelled && job.startedThrough < this.computeWantedWindow(job);
+        if (isWanted) {
+            this.windowJobs.add(job);
+        }
+        else {
+            this.windowJobs.delete(job);
+        }
+    }
+
+    /** Returns the index below which tasks of a job should be startable. */
+    computeWantedWindow(job: JobRow): number {
+        if (job.kind === "gang") {
+            return job.taskCount;
+        }
+        // A new window is requested when half of the last one is used, so that starts seldom wait for a commit.
+        const size = this.options.windowSize;
+        const windows = Math.floor((job.nextIndex + size / 2) / size) + 1;
+        return Math.min(job.taskCount, windows * size);
+    }
+
+    /** Returns a number that spreads searches over the rows. */
+    advanceCursor(step: number): number {
+        this.placementCount = (this.placementCount + step) % 0x40000000;
+        return this.placementCount;
+    }
+
+    /** Removes a job that has nothing left to do. Returns whether it was removed. */
+    removeFinished(job: JobRow): boolean {
+        const isFinished = job.isCancelled || job.finishedCount >= job.taskCount;
+        if (!isFinished || job.running.size > 0 || !job.isCancelled && countWaiting(job) > 0) {
+            return false;
+        }
+        this.jobs.delete(job.job);
+        this.windowJobs.delete(job);
+        return true;
+    }
+
+    /** Returns how many tasks of a job may be started now and are not covered by its reservations. */
+    countUnreserved(job: JobRow): number {
+        let reserved = 0;
+        for (const reservation of job.reservations) {
+            for (const part of reservation.parts) {
+                reserved += part.count;
+            }
+        }
+        return countStartable(job) - reserved;
+    }
+
+    private addTeamUse(task: TaskRow, sign: 1 | -1): void {
+        const team = task.job.team;
+        team.usedCpu += sign * task.shape.cpu;
+        team.usedMemory += sign * task.shape.memory;
+        team.usedAccelerators += sign * task.shape.accelerators;
+        team.runningCount += sign;
+        this.shares.update(team);
+    }
+
+    private addStopping(task: TaskRow, sign: 1 | -1): void {
+        const team = task.job.team;
+        team.stoppingCpu += sign * task.shape.cpu;
+        team.stoppingMemory += sign * task.shape.memory;
+        team.stoppingAccelerators += sign * task.shape.accelerators;
+    }
+
+    private addSpread(task: TaskRow, sign: 1 | -1): void {
+        const job = task.job;
+        job.rackCounts.set(task.rack, (job.rackCounts.get(task.rack) ?? 0) + sign);
+        job.rowCounts.set(task.row, (job.rowCounts.get(task.row) ?? 0) + sign);
+    }
+
+    private prunePreemptible(team: TeamRow): void {
+        if (team.preemptible.length > 64 && team.preemptible.length > 4 * team.runningCount) {
+            team.preemptible = team.preemptible.filter(task => !task.hasEnded);
+        }
+    }
+}
+
+function createTeam(team: TeamId): TeamRow {
+    return {
+        team,
+        weight: 1,
+        limit: undefined,
+        grant: undefined,
+        overLimit: "finish",
+        usedCpu: 0,
+        usedMemory: 0,
+        usedAccelerators: 0,
+        stoppingCpu: 0,
+        stoppingMemory: 0,
+        stoppingAccelerators: 0,
+        waitingCpu: 0,
+        waitingMemory: 0,
+        waitingAccelerators: 0,
+        waitingCount: 0,
+        runningCount: 0,
+        weightedShare: 0,
+        rank: 0,
+        orderKey: 0,
+        urgent: new IndexedHeap(isQueueBefore),
+        normal: new IndexedHeap(isQueueBefore),
+        queues: new Map(),
+        grantBlocked: new Set(),
+        preemptible: [],
+        heapIndex: -1,
+    };
+}
--- /dev/null
+++ b/packages/placement/src/team-shares.ts
@@ -0,0 +1,92 @@
+/**
+ * Weighted dominant shares and grants of teams.
+ */
+import type { ResourceVector } from "@waxwingroute/core";
+import { zeroResources } from "@waxwingroute/core";
+import type { JobQueue, Shape, TeamRow } from "./rows.js";
+import type { Objective } from "./types.js";
+import type { WorkerTable } from "./worker-table.js";
+
+/** Computes shares against the workers in rotation. */
+export class TeamShares {
+    /** Sum of the weights of teams that use or want capacity. */
+    activeWeight = 0;
+    private readonly workers: WorkerTable;
+    private readonly objective: Objective;
+
+    constructor(workers: WorkerTable, objective: Objective) {
+        this.workers = workers;
+        this.objective = objective;
+    }
+
+    /** Recomputes the shares of all teams, because totals or weights may have changed. */
+    refresh(teams: Iterable<TeamRow>): void {
+        this.activeWeight = 0;
+        for (const team of teams) {
+            if (team.waitingCount > 0 || team.runningCount > 0) {
+                this.activeWeight += team.weight;
+            }
+            this.update(team);
+        }
+    }
+
+    /** Recomputes the share of a team after its use changed. */
+    update(team: TeamRow): void {
+        team.weightedShare = this.computeShare(team.usedCpu, team.usedMemory, team.usedAccelerators) / team.weight;
+    }
+
+    /** Sets the place of a team in the order of the objective. */
+    updateOrder(team: TeamRow, next: JobQueue): void {
+        const isWithinShare = !this.isOverShare(team);
+        team.rank = isWithinShare ? 0 : 1;
+        const job = next.jobs.getFirst();
+        team.orderKey = this.objective === "waiting" && isWithinShare && job !== undefined
+            ? job.orderKey
+            : team.weightedShare;
+    }
+
+    /** Returns whether a team uses at least what its weight entitles it to when all active teams want capacity. */
+    isOverShare(team: TeamRow): boolean {
+        return team.weightedShare * this.activeWeight >= 1;
+    }
+
+    /** Returns whether a team stays at or above its share without another task of this size. */
+    canLose(team: TeamRow, shape: Shape): boolean {
+        const share = this.computeShare(
+            team.usedCpu - team.stoppingCpu - shape.cpu,
+            team.usedMemory - team.stoppingMemory - shape.memory,
+            team.usedAccelerators - team.stoppingAccelerators - shape.accelerators,
+        );
+        return share / team.weight * this.activeWeight >= 1;
+    }
+
+    private computeShare(cpu: number, memory: number, accelerators: number): number {
+        const workers = this.workers;
+        let share = workers.totalCpu > 0 ? cpu / workers.totalCpu : 0;
+        share = workers.totalMemory > 0 ? Math.max(share, memory / workers.totalMemory) : share;
+        return workers.totalAccelerators > 0 ? Math.max(share, accelerators / workers.totalAccelerators) : share;
+    }
+}
+
+/** Returns the bound on what a team may use in this shard. A team with a limit gets nothing before its first grant. */
+export function getGrant(team: TeamRow): ResourceVector | undefined {
+    return team.grant ?? (team.limit === undefined ? undefined : zeroResources);
+}
+
+/** Returns whether `count` more tasks stay within the grant of their team. */
+export function fitsGrant(team: TeamRow, shape: Shape, count: number): boolean {
+    const grant = getGrant(team);
+    return grant === undefined
+        || team.usedCpu + shape.cpu * count <= grant.cpuMillis
+            && team.usedMemory + shape.memory * count <= grant.memoryMb
+            && team.usedAccelerators + shape.accelerators * count <= grant.accelerators;
+}
+
+/** Returns whether a team uses more than its grant, not counting what is being stopped. */
+export function isAboveGrant(team: TeamRow): boolean {
+    const grant = getGrant(team);
+    return grant !== undefined
+        && (team.usedCpu - team.stoppingCpu > grant.cpuMillis
+            || team.usedMemory - team.stoppingMemory > grant.memoryMb
+            || team.usedAccelerators - team.stoppingAccelerators > grant.accelerators);
+}
--- /dev/null
+++ b/packages/placement/src/worker-table.ts
@@ -0,0 +1,260 @@
+/**
+ * The workers of the shard, as typed columns. Free capacity is capacity minus what tasks use; the index also subtracts
+ * what reservations hold.
+ */
+import type { RackId, ResourceVector, WorkerId } from "@waxwingroute/core";
+import { CapacityIndex, copyColumn } from "./capacity-index.js";
+import type { Shape } from "./rows.js";
+import type { WorkerUpdate } from "./types.js";
+
+/** Workers of one size, for the check whether a job can ever run. */
+interface CapacityKind {
+    readonly capacity: ResourceVector;
+    count: number;
+}
+
+/** Rows of workers. A row keeps its number while the worker has tasks, also after the worker was removed. */
+export class WorkerTable {
+    readonly index = new CapacityIndex();
+    readonly ids: WorkerId[] = [];
+    readonly racks: number[] = [];
+    /** Rows of the workers of each rack. */
+    readonly rackRows: number[][] = [];
+    /** Rows whose free capacity may have grown since the list was last cleared. */
+    readonly grownRows = new Set<number>();
+    /** Total of the workers in rotation. */
+    totalCpu = 0;
+    totalMemory = 0;
+    totalAccelerators = 0;
+    private readonly rows = new Map<WorkerId, number>();
+    private readonly rackNumbers = new Map<RackId, number>();
+    private readonly kinds = new Map<string, CapacityKind>();
+    private readonly capacities: ResourceVector[] = [];
+    private readonly isInRotation: boolean[] = [];
+    private readonly isEjected: boolean[] = [];
+    private readonly isRemoved: boolean[] = [];
+    private readonly taskCounts: number[] = [];
+    private readonly freeRows: number[] = [];
+    private usedCpu = new Int32Array(64);
+    private usedMemory = new Int32Array(64);
+    private usedAccelerators = new Int32Array(64);
+    private heldCpu = new Int32Array(64);
+    private heldMemory = new Int32Array(64);
+    private heldAccelerators = new Int32Array(64);
+
+    get size(): number {
+        return this.rows.size;
+    }
+
+    /** Number of rows, of which some may be unused. */
+    get rowCount(): number {
+        return this.ids.length;
+    }
+
+    findRow(worker: WorkerId): number | undefined {
+        return this.rows.get(worker);
+    }
+
+    /** Adds or changes a worker and returns its row. */
+    update(change: WorkerUpdate): number {
+        const row = this.rows.get(change.worker) ?? this.add(change.worker);
+        this.setTotals(row, -1);
+        this.capacities[row] = change.capacity;
+        this.isInRotation[row] = change.isInRotation;
+        this.isRemoved[row] = false;
+        this.setTotals(row, 1);
+        this.setRack(row, this.ensureRack(change.rack));
+        this.refresh(row, true);
+        return row;
+    }
+
+    /** Removes a worker from placement; its row is reused after its last task ended. */
+    remove(row: number): void {
+        this.setTotals(row, -1);
+        this.isInRotation[row] = false;
+        this.isRemoved[row] = true;
+        this.refresh(row, false);
+        this.releaseRow(row);
+    }
+
+    setEjected(row: number, isEjected: boolean): void {
+        this.isEjected[row] = isEjected;
+        this.refresh(row, !isEjected);
+    }
+
+    /** Returns whether the worker may get tasks other than probes. */
+    canPlace(row: number): boolean {
+        return this.isInRotation[row] === true && this.isEjected[row] !== true;
+    }
+
+    isRowInRotation(row: number): boolean {
+        return this.isInRotation[row] === true;
+    }
+
+    countTasks(row: number): number {
+        return this.taskCounts[row] as number;
+    }
+
+    getCapacity(row: number): ResourceVector {
+        return this.capacities[row] as ResourceVector;
+    }
+
+    /** Returns whether `count` tasks fit into what tasks have not taken, whatever reservations hold. */
+    fitsFree(row: number, shape: Shape, count: number): boolean {
+        const capacity = this.capacities[row] as ResourceVector;
+        return capacity.cpuMillis - (this.usedCpu[row] as number) >= shape.cpu * count
+            && capacity.memoryMb - (this.usedMemory[row] as number) >= shape.memory * count
+            && capacity.accelerators - (this.usedAccelerators[row] as number) >= shape.accelerators * count;
+    }
+
+    /** Returns what tasks have not taken. Amounts are negative if the worker holds more than it can. */
+    computeFree(row: number): ResourceVector {
+        const capacity = this.capacities[row] as ResourceVector;
+        return {
+            cpuMillis: capacity.cpuMillis - (this.usedCpu[row] as number),
+            memoryMb: capacity.memoryMb - (this.usedMemory[row] as number),
+            accelerators: capacity.accelerators - (this.usedAccelerators[row] as number),
+        };
+    }
+
+    /** Adds (`count` above 0) or removes tasks of a size. A removal that only undoes an attempt is no growth. */
+    addTasks(row: number, shape: Shape, count: number, hasGrown = count < 0): void {
+        this.usedCpu[row] = (this.usedCpu[row] as number) + shape.cpu * count;
+        this.usedMemory[row] = (this.usedMemory[row] as number) + shape.memory * count;
+        this.usedAccelerators[row] = (this.usedAccelerators[row] as number) + shape.accelerators * count;
+        this.taskCounts[row] = (this.taskCounts[row] as number) + count;
+        this.refresh(row, hasGrown);
+        if (this.isRemoved[row] === true) {
+            this.releaseRow(row);
+        }
+    }
+
+    /** Holds (`count` above 0) or releases capacity for a reservation. */
+    addHolds(row: number, shape: Shape, count: number): void {
+        this.heldCpu[row] = (this.heldCpu[row] as number) + shape.cpu * count;
+        this.heldMemory[row] = (this.heldMemory[row] as number) + shape.memory * count;
+        this.heldAccelerators[row] = (this.heldAccelerators[row] as number) + shape.accelerators * count;
+        this.refresh(row, count < 0);
+    }
+
+    hasHolds(row: number): boolean {
+        return this.heldCpu[row] !== 0 || this.heldMemory[row] !== 0 || this.heldAccelerators[row] !== 0;
+    }
+
+    /** Returns how many tasks of a size the workers could run if they were empty, up to `bound`. */
+    countFits(shape: Shape, bound: number, isLimitedToRotation = false): number {
+        let count = 0;
+        if (isLimitedToRotation) {
+            for (let row = 0; row < this.rowCount && count < bound; row++) {
+                if (this.canPlace(row)) {
+                    count += countPerWorker(this.capacities[row] as ResourceVector, shape);
+                }
+            }
+            return count;
+        }
+        for (const kind of this.kinds.values()) {
+            count += countPerWorker(kind.capacity, shape) * kind.count;
+        }
+        return Math.min(bound, count);
+    }
+
+    private add(worker: WorkerId): number {
+        const row = this.freeRows.pop() ?? this.ids.length;
+        if (row >= this.usedCpu.length) {
+            const size = this.usedCpu.length * 2;
+            this.usedCpu = copyColumn(this.usedCpu, size);
+            this.usedMemory = copyColumn(this.usedMemory, size);
+            this.usedAccelerators = copyColumn(this.usedAccelerators, size);
+            this.heldCpu = copyColumn(this.heldCpu, size);
+            this.heldMemory = copyColumn(this.heldMemory, size);
+            this.heldAccelerators = copyColumn(this.heldAccelerators, size);
+        }
+        this.ids[row] = worker;
+        this.rows.set(worker, row);
+        this.taskCounts[row] = 0;
+        this.isEjected[row] = false;
+        this.isInRotation[row] = false;
+        this.isRemoved[row] = true;
+        this.racks[row] = -1;
+        return row;
+    }
+
+    private ensureRack(rack: RackId): number {
+        const known = this.rackNumbers.get(rack);
+        if (known !== undefined) {
+            return known;
+        }
+        const number = this.rackRows.length;
+        this.rackNumbers.set(rack, number);
+        this.rackRows.push([]);
+        return number;
+    }
+
+    private setRack(row: number, rack: number): void {
+        const previous = this.racks[row] as number;
+        if (previous === rack) {
+            return;
+        }
+        if (previous >= 0) {
+            this.rackRows[previous] = (this.rackRows[previous] as number[]).filter(other => other !== row);
+        }
+        if (rack >= 0) {
+            (this.rackRows[rack] as number[]).push(row);
+        }
+        this.racks[row] = rack;
+    }
+
+    /** Adds the worker to the totals or, with `sign` -1, subtracts what was added. */
+    private setTotals(row: number, sign: 1 | -1): void {
+        if (this.isRemoved[row] === true) {
+            return;
+        }
+        const capacity = this.capacities[row] as ResourceVector;
+        const key = `${capacity.cpuMillis}/${capacity.memoryMb}/${capacity.accelerators}`;
+        const kind = this.kinds.get(key) ?? { capacity, count: 0 };
+        kind.count += sign;
+        this.kinds.set(key, kind);
+        if (kind.count === 0) {
+            this.kinds.delete(key);
+        }
+        if (this.isInRotation[row] === true) {
+            this.totalCpu += sign * capacity.cpuMillis;
+            this.totalMemory += sign * capacity.memoryMb;
+            this.totalAccelerators += sign * capacity.accelerators;
+        }
+    }
+
+    private releaseRow(row: number): void {
+        if (this.taskCounts[row] !== 0 || this.hasHolds(row) || this.rows.get(this.ids[row] as WorkerId) !== row) {
+            return;
+        }
+        this.setRack(row, -1);
+        this.rows.delete(this.ids[row] as WorkerId);
+        this.freeRows.push(row);
+    }
+
+    private refresh(row: number, hasGrown: boolean): void {
+        if (!this.canPlace(row)) {
+            this.index.remove(row);
+            return;
+        }
+        const free = this.computeFree(row);
+        this.index.update(
+            row,
+            free.cpuMillis - (this.heldCpu[row] as number),
+            free.memoryMb - (this.heldMemory[row] as number),
+            free.accelerators - (this.heldAccelerators[row] as number),
+        );
+        if (hasGrown) {
+            this.grownRows.add(row);
+        }
+    }
+}
+
+function countPerWorker(capacity: ResourceVector, shape: Shape): number {
+    return Math.min(
+        shape.cpu > 0 ? Math.floor(capacity.cpuMillis / shape.cpu) : Infinity,
+        shape.memory > 0 ? Math.floor(capacity.memoryMb / shape.memory) : Infinity,
+        shape.accelerators > 0 ? Math.floor(capacity.accelerators / shape.accelerators) : Infinity,
+    );
+}
