--- a/packages/journal/src/format.ts
+++ b/packages/journal/src/format.ts
@@ -5,7 +5,7 @@
 import type { Failure, HostId, JobId, Result, ShardId } from "@waxwingroute/core";
 import { z } from "zod";
 import { journalOutcomes } from "./types.js";
-import type { IndexRange, JournalJob, JournalRecord } from "./types.js";
+import type { IndexRange, JournalJob, JournalOutcome, JournalRecord } from "./types.js";
 
 export const journalVersion = 1;
 
@@ -26,6 +26,18 @@
     readonly parts: number;
 }
 
+/**
+ * A part of a checkpoint. Outcomes stand apart from jobs in pieces, because the ranges of one large job can exceed a value.
+ */
+export interface CheckpointPart {
+    readonly jobs: readonly Omit<JournalJob, "outcomes">[];
+    readonly outcomes: readonly {
+        readonly job: JobId;
+        readonly outcome: JournalOutcome;
+        readonly ranges: readonly IndexRange[];
+    }[];
+}
+
 const job = z.string().min(1).transform(value => value as JobId);
 const time = z.number();
 const range = z.tuple([z.number().int().nonnegative(), z.number().int().nonnegative()]);
@@ -56,11 +68,11 @@
     spec: z.unknown(),
     acceptedAt: time,
     startedThrough: z.number().int().nonnegative(),
-    outcomes: z.partialRecord(outcome, z.array(range)),
     cancelledAt: time.optional(),
     finished: z.object({ state: z.string(), at: time }).optional(),
 });
-const partSchema = z.object({ jobs: z.array(jobSchema) });
+const outcomesSchema = z.object({ job, outcome, ranges: z.array(range) });
+const partSchema = z.object({ jobs: z.array(jobSchema), outcomes: z.array(outcomesSchema) });
 
 export function getJournalPrefix(shard: ShardId): string {
     return `journal/${shard}/`;
@@ -84,6 +96,11 @@
     return key.startsWith(prefix) ? Number(key.slice(prefix.length)) : undefined;
 }
 
+/** Returns whether the key belongs to a checkpoint. */
+export function isPartKey(shard: ShardId, key: string): boolean {
+    return key.startsWith(`${getJournalPrefix(shard)}checkpoint/`);
+}
+
 /** Encodes the content of an entry, a checkpoint part or a manifest. */
 export function encodeValue(content: object): string {
     return JSON.stringify({ version: journalVersion, ...content });
@@ -97,15 +114,11 @@
     return parseValue(key, value, manifestSchema);
 }
 
-export function parsePart(key: string, value: string): Result<readonly JournalJob[], Failure> {
-    return parseValue(key, value, partSchema).map(part =>
-        part.jobs.map(row => ({
-            ...row,
-            outcomes: row.outcomes as Partial<Record<string, IndexRange[]>>,
-            cancelledAt: row.cancelledAt,
-            finished: row.finished,
-        }))
-    );
+export function parsePart(key: string, value: string): Result<CheckpointPart, Failure> {
+    return parseValue(key, value, partSchema).map(({ jobs, outcomes }) => ({
+        jobs: jobs.map(row => ({ ...row, cancelledAt: row.cancelledAt, finished: row.finished })),
+        outcomes,
+    }));
 }
 
 /** The journal contains something that this program cannot read. It is left as it is. */
--- /dev/null
+++ b/packages/journal/src/journal.ts
@@ -0,0 +1,355 @@
+/**
+ * The journal of a shard: appends records by group commit and keeps the table of jobs that they describe.
+ *
+ * One commit is in flight at a time. Its entry is created at the next sequence number under the condition that it does not
+ * exist, so that a deposed writer cannot append after a later owner has begun its epoch.
+ */
+import { createFailure, Err, Ok, SystemRandom, toId } from "@waxwingroute/core";
+import type { Clock, Failure, HostId, RandomSource, Result, ShardId, Timer, WriterToken } from "@waxwingroute/core";
+import type { Store } from "@waxwingroute/platform";
+import { Checkpointer } from "./checkpointer.js";
+import { writeEntry } from "./entry-write.js";
+import { encodeValue, getEntryKey, parseEntry } from "./format.js";
+import { applyJournalRecord } from "./job-table.js";
+import type { JobTable, Retention } from "./job-table.js";
+import { createFenced, readJournal } from "./recovery.js";
+import type { JournalContent } from "./recovery.js";
+import type { JournalRecord } from "./types.js";
+
+export interface JournalOptions {
+    readonly shard: ShardId;
+    /** Epoch of the right under which this process writes. */
+    readonly epoch: number;
+    readonly host: HostId;
+    readonly store: Store;
+    readonly clock: Clock;
+    /** Default: the system's random numbers. */
+    readonly random?: RandomSource;
+    /** Shortest time between the starts of two commits in ms. Default 100: at most 10 commits per second. */
+    readonly commitIntervalMs?: number;
+    /** Time after which an append without an outcome fails, in ms. Default 5,000. */
+    readonly appendTimeoutMs?: number;
+    /** Time between two attempts to reach the store in ms. Default 250. */
+    readonly retryMs?: number;
+    /** Time after which `open` fails, in ms. Default 10,000. */
+    readonly openTimeoutMs?: number;
+    /** Largest value in characters. Default 500,000: below 512 KB. */
+    readonly maxValueLength?: number;
+    /** Largest size of the jobs in characters; beyond it no job is accepted. Default 64,000,000. */
+    readonly maxTotalLength?: number;
+    /** Entries after which a checkpoint is written. Default 500. */
+    readonly checkpointEntries?: number;
+    /** Finished jobs that are kept. Default: 1,000 of at most 24 hours. */
+    readonly retention?: Retention;
+    /** Called once when a later owner has begun its epoch. The shard's owner then steps down. */
+    readonly onFenced?: (failure: Failure) => void;
+    /** Called when a checkpoint fails; the journal goes on without it. */
+    readonly onCheckpointFailed?: (failure: Failure) => void;
+}
+
+type ResolvedOptions =
+    & Required<Omit<JournalOptions, "onFenced" | "onCheckpointFailed">>
+    & Pick<JournalOptions, "onFenced" | "onCheckpointFailed">;
+
+interface PendingAppend {
+    readonly record: JournalRecord;
+    readonly text: string;
+    readonly resolve: (result: Result<void, Failure>) => void;
+    readonly timer: Timer;
+    isInFlight: boolean;
+}
+
+/**
+ * An open journal.
+ *
+ * @example
+ * ```ts
+ * const opened = await Journal.open({ shard, epoch, host, store, clock });
+ * if (opened.ok) {
+ *     const result = await opened.val.append({ kind: "jobAccepted", job, spec, at: clock.getWallTime() });
+ * }
+ * ```
+ */
+export class Journal {
+    private queue: PendingAppend[] = [];
+    private inFlight: readonly PendingAppend[] = [];
+    private isCommitting = false;
+    private isCheckpointing = false;
+    private failure: Failure | undefined;
+    private lastCommitAt = -Infinity;
+    private entriesSinceCheckpoint = 0;
+    private readonly table: JobTable;
+    private readonly checkpointer: Checkpointer;
+
+    private constructor(
+        private readonly options: ResolvedOptions,
+        content: JournalContent,
+        private lastSequence: number,
+        private totalLength: number,
+    ) {
+        this.table = content.table;
+        this.checkpointer = new Checkpointer(options, content);
+        this.entriesSinceCheckpoint = lastSequence - (content.manifest?.value.through ?? 0);
+    }
+
+    /**
+     * Reads the journal and begins the epoch, which fences earlier writers. Fails with `journal-fenced` if a later epoch has
+     * begun, `journal-damaged` or `journal-newer-version` (nothing is written), or with the last failure of the store.
+     */
+    static async open(options: JournalOptions): Promise<Result<Journal, Failure>> {
+        const resolved = resolveOptions(options);
+        const { clock, store, shard, epoch, host } = resolved;
+        const deadline = clock.getNow() + resolved.openTimeoutMs;
+        const token = toId<WriterToken>(`${epoch}.${resolved.random.getHex(24)}`);
+        let failure = createFailure("journal-unavailable", `the journal of "${shard}" cannot be read`, "notRun");
+        while (clock.getNow() < deadline) {
+            const content = await readJournal(store, shard);
+            if (!content.ok) {
+                if (content.val.code.startsWith("journal-")) {
+                    return Err(content.val);
+                }
+                failure = content.val;
+                await clock.wait(resolved.retryMs);
+                continue;
+            }
+            if (content.val.lastEpoch > epoch) {
+                return Err(createFenced(shard, epoch, content.val.lastEpoch));
+            }
+            const sequence = content.val.lastSequence + 1;
+            const record: JournalRecord = { kind: "epochBegun", epoch, host, at: clock.getWallTime() };
+            const key = getEntryKey(shard, sequence);
+            const outcome = await writeEntry(store, key, encodeValue({ epoch, records: [record] }), token);
+            if (outcome.kind === "written") {
+                const journal = new Journal(resolved, content.val, sequence, content.val.totalBytes);
+                journal.checkpointer.addEntry({ key, sequence, revision: outcome.revision, isFence: true });
+                return Ok(journal);
+            }
+            if (outcome.kind !== "occupied") {
+                failure = outcome.failure;
+                await clock.wait(resolved.retryMs);
+            }
+        }
+        return Err(failure);
+    }
+
+    /** The table of jobs as committed. Callers read it only; it changes with each commit. */
+    getJobs(): JobTable {
+        return this.table;
+    }
+
+    /** The failure that ended the journal: `journal-fenced` or `journal-closed`. */
+    getFailure(): Failure | undefined {
+        return this.failure;
+    }
+
+    /**
+     * Appends a record and resolves after the commit. Fails with verdict `notRun` when the record certainly is not and will
+     * not be in the journal, else with `mayHaveRun`: it is unknown, and a later commit of it shows in `getJobs()`.
+     *
+     * Codes: `journal-fenced`, `journal-closed`, `journal-timeout`, `journal-full`, `journal-record-too-large`,
+     * `journal-job-exists`.
+     */
+    append(record: JournalRecord): Promise<Result<void, Failure>> {
+        const text = JSON.stringify(record);
+        const refusal = this.failure ?? this.checkRecord(record, text);
+        if (refusal !== undefined) {
+            return Promise.resolve(Err(refusal));
+        }
+        return new Promise(resolve => {
+            const timer = this.options.clock.schedule(this.options.appendTimeoutMs, () => this.expireAppend(pending));
+            const pending: PendingAppend = { record, text, resolve, timer, isInFlight: false };
+            this.queue.push(pending);
+            void this.commitQueue();
+        });
+    }
+
+    /** Refuses further appends and those that have not been sent. */
+    close(): void {
+        this.fail(
+            createFailure("journal-closed", `the journal of "${this.options.shard}" is closed here`, "notRun"),
+            [],
+        );
+    }
+
+    private checkRecord(record: JournalRecord, text: string): Failure | undefined {
+        const { maxValueLength, maxTotalLength, shard } = this.options;
+        if (text.length + 64 > maxValueLength) {
+            const message = `a ${record.kind} record of ${text.length} characters exceeds ${maxValueLength}`;
+            return createFailure("journal-record-too-large", message, "notRun");
+        }
+        if (record.kind !== "jobAccepted") {
+            return undefined;
+        }
+        const isKnown = this.table.has(record.job)
+            || [...this.inFlight, ...this.queue].some(({ record: other }) =>
+                other.kind === "jobAccepted" && other.job === record.job
+            );
+        if (isKnown) {
+            return createFailure("journal-job-exists", `job "${record.job}" exists in "${shard}"`, "notRun");
+        }
+        return this.totalLength + text.length > maxTotalLength
+            ? createFailure("journal-full", `the jobs of "${shard}" exceed ${maxTotalLength} characters`, "notRun")
+            : undefined;
+    }
+
+    private expireAppend(pending: PendingAppend): void {
+        const { appendTimeoutMs, shard } = this.options;
+        const message = `no commit in the journal of "${shard}" within ${appendTimeoutMs} ms`;
+        if (!pending.isInFlight) {
+            this.queue = this.queue.filter(other => other !== pending);
+        }
+        pending.resolve(Err(createFailure("journal-timeout", message, pending.isInFlight ? "mayHaveRun" : "notRun")));
+    }
+
+    private async commitQueue(): Promise<void> {
+        if (this.isCommitting) {
+            return;
+        }
+        this.isCommitting = true;
+        while (this.queue.length > 0 && this.failure === undefined) {
+            const { clock, commitIntervalMs } = this.options;
+            const waitMs = this.lastCommitAt + commitIntervalMs - clock.getNow();
+            if (waitMs > 0) {
+                await clock.wait(waitMs);
+                continue;
+            }
+            this.lastCommitAt = clock.getNow();
+            this.inFlight = this.takeBatch();
+            await this.commitBatch(this.inFlight);
+            this.inFlight = [];
+            this.startCheckpointIfDue();
+        }
+        this.isCommitting = false;
+    }
+
+    /** Takes as many records from the queue as one value holds. */
+    private takeBatch(): PendingAppend[] {
+        let length = 64;
+        let count = 0;
+        for (const { text } of this.queue) {
+            length += text.length + 1;
+            if (count > 0 && length > this.options.maxValueLength) {
+                break;
+            }
+            count++;
+        }
+        return this.queue.splice(0, count);
+    }
+
+    private async commitBatch(batch: readonly PendingAppend[]): Promise<void> {
+        const { shard, epoch, store, random, clock, retryMs } = this.options;
+        const token = toId<WriterToken>(`${epoch}.${random.getHex(24)}`);
+        const sequence = this.lastSequence + 1;
+        const key = getEntryKey(shard, sequence);
+        const value = `{${encodeValue({ epoch }).slice(1, -1)},"records":[${batch.map(({ text }) => text).join(",")}]}`;
+        let maybeSent = false;
+        batch.forEach(pending => {
+            pending.isInFlight = true;
+        });
+        for (;;) {
+            const outcome = await writeEntry(store, key, value, token);
+            if (outcome.kind === "written") {
+                this.completeBatch(batch, { key, sequence, revision: outcome.revision });
+                return;
+            }
+            if (outcome.kind === "occupied") {
+                await this.failFenced(key, batch);
+                return;
+            }
+            maybeSent ||= outcome.kind === "unknown";
+            if (!maybeSent) {
+                this.returnToQueue(batch);
+                await clock.wait(retryMs);
+                return;
+            }
+            if (this.failure !== undefined) {
+                this.resolveAll(batch, Err({ ...this.failure, verdict: "mayHaveRun" }));
+                return;
+            }
+            await clock.wait(retryMs);
+        }
+    }
+
+    private returnToQueue(batch: readonly PendingAppend[]): void {
+        batch.forEach(pending => {
+            pending.isInFlight = false;
+        });
+        this.queue = [...batch, ...this.queue];
+        if (this.failure !== undefined) {
+            this.fail(this.failure, []);
+        }
+    }
+
+    private completeBatch(
+        batch: readonly PendingAppend[],
+        entry: { readonly key: string; readonly sequence: number; readonly revision: number; },
+    ): void {
+        this.lastSequence = entry.sequence;
+        this.entriesSinceCheckpoint++;
+        this.checkpointer.addEntry({ ...entry, isFence: false });
+        for (const { record, text } of batch) {
+            applyJournalRecord(this.table, record);
+            this.totalLength += text.length;
+        }
+        this.resolveAll(batch, Ok(undefined));
+    }
+
+    private async failFenced(key: string, batch: readonly PendingAppend[]): Promise<void> {
+        const { store, shard, epoch, onFenced } = this.options;
+        const entry = await store.read(key);
+        const parsed = entry.ok && entry.val !== undefined ? parseEntry(key, entry.val.value) : undefined;
+        const failure = createFenced(shard, epoch, parsed?.ok === true ? parsed.val.epoch : undefined);
+        this.fail(failure, batch);
+        onFenced?.(failure);
+    }
+
+    private fail(failure: Failure, batch: readonly PendingAppend[]): void {
+        this.failure ??= failure;
+        const refused = [...batch, ...this.queue];
+        this.queue = [];
+        this.resolveAll(refused, Err(failure));
+    }
+
+    private resolveAll(appends: readonly PendingAppend[], result: Result<void, Failure>): void {
+        for (const { resolve, timer } of appends) {
+            timer.cancel();
+            resolve(result);
+        }
+    }
+
+    private startCheckpointIfDue(): void {
+        const isDue = this.entriesSinceCheckpoint >= this.options.checkpointEntries;
+        if (isDue && !this.isCheckpointing && this.failure === undefined) {
+            void this.runCheckpoint();
+        }
+    }
+
+    private async runCheckpoint(): Promise<void> {
+        this.isCheckpointing = true;
+        this.entriesSinceCheckpoint = 0;
+        const lengthBefore = this.totalLength;
+        const result = await this.checkpointer.writeCheckpoint(this.table, this.lastSequence);
+        if (result.ok) {
+            this.totalLength += result.val - lengthBefore;
+        }
+        else {
+            this.options.onCheckpointFailed?.(result.val);
+        }
+        this.isCheckpointing = false;
+    }
+}
+
+function resolveOptions(options: JournalOptions): ResolvedOptions {
+    return {
+        random: new SystemRandom(),
+        commitIntervalMs: 100,
+        appendTimeoutMs: 5_000,
+        retryMs: 250,
+        openTimeoutMs: 10_000,
+        maxValueLength: 500_000,
+        maxTotalLength: 64_000_000,
+        checkpointEntries: 500,
+        retention: { count: 1_000, ageMs: 86_400_000 },
+        ...options,
+    };
+}
--- /dev/null
+++ b/packages/journal/src/recovery.ts
@@ -0,0 +1,154 @@
+/**
+ * Reads a journal: the newest checkpoint and the entries after it.
+ */
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import type { Failure, Result, ShardId } from "@waxwingroute/core";
+import type { Store, StoreEntry } from "@waxwingroute/platform";
+import {
+    createDamage,
+    getJournalPrefix,
+    getManifestKey,
+    getPartKey,
+    isPartKey,
+    parseEntry,
+    parseEntryKey,
+    parseManifest,
+    parsePart,
+} from "./format.js";
+import type { Manifest } from "./format.js";
+import { applyJournalRecord, createJobTable } from "./job-table.js";
+import type { JobTable } from "./job-table.js";
+
+/** A key that a later checkpoint can make superfluous. */
+export interface StoredKey {
+    readonly key: string;
+    readonly revision: number;
+}
+
+/** A stored entry. The first entry of an epoch is a fence and is kept, see `Checkpointer`. */
+export interface StoredEntry extends StoredKey {
+    readonly sequence: number;
+    readonly isFence: boolean;
+}
+
+/** The state of a journal at one moment. */
+export interface JournalContent {
+    readonly table: JobTable;
+    readonly manifest: { readonly value: Manifest; readonly revision: number; } | undefined;
+    /** All entries in the store, also those that the checkpoint contains. */
+    readonly entries: readonly StoredEntry[];
+    /** Checkpoint parts in the store, of the manifest's checkpoint and of others. */
+    readonly parts: readonly StoredKey[];
+    /** 0 for an empty journal. */
+    readonly lastSequence: number;
+    /** Epoch of the newest entry; 0 for an empty journal. */
+    readonly lastEpoch: number;
+    readonly totalBytes: number;
+}
+
+/**
+ * Reads a journal in one range, so that a concurrent checkpoint of an earlier writer cannot remove parts in between.
+ * Fails with `journal-damaged` or `journal-newer-version`, or with the failure of the store.
+ */
+export async function readJournal(store: Store, shard: ShardId): Promise<Result<JournalContent, Failure>> {
+    const range = await store.readRange(getJournalPrefix(shard));
+    if (!range.ok) {
+        return Err({ ...range.val, verdict: "notRun" });
+    }
+    return parseJournal(shard, range.val.entries);
+}
+
+function parseJournal(shard: ShardId, values: readonly StoreEntry[]): Result<JournalContent, Failure> {
+    const table = createJobTable();
+    const manifestValue = values.find(value => value.key === getManifestKey(shard));
+    const manifest = manifestValue === undefined ? undefined : parseManifest(manifestValue.key, manifestValue.value);
+    if (manifest !== undefined && !manifest.ok) {
+        return Err(manifest.val);
+    }
+    const loaded = manifest === undefined ? Ok(undefined) : applyCheckpoint(shard, manifest.val, values, table);
+    if (!loaded.ok) {
+        return Err(loaded.val);
+    }
+    const replayed = replayEntries(shard, manifest?.val.through ?? 0, values, table);
+    return replayed.map(({ entries, lastSequence, lastEpoch }) => ({
+        table,
+        manifest: manifest === undefined || manifestValue === undefined
+            ? undefined
+            : { value: manifest.val, revision: manifestValue.revision },
+        entries,
+        parts: values.filter(value => isPartKey(shard, value.key)).map(({ key, revision }) => ({ key, revision })),
+        lastSequence,
+        lastEpoch,
+        totalBytes: values.reduce((sum, value) => sum + value.value.length, 0),
+    }));
+}
+
+function applyCheckpoint(
+    shard: ShardId,
+    manifest: Manifest,
+    values: readonly StoreEntry[],
+    table: JobTable,
+): Result<undefined, Failure> {
+    const byKey = new Map(values.map(value => [value.key, value.value]));
+    const outcomes = [];
+    for (let number = 0; number < manifest.parts; number++) {
+        const key = getPartKey(shard, manifest.checkpoint, number);
+        const value = byKey.get(key);
+        const part = value === undefined ? Err(createDamage(`"${key}" is missing`)) : parsePart(key, value);
+        if (!part.ok) {
+            return Err(part.val);
+        }
+        for (const row of part.val.jobs) {
+            table.set(row.job, { ...row, outcomes: {} });
+        }
+        outcomes.push(...part.val.outcomes);
+    }
+    for (const piece of outcomes) {
+        applyJournalRecord(table, { kind: "outcomesRecorded", ...piece });
+    }
+    return Ok(undefined);
+}
+
+interface ReplayedEntries {
+    readonly entries: readonly StoredEntry[];
+    readonly lastSequence: number;
+    readonly lastEpoch: number;
+}
+
+function replayEntries(
+    shard: ShardId,
+    through: number,
+    values: readonly StoreEntry[],
+    table: JobTable,
+): Result<ReplayedEntries, Failure> {
+    const entries: StoredEntry[] = [];
+    let lastSequence = through;
+    let lastEpoch = 0;
+    for (const { key, value, revision } of values) {
+        const sequence = parseEntryKey(shard, key);
+        if (sequence === undefined) {
+            continue;
+        }
+        const entry = parseEntry(key, value);
+        if (!entry.ok) {
+            return Err(entry.val);
+        }
+        const isFence = entry.val.records.some(record => record.kind === "epochBegun");
+        entries.push({ key, revision, sequence, isFence });
+        lastEpoch = Math.max(lastEpoch, entry.val.epoch);
+        if (sequence > through) {
+            if (sequence !== lastSequence + 1) {
+                return Err(createDamage(`entries between ${lastSequence} and ${sequence} of "${shard}" are missing`));
+            }
+            entry.val.records.forEach(record => applyJournalRecord(table, record));
+            lastSequence = sequence;
+        }
+    }
+    return Ok({ entries, lastSequence, lastEpoch });
+}
+
+/** The writer's epoch has ended: a later owner has written to the journal. */
+export function createFenced(shard: ShardId, epoch: number, newerEpoch: number | undefined): Failure {
+    const newer = newerEpoch === undefined ? "another writer" : `epoch ${newerEpoch}`;
+    return createFailure("journal-fenced", `the journal of "${shard}" belongs to ${newer}, not ${epoch}`, "notRun");
+}
