--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -168,6 +168,9 @@
         else {
             this.pool.release(row, use);
         }
+        if (checked.err && checked.val.verdict === "notRun") {
+            this.pool.markUnlisted(row, now);
+        }
         this.recordOutcome(attempt, checked, now);
         if (job.attempt !== id || job.state === "settled") {
             this.counters.lateAnswers += checked.ok ? 1 : 0;
@@ -241,7 +244,7 @@
         const isInTime = now + this.serviceTimes.estimateMean(job.queue, now) < job.deadline;
         const isWanted = team !== undefined && job.waiters.length > 0 && isInTime;
         if (
-            isWanted && canRetry(failure.verdict, job.isIdempotent) && this.pool.hasUntried(job)
+            isWanted && canRetry(failure.verdict, job.isIdempotent) && this.pool.hasUntried(job, now)
             && team.retries.tryRetry(now)
         ) {
             this.counters.retries++;
--- a/packages/routing/src/executor-lister.ts
+++ b/packages/routing/src/executor-lister.ts
@@ -11,30 +11,30 @@
     /** Starts the lists that are due. `onListed` is called after each. */
     poll(now: number, onListed: () => void): void {
         for (const row of this.pool.list()) {
-            if (!row.isListing && !row.isRemoved && now >= row.nextListAt) {
+            // A list that never ends must not hide the executor's state for ever.
+            const isBusy = row.listStartedAt !== undefined && now - row.listStartedAt < 3 * this.options.listIntervalMs;
+            if (!isBusy && !row.isRemoved && now >= row.nextListAt) {
+                row.listStartedAt = now;
+                row.nextListAt = now + this.options.listIntervalMs;
                 void this.listExecutor(row, now).then(onListed);
             }
         }
     }
 
     private async listExecutor(row: ExecutorRow, requestedAt: number): Promise<void> {
-        row.isListing = true;
-        row.nextListAt = requestedAt + this.options.listIntervalMs;
         try {
             const report = await row.definition.access.list();
             if (report.ok) {
                 this.pool.applyReport(row, report.val, requestedAt, this.options.clock.getNow());
             }
-            else {
-                row.listFailures++;
-            }
         }
         catch {
-            // An adapter that throws instead of returning a failure has not listed anything either.
-            row.listFailures++;
+            // An adapter that throws has listed nothing, like one that returns a failure: the last list grows old.
         }
         finally {
-            row.isListing = false;
+            if (row.listStartedAt === requestedAt) {
+                row.listStartedAt = undefined;
+            }
         }
     }
 }
--- a/packages/routing/src/executor-pool.ts
+++ b/packages/routing/src/executor-pool.ts
@@ -23,13 +23,21 @@
     return parts.length === 6 ? toId<TeamId>(parts[5]!) : undefined;
 }
 
+// Ten lists a second of an executor that refuses everything cost it little, and a restarted one is soon back.
+const relistMs = 100;
+// In list intervals. One or two lost lists say little; three seconds is within the time that a leaving endpoint has.
+const maxListAge = 3;
+
 export class ExecutorPool {
     private readonly rows = new Table<ExecutorId, ExecutorRow>();
     private readonly running = new Map<TeamId, number>();
+    private readonly maxListAgeMs: number;
     private evaluateAt = 0;
 
     /** `attemptPrefix` begins the id of each attempt of this owner. */
-    constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {}
+    constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {
+        this.maxListAgeMs = maxListAge * options.listIntervalMs;
+    }
 
     list(): ExecutorRow[] {
         return [...this.rows.values()];
@@ -67,10 +75,10 @@
     }
 
     /** Returns the slots of executors in rotation that serve a queue, without those whose use is uncertain. */
-    countUsableSlots(queue: QueueId): number {
+    countUsableSlots(queue: QueueId, now: number): number {
         let slots = 0;
         for (const row of this.rows.values()) {
-            if (row.isInRotation && !row.health.isEjected && hasQueue(row, queue)) {
+            if (row.isInRotation(now, this.maxListAgeMs) && !row.health.isEjected && hasQueue(row, queue)) {
                 slots += Math.max(0, row.capacity - row.uncertainCount);
             }
         }
@@ -78,9 +86,9 @@
     }
 
     /** Returns whether any executor in rotation that serves the queue has not been tried. */
-    hasUntried(need: ExecutorNeed): boolean {
+    hasUntried(need: ExecutorNeed, now: number): boolean {
         return this.list().some(row =>
-            row.isInRotation && !row.health.isEjected && hasQueue(row, need.queue)
+            row.isInRotation(now, this.maxListAgeMs) && !row.health.isEjected && hasQueue(row, need.queue)
             && !need.tried.includes(row.definition.executor)
         );
     }
@@ -90,7 +98,7 @@
         let best: ExecutorRow | undefined;
         let bestFree = 0;
         for (const row of this.rows.values()) {
-            if (row.freeSlots <= 0 || !row.isInRotation || !hasQueue(row, need.queue)) {
+            if (row.freeSlots <= 0 || !row.isInRotation(now, this.maxListAgeMs) || !hasQueue(row, need.queue)) {
                 continue;
             }
             if (need.tried.includes(row.definition.executor)) {
@@ -139,6 +147,16 @@
         }
     }
 
+    /**
+     * Takes an executor that did not accept an attempt out of rotation until its next list. It fails faster than others
+     * answer, so it would always have the most free slots and attract every request.
+     */
+    markUnlisted(row: ExecutorRow, now: number): void {
+        row.isListed = false;
+        row.listNeededFrom = now;
+        row.nextListAt = Math.min(row.nextListAt, now + Math.min(relistMs, this.options.listIntervalMs));
+    }
+
     /** Counts attempts of an earlier owner against the executor's slots until its list no longer has them. */
     setRunning(executor: ExecutorId, attempts: readonly AttemptId[], now: number): void {
         const row = this.rows.get(executor);
@@ -146,17 +164,21 @@
             return;
         }
         row.isListed = true;
+        row.listedAt = now;
         for (const attempt of attempts) {
             this.addForeign(row, attempt, now);
         }
     }
 
-    /** Applies a list that was requested at `requestedAt`. */
+    /** Applies a list that was requested at `requestedAt`, unless a newer one was applied before. */
     applyReport(row: ExecutorRow, report: ExecutorReport, requestedAt: number, now: number): void {
+        if (requestedAt < row.listedAt) {
+            return;
+        }
         row.isReportedDraining = report.isDraining;
         row.reportedSlots = report.slots;
-        row.listFailures = 0;
-        row.isListed = true;
+        row.isListed ||= requestedAt >= row.listNeededFrom;
+        row.listedAt = requestedAt;
         for (const use of row.listEnded(report, requestedAt)) {
             this.release(row, use);
         }
@@ -174,10 +196,10 @@
         }
     }
 
-    /** Frees slots whose attempts can no longer run, for executors that cannot be listed. */
+    /** Frees slots whose attempts can no longer run, for executors that cannot be listed. A list is better evidence. */
     expire(now: number): void {
         for (const row of this.rows.values()) {
-            if (row.uncertainCount === 0) {
+            if (row.uncertainCount === 0 || now - row.listedAt <= this.maxListAgeMs) {
                 continue;
             }
             for (
--- a/packages/routing/src/executor-row.ts
+++ b/packages/routing/src/executor-row.ts
@@ -33,10 +33,14 @@
     isReportedDraining = false;
     /** Whether it is known what the executor runs; nothing is sent before. */
     isListed = false;
-    isListing = false;
+    /** A list requested before this time does not return the executor to rotation. */
+    listNeededFrom = Number.NEGATIVE_INFINITY;
+    /** When the list in progress was requested. */
+    listStartedAt: number | undefined;
     isRemoved = false;
     nextListAt = 0;
-    listFailures = 0;
+    /** When the newest list was requested. */
+    listedAt = Number.NEGATIVE_INFINITY;
     uncertainCount = 0;
 
     constructor(public definition: RouterExecutor, readonly health: ExecutorHealth) {}
@@ -49,11 +53,13 @@
         return this.capacity - this.uses.size;
     }
 
-    /** Whether the executor may get new work, apart from slots and ejection. */
-    get isInRotation(): boolean {
-        // Three failed lists in a row: one lost answer says little, and three take about as long as a leaving host has.
+    /**
+     * Returns whether the executor may get new work, apart from slots and ejection. Without a list for `maxListAgeMs` it
+     * may be draining or unreachable.
+     */
+    isInRotation(now: number, maxListAgeMs: number): boolean {
         return this.isListed && !this.isRemoved && !this.isReportedDraining && !this.definition.isDraining
-            && this.listFailures < 3;
+            && now - this.listedAt <= maxListAgeMs;
     }
 
     /** Returns the uses that a list, requested at `requestedAt`, shows to have ended. */
--- a/packages/routing/src/team-queues.ts
+++ b/packages/routing/src/team-queues.ts
@@ -118,7 +118,7 @@
         for (const lane of row.lanes.values()) {
             workMs += lane.countAhead(deadline) * this.serviceTimes.estimateMean(lane.queue, now);
         }
-        return workMs === 0 ? 0 : workMs / Math.max(1, this.estimateSlots(row, queue));
+        return workMs === 0 ? 0 : workMs / Math.max(1, this.estimateSlots(row, queue, now));
     }
 
     /** Returns the next job to send and its executor, or `undefined` if no waiting job can be sent. */
@@ -178,8 +178,8 @@
     }
 
     /** Returns the slots that a team can expect: its weighted part, or what the others leave, within its grant. */
-    private estimateSlots(row: TeamRow, queue: QueueId): number {
-        const usable = this.pool.countUsableSlots(queue);
+    private estimateSlots(row: TeamRow, queue: QueueId, now: number): number {
+        const usable = this.pool.countUsableSlots(queue, now);
         let weights = 0;
         let others = 0;
         for (const other of this.active) {
--- a/packages/routing/src/testing/fake-executor.ts
+++ b/packages/routing/src/testing/fake-executor.ts
@@ -2,7 +2,7 @@
  * A small executor for tests. It runs what it is sent, whether it has a slot or not, and records each run.
  */
 import type { AttemptId, Clock, ExecutorId, Failure, RequestKey, Result } from "@waxwingroute/core";
-import { createFailure, Err, Ok } from "@waxwingroute/core";
+import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
 import { Executor } from "@waxwingroute/platform";
 import type { ExecutorAnswer, ExecutorReport, ExecutorRequest } from "@waxwingroute/platform";
 
@@ -12,9 +12,10 @@
     readonly durationMs: number;
     /**
      * `answer`: runs and answers. `error`: runs and answers with status 500. `refuse`: does not run. `lose`: runs, but the
-     * connection ends after half of the time. `silent`: runs, and the call never ends.
+     * connection ends after half of the time. `silent`: runs, and the call never ends. `confuse`: runs and answers with the
+     * id and body of another attempt.
      */
-    readonly kind: "answer" | "error" | "refuse" | "lose" | "silent";
+    readonly kind: "answer" | "error" | "refuse" | "lose" | "silent" | "confuse";
 }
 
 export class FakeExecutor extends Executor {
@@ -44,11 +45,13 @@
         if (kind === "silent") {
             return new Promise(() => undefined);
         }
-        await this.clock.wait(kind === "lose" ? durationMs / 2 : durationMs);
-        if (kind === "lose") {
-            return Err(
-                createFailure("executor-lost", `executor "${this.executor}" closed the connection`, "mayHaveRun"),
-            );
+        await this.clock.wait(Math.min(request.timeoutMs, kind === "lose" ? durationMs / 2 : durationMs));
+        if (kind === "lose" || durationMs > request.timeoutMs) {
+            return Err(createFailure("executor-lost", `executor "${this.executor}" gave no answer`, "mayHaveRun"));
+        }
+        if (kind === "confuse") {
+            const attempt = toId<AttemptId>("another");
+            return Ok({ attempt, status: 200, contentType: "text/plain", body: Buffer.from("another answer") });
         }
         const status = kind === "error" ? 500 : 200;
         return Ok({ attempt: request.attempt, status, contentType: "text/plain", body: request.body });
--- a/packages/routing/src/testing/router-fixture.ts
+++ b/packages/routing/src/testing/router-fixture.ts
@@ -5,6 +5,7 @@
 import type { ExecutorId, QueueId, TeamId, ZoneId } from "@waxwingroute/core";
 import { RequestRouter } from "../request-router.js";
 import type { RequestRouterOptions, RouterDecision, RouterRequest } from "../types.js";
+import type { FakeBehaviour } from "./fake-executor.js";
 import { FakeExecutor } from "./fake-executor.js";
 
 export const quotes = toId<TeamId>("quotes");
@@ -65,6 +66,13 @@
         await this.clock.advance(0);
     }
 
+    /** Sets the treatment of all requests by all executors. */
+    setBehaviour(behaviour: FakeBehaviour): void {
+        this.executors.forEach(executor => {
+            executor.behave = () => behaviour;
+        });
+    }
+
     /** Builds a request whose body is `text`, with a deadline in `deadlineMs`. */
     createRequest(text: string, fields: Partial<RouterRequest> = {}, deadlineMs = 5000): RouterRequest {
         return {
