--- /dev/null
+++ b/packages/cluster/src/index.ts
@@ -0,0 +1,10 @@
+/** Connections to the system's other processes. */
+export { ownershipService } from "./ownership-service.js";
+export { relayService } from "./relay-service.js";
+export { RpcOwnershipPeers } from "./rpc-ownership-peers.js";
+export type { RpcOwnershipPeersOptions } from "./rpc-ownership-peers.js";
+export { RpcRelayPeers } from "./rpc-relay-peers.js";
+export { SchedulerClients } from "./scheduler-clients.js";
+export type { PeerCall, SchedulerClientsOptions } from "./scheduler-clients.js";
+export { ShardClient } from "./shard-client.js";
+export type { ShardClientOptions } from "./shard-client.js";
--- /dev/null
+++ b/packages/scheduler/src/job-events.ts
@@ -0,0 +1,46 @@
+/**
+ * The newest steps in the lives of jobs, for operators' watches.
+ */
+import type { JobId, TaskId, WorkerId } from "@waxwingroute/core";
+import type { JobEvent } from "@waxwingroute/transport";
+
+/** Events kept for watches that resume. */
+const maxEvents = 10_000;
+
+export interface JobStep {
+    readonly event: JobEvent["event"];
+    readonly job: JobId;
+    readonly task?: TaskId;
+    readonly worker?: WorkerId;
+    readonly detail?: string;
+}
+
+/** A bounded log of events with subscribers. */
+export class JobEvents {
+    private readonly events: JobEvent[] = [];
+    private readonly listeners = new Set<(event: JobEvent) => void>();
+    private nextSequence = 1;
+
+    constructor(private readonly getWallTime: () => number) {}
+
+    add(step: JobStep): void {
+        const event: JobEvent = {
+            sequence: this.nextSequence++,
+            time: new Date(this.getWallTime()).toISOString(),
+            ...step,
+        };
+        this.events.push(event);
+        // Trimmed in blocks, because removing one element from the front moves all others.
+        if (this.events.length > maxEvents * 1.1) {
+            this.events.splice(0, this.events.length - maxEvents);
+        }
+        this.listeners.forEach(listener => listener(event));
+    }
+
+    /** Sends the kept events from sequence `from` on, then each new one. Returns a function that ends the subscription. */
+    subscribe(from: number, listener: (event: JobEvent) => void): () => void {
+        this.events.filter(event => event.sequence >= from).forEach(listener);
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/job-tracker.ts
@@ -0,0 +1,381 @@
+/**
+ * The jobs of a shard under one right: keeps the placement engine, the journal and the states of tasks in step.
+ *
+ * The journal comes first in each case where a later owner must know: a job is accepted, a task may start and an outcome is
+ * forgotten by its worker only after the commit.
+ */
+import { createFailure, Err, Ok, parseTaskId, Table, toId, toTaskId } from "@waxwingroute/core";
+import type { Failure, JobId, Result, TaskId, TeamId, WorkerId } from "@waxwingroute/core";
+import type { Journal, JournalJob, JournalOutcome } from "@waxwingroute/journal";
+import type { PlacementEngine } from "@waxwingroute/placement";
+import type { TaskOutcome } from "@waxwingroute/platform";
+import { jobSpecSchema, toDeadlineTime } from "@waxwingroute/resources";
+import type { JobSpec } from "@waxwingroute/resources";
+import type { JobStatus } from "@waxwingroute/transport";
+import { match } from "ts-pattern";
+import { JobEvents } from "./job-events.js";
+import { getJobName, JobRow, TaskState } from "./job-row.js";
+import { OutcomeLog } from "./outcome-log.js";
+import type { ShardContext } from "./shard-context.js";
+
+/** Jobs of at least this priority are urgent. */
+const urgentPriority = 900;
+/** How often a repeatable task that failed is started again. */
+const maxFailureRestarts = 3;
+/** Longest wait before a service task is started again, in milliseconds. */
+const maxRestartDelayMs = 30_000;
+
+const stateOfOutcome: Readonly<Record<JournalOutcome, TaskState>> = {
+    succeeded: TaskState.Succeeded,
+    failed: TaskState.Failed,
+    stopped: TaskState.Stopped,
+    mayHaveRun: TaskState.MayHaveRun,
+};
+
+export class JobTracker {
+    readonly jobs = new Table<JobId, JobRow>();
+    readonly events: JobEvents;
+    journal: Journal | undefined;
+    private readonly outcomes: OutcomeLog;
+    /** Jobs whose acceptance is not committed yet, or not known to be. */
+    private readonly pendingJobs = new Set<JobId>();
+    private readonly pendingWindows = new Set<JobId>();
+    private readonly preempting = new Set<TaskId>();
+
+    constructor(private readonly context: ShardContext, private readonly engine: PlacementEngine) {
+        this.events = new JobEvents(() => context.clock.getWallTime());
+        this.outcomes = new OutcomeLog(context.clock, () => this.journal);
+    }
+
+    /** Whether all that must last is committed. */
+    get hasUncommitted(): boolean {
+        return this.outcomes.hasPending || this.pendingJobs.size > 0;
+    }
+
+    /** Adds the jobs of the journal. Tasks inside the window without an outcome become `Unsettled`. */
+    restoreJobs(journalJobs: Iterable<JournalJob>): void {
+        for (const journalJob of journalJobs) {
+            const parsed = jobSpecSchema.safeParse(journalJob.spec);
+            if (!parsed.success) {
+                this.context.logger.write("error", "job in the journal cannot be read and is left alone", {
+                    job: journalJob.job,
+                    error: parsed.error.message,
+                });
+                continue;
+            }
+            this.restoreJob(journalJob, parsed.data);
+        }
+    }
+
+    /** Accepts a job; resolves after the commit. A repeated submission with the same content is accepted again. */
+    async submitJob(job: JobId, spec: JobSpec): Promise<Result<JobStatus, Failure>> {
+        const known = this.jobs.get(job);
+        if (known !== undefined && !this.pendingJobs.has(job)) {
+            return JSON.stringify(known.spec) === JSON.stringify(spec)
+                ? Ok(known.toStatus())
+                : Err(createFailure("job-exists", `job "${job}" exists with another content`, "notRun"));
+        }
+        if (known !== undefined) {
+            return Err(createFailure("job-pending", `job "${job}" is being accepted; ask again`, "mayHaveRun", 500));
+        }
+        if (this.journal === undefined) {
+            return Err(createFailure("store-unavailable", "jobs cannot be made durable while the store is down", "notRun", 1_000));
+        }
+        const submitted = this.addToEngine(job, spec, 0, false);
+        if (!submitted.ok) {
+            return submitted;
+        }
+        const row = new JobRow(job, getJobName(job), spec, this.context.shard);
+        this.jobs.set(job, row);
+        this.pendingJobs.add(job);
+        return this.commitJob(this.journal, row);
+    }
+
+    /** Cancels a job; resolves after the commit. */
+    async cancelJob(job: JobId): Promise<Result<JobStatus, Failure>> {
+        const row = this.jobs.get(job);
+        if (row === undefined) {
+            return Err(createFailure("unknown-job", `job "${job}" does not exist`, "notRun"));
+        }
+        if (row.isCancelled || row.finishedState !== undefined) {
+            return Ok(row.toStatus());
+        }
+        if (this.journal === undefined) {
+            return Err(createFailure("store-unavailable", "the cancellation cannot be made durable while the store is down", "notRun", 1_000));
+        }
+        const result = await this.journal.append({ kind: "jobCancelled", job, at: this.context.clock.getWallTime() });
+        if (result.err) {
+            return result;
+        }
+        row.isCancelled = true;
+        this.engine.cancelJob(job);
+        this.events.add({ event: "cancelled", job });
+        this.context.logger.write("info", "job cancelled", { job });
+        this.finishIfEnded(row);
+        return Ok(row.toStatus());
+    }
+
+    /** Commits collected outcomes and wanted windows, and settles acceptances whose commit came late. */
+    tick(): void {
+        this.outcomes.flush();
+        this.settlePending();
+        this.requestWindows();
+    }
+
+    setState(task: TaskId, state: TaskState): void {
+        const found = this.find(task);
+        found?.row.setState(found.index, state);
+    }
+
+    getState(task: TaskId): TaskState | undefined {
+        const found = this.find(task);
+        return found?.row.getState(found.index);
+    }
+
+    /** Marks a task that is being checkpointed, so that its end is not taken for an outcome. */
+    markPreempting(task: TaskId): void {
+        this.preempting.add(task);
+    }
+
+    /** Records that a start was decided. */
+    recordPlaced(task: TaskId, worker: WorkerId, detail: string): void {
+        this.setState(task, TaskState.Starting);
+        this.addEvent("placed", task, worker, detail);
+    }
+
+    /** Records that a task runs. */
+    recordRunning(task: TaskId, worker: WorkerId): void {
+        if (this.getState(task) !== TaskState.Running) {
+            this.setState(task, TaskState.Running);
+            this.engine.recordTaskStarted(this.context.clock.getNow(), task);
+            this.addEvent("started", task, worker);
+        }
+    }
+
+    /** Records that a start certainly did not happen: the task waits again. */
+    recordNotStarted(task: TaskId): void {
+        this.setState(task, TaskState.Waiting);
+        this.engine.recordStartFailed(this.context.clock.getNow(), task, "notRun");
+    }
+
+    /**
+     * Records the end of a task and starts it again where that is safe and wanted. `onCommitted` runs when the worker may
+     * forget the outcome.
+     */
+    recordEnded(task: TaskId, worker: WorkerId, outcome: TaskOutcome, onCommitted: () => void): void {
+        const found = this.find(task);
+        if (found === undefined) {
+            onCommitted();
+            return;
+        }
+        const { row, index } = found;
+        if (this.preempting.delete(task) && outcome === "stopped") {
+            this.recordWaiting(task, row, index, "preempted");
+            this.addEvent("preempted", task, worker);
+            onCommitted();
+            return;
+        }
+        const restartDelayMs = this.decideRestart(row, index, outcome);
+        if (restartDelayMs !== undefined) {
+            this.addEvent("ended", task, worker, `${outcome}; starts again`);
+            const restart = () => this.recordWaiting(task, row, index, outcome);
+            this.context.clock.schedule(restartDelayMs, restart);
+            onCommitted();
+            return;
+        }
+        // A task whose lease ran out was ended by its worker: it ran in part, and nothing says how far.
+        const final = outcome === "leaseExpired" ? "mayHaveRun" : outcome;
+        this.recordOutcome(task, row, index, final, onCommitted);
+        this.addEvent("ended", task, worker, final);
+    }
+
+    /** Records that a task does not run any more and that its outcome is unknown. */
+    recordLost(task: TaskId, worker: WorkerId | undefined, reason: string): void {
+        const found = this.find(task);
+        if (found === undefined) {
+            return;
+        }
+        const { row, index } = found;
+        this.preempting.delete(task);
+        if (row.isRepeatable && !row.isCancelled) {
+            this.recordWaiting(task, row, index, "leaseExpired");
+            this.addEvent("ended", task, worker, `lost: ${reason}; starts again`);
+        }
+        else {
+            this.recordOutcome(task, row, index, "mayHaveRun", () => undefined);
+            this.addEvent("ended", task, worker, `may have run: ${reason}`);
+            this.context.logger.write("warn", "task may have run and is not started again", { task, worker, reason });
+        }
+    }
+
+    private restoreJob({ job, spec: _, startedThrough, outcomes, cancelledAt, finished }: JournalJob, spec: JobSpec): void {
+        const row = new JobRow(job, getJobName(job), spec, this.context.shard);
+        row.isCancelled = cancelledAt !== undefined;
+        row.finishedState = finished?.state;
+        this.jobs.set(job, row);
+        for (const [outcome, ranges] of Object.entries(outcomes)) {
+            for (const [first, last] of ranges ?? []) {
+                for (let index = first; index <= last; index++) {
+                    row.setState(index, stateOfOutcome[outcome as JournalOutcome]);
+                }
+            }
+        }
+        if (row.finishedState !== undefined) {
+            return;
+        }
+        this.addToEngine(job, spec, startedThrough, true);
+        const now = this.context.clock.getNow();
+        for (let index = 0; index < spec.taskCount; index++) {
+            const state = row.getState(index);
+            if (state !== TaskState.Waiting) {
+                this.engine.recordTaskEnded(now, toTaskId(job, index), "succeeded", false);
+            }
+            else if (index < startedThrough) {
+                row.setState(index, TaskState.Unsettled);
+            }
+        }
+        if (row.isCancelled) {
+            this.engine.cancelJob(job);
+        }
+    }
+
+    private addToEngine(job: JobId, spec: JobSpec, startedThrough: number, isRestored: boolean): Result<void, Failure> {
+        const { clock } = this.context;
+        const now = clock.getNow();
+        const deadline = toDeadlineTime(spec);
+        return this.engine.submitJob(now, {
+            job,
+            team: toId<TeamId>(spec.team),
+            kind: spec.kind,
+            priority: spec.priority >= urgentPriority ? "urgent" : "normal",
+            taskCount: spec.taskCount,
+            resources: spec.resources,
+            deadline: deadline === undefined ? undefined : now + deadline - clock.getWallTime(),
+            estimatedRunMs: spec.estimatedRunMs,
+            startedThrough,
+            isRestored,
+        });
+    }
+
+    private async commitJob(journal: Journal, row: JobRow): Promise<Result<JobStatus, Failure>> {
+        const { job, spec } = row;
+        const accepted = journal.append({ kind: "jobAccepted", job, spec, at: this.context.clock.getWallTime() });
+        // Repeatable tasks need no narrow window: after a takeover they may start again in any case.
+        const startedThrough = row.isRepeatable ? spec.taskCount : 0;
+        const windowed = startedThrough > 0
+            ? journal.append({ kind: "windowReserved", job, startedThrough })
+            : Promise.resolve(Ok(undefined));
+        const result = await accepted;
+        if (result.err) {
+            if (result.val.verdict === "notRun") {
+                this.dropPending(job);
+            }
+            return result;
+        }
+        this.acceptPending(row);
+        if ((await windowed).ok) {
+            this.engine.markStartable(job, startedThrough);
+        }
+        return Ok(row.toStatus());
+    }
+
+    private acceptPending(row: JobRow): void {
+        if (this.pendingJobs.delete(row.job)) {
+            this.events.add({ event: "accepted", job: row.job, detail: `${row.spec.taskCount} tasks for team ${row.spec.team}` });
+            this.context.logger.write("info", "job accepted", { job: row.job, team: row.spec.team, tasks: row.spec.taskCount });
+        }
+    }
+
+    private dropPending(job: JobId): void {
+        this.pendingJobs.delete(job);
+        this.engine.cancelJob(job);
+        this.jobs.delete(job);
+    }
+
+    private settlePending(): void {
+        for (const job of this.pendingJobs) {
+            const row = this.jobs.get(job);
+            if (row !== undefined && this.journal?.getJobs().has(job) === true) {
+                this.acceptPending(row);
+            }
+        }
+    }
+
+    private requestWindows(): void {
+        const { journal } = this;
+        if (journal === undefined) {
+            return;
+        }
+        for (const { job, throughIndex } of this.engine.collectWindowRequests()) {
+            if (!this.pendingJobs.has(job) && !this.pendingWindows.has(job)) {
+                this.pendingWindows.add(job);
+                void journal.append({ kind: "windowReserved", job, startedThrough: throughIndex }).then(result => {
+                    this.pendingWindows.delete(job);
+                    if (result.ok) {
+                        this.engine.markStartable(job, throughIndex);
+                    }
+                });
+            }
+        }
+    }
+
+    /** Returns the wait before a task is started again, or `undefined` if its end is final. */
+    private decideRestart(row: JobRow, index: number, outcome: TaskOutcome): number | undefined {
+        if (row.isCancelled || !row.isRepeatable || outcome === "stopped") {
+            return undefined;
+        }
+        const restarts = row.restarts.get(index) ?? 0;
+        const isWanted = match({ kind: row.spec.kind, outcome })
+            .with({ kind: "service" }, () => true)
+            .with({ outcome: "succeeded" }, () => false)
+            .with({ outcome: "leaseExpired" }, () => true)
+            .otherwise(() => restarts < maxFailureRestarts);
+        if (!isWanted) {
+            return undefined;
+        }
+        row.restarts.set(index, restarts + 1);
+        return outcome === "leaseExpired" ? 0 : Math.min(100 * 2 ** restarts, maxRestartDelayMs);
+    }
+
+    private recordWaiting(task: TaskId, row: JobRow, index: number, outcome: TaskOutcome | "preempted"): void {
+        row.setState(index, TaskState.Waiting);
+        this.engine.recordTaskEnded(this.context.clock.getNow(), task, outcome, true);
+        this.finishIfEnded(row);
+    }
+
+    private recordOutcome(task: TaskId, row: JobRow, index: number, outcome: JournalOutcome, onCommitted: () => void): void {
+        row.setState(index, stateOfOutcome[outcome]);
+        const ended = outcome === "mayHaveRun" ? "leaseExpired" : outcome;
+        this.engine.recordTaskEnded(this.context.clock.getNow(), task, ended, false);
+        this.outcomes.add(row.job, outcome, index, () => {
+            onCommitted();
+            this.finishIfEnded(row);
+        });
+    }
+
+    private finishIfEnded(row: JobRow): void {
+        if (!row.hasEnded || row.finishedState !== undefined || this.journal === undefined) {
+            return;
+        }
+        const state = row.isCancelled ? "cancelled" : row.count(TaskState.Succeeded) === row.spec.taskCount ? "succeeded" : "ended";
+        row.finishedState = state;
+        void this.journal.append({ kind: "jobFinished", job: row.job, state, at: this.context.clock.getWallTime() });
+        this.events.add({ event: "finished", job: row.job, detail: state });
+        this.context.logger.write("info", "job finished", { job: row.job, state });
+    }
+
+    private addEvent(event: "placed" | "started" | "ended" | "preempted", task: TaskId, worker: WorkerId | undefined, detail?: string): void {
+        const parsed = parseTaskId(task);
+        if (parsed !== undefined) {
+            this.events.add({ event, job: parsed.job, task, worker, detail });
+        }
+    }
+
+    private find(task: TaskId): { readonly row: JobRow; readonly index: number; } | undefined {
+        const parsed = parseTaskId(task);
+        const row = parsed === undefined ? undefined : this.jobs.get(parsed.job);
+        return parsed === undefined || row === undefined || parsed.index >= row.spec.taskCount
+            ? undefined
+            : { row, index: parsed.index };
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/shard-runner.ts
@@ -0,0 +1,188 @@
+/**
+ * One shard on one host: takes part in its ownership, and runs a `ShardOwner` while this host holds the right.
+ */
+import { createFailure, Err } from "@waxwingroute/core";
+import type { Failure, HostId, IncarnationId, Result } from "@waxwingroute/core";
+import { RpcOwnershipPeers } from "@waxwingroute/cluster";
+import type { SchedulerClients } from "@waxwingroute/cluster";
+import { Journal } from "@waxwingroute/journal";
+import { OwnershipDriver } from "@waxwingroute/ownership";
+import { listShards, listZoneHosts } from "@waxwingroute/settings";
+import { getShardZone } from "@waxwingroute/core";
+import type { ShardStatus } from "@waxwingroute/transport";
+import type { ShardContext, ShardRight } from "./shard-context.js";
+import { ShardGrants } from "./shard-grants.js";
+import { ShardOwner } from "./shard-owner.js";
+
+/** Wait between two attempts to open the journal after a takeover without the store, in milliseconds. */
+const journalRetryMs = 1_000;
+
+export interface ShardRunnerOptions {
+    readonly context: ShardContext;
+    readonly clients: SchedulerClients;
+    readonly incarnation: IncarnationId;
+}
+
+interface ActiveOwner {
+    readonly right: ShardRight;
+    readonly owner: ShardOwner;
+    readonly grants: ShardGrants;
+}
+
+export class ShardRunner {
+    readonly ownership: OwnershipDriver;
+    private active: ActiveOwner | undefined;
+    private generation: number | undefined;
+    private isStopping = false;
+
+    constructor(private readonly options: ShardRunnerOptions) {
+        const { context, clients, incarnation } = options;
+        const { shard, host, settings, store, clock } = context;
+        this.ownership = new OwnershipDriver({
+            shard,
+            self: host,
+            incarnation,
+            hosts: listZoneHosts(settings, getShardZone(shard)).map(place => place.host),
+            store,
+            clock,
+            peers: new RpcOwnershipPeers({ clients, shard }),
+            timings: settings.ownership,
+            listener: {
+                onRightGained: ({ generation, epoch, basis, waitMs }) => void this.gain(generation, epoch, basis, waitMs),
+                onRightLost: generation => this.lose(generation, "right lost"),
+                onFault: failure => context.logger.write("error", "ownership fault", { shard, code: failure.code, error: failure.message }),
+            },
+        });
+    }
+
+    start(): void {
+        this.ownership.start();
+    }
+
+    /** Returns the owner object if this host may serve the shard now. */
+    findOwner(): Result<ShardOwner, Failure> {
+        const { shard } = this.options.context;
+        if (this.active !== undefined && this.active.right.canPlace()) {
+            return { ok: true, err: false, val: this.active.owner } as Result<ShardOwner, Failure>;
+        }
+        const owner: HostId | undefined = this.ownership.getKnownOwner();
+        return Err(createFailure("not-owner", `this host does not own shard "${shard}"; last known owner: ${owner ?? "none"}`, "notRun"));
+    }
+
+    tick(now: number): void {
+        this.active?.owner.tick(now);
+    }
+
+    refreshEndpoints(): void {
+        this.active?.owner.refreshEndpoints();
+    }
+
+    describe(): ShardStatus {
+        const { record } = this.ownership.getState().known ?? {};
+        return {
+            shard: this.options.context.shard,
+            owner: record?.owner,
+            epoch: record?.epoch ?? 0,
+            mode: this.describeMode(),
+            canPlace: this.active?.right.canPlace() ?? false,
+        };
+    }
+
+    /** Lets work in progress end, hands the shard to its successor and stops. */
+    async shutdown(waitMs: number): Promise<void> {
+        this.isStopping = true;
+        const { clock, shard, logger } = this.options.context;
+        const deadline = clock.getNow() + waitMs;
+        if (this.active !== undefined) {
+            await this.active.owner.stop(waitMs / 2);
+            this.active.owner.tracker.journal?.close();
+            const isTaken = this.ownership.handOver();
+            while (isTaken && this.generation !== undefined && clock.getNow() < deadline) {
+                await clock.wait(20);
+            }
+            logger.write("info", "shard handed over", { shard, isTaken });
+        }
+        this.active?.grants.close();
+        this.ownership.stop();
+    }
+
+    private async gain(generation: number, epoch: number, basis: string, waitMs: number): Promise<void> {
+        const { context } = this.options;
+        const { shard, clock, logger } = context;
+        if (this.active !== undefined) {
+            this.lose(this.active.right.generation, "replaced by a newer right");
+        }
+        this.generation = generation;
+        logger.write("info", "right gained", { shard, epoch, basis, waitMs });
+        const gainedAt = clock.getNow();
+        const right: ShardRight = { generation, epoch, canPlace: () => this.generation === generation && this.ownership.canPlace() };
+        const journal = await this.openJournal(generation, epoch);
+        if (this.generation !== generation || journal === undefined) {
+            return;
+        }
+        const grants = new ShardGrants({
+            context,
+            right,
+            shardCount: listShards(context.settings).length,
+            onFenced: () => this.lose(generation, "grants fenced"),
+        });
+        const owner = new ShardOwner({ context, right, grants, journal, journalJobs: journal.getJobs().values() });
+        this.active = { right, owner, grants };
+        void grants.open();
+        await this.awaitCatalog(generation);
+        await owner.recover();
+        await clock.wait(Math.max(0, gainedAt + waitMs - clock.getNow()));
+        if (this.generation === generation) {
+            const isPlacing = this.ownership.completeRecovery(generation);
+            logger.write("info", "shard in service", { shard, epoch, isPlacing, durationMs: Math.round(clock.getNow() - gainedAt) });
+        }
+    }
+
+    private lose(generation: number, reason: string): void {
+        if (this.generation !== generation) {
+            return;
+        }
+        this.generation = undefined;
+        const { shard, logger } = this.options.context;
+        logger.write(this.isStopping ? "info" : "warn", "right lost", { shard, reason });
+        this.active?.owner.abandon();
+        this.active?.grants.close();
+        this.active = undefined;
+    }
+
+    private async openJournal(generation: number, epoch: number): Promise<Journal | undefined> {
+        const { shard, host, store, clock, random, logger } = this.options.context;
+        while (this.generation === generation) {
+            const opened = await Journal.open({
+                shard,
+                epoch,
+                host,
+                store,
+                clock,
+                random,
+                onFenced: () => this.lose(generation, "journal fenced"),
+                onCheckpointFailed: failure => logger.write("warn", "journal checkpoint failed", { shard, error: failure.message }),
+            });
+            if (opened.ok) {
+                return opened.val;
+            }
+            logger.write("warn", "journal cannot be opened", { shard, code: opened.val.code, error: opened.val.message });
+            await clock.wait(journalRetryMs);
+        }
+        return undefined;
+    }
+
+    private async awaitCatalog(generation: number): Promise<void> {
+        while (this.generation === generation && !this.options.context.catalog.isLoaded) {
+            await this.options.context.clock.wait(50);
+        }
+    }
+
+    private describeMode(): string {
+        const state = this.ownership.getState();
+        if (state.right !== undefined) {
+            return state.right.isRecovering ? "recovering" : state.successor.solo !== undefined ? "solo" : state.owner?.basis ?? "store";
+        }
+        return state.successor.armed !== undefined ? "armed" : "standby";
+    }
+}
