--- /dev/null
+++ b/packages/grants/src/grants-driver.ts
@@ -0,0 +1,246 @@
+/**
+ * Keeps a shard's grants: reads the buckets, asks for more and returns what is unused.
+ */
+import { createFailure, Err, Ok, SystemRandom, toId } from "@waxwingroute/core";
+import type { Clock, Failure, RandomSource, Result, ShardId, TeamId, Timer } from "@waxwingroute/core";
+import type { Store } from "@waxwingroute/platform";
+import { BucketReplica } from "./bucket-replica.js";
+import { bucketCount, getBucketKey, getBucketNumber, grantsPrefix } from "./bucket.js";
+import type { GrantBucket } from "./bucket.js";
+import { zeroGrant } from "./grant-vector.js";
+import type { GrantVector } from "./grant-vector.js";
+import { createTeamGrants, planGrants } from "./plan.js";
+import type { TeamLimit, TeamUse } from "./plan.js";
+
+export interface GrantsDriverOptions {
+    readonly shard: ShardId;
+    /** Epoch of the shard's owner; a lower one than in the store may not write. */
+    readonly epoch: number;
+    readonly store: Store;
+    readonly clock: Clock;
+    /** Default: the system's random numbers. */
+    readonly random?: RandomSource;
+    /**
+     * Returns what the shard runs and would run, for every team that has either. Starts in flight count as use. Called just
+     * before a write, so that the use is never above what the write leaves.
+     */
+    readonly listUse: () => ReadonlyMap<TeamId, TeamUse>;
+    /** Shortest time between two writes of one bucket in ms. Default 2,000. */
+    readonly writeIntervalMs?: number;
+    /** Time between two reads of all buckets in ms, to notice shards that want more. Default 10,000. */
+    readonly refreshIntervalMs?: number;
+    /** Called once when a later owner of the shard has written. */
+    readonly onFenced?: (failure: Failure) => void;
+    /** Called with failures of reads and writes, for logs. The driver goes on with the grants that it has. */
+    readonly onFailure?: (failure: Failure) => void;
+}
+
+/**
+ * The grants of one shard.
+ *
+ * @example
+ * ```ts
+ * const grants = new GrantsDriver({ shard, epoch, store, clock, listUse });
+ * grants.setLimits(limits);
+ * const opened = await grants.open();
+ * if (fitsGrant(sumGrants([use, task]), grants.getGrant(team))) {
+ *     start();
+ * }
+ * ```
+ */
+export class GrantsDriver {
+    private readonly replicas: readonly BucketReplica[];
+    private readonly lastWriteAt: number[] = [];
+    private readonly busy = new Set<number>();
+    private limits: ReadonlyMap<TeamId, TeamLimit> = new Map();
+    private lastRefreshAt = -Infinity;
+    private failure: Failure | undefined;
+    private timer: Timer | undefined;
+
+    constructor(private readonly options: GrantsDriverOptions) {
+        const random = options.random ?? new SystemRandom();
+        this.replicas = Array.from(
+            { length: bucketCount },
+            (_, number) => new BucketReplica(number, options.store, random),
+        );
+    }
+
+    /**
+     * Reads all buckets, registers the epoch where the shard holds grants, and starts the timer. Fails with
+     * `grants-fenced`, `grants-unreadable` or the failure of the store; it can be called again after a failure.
+     */
+    async open(): Promise<Result<void, Failure>> {
+        const refreshed = await this.refreshBuckets();
+        if (!refreshed.ok) {
+            return refreshed;
+        }
+        for (const [number, replica] of this.replicas.entries()) {
+            const bucket = replica.getBucket();
+            const isHolder = Object.values(bucket?.teams ?? {}).some(row =>
+                row.shards[this.options.shard] !== undefined
+            );
+            if (bucket !== undefined && isHolder && bucket.epochs[this.options.shard] !== this.options.epoch) {
+                const result = await this.writeBucket(number, bucket);
+                if (!result.ok) {
+                    return result;
+                }
+            }
+        }
+        if (this.timer === undefined) {
+            this.scheduleTick();
+        }
+        return Ok(undefined);
+    }
+
+    /** Stops the timer. The grants stay with the shard for its next owner. */
+    close(): void {
+        this.timer?.cancel();
+        this.failure ??= createFailure("grants-closed", `the grants of "${this.options.shard}" are closed`, "notRun");
+    }
+
+    /** Sets the limits of the teams from the configuration replica. It takes effect at once for `getGrant`. */
+    setLimits(limits: ReadonlyMap<TeamId, TeamLimit>): void {
+        this.limits = limits;
+    }
+
+    /** Returns up to what the shard may run of a team now. Running work can be above it after a limit was lowered. */
+    getGrant(team: TeamId): GrantVector {
+        const replica = this.replicas[getBucketNumber(team)];
+        return this.failure !== undefined || replica === undefined
+            ? zeroGrant
+            : replica.getAllowance(team, this.options.shard, this.limits.get(team));
+    }
+
+    private scheduleTick(): void {
+        const intervalMs = (this.options.writeIntervalMs ?? 2_000) / bucketCount;
+        this.timer = this.options.clock.schedule(intervalMs, () => {
+            void this.runTick();
+            if (this.failure === undefined) {
+                this.scheduleTick();
+            }
+        });
+    }
+
+    private async runTick(): Promise<void> {
+        const { clock } = this.options;
+        if (clock.getNow() >= this.lastRefreshAt + (this.options.refreshIntervalMs ?? 10_000)) {
+            this.reportFailure(await this.refreshBuckets());
+        }
+        const due = [...this.replicas.keys()].filter(number => this.isWriteDue(number));
+        for (const number of due) {
+            this.reportFailure(await this.updateBucket(number));
+        }
+    }
+
+    private isWriteDue(number: number): boolean {
+        const intervalMs = this.options.writeIntervalMs ?? 2_000;
+        return !this.busy.has(number)
+            && this.options.clock.getNow() >= (this.lastWriteAt[number] ?? -Infinity) + intervalMs;
+    }
+
+    /** Writes the bucket if the shard needs more or less than it holds. */
+    private async updateBucket(number: number): Promise<Result<void, Failure>> {
+        const replica = this.replicas[number];
+        if (replica === undefined || this.busy.has(number) || this.failure !== undefined) {
+            return Ok(undefined);
+        }
+        this.busy.add(number);
+        const result = await this.planAndWrite(number, replica);
+        this.busy.delete(number);
+        return result;
+    }
+
+    private async planAndWrite(number: number, replica: BucketReplica): Promise<Result<void, Failure>> {
+        const read = replica.needsRead() ? await replica.read() : Ok(replica.getBucket());
+        const known = read.val;
+        if (!read.ok || known === undefined) {
+            return read.ok ? Ok(undefined) : Err(read.val);
+        }
+        const fence = this.checkFence(known as GrantBucket);
+        if (!fence.ok) {
+            return fence;
+        }
+        const planned = this.planBucket(number, known as GrantBucket);
+        if (planned === undefined) {
+            return Ok(undefined);
+        }
+        const result = await this.writeBucket(number, planned);
+        if (!result.ok && result.val.code === "store-conflict") {
+            const reread = await replica.read();
+            return reread.ok ? Ok(undefined) : reread;
+        }
+        return result;
+    }
+
+    /** Returns the bucket with this shard's new grants; `undefined` if nothing changes. */
+    private planBucket(number: number, bucket: GrantBucket): GrantBucket | undefined {
+        const { shard } = this.options;
+        const use = this.options.listUse();
+        const held = Object.keys(bucket.teams).filter(team => bucket.teams[team]?.shards[shard] !== undefined);
+        const names = new Set([...held, ...use.keys()].map(team => toId<TeamId>(team)));
+        const teams = { ...bucket.teams };
+        let isChanged = false;
+        for (const team of names) {
+            const limit = this.limits.get(team);
+            const row = teams[team] ?? (limit === undefined ? undefined : createTeamGrants(limit));
+            if (row === undefined || getBucketNumber(team) !== number) {
+                continue;
+            }
+            const planned = planGrants(row, shard, limit, use.get(team) ?? noUse);
+            const isSame = JSON.stringify(planned.shards[shard]) === JSON.stringify(row.shards[shard])
+                && planned.limitRevision === row.limitRevision;
+            if (!isSame) {
+                isChanged = true;
+                teams[team] = planned;
+            }
+        }
+        return isChanged ? { ...bucket, teams } : undefined;
+    }
+
+    private async writeBucket(number: number, bucket: GrantBucket): Promise<Result<void, Failure>> {
+        const { shard, epoch, clock } = this.options;
+        this.lastWriteAt[number] = clock.getNow();
+        const replica = this.replicas[number];
+        return replica === undefined
+            ? Ok(undefined)
+            : replica.write({ ...bucket, epochs: { ...bucket.epochs, [shard]: epoch } });
+    }
+
+    private async refreshBuckets(): Promise<Result<void, Failure>> {
+        this.lastRefreshAt = this.options.clock.getNow();
+        const range = await this.options.store.readRange(grantsPrefix);
+        if (!range.ok) {
+            return range;
+        }
+        for (const [number, replica] of this.replicas.entries()) {
+            const applied = replica.applyEntry(range.val.entries.find(entry => entry.key === getBucketKey(number)));
+            const checked = applied.ok ? this.checkFence(applied.val) : applied;
+            if (!checked.ok) {
+                return Err(checked.val);
+            }
+        }
+        return Ok(undefined);
+    }
+
+    private checkFence(bucket: GrantBucket): Result<void, Failure> {
+        const { shard, epoch, onFenced } = this.options;
+        const newest = bucket.epochs[shard] ?? 0;
+        if (newest <= epoch) {
+            return Ok(undefined);
+        }
+        const failure = createFailure("grants-fenced", `shard "${shard}" has epoch ${newest}, not ${epoch}`, "notRun");
+        if (this.failure === undefined) {
+            this.failure = failure;
+            onFenced?.(failure);
+        }
+        return Err(failure);
+    }
+
+    private reportFailure(result: Result<void, Failure>): void {
+        if (!result.ok) {
+            this.options.onFailure?.(result.val);
+        }
+    }
+}
+
+const noUse: TeamUse = { use: zeroGrant, demand: zeroGrant, unit: zeroGrant };
