placement: Make room for several urgent tasks on one worker and test each rule

Cause: an urgent job got one preemption per worker at a time; on 4 workers with 8 borrowed slots only 4 were freed. Change: one set of preemptions makes room for up to 8 urgent tasks, bounded by the grant and the share of the borrower. Checked: directed tests for gangs, reservations, backfill, preemption, spreading, failing workers, unschedulable work, cancellation and recovery. The preemption test failed before the change (4 of 8). Each other test failed with its rule removed, except those for deadlock, unschedulable work, cancellation and recovery, for which that was not tried.

--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -96,6 +96,263 @@
     });
 });
 
+describe("gangs", () => {
+    // Guards against a gang that starts the part of its tasks that the journal allows.
+    it("wait until the start window holds all tasks", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        const gang = cluster.submit("g", { kind: "gang", taskCount: 8, startedThrough: 3 });
+        expect(cluster.tick().length).toEqual(0);
+        expect(cluster.engine.explain(gang)?.reason).toEqual("window");
+        cluster.engine.markStartable(gang, 8);
+        expect(cluster.tick().length).toEqual(8);
+    });
+
+    // Guards against two gangs that each hold half of the shard and wait for the other half.
+    it("do not deadlock when several need more than half of the shard", () => {
+        const cluster = new Cluster(8, makeSize(4000));
+        const fill = cluster.submit("fill", { taskCount: 32, estimatedRunMs: 1000 });
+        cluster.tick();
+        const gangs = ["g0", "g1", "g2"].map(name => cluster.submit(name, { kind: "gang", taskCount: 20 }));
+        endOneByOne(cluster, fill);
+        for (let round = 0; round < gangs.length; round++) {
+            cluster.now += 1000;
+            cluster.tick();
+            const active = gangs.filter(gang => cluster.listRunning(gang).length > 0);
+            expect(active.length).toEqual(1);
+            expect(cluster.listRunning(active[0]!).length).toEqual(20);
+            cluster.listRunning(active[0]!).forEach(start => cluster.end(start.task));
+        }
+    });
+
+    // Guards against a large gang that waits for ever while small tasks take each worker that becomes free.
+    it("start although small tasks arrive without end", () => {
+        const cluster = new Cluster(8, makeSize(4000));
+        const random = new SeededRandom(7);
+        const gang = runBesideSmallTasks(cluster, random, { kind: "gang", taskCount: 8, resources: makeSize(4000) });
+        expect(cluster.listRunning(gang).length).toEqual(8);
+    });
+});
+
+describe("the head of the queue", () => {
+    // Guards against a large task that waits for ever behind small ones.
+    it("starts although small tasks arrive without end", () => {
+        const cluster = new Cluster(8, makeSize(4000));
+        const job = runBesideSmallTasks(cluster, new SeededRandom(3), { resources: makeSize(4000) });
+        expect(cluster.listRunning(job).length).toEqual(1);
+    });
+
+    // Guards against backfill with work that ends after the reserved capacity becomes free.
+    it("is not delayed by backfill", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        const long = cluster.submit("long", { resources: makeSize(2000), estimatedRunMs: 10_000 });
+        cluster.tick();
+        const head = cluster.submit("head", { resources: makeSize(4000), estimatedRunMs: 1000 });
+        cluster.tick();
+        const tooLong = cluster.submit("too-long", { resources: makeSize(1000), estimatedRunMs: 20_000 });
+        const short = cluster.submit("short", { resources: makeSize(1500), estimatedRunMs: 5000 });
+        const starts = cluster.tick().map(decision => decision.job);
+        expect(starts).toEqual([short]);
+        expect(cluster.engine.explain(tooLong)?.reason).toEqual("capacity");
+        cluster.now = 5000;
+        cluster.listRunning(short).forEach(start => cluster.end(start.task));
+        cluster.tick();
+        cluster.now = 10_000;
+        cluster.listRunning(long).forEach(start => cluster.end(start.task));
+        expect(cluster.tick().map(decision => decision.job)).toEqual([head]);
+    });
+
+    // Guards against a declared run time that is too short and lets backfill run into the reservation.
+    it("is protected by learned run times when declared ones are too short", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        cluster.submit("lesson", { taskCount: 4, jobClass: "liar", estimatedRunMs: 1000 });
+        const lessons = cluster.tick();
+        cluster.now = 30_000;
+        lessons.forEach(decision => cluster.end(decision.task));
+        cluster.submit("long", { resources: makeSize(2500), estimatedRunMs: 10_000 });
+        cluster.tick();
+        cluster.submit("head", { resources: makeSize(4000), estimatedRunMs: 1000 });
+        cluster.tick();
+        const liar = cluster.submit("liar", { jobClass: "liar", estimatedRunMs: 1000 });
+        cluster.now += 10;
+        cluster.tick();
+        expect(cluster.listRunning(liar).length).toEqual(0);
+    });
+});
+
+describe("urgent work", () => {
+    // Guards against preemption that takes what a team is entitled to.
+    it("preempts borrowed capacity only", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        const [owner, borrower] = [teams[0]!, teams[1]!];
+        cluster.engine.setTeam({ team: owner });
+        cluster.engine.setTeam({ team: borrower });
+        const borrowed = cluster.submit("borrowed", { team: borrower, taskCount: 16 });
+        cluster.tick();
+        cluster.submit("urgent", { team: owner, priority: "urgent", taskCount: 16 });
+        const victims = cluster.tick().filter(decision => decision.kind === "preempt");
+        expect(victims.length).toEqual(8);
+        victims.forEach(victim => cluster.end(victim.task, "preempted"));
+        expect(cluster.tick().filter(decision => decision.kind === "start").length).toEqual(8);
+        expect(cluster.tick().length).toEqual(0);
+        expect(cluster.listRunning(borrowed).length).toEqual(8);
+        expect(cluster.engine.explain(borrowed)?.waitingCount).toEqual(8);
+    });
+
+    // Guards against urgent work that waits for a gang to collect its workers.
+    it("uses capacity that is held for normal work", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        cluster.submit("long", { taskCount: 4, resources: makeSize(2500), estimatedRunMs: 60_000 });
+        cluster.tick();
+        cluster.submit("gang", { kind: "gang", taskCount: 4, resources: makeSize(4000) });
+        cluster.tick();
+        const urgent = cluster.submit("urgent", { priority: "urgent", taskCount: 2 });
+        cluster.tick();
+        expect(cluster.listRunning(urgent).length).toEqual(2);
+    });
+});
+
+describe("services", () => {
+    // Guards against the loss of a whole service with one rack or one worker.
+    it("are spread over racks and then workers", () => {
+        const cluster = new Cluster(12, makeSize(4000));
+        const service = cluster.submit("s", { kind: "service", taskCount: 6 });
+        cluster.tick();
+        const workers = cluster.listRunning(service).map(start => Number(start.worker.slice(1)));
+        const perRack = [0, 1, 2].map(rack => workers.filter(worker => worker >> 2 === rack).length);
+        expect(perRack).toEqual([2, 2, 2]);
+        expect(new Set(workers).size).toEqual(6);
+    });
+});
+
+describe("failing workers", () => {
+    // Guards against a worker that fails everything, looks empty, and so attracts all work.
+    it("get few tasks and return after successful probes", t => {
+        const cluster = new Cluster(6, makeSize(4000), { probeIntervalMs: 10_000 });
+        cluster.submit("work", { taskCount: 5000, estimatedRunMs: 1000 });
+        let startsOnBad = 0;
+        let startsOnBadLater = 0;
+        for (let round = 0; round < 200; round++) {
+            cluster.now += 1000;
+            const starts = cluster.tick().filter(decision => decision.worker === "w0").length;
+            startsOnBad += round < 100 ? starts : 0;
+            startsOnBadLater += round >= 160 ? starts : 0;
+            for (const start of [...cluster.running.values()]) {
+                cluster.end(start.task, start.worker === "w0" && round < 100 ? "failed" : "succeeded", false);
+            }
+        }
+        t.diagnostic(`result: ${startsOnBad} starts on the failing worker, ${startsOnBadLater} after its repair`);
+        expect(startsOnBad).toBeLessThan(20);
+        expect(startsOnBadLater).toBeGreaterThan(100);
+    });
+
+    // Guards against the removal of good workers because of a job that fails everywhere.
+    it("are not blamed for a job that fails everywhere", () => {
+        const cluster = new Cluster(6, makeSize(4000));
+        cluster.submit("good", { taskCount: 200 });
+        cluster.submit("bad", { taskCount: 200 });
+        for (let round = 0; round < 30; round++) {
+            cluster.now += 1000;
+            cluster.tick();
+            for (const start of [...cluster.running.values()]) {
+                cluster.end(start.task, start.job === "bad" ? "failed" : "succeeded", false);
+            }
+        }
+        expect(cluster.engine.getSummary().ejectedWorkerCount).toEqual(0);
+    });
+});
+
+describe("submission and cancellation", () => {
+    // Guards against a job that waits for ever without a word, and that keeps others from starting.
+    it("reports work that can never run at once", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        const submit = (change: Partial<JobSubmission>): string => {
+            const job = toId<JobId>("never");
+            const submission = {
+                job,
+                team: teams[0]!,
+                kind: "batch" as const,
+                taskCount: 1,
+                resources: makeSize(1000),
+            };
+            const result = cluster.engine.submitJob(0, { ...submission, ...change });
+            return result.ok ? "accepted" : `${result.val.code} ${result.val.verdict}`;
+        };
+        expect(submit({ resources: makeSize(5000) })).toEqual("unschedulable notRun");
+        expect(submit({ kind: "gang", taskCount: 17 })).toEqual("unschedulable notRun");
+        expect(submit({ resources: makeSize(1000, 1000, 1) })).toEqual("unschedulable notRun");
+        expect(submit({ isRestored: true, resources: makeSize(5000) })).toEqual("accepted");
+        const other = cluster.submit("other", { taskCount: 16 });
+        cluster.tick();
+        expect(cluster.listRunning(other).length).toEqual(16);
+        expect(cluster.engine.explain(toId<JobId>("never"))?.reason).toEqual("unschedulable");
+    });
+
+    // Guards against cancelled tasks that start, and against running ones that are told to stop more than once.
+    it("cancels a wave of jobs in one pass", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        const jobs = Array.from({ length: 500 }, (_, index) => cluster.submit(`j${index}`, { taskCount: 10 }));
+        expect(cluster.tick().length).toEqual(16);
+        jobs.forEach(job => cluster.engine.cancelJob(job));
+        const stops = cluster.tick();
+        expect(stops.filter(decision => decision.kind === "stop").length).toEqual(16);
+        expect(stops.length).toEqual(16);
+        expect(cluster.tick().length).toEqual(0);
+        stops.forEach(stop => cluster.end(stop.task, "stopped"));
+        expect(cluster.engine.getSummary().jobCount).toEqual(0);
+        expect(cluster.engine.getSummary().waitingCount).toEqual(0);
+    });
+});
+
+describe("recovery", () => {
+    // Guards against a second start of a task that runs, ended, or may have run before the takeover.
+    it("starts only the tasks that are not accounted for", () => {
+        const cluster = new Cluster(2, makeSize(4000));
+        const job = cluster.submit("j", { taskCount: 6, isRestored: true });
+        const adopted = { team: teams[0]!, resources: makeSize(1000), worker: toId<WorkerId>("w0") };
+        cluster.engine.adoptTask(0, { ...adopted, task: toId<TaskId>("j/1") });
+        cluster.engine.adoptTask(0, { ...adopted, task: toId<TaskId>("j/4"), isUncertain: true });
+        cluster.engine.recordTaskEnded(0, toId<TaskId>("j/2"), "succeeded");
+        cluster.engine.recordTaskEnded(0, toId<TaskId>("j/2"), "succeeded");
+        const starts = cluster.tick().map(decision => decision.task as string);
+        expect(starts).toEqual(["j/0", "j/3", "j/5"]);
+        expect(cluster.engine.explain(job)?.finishedCount).toEqual(1);
+        for (const task of ["j/0", "j/1", "j/3", "j/4", "j/5"]) {
+            cluster.end(toId<TaskId>(task));
+        }
+        expect(cluster.engine.explain(job)).toEqual(undefined);
+    });
+});
+
+function endOneByOne(cluster: Cluster, job: JobId): void {
+    for (const start of cluster.listRunning(job)) {
+        cluster.now += 100;
+        cluster.end(start.task);
+        cluster.tick();
+    }
+}
+
+/** Keeps a full cluster busy with small tasks for a while after a large job was submitted. */
+function runBesideSmallTasks(cluster: Cluster, random: SeededRandom, large: Partial<JobSubmission>): JobId {
+    const ends = new Map<TaskId, number>();
+    let job: JobId | undefined;
+    for (let step = 0; step < 400; step++) {
+        cluster.now += 100;
+        for (const task of cluster.running.keys()) {
+            if ((ends.get(task) ?? Infinity) <= cluster.now) {
+                cluster.end(task);
+            }
+        }
+        cluster.submit(`small${step}`, { taskCount: 12, deadline: cluster.now + 20_000, estimatedRunMs: 1000 });
+        job ??= step === 20 ? cluster.submit("large", { ...large, deadline: cluster.now + 20_000 }) : undefined;
+        for (const decision of cluster.tick()) {
+            if (decision.kind === "start" && decision.job !== job) {
+                ends.set(decision.task, cluster.now + 500 + random.getInteger(1000));
+            }
+        }
+    }
+    return job!;
+}
+
 interface JobModel {
     readonly submission: JobSubmission;
     startable: number;
--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -4,6 +4,8 @@
  * Only running batch tasks of normal priority are preempted, and only while their team stays at or above its share
  * without them.
  */
+import { addResources } from "@waxwingroute/core";
+import { countFitting } from "./rows.js";
 import type { JobRow, Reservation, TaskRow, TeamRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant, isAboveGrant } from "./team-shares.js";
@@ -116,49 +118,46 @@
         return undefined;
     }
 
-    /** Returns the fewest newest tasks of the borrower whose end makes room on a worker. */
+    /** Returns the fewest newest tasks of the borrower whose end makes room for tasks of the job on a worker. */
     private planRow(job: JobRow, row: number, borrower: TeamRow, considered: number): VictimPlan | undefined {
         const { shares, workers } = this.state;
-        const free = workers.computeFree(row);
-        let { cpuMillis, memoryMb, accelerators } = free;
+        const bound = this.computeBound(job);
+        let free = workers.computeFree(row);
         const victims: TaskRow[] = [];
-        const tasks = [...this.state.rowTasks[row] ?? []].reverse();
-        const marked: TaskRow[] = [];
-        for (const task of tasks) {
-            const isStopping = task.state === "stopping";
-            if (!isStopping) {
+        let count = 0;
+        let neededVictims = 0;
+        for (const task of [...this.state.rowTasks[row] ?? []].reverse()) {
+            if (count >= bound) {
+                break;
+            }
+            if (task.state !== "stopping") {
                 if (task.job.team !== borrower || !isPreemptible(task) || !shares.canLose(borrower, task.shape)) {
                     continue;
                 }
                 // Marked at once, so that the share of the borrower is judged without the earlier victims.
                 this.state.markStopping(task);
-                marked.push(task);
                 victims.push(task);
             }
-            cpuMillis += task.shape.cpu;
-            memoryMb += task.shape.memory;
-            accelerators += task.shape.accelerators;
-            if (
-                cpuMillis >= job.shape.cpu && memoryMb >= job.shape.memory
-                && accelerators >= job.shape.accelerators
-            ) {
-                const bound = Math.min(maxTasksPerWorker, this.state.countUnreserved(job));
-                let count = 1;
-                while (
-                    count < bound && cpuMillis >= job.shape.cpu * (count + 1)
-                    && memoryMb >= job.shape.memory * (count + 1)
-                    && accelerators >= job.shape.accelerators * (count + 1)
-                    && fitsGrant(job.team, job.shape, count + 1)
-                ) {
-                    count++;
-                }
-                return { row, victims, count, rejectedCount: considered - 1 };
+            free = addResources(free, task.shape.resources);
+            const fitting = Math.min(bound, countFitting(free, job.shape));
+            if (fitting > count) {
+                count = fitting;
+                neededVictims = victims.length;
             }
         }
-        for (const task of marked) {
+        for (const task of victims.splice(neededVictims)) {
             this.state.clearStopping(task);
         }
-        return undefined;
+        return count === 0 ? undefined : { row, victims, count, rejectedCount: considered - 1 };
+    }
+
+    /** Returns the number of tasks of a job for which preemptions on one worker may make room. */
+    private computeBound(job: JobRow): number {
+        let bound = Math.min(maxTasksPerWorker, this.state.countUnreserved(job));
+        while (bound > 1 && !fitsGrant(job.team, job.shape, bound)) {
+            bound--;
+        }
+        return bound;
     }
 
     private apply(job: JobRow, plan: VictimPlan): void {
--- a/packages/placement/src/reservation-plan.ts
+++ b/packages/placement/src/reservation-plan.ts
@@ -1,6 +1,8 @@
 /**
  * Chooses the workers whose capacity is expected to be free first for a blocked job.
  */
+import { addResources, fitsWithin } from "@waxwingroute/core";
+import { countFitting } from "./rows.js";
 import type { ReservationPart, Shape, TaskRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
 
@@ -51,19 +53,16 @@
 
 /** Returns when one task is expected to fit on a worker. */
 function estimateReadyAt(state: PlacementState, row: number, shape: Shape): number {
-    const free = state.workers.computeFree(row);
-    let { cpuMillis, memoryMb, accelerators } = free;
-    if (cpuMillis >= shape.cpu && memoryMb >= shape.memory && accelerators >= shape.accelerators) {
+    let free = state.workers.computeFree(row);
+    if (fitsWithin(shape.resources, free)) {
         return state.now;
     }
     const tasks = [...state.rowTasks[row] ?? []]
         .map(task => ({ task, end: computeExpectedEnd(task, state.now) }))
         .sort((first, second) => first.end - second.end);
     for (const { task, end } of tasks) {
-        cpuMillis += task.shape.cpu;
-        memoryMb += task.shape.memory;
-        accelerators += task.shape.accelerators;
-        if (cpuMillis >= shape.cpu && memoryMb >= shape.memory && accelerators >= shape.accelerators) {
+        free = addResources(free, task.shape.resources);
+        if (fitsWithin(shape.resources, free)) {
             return end;
         }
     }
@@ -98,9 +97,8 @@
 
 /** Adds what fits on a worker now and what fits after all its tasks with an expected end have ended. */
 function addCandidates(state: PlacementState, row: number, shape: Shape, candidates: Candidate[]): void {
-    const free = state.workers.computeFree(row);
-    let { cpuMillis, memoryMb, accelerators } = free;
-    const countNow = countFits(cpuMillis, memoryMb, accelerators, shape);
+    let free = state.workers.computeFree(row);
+    const countNow = countFitting(free, shape);
     if (countNow > 0) {
         candidates.push({ row, count: countNow, readyAt: state.now });
     }
@@ -108,23 +106,12 @@
     for (const task of state.rowTasks[row] ?? []) {
         const end = computeExpectedEnd(task, state.now);
         if (end !== Infinity) {
-            cpuMillis += task.shape.cpu;
-            memoryMb += task.shape.memory;
-            accelerators += task.shape.accelerators;
+            free = addResources(free, task.shape.resources);
             readyAt = Math.max(readyAt, end);
         }
     }
-    const countLater = countFits(cpuMillis, memoryMb, accelerators, shape);
+    const countLater = countFitting(free, shape);
     if (countLater > countNow) {
         candidates.push({ row, count: countLater, readyAt });
     }
 }
-
-function countFits(cpu: number, memory: number, accelerators: number, shape: Shape): number {
-    const count = Math.min(
-        shape.cpu > 0 ? Math.floor(cpu / shape.cpu) : Infinity,
-        shape.memory > 0 ? Math.floor(memory / shape.memory) : Infinity,
-        shape.accelerators > 0 ? Math.floor(accelerators / shape.accelerators) : Infinity,
-    );
-    return Math.max(0, count);
-}
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -196,3 +196,13 @@
         job.nextIndex++;
     }
 }
+
+/** Returns how many tasks of a size fit into an amount, which may be negative. */
+export function countFitting(free: ResourceVector, shape: Shape): number {
+    const count = Math.min(
+        shape.cpu > 0 ? Math.floor(free.cpuMillis / shape.cpu) : Infinity,
+        shape.memory > 0 ? Math.floor(free.memoryMb / shape.memory) : Infinity,
+        shape.accelerators > 0 ? Math.floor(free.accelerators / shape.accelerators) : Infinity,
+    );
+    return Math.max(0, count);
+}
--- a/packages/placement/src/worker-table.ts
+++ b/packages/placement/src/worker-table.ts
@@ -4,6 +4,7 @@
  */
 import type { RackId, ResourceVector, WorkerId } from "@waxwingroute/core";
 import { CapacityIndex, copyColumn } from "./capacity-index.js";
+import { countFitting } from "./rows.js";
 import type { Shape } from "./rows.js";
 import type { WorkerUpdate } from "./types.js";
 
@@ -147,13 +148,13 @@
         if (isLimitedToRotation) {
             for (let row = 0; row < this.rowCount && count < bound; row++) {
                 if (this.canPlace(row)) {
-                    count += countPerWorker(this.capacities[row] as ResourceVector, shape);
+                    count += countFitting(this.capacities[row] as ResourceVector, shape);
                 }
             }
             return count;
         }
         for (const kind of this.kinds.values()) {
-            count += countPerWorker(kind.capacity, shape) * kind.count;
+            count += countFitting(kind.capacity, shape) * kind.count;
         }
         return Math.min(bound, count);
     }
@@ -250,11 +251,3 @@
         }
     }
 }
-
-function countPerWorker(capacity: ResourceVector, shape: Shape): number {
-    return Math.min(
-        shape.cpu > 0 ? Math.floor(capacity.cpuMillis / shape.cpu) : Infinity,
-        shape.memory > 0 ? Math.floor(capacity.memoryMb / shape.memory) : Infinity,
-        shape.accelerators > 0 ? Math.floor(capacity.accelerators / shape.accelerators) : Infinity,
-    );
-}
