--- a/packages/platform/src/http-store.ts
+++ b/packages/platform/src/http-store.ts
@@ -2,7 +2,7 @@
  * The store over HTTP and JSON.
  */
 import type { Failure, Result, WriterToken } from "@waxwingroute/core";
-import { createFailure, Err } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { HttpOptions } from "./http-client.js";
 import { JsonClient } from "./json-client.js";
 import type { StoreEntry, StoreRange, StoreWatchResult, StoreWrite } from "./store.js";
@@ -43,7 +43,7 @@
     async read(key: string): Promise<Result<StoreEntry | undefined, Failure>> {
         const path = `${paths.storeEntry}?key=${encodeURIComponent(key)}`;
         const result = await this.client.send(storeReadSchema, { operation: "read", method: "GET", path });
-        return result.map(content => content.entry);
+        return result.ok ? pickEntry("read", key, result.val) : result;
     }
 
     async readRange(prefix: string): Promise<Result<StoreRange, Failure>> {
@@ -78,12 +78,20 @@
 
     async watch(prefix: string, revision: number, waitMs: number): Promise<Result<StoreWatchResult, Failure>> {
         const query = `prefix=${encodeURIComponent(prefix)}&revision=${revision}&waitMs=${waitMs}`;
-        return this.client.send(storeWatchSchema, {
+        const result = await this.client.send(storeWatchSchema, {
             operation: "watch",
             method: "GET",
             path: `${paths.storeWatch}?${query}`,
             timeoutMs: waitMs + this.client.timeoutMs,
         });
+        return result.map(content => ({
+            changes: content.changes.map(change => ({
+                key: change.key,
+                value: change.isDeleted ? undefined : change.value,
+                revision: change.revision,
+            })),
+            revision: content.revision,
+        }));
     }
 
     async readToken(
@@ -91,6 +99,22 @@
     ): Promise<Result<{ readonly token: WriterToken; readonly revision: number; } | undefined, Failure>> {
         const path = `${paths.storeToken}?key=${encodeURIComponent(key)}`;
         const result = await this.client.send(storeTokenSchema, { operation: "readToken", method: "GET", path });
-        return result.map(content => content.entry);
+        const entry = result.ok ? pickEntry("readToken", key, result.val) : result;
+        return entry.map(found => found === undefined ? undefined : { token: found.token, revision: found.revision });
     }
 }
+
+type FoundEntry<T> = { readonly isFound: true; readonly entry: T; } | { readonly isFound: false; };
+
+/** Returns the entry of an answer; fails if it is the entry of another key. */
+function pickEntry<T extends { readonly key: string; }>(
+    operation: string,
+    key: string,
+    content: FoundEntry<T>,
+): Result<T | undefined, Failure> {
+    if (content.isFound && content.entry.key !== key) {
+        const message = `${operation} of key "${key}" got an answer for key "${content.entry.key}"`;
+        return Err(createFailure("store-unavailable", message, "mayHaveRun"));
+    }
+    return Ok(content.isFound ? content.entry : undefined);
+}
--- a/packages/platform/src/http-worker.ts
+++ b/packages/platform/src/http-worker.ts
@@ -4,7 +4,7 @@
 import type { Failure, Result, TaskId } from "@waxwingroute/core";
 import type { HttpOptions } from "./http-client.js";
 import { JsonClient } from "./json-client.js";
-import { emptySchema, paths, workerReportSchema } from "./wire.js";
+import { doneSchema, paths, workerReportSchema } from "./wire.js";
 import type { TaskStart, WorkerRenewal, WorkerReport } from "./worker.js";
 import { Worker } from "./worker.js";
 
@@ -67,7 +67,7 @@
         content: unknown,
         timeoutMs?: number,
     ): Promise<Result<void, Failure>> {
-        const result = await this.client.send(emptySchema, { operation, method: "POST", path, content, timeoutMs });
+        const result = await this.client.send(doneSchema, { operation, method: "POST", path, content, timeoutMs });
         return result.map(() => undefined);
     }
 }
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -86,16 +86,28 @@
 
 const entrySchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema });
 
-export const storeReadSchema = z.object({ entry: entrySchema.optional() });
-export const storeTokenSchema = z.object({
-    entry: z.object({ token: createIdSchema<WriterToken>(), revision: revisionSchema }).optional(),
-});
+// A missing key is said with `isFound: false`: if it were an absent field, any JSON object would read as a missing key.
+const notFoundSchema = z.strictObject({ isFound: z.literal(false) });
+
+export const storeReadSchema = z.discriminatedUnion("isFound", [
+    z.object({ isFound: z.literal(true), entry: entrySchema }),
+    notFoundSchema,
+]);
+export const storeTokenSchema = z.discriminatedUnion("isFound", [
+    z.object({
+        isFound: z.literal(true),
+        entry: z.object({ key: z.string(), token: createIdSchema<WriterToken>(), revision: revisionSchema }),
+    }),
+    notFoundSchema,
+]);
 export const storeRangeSchema = z.object({ entries: z.array(entrySchema), revision: revisionSchema });
 export const storeRevisionSchema = z.object({ revision: revisionSchema });
 export const storeWatchSchema = z.object({
     changes: z.array(
-        z.object({ key: z.string(), value: z.string().optional(), revision: revisionSchema })
-            .transform(change => ({ ...change, value: change.value })),
+        z.discriminatedUnion("isDeleted", [
+            z.object({ isDeleted: z.literal(false), key: z.string(), value: z.string(), revision: revisionSchema }),
+            z.object({ isDeleted: z.literal(true), key: z.string(), revision: revisionSchema }),
+        ]),
     ),
     revision: revisionSchema,
 });
@@ -145,8 +157,8 @@
     task: createIdSchema<TaskId>(),
     percent: z.number().int().min(1).max(100),
 });
-/** Body of an answer that carries nothing. */
-export const emptySchema = z.object({});
+/** Body of an answer that only says that the call took effect. */
+export const doneSchema = z.object({ isDone: z.literal(true) });
 
 /** Header values of a request to an executor. */
 export const executorHeadersSchema = z.object({
--- a/packages/stand-ins/src/handlers.ts
+++ b/packages/stand-ins/src/handlers.ts
@@ -1,7 +1,7 @@
 /**
  * The HTTP interfaces of the stand-ins, as the adapters of `platform` call them.
  */
-import type { ExecutorRequest } from "@waxwingroute/platform";
+import type { ExecutorRequest, StoreChange } from "@waxwingroute/platform";
 import { wire } from "@waxwingroute/platform";
 import { match, P } from "ts-pattern";
 import { z } from "zod";
@@ -20,10 +20,12 @@
 /** Creates the routes of a store. */
 export function createStoreRoutes(state: StoreState): Routes {
     return {
-        [`GET ${wire.paths.storeEntry}`]: request =>
-            createReply(state.read(request.query.get("key") ?? "").map(entry => ({ entry }))),
-        [`GET ${wire.paths.storeToken}`]: request =>
-            createReply(state.readToken(request.query.get("key") ?? "").map(entry => ({ entry }))),
+        [`GET ${wire.paths.storeEntry}`]: request => createReply(state.read(readKey(request)).map(toFound)),
+        [`GET ${wire.paths.storeToken}`]: request => {
+            const key = readKey(request);
+            const result = state.readToken(key);
+            return createReply(result.map(entry => toFound(entry === undefined ? undefined : { key, ...entry })));
+        },
         [`GET ${wire.paths.storeRange}`]: request => createReply(state.readRange(request.query.get("prefix") ?? "")),
         [`PUT ${wire.paths.storeEntry}`]: createBodyRoute(
             wire.storeWriteSchema,
@@ -43,11 +45,16 @@
                     `a watch needs a revision and a waitMs of at most ${maxWatchMs}`,
                 );
             }
-            return createReply(await state.watch(request.query.get("prefix") ?? "", revision, waitMs));
+            const result = await state.watch(request.query.get("prefix") ?? "", revision, waitMs);
+            return createReply(result.map(watched => ({ ...watched, changes: watched.changes.map(toWireChange) })));
         },
     };
 }
 
+const readKey = (request: FrontRequest) => request.query.get("key") ?? "";
+const toFound = <T>(entry: T | undefined) => entry === undefined ? { isFound: false } : { isFound: true, entry };
+const toWireChange = (change: StoreChange) => ({ ...change, isDeleted: change.value === undefined });
+
 /** Creates the routes of a worker. */
 export function createWorkerRoutes(state: WorkerState): Routes {
     return {
--- a/packages/stand-ins/src/json-route.ts
+++ b/packages/stand-ins/src/json-route.ts
@@ -51,7 +51,7 @@
 /** Turns a result into an answer. */
 export function createReply<T>(result: Result<T, Failure>, isWrite = false): FrontReply {
     return result.ok
-        ? createJson(200, result.val ?? {}, isWrite)
+        ? createJson(200, result.val ?? { isDone: true }, isWrite)
         : createJson(statusByCode[result.val.code] ?? 400, { error: result.val }, isWrite);
 }
 
