--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -8,3 +8,5 @@
 export type { PeerCall, SchedulerClientsOptions } from "./scheduler-clients.js";
 export { ShardClient } from "./shard-client.js";
 export type { ShardClientOptions } from "./shard-client.js";
+export { createRelay } from "./start-relay.js";
+export type { Relay, RelayOptions } from "./start-relay.js";
--- /dev/null
+++ b/packages/cluster/src/start-relay.ts
@@ -0,0 +1,48 @@
+/**
+ * Creates the configuration replica of a process and keeps it current.
+ */
+import type { HostId, ZoneId } from "@waxwingroute/core";
+import type { Store } from "@waxwingroute/platform";
+import { ConfigurationReplica, RelayDriver } from "@waxwingroute/relay";
+import { listHosts, listZoneHosts } from "@waxwingroute/settings";
+import type { HostPlace, Settings } from "@waxwingroute/settings";
+import { RpcRelayPeers } from "./rpc-relay-peers.js";
+import type { SchedulerClients } from "./scheduler-clients.js";
+
+export interface RelayOptions {
+    readonly settings: Settings;
+    readonly place: HostPlace;
+    readonly clients: SchedulerClients;
+    /** Given to schedulers, which may watch the store; entry and operator processes pull from schedulers. */
+    readonly store?: Store;
+    /** Called with problems for the log. */
+    readonly onProblem?: (code: string, message: string) => void;
+}
+
+/** A replica and the driver that keeps it current. */
+export interface Relay {
+    readonly replica: ConfigurationReplica;
+    readonly driver: RelayDriver;
+}
+
+/** Creates a relay; the caller starts its driver. */
+export function createRelay({ settings, place, clients, store, onProblem }: RelayOptions): Relay {
+    const replica = new ConfigurationReplica();
+    const otherZones = new Map<ZoneId, HostId[]>();
+    for (const { host, zone } of listHosts(settings)) {
+        if (zone !== place.zone) {
+            otherZones.set(zone, [...otherZones.get(zone) ?? [], host]);
+        }
+    }
+    const driver = new RelayDriver({
+        host: place.host,
+        zone: place.zone,
+        zoneHosts: listZoneHosts(settings, place.zone).map(other => other.host),
+        otherZones,
+        store,
+        peers: new RpcRelayPeers(clients),
+        replica,
+        onProblem: problem => onProblem?.(problem.code, problem.message),
+    });
+    return { replica, driver };
+}
--- /dev/null
+++ b/packages/daemon/src/run-daemon.ts
@@ -0,0 +1,111 @@
+/**
+ * Start-up of a program: arguments, settings, logs, metrics, health endpoints and graceful shutdown.
+ */
+import { findHost, listHosts, loadSettings } from "@waxwingroute/settings";
+import type { HostPlace, HostSettings, Settings } from "@waxwingroute/settings";
+import { createLogger, HealthServer, installGracefulShutdown, Metrics } from "@waxwingroute/telemetry";
+import type { Logger, ShutdownStep } from "@waxwingroute/telemetry";
+import { defineCommand, runMain } from "citty";
+
+/** Version of all programs. */
+export const version = "0.1.0";
+
+/** Exit codes of the programs. */
+export const exitCodes = { done: 0, failed: 1, usage: 2 } as const;
+
+/** What a program gets at start. */
+export interface DaemonContext {
+    readonly settings: Settings;
+    readonly place: HostPlace;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+/** What a started program tells of itself. */
+export interface RunningDaemon {
+    /** Steps of a graceful shutdown, in order. */
+    readonly shutdownSteps: readonly ShutdownStep[];
+    /** Returns why the program cannot serve; empty when it can. */
+    listProblems(): readonly string[];
+    describeStatus?(): Readonly<Record<string, unknown>>;
+}
+
+export interface DaemonOptions {
+    /** Name of the program, for example `waxwing-entry`. */
+    readonly program: string;
+    readonly description: string;
+    /** The port of the program's health endpoints. */
+    readonly healthPort: keyof HostSettings["ports"];
+    /** Starts the program; it may throw when it cannot start. */
+    start(context: DaemonContext): Promise<RunningDaemon>;
+}
+
+/** Runs a program until it is told to stop. */
+export function runDaemon(options: DaemonOptions): void {
+    const command = defineCommand({
+        meta: { name: options.program, version, description: options.description },
+        args: {
+            settings: { type: "string", required: true, description: "path of the settings file (JSON)", valueHint: "file" },
+            host: { type: "string", required: true, description: "name of this entry host in the settings", valueHint: "name" },
+            check: { type: "boolean", default: false, description: "check the settings and exit" },
+        },
+        run: async ({ args }) => {
+            const { settings, place } = readSettings(args.settings, args.host);
+            if (args.check) {
+                process.stdout.write(`${args.settings}: settings are valid for host "${place.host}"\n`);
+                process.exit(exitCodes.done);
+            }
+            await startDaemon(options, settings, place);
+        },
+    });
+    void runMain(command);
+}
+
+function readSettings(path: string, host: string): { readonly settings: Settings; readonly place: HostPlace; } {
+    const loaded = loadSettings(path);
+    if (loaded.err) {
+        process.stderr.write(`${loaded.val.message}\n`);
+        process.exit(exitCodes.usage);
+    }
+    const place = findHost(loaded.val, host);
+    if (place === undefined) {
+        const known = listHosts(loaded.val).map(other => other.host).join(", ");
+        process.stderr.write(`${path}: no host is named "${host}"; use one of ${known}\n`);
+        process.exit(exitCodes.usage);
+    }
+    return { settings: loaded.val, place };
+}
+
+async function startDaemon(options: DaemonOptions, settings: Settings, place: HostPlace): Promise<void> {
+    const { program } = options;
+    const logger = await createLogger({ program, host: place.host, zone: place.zone, level: settings.logs.level });
+    const metrics = new Metrics({ target: settings.metrics, host: place.host, zone: place.zone });
+    let daemon: RunningDaemon;
+    try {
+        daemon = await options.start({ settings, place, logger, metrics });
+        const health = new HealthServer({
+            address: place.settings.address,
+            port: place.settings.ports[options.healthPort],
+            program,
+            version,
+            listProblems: () => daemon.listProblems(),
+            describeStatus: () => daemon.describeStatus?.() ?? {},
+        });
+        await health.listen();
+        const closing: ShutdownStep[] = [
+            { name: "health endpoints", run: () => health.close() },
+            { name: "metrics", run: () => metrics.close() },
+        ];
+        installGracefulShutdown({ logger, boundMs: settings.shutdown.boundMs, steps: [...daemon.shutdownSteps, ...closing] });
+    }
+    catch (error) {
+        logger.write("error", "program cannot start", { error: String(error) });
+        logger.flush();
+        process.stderr.write(`${program}: ${String(error)}\n`);
+        process.exit(exitCodes.failed);
+    }
+    process.on("unhandledRejection", reason => {
+        logger.write("error", "unhandled rejection", { error: reason instanceof Error ? reason.stack : String(reason) });
+    });
+    logger.write("info", "program started", { version, pid: process.pid });
+}
--- a/packages/routing/src/request-router.ts
+++ b/packages/routing/src/request-router.ts
@@ -181,6 +181,11 @@
         });
     }
 
+    /** Returns the slots that a team uses and the requests of it that wait. */
+    getTeamUse(team: TeamId): { readonly running: number; readonly waiting: number; } {
+        return { running: this.pool.countRunning(team), waiting: this.queues.get(team)?.waiting ?? 0 };
+    }
+
     /** Returns the numbers since the start, and the present numbers of waiting and running requests. */
     getCounters(): RouterCounters & { readonly waiting: number; readonly running: number; } {
         return { ...this.counters, waiting: this.queues.waiting, running: this.jobs.running.size };
--- a/packages/scheduler/src/scheduler-handlers.ts
+++ b/packages/scheduler/src/scheduler-handlers.ts
@@ -59,7 +59,7 @@
         forceRelease: async ({ shard, reason }) => {
             logger.write("warn", "operator forces a release", { shard, reason });
             return findRunner(runners, shard).map(runner => {
-                runner.ownership.forceRelease();
+                runner.ownership.applyForceRelease();
                 return {};
             });
         },
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -5,7 +5,7 @@
  * executors' own lists.
  */
 import { createFailure, Err, Ok, parseTaskId, toId } from "@waxwingroute/core";
-import type { AttemptId, ExecutorId, Failure, JobId, Result, TaskId, TeamId } from "@waxwingroute/core";
+import type { AttemptId, ExecutorId, Failure, JobId, RequestKey, Result, TaskId, TeamId } from "@waxwingroute/core";
 import type { Journal, JournalJob } from "@waxwingroute/journal";
 import { PlacementEngine } from "@waxwingroute/placement";
 import type { Decision, PreemptDecision, StartDecision, StopDecision } from "@waxwingroute/placement";
@@ -132,7 +132,7 @@
         const result = await this.router.execute({
             team: toId(request.team),
             queue: toId(request.queue),
-            requestKey: request.requestKey === undefined ? undefined : toId(request.requestKey),
+            requestKey: request.requestKey === undefined ? undefined : toId<RequestKey>(request.requestKey),
             isIdempotent: request.isIdempotent,
             deadline: clock.getNow() + request.timeoutMs,
             body: request.body,
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -96,7 +96,7 @@
         if (this.active !== undefined) {
             await this.active.owner.stop(waitMs / 2);
             this.active.owner.tracker.journal?.close();
-            const isTaken = this.ownership.handOver();
+            const isTaken = this.ownership.startHandover();
             while (isTaken && this.generation !== undefined && clock.getNow() < deadline) {
                 await clock.wait(20);
             }
--- a/packages/transport/src/services/scheduler-service.ts
+++ b/packages/transport/src/services/scheduler-service.ts
@@ -7,7 +7,7 @@
 import { z } from "zod";
 import { createStreamMethod, createUnaryMethod } from "../service.js";
 
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.instanceof(Uint8Array) as z.ZodType<Uint8Array>;
 
 const executeRequest = z.object({
     shard: z.string(),
