Add the configuration replica and the relay driver

Cause: every process needs the configuration in memory, also while its zone is cut off from the store, without a store call per process.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,2 +1,7 @@
 /** A replica of the configuration, kept current by one store watch a zone and digests between zones. */
-export {};
+export { ConfigurationReplica } from "./configuration-replica.js";
+export type { ChangeListener, ConfigurationReplicaOptions } from "./configuration-replica.js";
+export { RelayDriver } from "./relay-driver.js";
+export type { RelayCounters, RelayDriverOptions } from "./relay-driver.js";
+export { RelayPeers } from "./types.js";
+export type { RelayDelta, RelayDigest, RelayPull, RelaySnapshot, RelayUpdate } from "./types.js";
