Keep useful answers above 90% of the peak under overload

Cause: a virtual-time test with exponential service times. Seen first: 50 useful answers/s at twice the capacity of 160/s (peak 130): accepted requests timed out, and each lost slot stayed in use for a second. Change: an executor is listed shortly before an attempt misses its deadline; once a list has shown an attempt, the next list without it frees the slot. Admission and dispatch keep an allowance for the scatter of service times while others wait.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -13,6 +13,9 @@
 
 // Waiting times scatter around their estimate. The allowance keeps accepted work from missing its deadline in the queue.
 const waitAllowance = 1.2;
+// In mean deviations of the service time. An accepted request that times out costs its executor a slot for longer than an
+// answer; with 1 instead of 3, twice the capacity brought 112 useful answers/s instead of 150 (exponential times).
+const serviceAllowance = 3;
 
 export class Admission {
     constructor(
@@ -74,7 +77,7 @@
         const mean = this.serviceTimes.estimateMean(request.queue, now);
         const wait = this.queues.estimateWait(team, request.queue, request.deadline, now);
         const deviation = wait === 0 ? 0 : this.serviceTimes.estimateDeviation(request.queue, now);
-        const needed = wait * waitAllowance + mean + deviation;
+        const needed = wait * waitAllowance + mean + serviceAllowance * deviation;
         if (needed <= left) {
             return undefined;
         }
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -12,6 +12,9 @@
 import type { Placement, TeamQueues } from "./team-queues.js";
 import type { ResolvedRouterOptions, RouterCounters } from "./types.js";
 
+// Long enough for two ticks and one list before the deadline.
+const lastListMs = 100;
+
 /** One attempt at a job. */
 interface Attempt {
     readonly id: AttemptId;
@@ -45,7 +48,7 @@
                 return;
             }
             const { job } = placement;
-            if (now + this.serviceTimes.estimateMean(job.queue, now) >= job.deadline) {
+            if (now + this.estimateNeeded(job, now) >= job.deadline) {
                 this.queues.removeJob(job);
                 this.failExpired(job, now);
                 continue;
@@ -58,6 +61,12 @@
         }
     }
 
+    /** Returns the milliseconds that a job needs; while others wait, with an allowance so that the slot is not wasted. */
+    private estimateNeeded(job: Job, now: number): number {
+        const mean = this.serviceTimes.estimateMean(job.queue, now);
+        return this.queues.waiting > 1 ? mean + this.serviceTimes.estimateDeviation(job.queue, now) : mean;
+    }
+
     /** Ends jobs whose deadline has passed or can no longer be met. */
     expireJobs(now: number): void {
         for (const job of this.queues.listDue(now)) {
@@ -68,6 +77,9 @@
             if (job.deadline <= now) {
                 this.expireAttempt(job, now);
             }
+            else if (job.deadline <= now + lastListMs) {
+                this.listBeforeDeadline(job, now);
+            }
         }
     }
 
@@ -81,6 +93,17 @@
         this.jobs.settle(job, Err({ ...failure, requestKey }), now);
     }
 
+    /**
+     * Lists the executor of a job that is about to miss its deadline. Once the attempt was seen, its slot is free as soon as
+     * a list lacks it; otherwise it stays in use for as long as the request can be in flight.
+     */
+    private listBeforeDeadline(job: Job, now: number): void {
+        const attempt = job.attempt === undefined ? undefined : this.attempts.get(job.attempt);
+        if (attempt !== undefined && !attempt.use.isSeen) {
+            this.pool.scheduleList(attempt.row, now);
+        }
+    }
+
     private failExpired(job: Job, now: number): void {
         const waited = Math.ceil(now - job.arrivedAt);
         const message = `no slot was free in time; the request waited ${waited} ms in queue "${job.queue}"`;
@@ -108,6 +131,7 @@
             team: job.team,
             state: "running",
             listedFrom: now + startInFlightMs,
+            isSeen: false,
             // It arrives at most `startInFlightMs` after the send and then runs for the time-out by the executor's clock.
             endsBy: now + (startInFlightMs + timeoutMs) * (1 + clockRateBound),
         };
--- a/packages/routing/src/executor-lister.ts
+++ b/packages/routing/src/executor-lister.ts
@@ -12,9 +12,10 @@
     poll(now: number, onListed: () => void): void {
         for (const row of this.pool.list()) {
             // A list that never ends must not hide the executor's state for ever.
-            const isBusy = row.listStartedAt !== undefined && now - row.listStartedAt < 3 * this.options.listIntervalMs;
+            const isBusy = row.isListing && now - row.lastListStartedAt < 3 * this.options.listIntervalMs;
             if (!isBusy && !row.isRemoved && now >= row.nextListAt) {
-                row.listStartedAt = now;
+                row.isListing = true;
+                row.lastListStartedAt = now;
                 row.nextListAt = now + this.options.listIntervalMs;
                 void this.listExecutor(row, now).then(onListed);
             }
@@ -32,8 +33,8 @@
             // An adapter that throws has listed nothing, like one that returns a failure: the last list grows old.
         }
         finally {
-            if (row.listStartedAt === requestedAt) {
-                row.listStartedAt = undefined;
+            if (row.lastListStartedAt === requestedAt) {
+                row.isListing = false;
             }
         }
     }
--- a/packages/routing/src/executor-pool.ts
+++ b/packages/routing/src/executor-pool.ts
@@ -143,7 +143,7 @@
         if (row.uses.has(use.attempt) && use.state === "running") {
             use.state = "uncertain";
             row.uncertainCount++;
-            row.nextListAt = Math.min(row.nextListAt, Math.max(now, use.listedFrom));
+            this.scheduleList(row, now);
         }
     }
 
@@ -154,7 +154,12 @@
     markUnlisted(row: ExecutorRow, now: number): void {
         row.isListed = false;
         row.listNeededFrom = now;
-        row.nextListAt = Math.min(row.nextListAt, now + Math.min(relistMs, this.options.listIntervalMs));
+        this.scheduleList(row, now);
+    }
+
+    /** Lists an executor soon instead of at the end of the interval. */
+    scheduleList(row: ExecutorRow, now: number): void {
+        row.nextListAt = Math.min(row.nextListAt, Math.max(now, row.lastListStartedAt + relistMs));
     }
 
     /** Counts attempts of an earlier owner against the executor's slots until its list no longer has them. */
@@ -179,9 +184,13 @@
         row.reportedSlots = report.slots;
         row.isListed ||= requestedAt >= row.listNeededFrom;
         row.listedAt = requestedAt;
+        row.markSeen(report, requestedAt);
         for (const use of row.listEnded(report, requestedAt)) {
             this.release(row, use);
         }
+        if (row.uncertainCount > 0) {
+            this.scheduleList(row, now);
+        }
         const expired = new Map(row.expired);
         row.expired.clear();
         for (const attempt of report.running) {
@@ -239,7 +248,14 @@
         }
         const { maxDeadlineMs, startInFlightMs, clockRateBound } = this.options;
         const endsBy = now + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
-        this.take(row, { attempt, team: parseAttemptTeam(attempt), state: "foreign", listedFrom: now, endsBy });
+        this.take(row, {
+            attempt,
+            team: parseAttemptTeam(attempt),
+            state: "foreign",
+            listedFrom: now,
+            isSeen: true,
+            endsBy,
+        });
     }
 }
 
--- a/packages/routing/src/executor-row.ts
+++ b/packages/routing/src/executor-row.ts
@@ -20,7 +20,9 @@
      */
     state: "running" | "uncertain" | "foreign";
     /** A list requested before this time does not show that the attempt ended, because it may not have arrived yet. */
-    readonly listedFrom: number;
+    listedFrom: number;
+    /** Whether a list has shown the attempt. */
+    isSeen: boolean;
     /** The attempt cannot run at this time any more, if the executor keeps to the time-out that it was given. */
     readonly endsBy: number;
 }
@@ -35,8 +37,8 @@
     isListed = false;
     /** A list requested before this time does not return the executor to rotation. */
     listNeededFrom = Number.NEGATIVE_INFINITY;
-    /** When the list in progress was requested. */
-    listStartedAt: number | undefined;
+    isListing = false;
+    lastListStartedAt = Number.NEGATIVE_INFINITY;
     isRemoved = false;
     nextListAt = 0;
     /** When the newest list was requested. */
@@ -62,6 +64,17 @@
             && now - this.listedAt <= maxListAgeMs;
     }
 
+    /** Marks the attempts that a list shows: they have arrived, so any later list without them shows that they ended. */
+    markSeen(report: ExecutorReport, requestedAt: number): void {
+        for (const attempt of report.running) {
+            const use = this.uses.get(attempt);
+            if (use !== undefined && !use.isSeen) {
+                use.isSeen = true;
+                use.listedFrom = Math.min(use.listedFrom, requestedAt);
+            }
+        }
+    }
+
     /** Returns the uses that a list, requested at `requestedAt`, shows to have ended. */
     listEnded(report: ExecutorReport, requestedAt: number): SlotUse[] {
         const running = new Set(report.running);
