Let a successor take over without the store

Cause: a takeover during a store outage could not read the shard's jobs and grants, so that nothing could be placed.

--- a/packages/journal/src/index.ts
+++ b/packages/journal/src/index.ts
@@ -3,4 +3,5 @@
 export type { JobTable, Retention } from "./job-table.js";
 export { Journal } from "./journal.js";
 export type { JournalOptions } from "./journal.js";
+export { readJournalJobs } from "./recovery.js";
 export type { IndexRange, JournalJob, JournalOutcome, JournalRecord } from "./types.js";
--- a/packages/journal/src/recovery.ts
+++ b/packages/journal/src/recovery.ts
@@ -58,6 +58,11 @@
     return parseJournal(shard, range.val.entries);
 }
 
+/** Reads the jobs of a journal without writing to it. Fails as `readJournal` does. */
+export async function readJournalJobs(store: Store, shard: ShardId): Promise<Result<JobTable, Failure>> {
+    return (await readJournal(store, shard)).map(content => content.table);
+}
+
 function parseJournal(shard: ShardId, values: readonly StoreEntry[]): Result<JournalContent, Failure> {
     const table = createJobTable();
     const manifestValue = values.find(value => value.key === getManifestKey(shard));
--- /dev/null
+++ b/packages/operator/src/main.ts
@@ -0,0 +1,62 @@
+#!/usr/bin/env node
+/**
+ * The program `waxwing-operator`.
+ */
+import { createRelay, SchedulerClients, ShardClient } from "@waxwingroute/cluster";
+import { runDaemon } from "@waxwingroute/daemon";
+import type { DaemonContext, RunningDaemon } from "@waxwingroute/daemon";
+import { HttpStore } from "@waxwingroute/platform";
+import { ResourceRepository } from "@waxwingroute/resources";
+import { OperatorServer } from "./operator-server.js";
+import { RpcClusterGateway } from "./rpc-cluster-gateway.js";
+import { RpcJobGateway } from "./rpc-job-gateway.js";
+
+runDaemon({
+    program: "waxwing-operator",
+    description: "Serves the resource interface to operators.",
+    healthPort: "operatorHealth",
+    start: startOperator,
+});
+
+async function startOperator({ settings, place, logger }: DaemonContext): Promise<RunningDaemon> {
+    const store = new HttpStore({ url: settings.store.url, timeoutMs: settings.store.timeoutMs, source: place.host });
+    const clients = new SchedulerClients({ settings });
+    const { replica, driver } = createRelay({
+        settings,
+        place,
+        clients,
+        onProblem: (code, message) => logger.write("warn", "configuration problem", { code, error: message }),
+    });
+    const server = new OperatorServer({
+        repository: new ResourceRepository({ store }),
+        replica,
+        jobs: new RpcJobGateway({ settings, clients, shards: new ShardClient({ settings, clients }) }),
+        cluster: new RpcClusterGateway({ settings, clients, relay: driver }),
+        address: place.settings.address,
+        port: place.settings.ports.operator,
+        operatorTokenHash: settings.operator.tokenSha256,
+        keyStalenessMs: settings.keys.stalenessMs,
+        whenStale: settings.keys.whenStale,
+        shutdownMs: settings.shutdown.boundMs / 2,
+        onWrite: ({ method, path, client, status, failure }) =>
+            logger.write("info", "operator write", { method, path, client, status, code: failure?.code, verdict: failure?.verdict }),
+        onError: error => logger.write("error", "request failed", { error: String(error) }),
+    });
+    driver.start();
+    await server.start();
+    return {
+        shutdownSteps: [
+            { name: "stop serving", run: () => server.shutdown() },
+            {
+                name: "close connections",
+                run: async () => {
+                    driver.stop();
+                    clients.close();
+                    store.close();
+                },
+            },
+        ],
+        listProblems: () => driver.isReady ? [] : ["the configuration is not loaded: no scheduler of the zone has answered"],
+        describeStatus: () => ({ revision: replica.revision }),
+    };
+}
--- /dev/null
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -0,0 +1,192 @@
+/**
+ * Jobs on the owners of their home shards, over gRPC.
+ *
+ * A job that names its zone lives in a shard of that zone, chosen by its name; any other lives in a shard of the cluster,
+ * chosen by its name. The choice is the same in each operator process, so that a repeated submission finds the job.
+ */
+import type { SchedulerClients, ShardClient } from "@waxwingroute/cluster";
+import { createFailure, Err, getShardZone, Ok, toId } from "@waxwingroute/core";
+import type { Failure, Result, ShardId, ZoneId } from "@waxwingroute/core";
+import type { JobResource } from "@waxwingroute/resources";
+import { listShards, listZoneShards } from "@waxwingroute/settings";
+import type { Settings } from "@waxwingroute/settings";
+import { schedulerService } from "@waxwingroute/transport";
+import type { JobStatus as WireStatus, RpcStream } from "@waxwingroute/transport";
+import { createHash } from "node:crypto";
+import { match } from "ts-pattern";
+import { JobGateway } from "./types.js";
+import type { JobExplanation, JobQuery, JobStatus, JobWatch } from "./types.js";
+
+/** Longest wait for the owner of a shard, in milliseconds: a change of owner takes up to 5 seconds. */
+const callTimeoutMs = 8_000;
+/** Longest wait of a search over all shards, in milliseconds; shards of zones that are cut off are left out after it. */
+const searchTimeoutMs = 2_000;
+/** Wait before a watch of a shard is opened again, in milliseconds. */
+const watchRetryMs = 500;
+/** Overlap of a resumed watch in microseconds, for the difference of the hosts' wall clocks. */
+const resumeOverlap = 5_000_000;
+
+export interface RpcJobGatewayOptions {
+    readonly settings: Settings;
+    readonly shards: ShardClient;
+    readonly clients: SchedulerClients;
+}
+
+export class RpcJobGateway extends JobGateway {
+    constructor(private readonly options: RpcJobGatewayOptions) {
+        super();
+    }
+
+    async submit(job: JobResource): Promise<Result<JobStatus, Failure>> {
+        const { settings, shards } = this.options;
+        const { zone } = job.spec;
+        const candidates = zone === undefined ? listShards(settings) : listZoneShards(settings, toId<ZoneId>(zone));
+        const shard = chooseByName(candidates, job.name);
+        if (shard === undefined) {
+            return Err(createFailure("unknown-zone", `spec.zone: zone "${zone}" does not exist`, "notRun"));
+        }
+        const request = { shard, name: job.name, spec: JSON.stringify(job.spec), timeoutMs: callTimeoutMs };
+        const result = await shards.call(shard, schedulerService.submitJob, request, callTimeoutMs);
+        return result.map(toJobStatus).mapErr(toGatewayFailure);
+    }
+
+    async cancel(name: string): Promise<Result<JobStatus, Failure>> {
+        const found = await this.find(name);
+        if (!found.ok) {
+            return Err(found.val);
+        }
+        const { shard, job } = found.val;
+        const request = { shard, job };
+        const result = await this.options.shards.call(toId<ShardId>(shard), schedulerService.cancelJob, request, callTimeoutMs);
+        return result.map(toJobStatus).mapErr(toGatewayFailure);
+    }
+
+    async describe(name: string): Promise<Result<JobStatus, Failure>> {
+        return (await this.find(name)).map(toJobStatus);
+    }
+
+    async list({ team, after = "", limit }: JobQuery): Promise<Result<readonly JobStatus[], Failure>> {
+        const { settings, shards } = this.options;
+        const lists = await Promise.all(listShards(settings).map(shard =>
+            shards.call(shard, schedulerService.listJobs, { shard }, searchTimeoutMs)
+        ));
+        const failure = lists.find(list => list.err);
+        if (failure?.err === true && lists.every(list => list.err)) {
+            return Err(failure.val as Failure);
+        }
+        const jobs = lists.flatMap(list => list.ok ? list.val.jobs : [])
+            .filter(job => job.name > after && (team === undefined || job.team === team))
+            .sort((first, second) => first.name < second.name ? -1 : 1);
+        return Ok(jobs.slice(0, limit).map(toJobStatus));
+    }
+
+    async explain(name: string): Promise<Result<JobExplanation, Failure>> {
+        const found = await this.find(name);
+        if (!found.ok) {
+            return Err(found.val);
+        }
+        const { shard, job } = found.val;
+        const request = { shard, job };
+        const result = await this.options.shards.call(toId<ShardId>(shard), schedulerService.explainJob, request, callTimeoutMs);
+        return result
+            .map(({ reasons }) => ({ job: toJobStatus(found.val), reasons: reasons.map(toReason) }))
+            .mapErr(toGatewayFailure);
+    }
+
+    async watch({ team, from, onEvent, signal }: JobWatch): Promise<Result<void, Failure>> {
+        const start = from === undefined ? Date.now() * 1_000 : from - resumeOverlap;
+        await Promise.all(listShards(this.options.settings).map(shard =>
+            this.watchShard(shard, start, signal, status => {
+                if (team === undefined || status.team === team) {
+                    onEvent(toJobStatus(status));
+                }
+            })
+        ));
+        return Ok(undefined);
+    }
+
+    /** Follows one shard from owner to owner until the signal. */
+    private async watchShard(shard: ShardId, from: number, signal: AbortSignal, onStatus: (status: WireStatus) => void): Promise<void> {
+        let next = from;
+        while (!signal.aborted) {
+            const { shards, clients } = this.options;
+            const probe = await shards.call(shard, schedulerService.listJobs, { shard }, searchTimeoutMs);
+            const owner = shards.getLastOwner(shard);
+            const client = owner === undefined ? undefined : clients.get(owner);
+            if (probe.ok && client !== undefined) {
+                probe.val.jobs.filter(job => job.revision >= next).forEach(onStatus);
+                next = Math.max(next, ...probe.val.jobs.map(job => job.revision + 1));
+                await new Promise<void>(resolve => {
+                    const stream: RpcStream = client.openStream(schedulerService.watchJobs, { shard, from: next }, {
+                        onMessage: ({ status, sequence }) => {
+                            next = Math.max(next, sequence + 1);
+                            if (status !== undefined) {
+                                onStatus(status);
+                            }
+                        },
+                        onEnd: () => resolve(),
+                    });
+                    signal.addEventListener("abort", () => stream.cancel(), { once: true });
+                });
+            }
+            if (!signal.aborted) {
+                await new Promise(resolve => setTimeout(resolve, watchRetryMs));
+            }
+        }
+    }
+
+    /** Finds a job by name: first where a job without a zone lives, then everywhere. */
+    private async find(name: string): Promise<Result<WireStatus, Failure>> {
+        const { settings } = this.options;
+        const all = listShards(settings);
+        const likely = chooseByName(all, name);
+        const first = likely === undefined ? undefined : await this.describeIn(likely, name);
+        if (first?.ok === true) {
+            return first;
+        }
+        const others = await Promise.all(all.filter(shard => shard !== likely).map(shard => this.describeIn(shard, name)));
+        const found = others.find(result => result.ok);
+        const unreachable = [...first === undefined ? [] : [first], ...others]
+            .find(result => result.err && result.val.code !== "unknown-job");
+        return found ?? unreachable?.mapErr(toGatewayFailure) ?? Err(createFailure("not-found", `job "${name}" does not exist`, "notRun"));
+    }
+
+    private describeIn(shard: ShardId, name: string): Promise<Result<WireStatus, Failure>> {
+        const request = { shard, job: `${getShardZone(shard)}.${name}` };
+        return this.options.shards.call(shard, schedulerService.describeJob, request, searchTimeoutMs);
+    }
+}
+
+function chooseByName(shards: readonly ShardId[], name: string): ShardId | undefined {
+    const hash = createHash("sha256").update(name).digest().readUInt32BE();
+    return shards[hash % shards.length];
+}
+
+function toGatewayFailure(failure: Failure): Failure {
+    return match(failure.code)
+        .with("job-exists", () => ({ ...failure, code: "already-exists" }))
+        .with("unknown-job", () => ({ ...failure, code: "not-found" }))
+        .otherwise(() => failure);
+}
+
+function toReason(text: string): { readonly code: string; readonly message: string; } {
+    const separator = text.indexOf(": ");
+    return { code: text.slice(0, separator), message: text.slice(separator + 2) };
+}
+
+function toJobStatus(status: WireStatus): JobStatus {
+    const { name, team, kind, shard, waiting, starting, running, succeeded, failed, stopped, mayHaveRun, revision } = status;
+    const state = match(status.state)
+        .with("finished", () =>
+            mayHaveRun > 0 ? "mayHaveRun" as const : failed + stopped > 0 ? "failed" as const : "succeeded" as const)
+        .otherwise(other => other);
+    return {
+        name,
+        team,
+        kind: kind as JobStatus["kind"],
+        state,
+        shard,
+        tasks: { waiting, starting, running, succeeded, failed, stopped, mayHaveRun },
+        revision,
+    };
+}
--- a/packages/scheduler/src/job-events.ts
+++ b/packages/scheduler/src/job-events.ts
@@ -2,7 +2,7 @@
  * The newest steps in the lives of jobs, for operators' watches.
  */
 import type { JobId, TaskId, WorkerId } from "@waxwingroute/core";
-import type { JobEvent } from "@waxwingroute/transport";
+import type { JobEvent, JobStatus } from "@waxwingroute/transport";
 
 /** Events kept for watches that resume. */
 const maxEvents = 10_000;
@@ -19,13 +19,24 @@
 export class JobEvents {
     private readonly events: JobEvent[] = [];
     private readonly listeners = new Set<(event: JobEvent) => void>();
-    private nextSequence = 1;
+    private lastSequence = 0;
 
+    /** `getWallTime` gives milliseconds since 1970. */
     constructor(private readonly getWallTime: () => number) {}
 
-    add(step: JobStep): void {
+    /**
+     * Returns the number of the next step. Numbers follow the wall clock in microseconds, so that they go on rising when the
+     * shard changes its owner and are comparable between shards.
+     */
+    takeSequence(): number {
+        this.lastSequence = Math.max(this.lastSequence + 1, Math.floor(this.getWallTime() * 1_000));
+        return this.lastSequence;
+    }
+
+    /** Adds a step with the status of its job after it. */
+    add(step: JobStep, status: JobStatus): void {
         const event: JobEvent = {
-            sequence: this.nextSequence++,
+            sequence: status.revision,
             time: new Date(this.getWallTime()).toISOString(),
             ...step,
         };
@@ -34,7 +45,8 @@
         if (this.events.length > maxEvents * 1.1) {
             this.events.splice(0, this.events.length - maxEvents);
         }
-        this.listeners.forEach(listener => listener(event));
+        const eventWithStatus = { ...event, status };
+        this.listeners.forEach(listener => listener(eventWithStatus));
     }
 
     /** Sends the kept events from sequence `from` on, then each new one. Returns a function that ends the subscription. */
--- a/packages/scheduler/src/job-row.ts
+++ b/packages/scheduler/src/job-row.ts
@@ -31,6 +31,8 @@
     isCancelled = false;
     finishedState: string | undefined;
     unschedulableReason: string | undefined;
+    /** Number of the last step. */
+    revision = 0;
 
     constructor(readonly job: JobId, readonly name: string, readonly spec: JobSpec, readonly shard: ShardId) {
         this.states = new Uint8Array(spec.taskCount);
@@ -86,8 +88,10 @@
             starting: this.count(TaskState.Starting),
             running: this.count(TaskState.Running),
             succeeded: this.count(TaskState.Succeeded),
-            failed: this.count(TaskState.Failed) + this.count(TaskState.Stopped),
+            failed: this.count(TaskState.Failed),
+            stopped: this.count(TaskState.Stopped),
             mayHaveRun: this.count(TaskState.MayHaveRun),
+            revision: this.revision,
         };
     }
 }
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -14,6 +14,7 @@
 import type { JobStatus } from "@waxwingroute/transport";
 import { match } from "ts-pattern";
 import { JobEvents } from "./job-events.js";
+import type { JobStep } from "./job-events.js";
 import { getJobName, JobRow, TaskState } from "./job-row.js";
 import { OutcomeLog } from "./outcome-log.js";
 import type { ShardContext } from "./shard-context.js";
@@ -52,21 +53,42 @@
         return this.outcomes.hasPending || this.pendingJobs.size > 0;
     }
 
-    /** Adds the jobs of the journal. Tasks inside the window without an outcome become `Unsettled`. */
-    restoreJobs(journalJobs: Iterable<JournalJob>): void {
+    /**
+     * Adds the jobs of the journal. Tasks inside the window without an outcome become `Unsettled`.
+     *
+     * With `isComplete` false the records can lack the last ones before a store outage: jobs that are not safe to repeat
+     * then start nothing until `applyJournal`, because their windows may be larger than known.
+     */
+    restoreJobs(journalJobs: Iterable<JournalJob>, isComplete: boolean): void {
         for (const journalJob of journalJobs) {
-            const parsed = jobSpecSchema.safeParse(journalJob.spec);
-            if (!parsed.success) {
-                this.context.logger.write("error", "job in the journal cannot be read and is left alone", {
-                    job: journalJob.job,
-                    error: parsed.error.message,
-                });
-                continue;
+            const spec = this.readSpec(journalJob);
+            if (spec !== undefined) {
+                this.restoreJob(journalJob, spec, isComplete);
             }
-            this.restoreJob(journalJob, parsed.data);
         }
     }
 
+    /** Takes a journal that could be opened only after a takeover without the store, and catches up with it. */
+    applyJournal(journal: Journal): void {
+        this.journal = journal;
+        for (const journalJob of journal.getJobs().values()) {
+            const row = this.jobs.get(journalJob.job);
+            const spec = this.readSpec(journalJob);
+            if (row !== undefined) {
+                this.catchUp(row, journalJob);
+            }
+            else if (spec !== undefined) {
+                this.restoreJob(journalJob, spec, true);
+            }
+        }
+        this.finishEndedJobs();
+    }
+
+    /** Writes the end of jobs that ended while their end could not be committed. */
+    finishEndedJobs(): void {
+        [...this.jobs.values()].forEach(row => this.finishIfEnded(row));
+    }
+
     /** Accepts a job; resolves after the commit. A repeated submission with the same content is accepted again. */
     async submitJob(job: JobId, spec: JobSpec): Promise<Result<JobStatus, Failure>> {
         const known = this.jobs.get(job);
@@ -109,7 +131,7 @@
         }
         row.isCancelled = true;
         this.engine.cancelJob(job);
-        this.events.add({ event: "cancelled", job });
+        this.addStep(row, { event: "cancelled", job });
         this.context.logger.write("info", "job cancelled", { job });
         this.finishIfEnded(row);
         return Ok(row.toStatus());
@@ -208,22 +230,26 @@
         }
     }
 
-    private restoreJob({ job, spec: _, startedThrough, outcomes, cancelledAt, finished }: JournalJob, spec: JobSpec): void {
+    private readSpec({ job, spec }: JournalJob): JobSpec | undefined {
+        const parsed = jobSpecSchema.safeParse(spec);
+        if (!parsed.success) {
+            const error = parsed.error.message;
+            this.context.logger.write("error", "job in the journal cannot be read and is left alone", { job, error });
+        }
+        return parsed.data;
+    }
+
+    private restoreJob({ job, startedThrough, outcomes, cancelledAt, finished }: JournalJob, spec: JobSpec, isComplete: boolean): void {
         const row = new JobRow(job, getJobName(job), spec, this.context.shard);
         row.isCancelled = cancelledAt !== undefined;
         row.finishedState = finished?.state;
         this.jobs.set(job, row);
-        for (const [outcome, ranges] of Object.entries(outcomes)) {
-            for (const [first, last] of ranges ?? []) {
-                for (let index = first; index <= last; index++) {
-                    row.setState(index, stateOfOutcome[outcome as JournalOutcome]);
-                }
-            }
-        }
+        visitOutcomes(outcomes, (index, outcome) => row.setState(index, stateOfOutcome[outcome]));
         if (row.finishedState !== undefined) {
             return;
         }
-        this.addToEngine(job, spec, startedThrough, true);
+        const startable = isComplete ? startedThrough : row.isRepeatable ? spec.taskCount : 0;
+        this.addToEngine(job, spec, startable, true);
         const now = this.context.clock.getNow();
         for (let index = 0; index < spec.taskCount; index++) {
             const state = row.getState(index);
@@ -239,6 +265,27 @@
         }
     }
 
+    /** Applies what the journal has beyond an incomplete copy of it. */
+    private catchUp(row: JobRow, { job, startedThrough, outcomes, cancelledAt }: JournalJob): void {
+        const now = this.context.clock.getNow();
+        visitOutcomes(outcomes, (index, outcome) => {
+            if (row.getState(index) === TaskState.Waiting) {
+                row.setState(index, stateOfOutcome[outcome]);
+                this.engine.recordTaskEnded(now, toTaskId(job, index), "succeeded", false);
+            }
+        });
+        for (let index = 0; index < startedThrough && !row.isRepeatable; index++) {
+            if (row.getState(index) === TaskState.Waiting) {
+                this.recordOutcome(toTaskId(job, index), row, index, "mayHaveRun", () => undefined);
+            }
+        }
+        this.engine.markStartable(job, startedThrough);
+        if (cancelledAt !== undefined && !row.isCancelled) {
+            row.isCancelled = true;
+            this.engine.cancelJob(job);
+        }
+    }
+
     private addToEngine(job: JobId, spec: JobSpec, startedThrough: number, isRestored: boolean): Result<void, Failure> {
         const { clock } = this.context;
         const now = clock.getNow();
@@ -281,7 +328,7 @@
 
     private acceptPending(row: JobRow): void {
         if (this.pendingJobs.delete(row.job)) {
-            this.events.add({ event: "accepted", job: row.job, detail: `${row.spec.taskCount} tasks for team ${row.spec.team}` });
+            this.addStep(row, { event: "accepted", job: row.job, detail: `${row.spec.taskCount} tasks for team ${row.spec.team}` });
             this.context.logger.write("info", "job accepted", { job: row.job, team: row.spec.team, tasks: row.spec.taskCount });
         }
     }
@@ -360,17 +407,22 @@
         const state = row.isCancelled ? "cancelled" : row.count(TaskState.Succeeded) === row.spec.taskCount ? "succeeded" : "ended";
         row.finishedState = state;
         void this.journal.append({ kind: "jobFinished", job: row.job, state, at: this.context.clock.getWallTime() });
-        this.events.add({ event: "finished", job: row.job, detail: state });
+        this.addStep(row, { event: "finished", job: row.job, detail: state });
         this.context.logger.write("info", "job finished", { job: row.job, state });
     }
 
     private addEvent(event: "placed" | "started" | "ended" | "preempted", task: TaskId, worker: WorkerId | undefined, detail?: string): void {
-        const parsed = parseTaskId(task);
-        if (parsed !== undefined) {
-            this.events.add({ event, job: parsed.job, task, worker, detail });
+        const row = this.find(task)?.row;
+        if (row !== undefined) {
+            this.addStep(row, { event, job: row.job, task, worker, detail });
         }
     }
 
+    private addStep(row: JobRow, step: JobStep): void {
+        row.revision = this.events.takeSequence();
+        this.events.add(step, row.toStatus());
+    }
+
     private find(task: TaskId): { readonly row: JobRow; readonly index: number; } | undefined {
         const parsed = parseTaskId(task);
         const row = parsed === undefined ? undefined : this.jobs.get(parsed.job);
@@ -379,3 +431,13 @@
             : { row, index: parsed.index };
     }
 }
+
+function visitOutcomes(outcomes: JournalJob["outcomes"], visit: (index: number, outcome: JournalOutcome) => void): void {
+    for (const [outcome, ranges] of Object.entries(outcomes)) {
+        for (const [first, last] of ranges ?? []) {
+            for (let index = first; index <= last; index++) {
+                visit(index, outcome as JournalOutcome);
+            }
+        }
+    }
+}
--- a/packages/scheduler/src/shard-grants.ts
+++ b/packages/scheduler/src/shard-grants.ts
@@ -8,6 +8,7 @@
 import { GrantsDriver } from "@waxwingroute/grants";
 import type { GrantVector, TeamLimit, TeamUse } from "@waxwingroute/grants";
 import type { GrantDemand } from "@waxwingroute/placement";
+import type { Store } from "@waxwingroute/platform";
 import type { ShardContext, ShardRight } from "./shard-context.js";
 
 /** Part of a limit that is divided evenly among the shards. */
@@ -16,6 +17,7 @@
 export interface ShardGrantsOptions {
     readonly context: ShardContext;
     readonly right: ShardRight;
+    readonly store: Store;
     /** Number of shards in the cluster. */
     readonly shardCount: number;
     readonly onFenced: () => void;
@@ -34,11 +36,11 @@
     private isClosed = false;
 
     constructor(private readonly options: ShardGrantsOptions) {
-        const { context, right, onFenced } = options;
+        const { context, right, store, onFenced } = options;
         this.driver = new GrantsDriver({
             shard: context.shard,
             epoch: right.epoch,
-            store: context.store,
+            store,
             clock: context.clock,
             random: context.random,
             listUse: () => this.uses,
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -81,7 +81,7 @@
         this.refreshExecutors();
         await Promise.all([this.fleet.listAll(), this.listExecutors()]);
         this.teams.refresh();
-        this.tracker.restoreJobs(this.options.journalJobs);
+        this.tracker.restoreJobs(this.options.journalJobs, this.options.journal !== undefined);
         let adopted = 0;
         for (const link of this.fleet.links.values()) {
             for (const reported of link.lastReport?.tasks ?? []) {
@@ -89,6 +89,7 @@
             }
         }
         this.unsettled.collect();
+        this.tracker.finishEndedJobs();
         this.options.context.logger.write("info", "shard recovered", {
             shard: this.options.context.shard,
             epoch: this.options.right.epoch,
@@ -123,8 +124,9 @@
     }
 
     /** Takes a journal that could be opened only after the takeover. */
-    attachJournal(journal: Journal): void {
-        this.tracker.journal = journal;
+    applyJournal(journal: Journal): void {
+        this.tracker.applyJournal(journal);
+        this.unsettled.collect();
     }
 
     async execute(request: ExecuteRequest, signal?: AbortSignal): Promise<Result<ExecuteResponse, Failure>> {
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -5,11 +5,13 @@
 import type { Failure, HostId, IncarnationId, Result } from "@waxwingroute/core";
 import { RpcOwnershipPeers } from "@waxwingroute/cluster";
 import type { SchedulerClients } from "@waxwingroute/cluster";
-import { Journal } from "@waxwingroute/journal";
+import { Journal, readJournalJobs } from "@waxwingroute/journal";
+import type { JobTable } from "@waxwingroute/journal";
 import { OwnershipDriver } from "@waxwingroute/ownership";
 import { listShards, listZoneHosts } from "@waxwingroute/settings";
 import { getShardZone } from "@waxwingroute/core";
 import type { ShardStatus } from "@waxwingroute/transport";
+import { MirrorStore } from "./mirror-store.js";
 import type { ShardContext, ShardRight } from "./shard-context.js";
 import { ShardGrants } from "./shard-grants.js";
 import { ShardOwner } from "./shard-owner.js";
@@ -31,6 +33,7 @@
 
 export class ShardRunner {
     readonly ownership: OwnershipDriver;
+    private readonly mirror: MirrorStore;
     private active: ActiveOwner | undefined;
     private generation: number | undefined;
     private isStopping = false;
@@ -38,6 +41,12 @@
     constructor(private readonly options: ShardRunnerOptions) {
         const { context, clients, incarnation } = options;
         const { shard, host, settings, store, clock } = context;
+        this.mirror = new MirrorStore({
+            store,
+            clock,
+            prefixes: [`journal/${shard}/`, "grants/"],
+            isWanted: () => this.ownership.getState().known?.record.successor === host,
+        });
         this.ownership = new OwnershipDriver({
             shard,
             self: host,
@@ -57,6 +66,7 @@
 
     start(): void {
         this.ownership.start();
+        this.mirror.start();
     }
 
     /** Returns the owner object if this host may serve the shard now. */
@@ -103,6 +113,7 @@
             logger.write("info", "shard handed over", { shard, isTaken });
         }
         this.active?.grants.close();
+        this.mirror.stop();
         this.ownership.stop();
     }
 
@@ -116,17 +127,21 @@
         logger.write("info", "right gained", { shard, epoch, basis, waitMs });
         const gainedAt = clock.getNow();
         const right: ShardRight = { generation, epoch, canPlace: () => this.generation === generation && this.ownership.canPlace() };
-        const journal = await this.openJournal(generation, epoch);
-        if (this.generation !== generation || journal === undefined) {
+        // A takeover without the store starts from the copy; the journal follows when the store answers again.
+        const copy = basis === "solo" ? await this.readJournalCopy() : undefined;
+        const journal = copy === undefined ? await this.openJournal(generation, epoch) : undefined;
+        const jobs = copy ?? journal?.getJobs();
+        if (this.generation !== generation || jobs === undefined) {
             return;
         }
         const grants = new ShardGrants({
             context,
             right,
+            store: this.mirror,
             shardCount: listShards(context.settings).length,
             onFenced: () => this.lose(generation, "grants fenced"),
         });
-        const owner = new ShardOwner({ context, right, grants, journal, journalJobs: journal.getJobs().values() });
+        const owner = new ShardOwner({ context, right, grants, journal, journalJobs: jobs.values() });
         this.active = { right, owner, grants };
         void grants.open();
         await this.awaitCatalog(generation);
@@ -136,6 +151,22 @@
             const isPlacing = this.ownership.completeRecovery(generation);
             logger.write("info", "shard in service", { shard, epoch, isPlacing, durationMs: Math.round(clock.getNow() - gainedAt) });
         }
+        if (journal === undefined) {
+            const opened = await this.openJournal(generation, epoch);
+            if (opened !== undefined && this.generation === generation) {
+                owner.applyJournal(opened);
+                logger.write("info", "journal reached after a takeover without the store", { shard, epoch });
+            }
+        }
+    }
+
+    private async readJournalCopy(): Promise<JobTable | undefined> {
+        const { shard, logger } = this.options.context;
+        const read = await readJournalJobs(this.mirror, shard);
+        if (read.err) {
+            logger.write("warn", "no copy of the journal", { shard, code: read.val.code, error: read.val.message });
+        }
+        return read.ok ? read.val : undefined;
     }
 
     private lose(generation: number, reason: string): void {
--- a/packages/scheduler/src/unsettled-tasks.ts
+++ b/packages/scheduler/src/unsettled-tasks.ts
@@ -4,10 +4,9 @@
  * They are settled when a worker reports them, when every worker has answered, or when the longest lease they can have has
  * run out. Until then they hold capacity on a worker that does not answer, so that the shard is not filled twice.
  */
-import { parseTaskId, toTaskId } from "@waxwingroute/core";
+import { toId, toTaskId } from "@waxwingroute/core";
 import type { TaskId, TeamId } from "@waxwingroute/core";
 import type { PlacementEngine } from "@waxwingroute/placement";
-import { toId } from "@waxwingroute/core";
 import { TaskState } from "./job-row.js";
 import type { JobTracker } from "./job-tracker.js";
 import type { ShardContext } from "./shard-context.js";
@@ -41,8 +40,8 @@
                 continue;
             }
             for (let index = 0; index < row.spec.taskCount; index++) {
-                if (row.getState(index) === TaskState.Unsettled && holder !== undefined) {
-                    const task = toTaskId(row.job, index);
+                const task = toTaskId(row.job, index);
+                if (row.getState(index) === TaskState.Unsettled && holder !== undefined && !this.tasks.has(task)) {
                     this.tasks.add(task);
                     this.engine.adoptTask(this.collectedAt, {
                         task,
@@ -76,9 +75,7 @@
         }
         for (const task of [...this.tasks]) {
             this.tasks.delete(task);
-            if (parseTaskId(task) !== undefined) {
-                this.tracker.recordLost(task, undefined, "no worker runs it after the shard changed its owner");
-            }
+            this.tracker.recordLost(task, undefined, "no worker runs it after the shard changed its owner");
         }
     }
 
--- a/packages/transport/src/services/scheduler-service.ts
+++ b/packages/transport/src/services/scheduler-service.ts
@@ -44,14 +44,18 @@
     running: z.number(),
     succeeded: z.number(),
     failed: z.number(),
+    stopped: z.number(),
     /** Tasks that may have run and that the system does not start again by itself. */
     mayHaveRun: z.number(),
+    /** Rises with each change of the job; comparable between shards to the accuracy of the hosts' wall clocks. */
+    revision: z.number(),
 });
 
 export type JobStatus = z.infer<typeof jobStatusSchema>;
 
 /** One step in the life of a job or task. */
 export const jobEventSchema = z.object({
+    /** Rises with each event of a shard, also when the shard changes its owner. */
     sequence: z.number(),
     time: z.string(),
     job: z.string(),
@@ -59,6 +63,8 @@
     task: z.string().optional(),
     worker: z.string().optional(),
     detail: z.string().optional(),
+    /** The job after the step; absent in kept events that a watch replays. */
+    status: jobStatusSchema.optional(),
 });
 
 export type JobEvent = z.infer<typeof jobEventSchema>;
--- a/scripts/make-layouts.js
+++ b/scripts/make-layouts.js
@@ -26,22 +26,30 @@
             }],
         })),
     };
+    const controlPort = takePort();
+    const countInZone = (total, index) => Math.floor(total / zones.length) + (index < total % zones.length ? 1 : 0);
+    const takePorts = count => {
+        const first = port;
+        port += count;
+        return first;
+    };
     const standIns = {
-        store: { port: storePort },
-        hostList: { port: hostListPort },
-        workers: Array.from({ length: workers }, (_, index) => ({
-            worker: `worker-${index + 1}`,
-            zone: zones[index % zones.length],
-            rack: `${zones[index % zones.length]}-rack-${Math.floor(index / zones.length / 8) + 1}`,
-            port: takePort(),
-            capacity: { cpuMillis: cores * 1000, memoryMb, accelerators: 0 },
-        })),
-        executors: Array.from({ length: executors }, (_, index) => ({
-            executor: `executor-${index + 1}`,
-            zone: zones[index % zones.length],
-            port: takePort(),
-            slots: 8,
-            connections: 64,
+        ports: { store: storePort, hostList: hostListPort, control: controlPort },
+        hostListLagMs: 2_000,
+        zones: zones.map((zone, index) => ({
+            zone,
+            workers: {
+                count: countInZone(workers, index),
+                firstPort: takePorts(countInZone(workers, index)),
+                perRack: 8,
+                capacity: { cpuMillis: cores * 1_000, memoryMb, accelerators: 0 },
+            },
+            executors: {
+                count: countInZone(executors, index),
+                firstPort: takePorts(countInZone(executors, index)),
+                slots: 8,
+                connections: 64,
+            },
         })),
     };
     return { settings, standIns };
