--- a/packages/cluster/src/ownership-service.ts
+++ b/packages/cluster/src/ownership-service.ts
@@ -86,7 +86,9 @@
 
 /** Adds the shard that a message is about. */
 function createShardMessage<T>(message: z.ZodType<T>): z.ZodType<{ readonly shard: string; readonly message: T; }> {
-    return z.object({ shard: z.string(), message }) as unknown as z.ZodType<{ readonly shard: string; readonly message: T; }>;
+    return z.object({ shard: z.string(), message }) as unknown as z.ZodType<
+        { readonly shard: string; readonly message: T; }
+    >;
 }
 
 export const ownershipService = {
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -45,8 +45,18 @@
     const command = defineCommand({
         meta: { name: options.program, version, description: options.description },
         args: {
-            settings: { type: "string", required: true, description: "path of the settings file (JSON)", valueHint: "file" },
-            host: { type: "string", required: true, description: "name of this entry host in the settings", valueHint: "name" },
+            settings: {
+                type: "string",
+                required: true,
+                description: "path of the settings file (JSON)",
+                valueHint: "file",
+            },
+            host: {
+                type: "string",
+                required: true,
+                description: "name of this entry host in the settings",
+                valueHint: "name",
+            },
             check: { type: "boolean", default: false, description: "check the settings and exit" },
         },
         run: async ({ args }) => {
@@ -96,7 +106,11 @@
             { name: "health endpoints", run: () => health.close() },
             { name: "metrics", run: () => metrics.close() },
         ];
-        installGracefulShutdown({ logger, boundMs: settings.shutdown.boundMs, steps: [...daemon.shutdownSteps, ...closing] });
+        installGracefulShutdown({
+            logger,
+            boundMs: settings.shutdown.boundMs,
+            steps: [...daemon.shutdownSteps, ...closing],
+        });
     }
     catch (error) {
         logger.write("error", "program cannot start", { error: String(error) });
@@ -105,7 +119,9 @@
         process.exit(exitCodes.failed);
     }
     process.on("unhandledRejection", reason => {
-        logger.write("error", "unhandled rejection", { error: reason instanceof Error ? reason.stack : String(reason) });
+        logger.write("error", "unhandled rejection", {
+            error: reason instanceof Error ? reason.stack : String(reason),
+        });
     });
     logger.write("info", "program started", { version, pid: process.pid });
 }
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -39,7 +39,14 @@
         whenStale: settings.keys.whenStale,
         shutdownMs: settings.shutdown.boundMs / 2,
         onWrite: ({ method, path, client, status, failure }) =>
-            logger.write("info", "operator write", { method, path, client, status, code: failure?.code, verdict: failure?.verdict }),
+            logger.write("info", "operator write", {
+                method,
+                path,
+                client,
+                status,
+                code: failure?.code,
+                verdict: failure?.verdict,
+            }),
         onError: error => logger.write("error", "request failed", { error: String(error) }),
     });
     driver.start();
@@ -56,7 +63,8 @@
                 },
             },
         ],
-        listProblems: () => driver.isReady ? [] : ["the configuration is not loaded: no scheduler of the zone has answered"],
+        listProblems: () =>
+            driver.isReady ? [] : ["the configuration is not loaded: no scheduler of the zone has answered"],
         describeStatus: () => ({ revision: replica.revision }),
     };
 }
--- a/packages/operator/src/rpc-cluster-gateway.ts
+++ b/packages/operator/src/rpc-cluster-gateway.ts
@@ -33,14 +33,18 @@
     async forceRelease(shard: ShardId, reason: string): Promise<Result<number, Failure>> {
         const { settings, clients } = this.options;
         const hosts = listZoneHosts(settings, getShardZone(shard));
-        const results = await Promise.all(hosts.map(({ host }) =>
-            clients.call(host, schedulerService.forceRelease, { shard, reason }, callTimeoutMs)
-        ));
+        const results = await Promise.all(
+            hosts.map(({ host }) =>
+                clients.call(host, schedulerService.forceRelease, { shard, reason }, callTimeoutMs)
+            ),
+        );
         if (!results.some(result => result.ok)) {
             const [failure] = results.flatMap(result => result.err ? [result.val] : []);
             return Err(failure ?? createFailure("not-found", `shard "${shard}" does not exist`, "notRun"));
         }
-        const statuses = await Promise.all(hosts.map(({ host }) => clients.call(host, schedulerService.describeShards, {}, callTimeoutMs)));
+        const statuses = await Promise.all(
+            hosts.map(({ host }) => clients.call(host, schedulerService.describeShards, {}, callTimeoutMs)),
+        );
         const epochs = statuses.flatMap(status =>
             status.ok ? status.val.shards.filter(other => other.shard === shard).map(other => other.epoch) : []
         );
--- a/packages/operator/src/rpc-job-gateway.ts
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -57,7 +57,12 @@
         }
         const { shard, job } = found.val;
         const request = { shard, job };
-        const result = await this.options.shards.call(toId<ShardId>(shard), schedulerService.cancelJob, request, callTimeoutMs);
+        const result = await this.options.shards.call(
+            toId<ShardId>(shard),
+            schedulerService.cancelJob,
+            request,
+            callTimeoutMs,
+        );
         return result.map(toJobStatus).mapErr(toGatewayFailure);
     }
 
@@ -67,9 +72,11 @@
 
     async list({ team, after = "", limit }: JobQuery): Promise<Result<readonly JobStatus[], Failure>> {
         const { settings, shards } = this.options;
-        const lists = await Promise.all(listShards(settings).map(shard =>
-            shards.call(shard, schedulerService.listJobs, { shard }, searchTimeoutMs)
-        ));
+        const lists = await Promise.all(
+            listShards(settings).map(shard =>
+                shards.call(shard, schedulerService.listJobs, { shard }, searchTimeoutMs)
+            ),
+        );
         const failure = lists.find(list => list.err);
         if (failure?.err === true && lists.every(list => list.err)) {
             return Err(failure.val as Failure);
@@ -87,7 +94,12 @@
         }
         const { shard, job } = found.val;
         const request = { shard, job };
-        const result = await this.options.shards.call(toId<ShardId>(shard), schedulerService.explainJob, request, callTimeoutMs);
+        const result = await this.options.shards.call(
+            toId<ShardId>(shard),
+            schedulerService.explainJob,
+            request,
+            callTimeoutMs,
+        );
         return result
             .map(({ reasons }) => ({ job: toJobStatus(found.val), reasons: reasons.map(toReason) }))
             .mapErr(toGatewayFailure);
@@ -95,18 +107,25 @@
 
     async watch({ team, from, onEvent, signal }: JobWatch): Promise<Result<void, Failure>> {
         const start = from === undefined ? Date.now() * 1_000 : from - resumeOverlap;
-        await Promise.all(listShards(this.options.settings).map(shard =>
-            this.watchShard(shard, start, signal, status => {
-                if (team === undefined || status.team === team) {
-                    onEvent(toJobStatus(status));
-                }
-            })
-        ));
+        await Promise.all(
+            listShards(this.options.settings).map(shard =>
+                this.watchShard(shard, start, signal, status => {
+                    if (team === undefined || status.team === team) {
+                        onEvent(toJobStatus(status));
+                    }
+                })
+            ),
+        );
         return Ok(undefined);
     }
 
     /** Follows one shard from owner to owner until the signal. */
-    private async watchShard(shard: ShardId, from: number, signal: AbortSignal, onStatus: (status: WireStatus) => void): Promise<void> {
+    private async watchShard(
+        shard: ShardId,
+        from: number,
+        signal: AbortSignal,
+        onStatus: (status: WireStatus) => void,
+    ): Promise<void> {
         let next = from;
         while (!signal.aborted) {
             const { shards, clients } = this.options;
@@ -144,11 +163,14 @@
         if (first?.ok === true) {
             return first;
         }
-        const others = await Promise.all(all.filter(shard => shard !== likely).map(shard => this.describeIn(shard, name)));
+        const others = await Promise.all(
+            all.filter(shard => shard !== likely).map(shard => this.describeIn(shard, name)),
+        );
         const found = others.find(result => result.ok);
         const unreachable = [...first === undefined ? [] : [first], ...others]
             .find(result => result.err && result.val.code !== "unknown-job");
-        return found ?? unreachable?.mapErr(toGatewayFailure) ?? Err(createFailure("not-found", `job "${name}" does not exist`, "notRun"));
+        return found ?? unreachable?.mapErr(toGatewayFailure)
+            ?? Err(createFailure("not-found", `job "${name}" does not exist`, "notRun"));
     }
 
     private describeIn(shard: ShardId, name: string): Promise<Result<WireStatus, Failure>> {
@@ -175,10 +197,18 @@
 }
 
 function toJobStatus(status: WireStatus): JobStatus {
-    const { name, team, kind, shard, waiting, starting, running, succeeded, failed, stopped, mayHaveRun, revision } = status;
+    const { name, team, kind, shard, waiting, starting, running, succeeded, failed, stopped, mayHaveRun, revision } =
+        status;
     const state = match(status.state)
-        .with("finished", () =>
-            mayHaveRun > 0 ? "mayHaveRun" as const : failed + stopped > 0 ? "failed" as const : "succeeded" as const)
+        .with(
+            "finished",
+            () =>
+                mayHaveRun > 0
+                    ? "mayHaveRun" as const
+                    : failed + stopped > 0
+                    ? "failed" as const
+                    : "succeeded" as const,
+        )
         .otherwise(other => other);
     return {
         name,
--- a/packages/scheduler/src/endpoint-catalog.ts
+++ b/packages/scheduler/src/endpoint-catalog.ts
@@ -63,7 +63,9 @@
     }
 
     listExecutors(shard: ShardId): readonly CatalogEntry<ExecutorAddress>[] {
-        return [...this.executors.values()].filter(({ address }) => this.options.chooseShard(address.executor) === shard);
+        return [...this.executors.values()].filter(({ address }) =>
+            this.options.chooseShard(address.executor) === shard
+        );
     }
 
     private async poll(): Promise<void> {
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -101,7 +101,14 @@
             return Err(createFailure("job-pending", `job "${job}" is being accepted; ask again`, "mayHaveRun", 500));
         }
         if (this.journal === undefined) {
-            return Err(createFailure("store-unavailable", "jobs cannot be made durable while the store is down", "notRun", 1_000));
+            return Err(
+                createFailure(
+                    "store-unavailable",
+                    "jobs cannot be made durable while the store is down",
+                    "notRun",
+                    1_000,
+                ),
+            );
         }
         const submitted = this.addToEngine(job, spec, 0, false);
         if (!submitted.ok) {
@@ -123,7 +130,14 @@
             return Ok(row.toStatus());
         }
         if (this.journal === undefined) {
-            return Err(createFailure("store-unavailable", "the cancellation cannot be made durable while the store is down", "notRun", 1_000));
+            return Err(
+                createFailure(
+                    "store-unavailable",
+                    "the cancellation cannot be made durable while the store is down",
+                    "notRun",
+                    1_000,
+                ),
+            );
         }
         const result = await this.journal.append({ kind: "jobCancelled", job, at: this.context.clock.getWallTime() });
         if (result.err) {
@@ -239,7 +253,11 @@
         return parsed.data;
     }
 
-    private restoreJob({ job, startedThrough, outcomes, cancelledAt, finished }: JournalJob, spec: JobSpec, isComplete: boolean): void {
+    private restoreJob(
+        { job, startedThrough, outcomes, cancelledAt, finished }: JournalJob,
+        spec: JobSpec,
+        isComplete: boolean,
+    ): void {
         const row = new JobRow(job, getJobName(job), spec, this.context.shard);
         row.isCancelled = cancelledAt !== undefined;
         row.finishedState = finished?.state;
@@ -328,8 +346,16 @@
 
     private acceptPending(row: JobRow): void {
         if (this.pendingJobs.delete(row.job)) {
-            this.addStep(row, { event: "accepted", job: row.job, detail: `${row.spec.taskCount} tasks for team ${row.spec.team}` });
-            this.context.logger.write("info", "job accepted", { job: row.job, team: row.spec.team, tasks: row.spec.taskCount });
+            this.addStep(row, {
+                event: "accepted",
+                job: row.job,
+                detail: `${row.spec.taskCount} tasks for team ${row.spec.team}`,
+            });
+            this.context.logger.write("info", "job accepted", {
+                job: row.job,
+                team: row.spec.team,
+                tasks: row.spec.taskCount,
+            });
         }
     }
 
@@ -390,7 +416,13 @@
         this.finishIfEnded(row);
     }
 
-    private recordOutcome(task: TaskId, row: JobRow, index: number, outcome: JournalOutcome, onCommitted: () => void): void {
+    private recordOutcome(
+        task: TaskId,
+        row: JobRow,
+        index: number,
+        outcome: JournalOutcome,
+        onCommitted: () => void,
+    ): void {
         row.setState(index, stateOfOutcome[outcome]);
         const ended = outcome === "mayHaveRun" ? "leaseExpired" : outcome;
         this.engine.recordTaskEnded(this.context.clock.getNow(), task, ended, false);
@@ -404,14 +436,23 @@
         if (!row.hasEnded || row.finishedState !== undefined || this.journal === undefined) {
             return;
         }
-        const state = row.isCancelled ? "cancelled" : row.count(TaskState.Succeeded) === row.spec.taskCount ? "succeeded" : "ended";
+        const state = row.isCancelled
+            ? "cancelled"
+            : row.count(TaskState.Succeeded) === row.spec.taskCount
+            ? "succeeded"
+            : "ended";
         row.finishedState = state;
         void this.journal.append({ kind: "jobFinished", job: row.job, state, at: this.context.clock.getWallTime() });
         this.addStep(row, { event: "finished", job: row.job, detail: state });
         this.context.logger.write("info", "job finished", { job: row.job, state });
     }
 
-    private addEvent(event: "placed" | "started" | "ended" | "preempted", task: TaskId, worker: WorkerId | undefined, detail?: string): void {
+    private addEvent(
+        event: "placed" | "started" | "ended" | "preempted",
+        task: TaskId,
+        worker: WorkerId | undefined,
+        detail?: string,
+    ): void {
         const row = this.find(task)?.row;
         if (row !== undefined) {
             this.addStep(row, { event, job: row.job, task, worker, detail });
@@ -432,7 +473,10 @@
     }
 }
 
-function visitOutcomes(outcomes: JournalJob["outcomes"], visit: (index: number, outcome: JournalOutcome) => void): void {
+function visitOutcomes(
+    outcomes: JournalJob["outcomes"],
+    visit: (index: number, outcome: JournalOutcome) => void,
+): void {
     for (const [outcome, ranges] of Object.entries(outcomes)) {
         for (const [first, last] of ranges ?? []) {
             for (let index = first; index <= last; index++) {
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -2,7 +2,7 @@
 /**
  * The program `waxwing-scheduler`.
  */
-import { createRelay, SchedulerClients } from "@waxwingroute/cluster";
+import { createRelay, RpcOwnershipPeers, SchedulerClients } from "@waxwingroute/cluster";
 import { SystemClock, SystemRandom, toId } from "@waxwingroute/core";
 import type { IncarnationId, ShardId } from "@waxwingroute/core";
 import { runDaemon } from "@waxwingroute/daemon";
@@ -22,7 +22,7 @@
     start: startScheduler,
 });
 
-async function startScheduler({ settings, place, logger, metrics }: DaemonContext): Promise<RunningDaemon> {
+async function startScheduler({ settings, place, logger }: DaemonContext): Promise<RunningDaemon> {
     const clock = new SystemClock();
     const random = new SystemRandom();
     const store = new HttpStore({ url: settings.store.url, timeoutMs: settings.store.timeoutMs, source: place.host });
@@ -45,7 +45,8 @@
         pollMs: settings.hostList.pollMs,
         chooseShard: endpoint => chooseEndpointShard(settings, place.zone, endpoint),
         onChange: () => runners.forEach(runner => runner.refreshEndpoints()),
-        onFailure: failure => logger.write("warn", "host list unavailable", { code: failure.code, error: failure.message }),
+        onFailure: failure =>
+            logger.write("warn", "host list unavailable", { code: failure.code, error: failure.message }),
     });
     const server = new RpcServer({ address: getSchedulerAddress(place) });
     installSchedulerServices(server, {
@@ -67,12 +68,11 @@
             random,
             store,
             logger,
-            metrics,
             catalog,
             endpoints,
             configuration: replica.view,
         };
-        runners.set(shard, new ShardRunner({ context, clients, incarnation }));
+        runners.set(shard, new ShardRunner({ context, incarnation, peers: new RpcOwnershipPeers({ clients, shard }) }));
     }
     replica.subscribe(() => runners.forEach(runner => runner.refreshEndpoints()));
     driver.start();
@@ -84,7 +84,9 @@
             {
                 name: "hand shards over",
                 run: async () => {
-                    await Promise.all([...runners.values()].map(runner => runner.shutdown(settings.shutdown.boundMs * 0.7)));
+                    await Promise.all(
+                        [...runners.values()].map(runner => runner.shutdown(settings.shutdown.boundMs * 0.7)),
+                    );
                 },
             },
             {
--- a/packages/scheduler/src/mirror-store.ts
+++ b/packages/scheduler/src/mirror-store.ts
@@ -80,7 +80,9 @@
         return this.options.store.watch(prefix, revision, waitMs);
     }
 
-    readToken(key: string): Promise<Result<{ readonly token: WriterToken; readonly revision: number; } | undefined, Failure>> {
+    readToken(
+        key: string,
+    ): Promise<Result<{ readonly token: WriterToken; readonly revision: number; } | undefined, Failure>> {
         return this.options.store.readToken(key);
     }
 
@@ -108,7 +110,11 @@
     }
 
     private async update(mirror: Mirror): Promise<Result<void, Failure>> {
-        const watched = await this.options.store.watch(mirror.prefix, mirror.revision, this.options.watchWaitMs ?? 10_000);
+        const watched = await this.options.store.watch(
+            mirror.prefix,
+            mirror.revision,
+            this.options.watchWaitMs ?? 10_000,
+        );
         if (watched.err) {
             return Err(watched.val);
         }
--- a/packages/scheduler/src/outcome-log.ts
+++ b/packages/scheduler/src/outcome-log.ts
@@ -54,7 +54,12 @@
     private async commit(journal: Journal, batch: OutcomeBatch): Promise<void> {
         this.pendingCommits++;
         const { job, outcome } = batch;
-        const result = await journal.append({ kind: "outcomesRecorded", job, outcome, ranges: toRanges(batch.indexes) });
+        const result = await journal.append({
+            kind: "outcomesRecorded",
+            job,
+            outcome,
+            ranges: toRanges(batch.indexes),
+        });
         this.pendingCommits--;
         if (result.ok) {
             batch.onCommitted.forEach(callback => callback());
--- a/packages/scheduler/src/scheduler-handlers.ts
+++ b/packages/scheduler/src/scheduler-handlers.ts
@@ -30,9 +30,16 @@
     });
 }
 
-function installSchedulerService(server: RpcServer, { host, runners, getRevision, logger }: SchedulerHandlersOptions): void {
-    const findOwner = (shard: string): Result<ShardOwner, Failure> => findRunner(runners, shard).andThen(runner => runner.findOwner());
-    const withOwner = async <T>(shard: string, run: (owner: ShardOwner) => Promise<Result<T, Failure>> | Result<T, Failure>) => {
+function installSchedulerService(
+    server: RpcServer,
+    { host, runners, getRevision, logger }: SchedulerHandlersOptions,
+): void {
+    const findOwner = (shard: string): Result<ShardOwner, Failure> =>
+        findRunner(runners, shard).andThen(runner => runner.findOwner());
+    const withOwner = async <T>(
+        shard: string,
+        run: (owner: ShardOwner) => Promise<Result<T, Failure>> | Result<T, Failure>,
+    ) => {
         const owner = findOwner(shard);
         return owner.ok ? run(owner.val) : Err(owner.val) as Result<T, Failure>;
     };
@@ -97,5 +104,7 @@
 
 function describeJob(owner: ShardOwner, job: string) {
     const row = owner.tracker.jobs.get(toId<JobId>(job));
-    return row === undefined ? Err(createFailure("unknown-job", `job "${job}" does not exist`, "notRun")) : Ok(row.toStatus());
+    return row === undefined
+        ? Err(createFailure("unknown-job", `job "${job}" does not exist`, "notRun"))
+        : Ok(row.toStatus());
 }
--- a/packages/scheduler/src/shard-context.ts
+++ b/packages/scheduler/src/shard-context.ts
@@ -2,10 +2,10 @@
  * What the parts of a shard owner share.
  */
 import type { Clock, HostId, RandomSource, ShardId } from "@waxwingroute/core";
-import type { ExecutorAddress, Executor, Store, Worker, WorkerAddress } from "@waxwingroute/platform";
+import type { Executor, ExecutorAddress, Store, Worker, WorkerAddress } from "@waxwingroute/platform";
 import type { ConfigurationView } from "@waxwingroute/resources";
 import type { Settings } from "@waxwingroute/settings";
-import type { Logger, Metrics } from "@waxwingroute/telemetry";
+import type { LogWriter } from "@waxwingroute/telemetry";
 import type { EndpointCatalog } from "./endpoint-catalog.js";
 
 /** Opens access to endpoints; the programs use the HTTP adapters, tests use fakes. */
@@ -22,8 +22,7 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly store: Store;
-    readonly logger: Logger;
-    readonly metrics: Metrics;
+    readonly logger: LogWriter;
     readonly catalog: EndpointCatalog;
     readonly endpoints: EndpointAccess;
     /** The configuration in force. */
--- a/packages/scheduler/src/shard-grants.ts
+++ b/packages/scheduler/src/shard-grants.ts
@@ -45,7 +45,8 @@
             random: context.random,
             listUse: () => this.uses,
             onFenced,
-            onFailure: failure => context.logger.write("warn", "grants not updated", { code: failure.code, error: failure.message }),
+            onFailure: failure =>
+                context.logger.write("warn", "grants not updated", { code: failure.code, error: failure.message }),
         });
     }
 
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -162,10 +162,16 @@
             reasons.push(`${explanation.reason}: ${explanation.message}`);
         }
         if (row.count(TaskState.Unsettled) > 0) {
-            reasons.push(`unsettled: ${row.count(TaskState.Unsettled)} tasks may still run on workers that do not answer`);
+            reasons.push(
+                `unsettled: ${row.count(TaskState.Unsettled)} tasks may still run on workers that do not answer`,
+            );
         }
         if (row.count(TaskState.MayHaveRun) > 0) {
-            reasons.push(`mayHaveRun: ${row.count(TaskState.MayHaveRun)} tasks may have run; they are not started again, because the job is not safeToRepeat`);
+            reasons.push(
+                `mayHaveRun: ${
+                    row.count(TaskState.MayHaveRun)
+                } tasks may have run; they are not started again, because the job is not safeToRepeat`,
+            );
         }
         return Ok(reasons);
     }
@@ -209,7 +215,14 @@
             return;
         }
         this.tracker.recordPlaced(task, worker, reason);
-        context.logger.write("info", "task placed", { task, team, worker, reason, rejectedWorkers: rejectedCount, epoch: right.epoch });
+        context.logger.write("info", "task placed", {
+            task,
+            team,
+            worker,
+            reason,
+            rejectedWorkers: rejectedCount,
+            epoch: right.epoch,
+        });
         const result = await this.fleet.start(link, {
             task,
             team,
@@ -250,7 +263,11 @@
     }
 
     /** Repeats a call that has the same effect when repeated, until the worker took it or the task ended. */
-    private async repeatUntilTaken(call: () => Promise<Result<void, Failure>>, task: TaskId, link: WorkerLink): Promise<void> {
+    private async repeatUntilTaken(
+        call: () => Promise<Result<void, Failure>>,
+        task: TaskId,
+        link: WorkerLink,
+    ): Promise<void> {
         while (link.tasks.has(task) && this.options.right.canPlace()) {
             const result = await call();
             if (result.ok) {
@@ -292,7 +309,11 @@
             ? Err(createFailure("unknown-task", `"${task}" is not a task id`, "mayHaveRun"))
             : this.engine.adoptTask(now, { task, team, worker: link.worker, resources });
         if (!adopted.ok) {
-            this.options.context.logger.write("error", "running task cannot be adopted", { task, worker: link.worker, error: adopted.val.message });
+            this.options.context.logger.write("error", "running task cannot be adopted", {
+                task,
+                worker: link.worker,
+                error: adopted.val.message,
+            });
             return false;
         }
         this.fleet.adopt(link, task);
@@ -331,12 +352,14 @@
 
     private async listExecutors(): Promise<void> {
         const { catalog, shard, endpoints } = this.options.context;
-        await Promise.all(catalog.listExecutors(shard).map(async ({ address }) => {
-            const result = await endpoints.openExecutor(address).list();
-            if (result.ok) {
-                this.router.setRunning(address.executor, result.val.running as readonly AttemptId[]);
-            }
-        }));
+        await Promise.all(
+            catalog.listExecutors(shard).map(async ({ address }) => {
+                const result = await endpoints.openExecutor(address).list();
+                if (result.ok) {
+                    this.router.setRunning(address.executor, result.val.running as readonly AttemptId[]);
+                }
+            }),
+        );
     }
 
     private logRouting(decision: RouterDecision): void {
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -1,15 +1,13 @@
 /**
  * One shard on one host: takes part in its ownership, and runs a `ShardOwner` while this host holds the right.
  */
-import { createFailure, Err } from "@waxwingroute/core";
+import { createFailure, Err, getShardZone, Ok } from "@waxwingroute/core";
 import type { Failure, HostId, IncarnationId, Result } from "@waxwingroute/core";
-import { RpcOwnershipPeers } from "@waxwingroute/cluster";
-import type { SchedulerClients } from "@waxwingroute/cluster";
 import { Journal, readJournalJobs } from "@waxwingroute/journal";
 import type { JobTable } from "@waxwingroute/journal";
 import { OwnershipDriver } from "@waxwingroute/ownership";
+import type { OwnershipPeers } from "@waxwingroute/ownership";
 import { listShards, listZoneHosts } from "@waxwingroute/settings";
-import { getShardZone } from "@waxwingroute/core";
 import type { ShardStatus } from "@waxwingroute/transport";
 import { MirrorStore } from "./mirror-store.js";
 import type { ShardContext, ShardRight } from "./shard-context.js";
@@ -21,7 +19,7 @@
 
 export interface ShardRunnerOptions {
     readonly context: ShardContext;
-    readonly clients: SchedulerClients;
+    readonly peers: OwnershipPeers;
     readonly incarnation: IncarnationId;
 }
 
@@ -39,7 +37,7 @@
     private isStopping = false;
 
     constructor(private readonly options: ShardRunnerOptions) {
-        const { context, clients, incarnation } = options;
+        const { context, peers, incarnation } = options;
         const { shard, host, settings, store, clock } = context;
         this.mirror = new MirrorStore({
             store,
@@ -54,12 +52,18 @@
             hosts: listZoneHosts(settings, getShardZone(shard)).map(place => place.host),
             store,
             clock,
-            peers: new RpcOwnershipPeers({ clients, shard }),
+            peers,
             timings: settings.ownership,
             listener: {
-                onRightGained: ({ generation, epoch, basis, waitMs }) => void this.gain(generation, epoch, basis, waitMs),
+                onRightGained: ({ generation, epoch, basis, waitMs }) =>
+                    void this.gain(generation, epoch, basis, waitMs),
                 onRightLost: generation => this.lose(generation, "right lost"),
-                onFault: failure => context.logger.write("error", "ownership fault", { shard, code: failure.code, error: failure.message }),
+                onFault: failure =>
+                    context.logger.write("error", "ownership fault", {
+                        shard,
+                        code: failure.code,
+                        error: failure.message,
+                    }),
             },
         });
     }
@@ -73,10 +77,16 @@
     findOwner(): Result<ShardOwner, Failure> {
         const { shard } = this.options.context;
         if (this.active !== undefined && this.active.right.canPlace()) {
-            return { ok: true, err: false, val: this.active.owner } as Result<ShardOwner, Failure>;
+            return Ok(this.active.owner);
         }
         const owner: HostId | undefined = this.ownership.getKnownOwner();
-        return Err(createFailure("not-owner", `this host does not own shard "${shard}"; last known owner: ${owner ?? "none"}`, "notRun"));
+        return Err(
+            createFailure(
+                "not-owner",
+                `this host does not own shard "${shard}"; last known owner: ${owner ?? "none"}`,
+                "notRun",
+            ),
+        );
     }
 
     tick(now: number): void {
@@ -126,7 +136,11 @@
         this.generation = generation;
         logger.write("info", "right gained", { shard, epoch, basis, waitMs });
         const gainedAt = clock.getNow();
-        const right: ShardRight = { generation, epoch, canPlace: () => this.generation === generation && this.ownership.canPlace() };
+        const right: ShardRight = {
+            generation,
+            epoch,
+            canPlace: () => this.generation === generation && this.ownership.canPlace(),
+        };
         // A takeover without the store starts from the copy; the journal follows when the store answers again.
         const copy = basis === "solo" ? await this.readJournalCopy() : undefined;
         const journal = copy === undefined ? await this.openJournal(generation, epoch) : undefined;
@@ -149,7 +163,12 @@
         await clock.wait(Math.max(0, gainedAt + waitMs - clock.getNow()));
         if (this.generation === generation) {
             const isPlacing = this.ownership.completeRecovery(generation);
-            logger.write("info", "shard in service", { shard, epoch, isPlacing, durationMs: Math.round(clock.getNow() - gainedAt) });
+            logger.write("info", "shard in service", {
+                shard,
+                epoch,
+                isPlacing,
+                durationMs: Math.round(clock.getNow() - gainedAt),
+            });
         }
         if (journal === undefined) {
             const opened = await this.openJournal(generation, epoch);
@@ -192,12 +211,17 @@
                 clock,
                 random,
                 onFenced: () => this.lose(generation, "journal fenced"),
-                onCheckpointFailed: failure => logger.write("warn", "journal checkpoint failed", { shard, error: failure.message }),
+                onCheckpointFailed: failure =>
+                    logger.write("warn", "journal checkpoint failed", { shard, error: failure.message }),
             });
             if (opened.ok) {
                 return opened.val;
             }
-            logger.write("warn", "journal cannot be opened", { shard, code: opened.val.code, error: opened.val.message });
+            logger.write("warn", "journal cannot be opened", {
+                shard,
+                code: opened.val.code,
+                error: opened.val.message,
+            });
             await clock.wait(journalRetryMs);
         }
         return undefined;
@@ -212,7 +236,11 @@
     private describeMode(): string {
         const state = this.ownership.getState();
         if (state.right !== undefined) {
-            return state.right.isRecovering ? "recovering" : state.successor.solo !== undefined ? "solo" : state.owner?.basis ?? "store";
+            return state.right.isRecovering
+                ? "recovering"
+                : state.successor.solo !== undefined
+                ? "solo"
+                : state.owner?.basis ?? "store";
         }
         return state.successor.armed !== undefined ? "armed" : "standby";
     }
--- a/packages/scheduler/src/unsettled-tasks.ts
+++ b/packages/scheduler/src/unsettled-tasks.ts
@@ -34,7 +34,8 @@
     /** Collects the unsettled tasks of all restored jobs, after the workers' reports have been applied. */
     collect(): void {
         this.collectedAt = this.context.clock.getNow();
-        const holder = [...this.fleet.links.values()].find(link => !link.isReachable) ?? this.fleet.links.values().next().value;
+        const holder = [...this.fleet.links.values()].find(link => !link.isReachable)
+            ?? this.fleet.links.values().next().value;
         for (const row of this.tracker.jobs.values()) {
             if (row.count(TaskState.Unsettled) === 0) {
                 continue;
--- a/packages/scheduler/src/worker-fleet.ts
+++ b/packages/scheduler/src/worker-fleet.ts
@@ -186,7 +186,11 @@
     private expireTasks(link: WorkerLink, now: number): void {
         for (const placed of [...link.tasks.values()]) {
             if (!placed.isStartPending && now > placed.leaseSentAt + this.leaseBoundMs) {
-                this.listener.onTaskLost(placed.task, link, "the worker does not answer and the task's lease has run out");
+                this.listener.onTaskLost(
+                    placed.task,
+                    link,
+                    "the worker does not answer and the task's lease has run out",
+                );
             }
         }
     }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -4,6 +4,6 @@
 export { HealthServer } from "./health-server.js";
 export type { HealthServerOptions } from "./health-server.js";
 export { createLogger, Logger } from "./logger.js";
-export type { LogFields, LoggerOptions, LogLevel } from "./logger.js";
+export type { LogFields, LoggerOptions, LogLevel, LogWriter } from "./logger.js";
 export { Metrics } from "./metrics.js";
 export type { MetricsOptions } from "./metrics.js";
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -26,6 +26,11 @@
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** Where parts of a program write their log lines; tests use their own. */
+export interface LogWriter {
+    write(level: LogLevel, message: string, fields?: LogFields): void;
+}
+
 const levelOrder: readonly LogLevel[] = ["debug", "info", "warn", "error"];
 
 /** Largest batch in bytes; a larger one is written at once. */
@@ -40,7 +45,7 @@
  * logger.write("info", "request served", { queue: "orders", verdict: "ran", status: 200 });
  * ```
  */
-export class Logger {
+export class Logger implements LogWriter {
     private readonly lines: string[] = [];
     private bytes = 0;
     private timer: NodeJS.Timeout | undefined;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -7,4 +7,10 @@
 export { createStreamMethod, createUnaryMethod, failureSchema } from "./service.js";
 export type { StreamMethod, UnaryMethod } from "./service.js";
 export { jobEventSchema, jobStatusSchema, schedulerService, shardStatusSchema } from "./services/scheduler-service.js";
-export type { ExecuteRequest, ExecuteResponse, JobEvent, JobStatus, ShardStatus } from "./services/scheduler-service.js";
+export type {
+    ExecuteRequest,
+    ExecuteResponse,
+    JobEvent,
+    JobStatus,
+    ShardStatus,
+} from "./services/scheduler-service.js";
--- a/packages/transport/src/services/scheduler-service.ts
+++ b/packages/transport/src/services/scheduler-service.ts
@@ -93,7 +93,11 @@
         z.object({ shard: z.string(), name: z.string(), spec: z.string(), timeoutMs: z.number() }),
         jobStatusSchema,
     ),
-    cancelJob: createUnaryMethod("Scheduler/CancelJob", z.object({ shard: z.string(), job: z.string() }), jobStatusSchema),
+    cancelJob: createUnaryMethod(
+        "Scheduler/CancelJob",
+        z.object({ shard: z.string(), job: z.string() }),
+        jobStatusSchema,
+    ),
     describeJob: createUnaryMethod(
         "Scheduler/DescribeJob",
         z.object({ shard: z.string(), job: z.string() }),
