--- a/packages/cluster/src/shard-client.ts
+++ b/packages/cluster/src/shard-client.ts
@@ -45,18 +45,21 @@
     }
 
     /**
-     * Calls a method of the shard's owner and waits up to `timeoutMs`, also for an owner to appear. Fails with
-     * `no-owner` and the verdict `notRun` if no host of the zone owns the shard in that time.
+     * Calls a method of the shard's owner and waits up to `timeoutMs` for its answer, and up to `ownerWaitMs` for an owner to
+     * appear. Fails with `no-owner` and the verdict `notRun` if no host of the zone owns the shard in that time.
      */
     async call<Request, Response>(
         shard: ShardId,
         method: UnaryMethod<Request, Response>,
         request: Request,
         timeoutMs: number,
+        ownerWaitMs = timeoutMs,
     ): Promise<Result<Response, Failure>> {
-        const deadline = this.clock.getNow() + timeoutMs;
+        const startedAt = this.clock.getNow();
+        const deadline = startedAt + timeoutMs;
+        const ownerDeadline = startedAt + ownerWaitMs;
         let last = createFailure("no-owner", `no host of the zone owns shard "${shard}"`, "notRun");
-        while (this.clock.getNow() < deadline) {
+        while (this.clock.getNow() < ownerDeadline) {
             for (const host of this.listCandidates(shard)) {
                 const left = deadline - this.clock.getNow();
                 if (left <= 0) {
@@ -70,7 +73,7 @@
                 this.lastOwners.delete(shard);
                 last = createFailure("no-owner", `shard "${shard}" has no owner: ${result.val.message}`, "notRun");
             }
-            await this.clock.wait(Math.min(retryDelayMs, Math.max(1, deadline - this.clock.getNow())));
+            await this.clock.wait(Math.min(retryDelayMs, Math.max(1, ownerDeadline - this.clock.getNow())));
         }
         return Err(last);
     }
--- a/packages/core/src/verdict.ts
+++ b/packages/core/src/verdict.ts
@@ -5,6 +5,7 @@
  * safe.
  */
 import { match } from "ts-pattern";
+import type { RequestKey } from "./ids.js";
 
 /**
  * - `notRun`: the work did not run and will not run because of this attempt.
@@ -22,6 +23,8 @@
     readonly verdict: Verdict;
     /** Milliseconds after which another attempt may succeed, if known. */
     readonly retryAfterMs?: number;
+    /** Key under which the caller may ask again for the outcome of a request. */
+    readonly requestKey?: RequestKey;
 }
 
 /**
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,71 @@
+#!/usr/bin/env node
+/**
+ * The program `waxwing-entry`.
+ */
+import { createRelay, SchedulerClients, ShardClient } from "@waxwingroute/cluster";
+import { SystemClock } from "@waxwingroute/core";
+import { runDaemon } from "@waxwingroute/daemon";
+import type { DaemonContext, RunningDaemon } from "@waxwingroute/daemon";
+import { EntryServer } from "./entry-server.js";
+import { ReplicaAccessControl } from "./replica-access-control.js";
+import { RpcShardGateway } from "./rpc-shard-gateway.js";
+
+runDaemon({
+    program: "waxwing-entry",
+    description: "Takes requests from callers and routes them to executors.",
+    healthPort: "entryHealth",
+    start: startEntry,
+});
+
+async function startEntry({ settings, place, logger, metrics }: DaemonContext): Promise<RunningDaemon> {
+    const clock = new SystemClock();
+    const clients = new SchedulerClients({ settings });
+    const { replica, driver } = createRelay({
+        settings,
+        place,
+        clients,
+        onProblem: (code, message) => logger.write("warn", "configuration problem", { code, error: message }),
+    });
+    const { stalenessMs, whenStale } = settings.keys;
+    const server = new EntryServer({
+        clock,
+        gateway: new RpcShardGateway({ settings, zone: place.zone, clock, shards: new ShardClient({ settings, clients }) }),
+        access: new ReplicaAccessControl({ replica, stalenessMs, whenStale }),
+        host: place.settings.address,
+        port: place.settings.ports.entry,
+        maxBodyBytes: settings.entry.maxBodyBytes,
+        maxConnections: settings.entry.maxConnections,
+        onResult: ({ status, code, verdict, team, queue, requestKey, elapsedMs }) => {
+            logger.write("info", "request served", { status, code, verdict, team, queue, requestKey, elapsedMs: Math.round(elapsedMs * 10) / 10 });
+            metrics.increment("entry.requests", 1, { status: String(status), verdict });
+            metrics.recordTiming("entry.request_ms", elapsedMs);
+        },
+    });
+    driver.start();
+    await server.start();
+    let isStopping = false;
+    return {
+        shutdownSteps: [
+            {
+                name: "stop serving",
+                run: () => {
+                    isStopping = true;
+                    return server.stop(settings.shutdown.boundMs * 0.8);
+                },
+            },
+            {
+                name: "close connections",
+                run: async () => {
+                    driver.stop();
+                    clients.close();
+                },
+            },
+        ],
+        listProblems: () => [
+            ...driver.isReady ? [] : ["the configuration is not loaded: no scheduler of the zone has answered"],
+            ...driver.isReady && whenStale === "refuse" && !replica.isFresh(stalenessMs) ? ["the configuration is stale"] : [],
+            ...isStopping ? ["the program is stopping"] : [],
+        ],
+        describeStatus: () => ({ revision: replica.revision, ...server.getCounters() }),
+    };
+}
--- /dev/null
+++ b/packages/entry/src/replica-access-control.ts
@@ -0,0 +1,70 @@
+/**
+ * Decides from the configuration replica who may use which queue.
+ */
+import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
+import type { QueueId, Result, TeamId } from "@waxwingroute/core";
+import type { ConfigurationReplica } from "@waxwingroute/relay";
+import { AccessControl } from "./types.js";
+import type { Access, AccessFailure } from "./types.js";
+
+/** Longest deadline of a request, in milliseconds. */
+const maxDeadlineMs = 600_000;
+/** Deadline of a request for a key, which has no queue, in milliseconds. */
+const keyDeadlineMs = 30_000;
+
+export interface ReplicaAccessControlOptions {
+    readonly replica: ConfigurationReplica;
+    /** Age of the last confirmation above which keys are not trusted, in milliseconds. */
+    readonly stalenessMs: number;
+    /** What protected queues do above that age. */
+    readonly whenStale: "refuse" | "serve";
+}
+
+export class ReplicaAccessControl extends AccessControl {
+    constructor(private readonly options: ReplicaAccessControlOptions) {
+        super();
+    }
+
+    authenticate(apiKey: string | undefined, queue: QueueId | undefined): Result<Access, AccessFailure> {
+        const { replica } = this.options;
+        if (replica.revision === undefined) {
+            return refuse(503, "not-ready", "the configuration is not loaded yet");
+        }
+        if (queue === undefined) {
+            return this.authenticateTeam(apiKey).map(team => ({ team, defaultDeadlineMs: keyDeadlineMs }));
+        }
+        const resource = replica.view.findQueue(queue);
+        if (resource === undefined) {
+            return refuse(404, "unknown-queue", `queue "${queue}" does not exist`);
+        }
+        const { spec } = resource;
+        const defaultDeadlineMs = Math.min(spec.defaultDeadlineMs, maxDeadlineMs);
+        if (spec.access === "open") {
+            // Work on an open queue counts against the limit of the queue, whoever sent it.
+            return Ok({ team: toId<TeamId>(`open:${queue}`), defaultDeadlineMs });
+        }
+        return this.authenticateTeam(apiKey).andThen(team =>
+            team === spec.team
+                ? Ok({ team, defaultDeadlineMs })
+                : refuse(403, "wrong-team", `the key belongs to team "${team}", queue "${queue}" to another team`)
+        );
+    }
+
+    private authenticateTeam(apiKey: string | undefined): Result<TeamId, AccessFailure> {
+        const { replica, stalenessMs, whenStale } = this.options;
+        if (apiKey === undefined) {
+            return refuse(401, "missing-key", "send the team's key as \"Authorization: Bearer <key>\"");
+        }
+        if (whenStale === "refuse" && !replica.isFresh(stalenessMs)) {
+            return refuse(503, "configuration-stale", `no confirmation of the configuration for ${stalenessMs} ms, so that keys cannot be judged`);
+        }
+        const holder = replica.view.authenticate(apiKey);
+        return holder === undefined
+            ? refuse(401, "invalid-key", "the key is unknown or has been withdrawn")
+            : Ok(toId<TeamId>(holder.team.name));
+    }
+}
+
+function refuse(status: number, code: string, message: string): Result<never, AccessFailure> {
+    return Err({ ...createFailure(code, message, "notRun"), status });
+}
--- /dev/null
+++ b/packages/entry/src/rpc-shard-gateway.ts
@@ -0,0 +1,95 @@
+/**
+ * Requests to the owners of shards over gRPC.
+ *
+ * A request without a key goes to a shard of the own zone, and to one of another zone only while the own zone has no owner
+ * and the request certainly did not run. A request with a key goes to the shard that the key names and nowhere else.
+ */
+import type { ShardClient } from "@waxwingroute/cluster";
+import { createFailure, Err, getShardZone, Ok, toId } from "@waxwingroute/core";
+import type { Clock, ExecutorId, Failure, RequestKey, Result, ShardId, ZoneId } from "@waxwingroute/core";
+import type { Answer, RequestFailure } from "@waxwingroute/routing";
+import { listShards } from "@waxwingroute/settings";
+import type { Settings } from "@waxwingroute/settings";
+import { schedulerService } from "@waxwingroute/transport";
+import { ShardGateway } from "./types.js";
+import type { EntryRequest } from "./types.js";
+
+/** Longest wait for an owner in the own zone before other zones are tried, in milliseconds. */
+const ownZoneWaitMs = 1_500;
+
+export interface RpcShardGatewayOptions {
+    readonly settings: Settings;
+    readonly zone: ZoneId;
+    readonly shards: ShardClient;
+    readonly clock: Clock;
+}
+
+export class RpcShardGateway extends ShardGateway {
+    private turn = 0;
+
+    constructor(private readonly options: RpcShardGatewayOptions) {
+        super();
+    }
+
+    async execute(shard: ShardId | undefined, request: EntryRequest, body: Uint8Array): Promise<Result<Answer, RequestFailure>> {
+        const { clock } = this.options;
+        const deadline = clock.getNow() + request.deadlineMs;
+        if (shard !== undefined) {
+            const result = await this.send(shard, request, body, request.deadlineMs);
+            const { requestKey } = request;
+            // The key may have been used before, so that an owner that cannot be reached proves nothing.
+            return result.mapErr(failure => failure.code === "no-owner" ? { ...failure, verdict: "mayHaveRun", requestKey } : failure);
+        }
+        let last = createFailure("no-owner", "no zone serves requests now", "notRun");
+        for (const candidate of this.listCandidates()) {
+            const left = deadline - clock.getNow();
+            if (left <= 0 || request.signal.aborted) {
+                break;
+            }
+            const result = await this.send(candidate, request, body, left);
+            if (result.ok || result.val.code !== "no-owner") {
+                return result;
+            }
+            last = result.val;
+        }
+        return Err(last);
+    }
+
+    async issueKey(): Promise<Result<RequestKey, Failure>> {
+        let last = createFailure("no-owner", "no zone serves requests now", "notRun");
+        for (const shard of this.listCandidates()) {
+            const result = await this.options.shards.call(shard, schedulerService.issueKey, { shard }, ownZoneWaitMs);
+            if (result.ok) {
+                return Ok(toId<RequestKey>(result.val.requestKey));
+            }
+            last = result.val;
+        }
+        return Err(last);
+    }
+
+    private async send(shard: ShardId, request: EntryRequest, body: Uint8Array, timeoutMs: number): Promise<Result<Answer, RequestFailure>> {
+        const { team, queue, requestKey, isIdempotent, contentType } = request;
+        const message = { shard, team, queue, requestKey, isIdempotent, contentType, body, timeoutMs };
+        const ownerWaitMs = Math.min(timeoutMs, ownZoneWaitMs);
+        const result = await this.options.shards.call(shard, schedulerService.execute, message, timeoutMs, ownerWaitMs);
+        return result.map(({ executor, status, contentType: type, body: answer, requestKey: key }) => ({
+            requestKey: toId<RequestKey>(key),
+            executor: toId<ExecutorId>(executor),
+            status,
+            contentType: type,
+            body: answer,
+        }));
+    }
+
+    /** Lists the shards of the own zone, in turn, and after them one shard of each other zone. */
+    private listCandidates(): readonly ShardId[] {
+        const { settings, zone } = this.options;
+        const all = listShards(settings);
+        const own = all.filter(shard => getShardZone(shard) === zone);
+        const first = this.turn++ % Math.max(1, own.length);
+        const others = all.filter((shard, index) =>
+            getShardZone(shard) !== zone && all.findIndex(other => getShardZone(other) === getShardZone(shard)) === index
+        );
+        return [...own.slice(first), ...own.slice(0, first), ...others];
+    }
+}
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -144,8 +144,8 @@
         if (result.err) {
             return result;
         }
-        const { requestKey, status, contentType, body } = result.val;
-        return Ok({ requestKey, status, contentType, body });
+        const { requestKey, executor, status, contentType, body } = result.val;
+        return Ok({ requestKey, executor, status, contentType, body });
     }
 
     explainJob(job: JobId): Result<readonly string[], Failure> {
--- a/packages/transport/src/service.ts
+++ b/packages/transport/src/service.ts
@@ -4,7 +4,7 @@
  * A service is an object of methods. Servers and clients are built from the same description, so the two sides cannot
  * disagree on names or types within one version.
  */
-import type { Failure, Verdict } from "@waxwingroute/core";
+import type { Failure, RequestKey, Verdict } from "@waxwingroute/core";
 import { z } from "zod";
 
 /** A method that answers once. */
@@ -48,6 +48,7 @@
     message: z.string(),
     verdict: verdictSchema,
     retryAfterMs: z.number().optional(),
+    requestKey: z.custom<RequestKey>(value => typeof value === "string").optional(),
 });
 
 /** A reply on the wire: a value or a failure. Failures travel inside the reply, because gRPC status codes carry no verdict. */
--- a/packages/transport/src/services/scheduler-service.ts
+++ b/packages/transport/src/services/scheduler-service.ts
@@ -24,6 +24,7 @@
 
 const executeResponse = z.object({
     requestKey: z.string(),
+    executor: z.string(),
     status: z.number(),
     contentType: z.string(),
     body: bytes,
