Explore the ownership state machine under random faults

Change: a simulated cell of three hosts and the store, random faults, and a test that two hosts never place.

--- /dev/null
+++ b/packages/ownership/src/exploration_test.ts
@@ -0,0 +1,53 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { TestContext } from "node:test";
+import { exploreFaults } from "./testing/random-faults.js";
+import { computeLawfulEnd } from "./testing/simulated-cell.js";
+import type { CellOptions } from "./testing/simulated-cell.js";
+import { defaultOwnershipTimings } from "./types.js";
+
+// A short pair bound, so that its end is reached within a run.
+const timings = { ...defaultOwnershipTimings, pairBoundMs: 15_000 };
+const runs = Number(process.env["OWNERSHIP_RUNS"] ?? 400);
+
+function explore(t: TestContext, options: Omit<CellOptions, "seed">, stopAtFault: boolean): string[] {
+    const visited = new Set<string>();
+    const gains: Record<string, number> = {};
+    const violations: string[] = [];
+    let events = 0;
+    let seed = 0;
+    while (seed < runs && !(stopAtFault && violations.length > 0)) {
+        seed++;
+        const cell = exploreFaults({ ...options, seed }, 60_000);
+        cell.visited.forEach(state => visited.add(state));
+        events += cell.queue.count;
+        violations.push(...cell.violations.slice(0, 1));
+        for (const [basis, count] of Object.entries(cell.gains)) {
+            gains[basis] = (gains[basis] ?? 0) + count;
+        }
+    }
+    t.diagnostic(
+        `result: ${seed} runs, ${events} events, ${visited.size} distinct states, rights gained ${
+            JSON.stringify(gains)
+        }, `
+            + `${violations.length} runs with a fault`,
+    );
+    return violations;
+}
+
+describe("exploration of the ownership state machine", () => {
+    // Guards against two hosts that place at one true time, or while a start of the other is in flight.
+    it("never lets two hosts place", t => {
+        expect(explore(t, { timings }, false)).toEqual([]);
+    });
+
+    // Shows that the exploration notices when "never from the store alone" of rule 2 is ignored.
+    it("finds the fault of an owner that relies on the store after it sent an arm request", t => {
+        const computePlaceEnd: CellOptions["computePlaceEnd"] = state => {
+            const renewedAt = state.owner?.renewedAt ?? -Infinity;
+            const isRecovering = state.right?.isRecovering ?? false;
+            return Math.max(computeLawfulEnd(state), isRecovering ? -Infinity : renewedAt + timings.storeRightMs);
+        };
+        expect(explore(t, { timings, computePlaceEnd }, true)).not.toEqual([]);
+    });
+});
