Bound a solo right while a takeover write has no known outcome

A successor armed in epoch 1 did not know that the record already named it owner of epoch 2, with no successor, so that a third host took over by epoch 3 without asking it, and then it went solo for epoch 1. Two ways led there: a handover in consent mode, and a takeover write whose answer was lost. Change: no handover in consent mode; a solo right ends storeRightMs after the last read that showed an own takeover write as not applied; solo takeover writes need a recent read.

--- a/packages/ownership/src/machine.ts
+++ b/packages/ownership/src/machine.ts
@@ -35,6 +35,7 @@
         absentSince: undefined,
         read: undefined,
         lastReadAt: -Infinity,
+        confirmedAt: -Infinity,
         lastWriteAt: -Infinity,
         requestSequence: 0,
         pending: [],
@@ -124,10 +125,11 @@
         .with({ kind: "unreadable" }, { kind: "failed" }, () => false)
         .exhaustive();
     if (isCurrent && sentAt !== undefined) {
-        state.pending = state.pending.map(write => ({
-            ...write,
-            isChecked: write.isChecked || write.sentAt < sentAt && isOverdue(step, write.sentAt, write.isAnswered),
-        }));
+        state.confirmedAt = sentAt;
+        state.pending = state.pending.map(write => {
+            const isChecked = write.sentAt < sentAt && isOverdue(step, write.sentAt, write.isAnswered);
+            return isChecked ? { ...write, checkedAt: sentAt } : write;
+        });
     }
 }
 
--- a/packages/ownership/src/owner.ts
+++ b/packages/ownership/src/owner.ts
@@ -19,10 +19,13 @@
     }
 }
 
-/** Gives up the right and begins to write the successor as the new owner. */
+/**
+ * Gives up the right and begins to write the successor as the new owner. Not in consent mode: an armed successor that has
+ * not learned of the new record could still go solo for the old one.
+ */
 export function beginHandover(step: Step): void {
     const { owner, known } = step.state;
-    if (owner !== undefined && known !== undefined && isSuccessorLive(step, known)) {
+    if (owner?.basis === "store" && known !== undefined && isSuccessorLive(step, known)) {
         step.state.owner = { ...owner, isHandingOver: true };
         step.state.lastWriteAt = -Infinity;
     }
--- a/packages/ownership/src/right.ts
+++ b/packages/ownership/src/right.ts
@@ -18,7 +18,7 @@
 export function computeRightEnd(state: OwnershipState): number {
     const { timings } = state.settings;
     if (state.successor.solo !== undefined) {
-        return state.successor.solo.until;
+        return Math.min(state.successor.solo.until, computePendingTakeoverEnd(state));
     }
     const { owner } = state;
     if (owner === undefined || owner.renewedAt === undefined || owner.isHandingOver) {
@@ -32,6 +32,15 @@
         : Math.min(owner.consentSentAt + timings.consentMs, owner.renewedAt + timings.pairBoundMs);
 }
 
+/**
+ * Returns until when this host can go on without the store while a takeover write of its own has no known outcome: once the
+ * write takes effect, others may replace its record after `storeRightMs` without asking this host.
+ */
+export function computePendingTakeoverEnd(state: OwnershipState): number {
+    const { storeRightMs } = state.settings.timings;
+    return Math.min(...state.pending.map(write => (write.checkedAt ?? write.sentAt) + storeRightMs), Infinity);
+}
+
 /** Ends a right that expired before this step. Runs before the event is applied, so that a late answer does not hide a lapse. */
 export function expireRight(step: Step): void {
     if (step.state.right !== undefined && step.now >= computeHoldEnd(step.state)) {
--- a/packages/ownership/src/step.ts
+++ b/packages/ownership/src/step.ts
@@ -34,7 +34,7 @@
         expected,
         sentAt: step.now,
         isAnswered: false,
-        isChecked: false,
+        checkedAt: undefined,
     }];
     state.lastWriteAt = step.now;
     step.actions.push({ kind: "writeRecord", record, expected });
@@ -42,5 +42,5 @@
 
 /** Returns whether the outcome of an earlier write must be looked up before another write is sent. */
 export function hasUnresolvedWrite(state: OwnershipState): boolean {
-    return state.pending.some(write => !write.isChecked);
+    return state.pending.some(write => write.checkedAt === undefined);
 }
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -1,6 +1,7 @@
 /**
  * What a host that is not the owner does: go solo, take over through the store, create the first record.
  */
+import { computePendingTakeoverEnd } from "./right.js";
 import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
 import type { Step } from "./step.js";
 import type { KnownRecord, ReleaseAnswer } from "./types.js";
@@ -53,7 +54,7 @@
     else if (armed.expiredSeenAt === undefined) {
         state.successor = { ...state.successor, armed: { ...armed, expiredSeenAt: now } };
     }
-    else if (now >= armed.expiredSeenAt + timings.heartbeatMs) {
+    else if (now >= armed.expiredSeenAt + timings.heartbeatMs && now < computePendingTakeoverEnd(state)) {
         // The extra period lets requests that waited while this process was paused be answered first.
         state.successor = { ...state.successor, solo: { epoch: armed.epoch, until } };
     }
@@ -63,7 +64,9 @@
     const { state, now, timings } = step;
     const { successor } = state;
     if (successor.solo !== undefined) {
-        if (successor.solo.epoch === known.record.epoch) {
+        // Without a recent answer from the store, a write would put the present right at risk, see `computePendingTakeoverEnd`.
+        const isStoreUp = now < state.confirmedAt + timings.renewIntervalMs;
+        if (isStoreUp && successor.solo.epoch === known.record.epoch) {
             state.successor = { ...successor, soloTakeoverRevision: known.revision };
             writeTakeover(step, known);
         }
--- a/packages/ownership/src/types.ts
+++ b/packages/ownership/src/types.ts
@@ -219,8 +219,8 @@
     readonly expected: number | undefined;
     readonly sentAt: number;
     readonly isAnswered: boolean;
-    /** Whether a read sent after the answer showed that it had not taken effect. It may still do so late. */
-    readonly isChecked: boolean;
+    /** When a read was sent that showed that the write had not taken effect. It may still do so late. */
+    readonly checkedAt: number | undefined;
 }
 
 /** What a host holds as the owner named in the record. */
@@ -284,6 +284,8 @@
     readonly absentSince: number | undefined;
     readonly read: { readonly requestId: number; readonly sentAt: number; } | undefined;
     readonly lastReadAt: number;
+    /** When the last successful read was sent. */
+    readonly confirmedAt: number;
     readonly lastWriteAt: number;
     readonly requestSequence: number;
     readonly pending: readonly PendingWrite[];
