--- /dev/null
+++ b/packages/ownership/src/driver_test.ts
@@ -0,0 +1,117 @@
+import { createFailure, Err, ManualClock, Ok, toId } from "@waxwingroute/core";
+import type { Failure, HostId, Result, ShardId } from "@waxwingroute/core";
+import { MemoryStore } from "@waxwingroute/journal/testing";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { OwnershipDriver } from "./driver.js";
+import { OwnershipPeers } from "./peers.js";
+
+const shard = toId<ShardId>("glasgow/0");
+const hosts = ["a", "b"].map(name => toId<HostId>(name));
+const lost = createFailure("peer-unreachable", "no such host", "notRun");
+
+/** Calls the handlers of drivers in the same process. */
+class LocalPeers extends OwnershipPeers {
+    constructor(private readonly drivers: Map<string, OwnershipDriver>) {
+        super();
+    }
+
+    sendHeartbeat: OwnershipPeers["sendHeartbeat"] = async (to, heartbeat) =>
+        this.call(to, driver => Ok(driver.handleHeartbeat(heartbeat)));
+    arm: OwnershipPeers["arm"] = async (to, request) => this.call(to, driver => driver.handleArm(request));
+    disarm: OwnershipPeers["disarm"] = async (to, request) => this.call(to, driver => driver.handleDisarm(request));
+    release: OwnershipPeers["release"] = async (to, request) => this.call(to, driver => driver.handleRelease(request));
+    identify: OwnershipPeers["identify"] = async (to, request) =>
+        this.call(to, driver => driver.handleIdentify(request));
+
+    private call<T>(to: HostId, run: (driver: OwnershipDriver) => Result<T, Failure>): Result<T, Failure> {
+        const driver = this.drivers.get(to);
+        return driver === undefined ? Err(lost) : run(driver);
+    }
+}
+
+function createDrivers() {
+    const store = new MemoryStore();
+    const clock = new ManualClock();
+    const drivers = new Map<string, OwnershipDriver>();
+    const events: string[] = [];
+    const peers = new LocalPeers(drivers);
+    for (const self of hosts) {
+        const driver = new OwnershipDriver({
+            shard,
+            self,
+            incarnation: toId(`${self}1`),
+            hosts,
+            store,
+            clock,
+            peers,
+            listener: {
+                onRightGained: ({ generation, epoch, basis, waitMs }) => {
+                    events.push(`${self} gained ${basis} ${epoch}`);
+                    clock.schedule(waitMs, () => driver.completeRecovery(generation));
+                },
+                onRightLost: () => events.push(`${self} lost`),
+                onHandedOver: () => events.push(`${self} handed over`),
+                onFault: failure => events.push(failure.message),
+            },
+        });
+        drivers.set(self, driver);
+    }
+    const getDriver = (id: string): OwnershipDriver => drivers.get(id) as OwnershipDriver;
+    return { store, clock, drivers, events, a: getDriver("a"), b: getDriver("b") };
+}
+
+describe("OwnershipDriver", () => {
+    // Guards against wiring faults between the state machine, the store and the other hosts.
+    it("creates the record, survives a store outage by consents and is followed by its successor", async () => {
+        const { store, clock, drivers, events, a, b } = createDrivers();
+        a.start();
+        b.start();
+        await clock.advance(5_000);
+        expect([a.canPlace(), b.canPlace()]).toEqual([true, false]);
+        store.chooseFault = () => "lostCall";
+        await clock.advance(10_000);
+        expect([a.canPlace(), b.canPlace()]).toEqual([true, false]);
+        a.stop();
+        drivers.delete("a");
+        await clock.advance(5_000);
+        expect([a.canPlace(), b.canPlace()]).toEqual([false, true]);
+        expect(events).toEqual(["a gained store 1", "b gained solo 1"]);
+    });
+
+    // Guards against an early end of recovery, before the last starts of the earlier owner have landed.
+    it("refuses to complete a recovery early or for an earlier right", async () => {
+        const { clock, a } = createDrivers();
+        a.start();
+        await clock.advance(50);
+        expect(a.completeRecovery(1)).toEqual(false);
+        await clock.advance(1_100);
+        expect([a.completeRecovery(0), a.canPlace()]).toEqual([false, true]);
+    });
+
+    it("resolves a renewal whose answer was lost by its token and hands over on request", async () => {
+        const { store, clock, events, a, b } = createDrivers();
+        a.start();
+        b.start();
+        await clock.advance(4_000);
+        let losses = 1;
+        store.chooseFault = operation => operation === "write" && losses-- > 0 ? "lostAnswer" : "none";
+        await clock.advance(4_000);
+        expect([losses < 1, a.canPlace()]).toEqual([true, true]);
+        expect([a.startHandover(), a.canPlace()]).toEqual([true, false]);
+        await clock.advance(3_000);
+        expect([a.canPlace(), b.canPlace(), b.getEpoch()]).toEqual([false, true, 2]);
+        expect(events).toEqual(["a gained store 1", "a lost", "a handed over", "b gained store 2"]);
+    });
+
+    // Guards against a takeover that overwrites a record which this program cannot read.
+    it("leaves a record of a newer version alone and reports it", async () => {
+        const { store, clock, events, a } = createDrivers();
+        const value = JSON.stringify({ version: 2, holder: "x" });
+        store.values.set("owner/glasgow/0", { value, revision: 1, token: toId("x") });
+        a.start();
+        await clock.advance(10_000);
+        expect([a.canPlace(), store.writeCount]).toEqual([false, 0]);
+        expect(events.at(0)).toEqual("the ownership record has version 2; this program reads versions up to 1");
+    });
+});
--- a/packages/ownership/src/record.ts
+++ b/packages/ownership/src/record.ts
@@ -10,7 +10,7 @@
 const recordVersion = 1;
 
 const recordSchema = z.object({
-    version: z.number().int(),
+    version: z.literal(recordVersion),
     epoch: z.number().int().positive(),
     owner: z.string().min(1).transform(value => value as HostId),
     ownerIncarnation: z.string().min(1).transform(value => value as IncarnationId),
@@ -27,23 +27,21 @@
 
 /** Parses a store value. Fails with `ownership-record-unreadable` for a damaged value or one of a newer version. */
 export function parseOwnershipRecord(value: string): Result<OwnershipRecord, Failure> {
-    const parsed = recordSchema.safeParse(parseJson(value));
-    if (!parsed.success) {
-        return Err(createFailure(
-            "ownership-record-unreadable",
-            `the ownership record is damaged: ${z.prettifyError(parsed.error)}`,
-            "notRun",
-        ));
+    const json = parseJson(value);
+    const version = z.object({ version: z.number() }).safeParse(json).data?.version;
+    if (version !== undefined && version > recordVersion) {
+        return createUnreadable(`has version ${version}; this program reads versions up to ${recordVersion}`);
     }
-    const { version, successor, successorIncarnation, ...rest } = parsed.data;
-    if (version > recordVersion) {
-        return Err(createFailure(
-            "ownership-record-unreadable",
-            `the ownership record has version ${version}; this program reads versions up to ${recordVersion}`,
-            "notRun",
-        ));
+    const parsed = recordSchema.safeParse(json);
+    if (!parsed.success) {
+        return createUnreadable(`is damaged: ${z.prettifyError(parsed.error)}`);
     }
-    return Ok({ ...rest, successor, successorIncarnation });
+    const { epoch, owner, ownerIncarnation, successor, successorIncarnation, renewal, token } = parsed.data;
+    return Ok({ epoch, owner, ownerIncarnation, successor, successorIncarnation, renewal, token });
+}
+
+function createUnreadable(reason: string): Result<OwnershipRecord, Failure> {
+    return Err(createFailure("ownership-record-unreadable", `the ownership record ${reason}`, "notRun"));
 }
 
 function parseJson(value: string): unknown {
