--- a/packages/ownership/src/testing/random-faults.ts
+++ b/packages/ownership/src/testing/random-faults.ts
@@ -22,6 +22,7 @@
     const host = random.pickOne(cell.hosts) as SimulatedHost;
     const other = random.pickOne(cell.hosts) as SimulatedHost;
     const owner = cell.hosts.find(({ state }) => state?.owner !== undefined) ?? host;
+    const successor = cell.hosts.find(({ id }) => id === cell.record?.record.successor) ?? other;
     const faults: (() => void)[] = [
         () => cell.setStore(false),
         () => cell.setStore(false),
@@ -33,8 +34,20 @@
         () => cell.disconnectHosts(host.id, other.id),
         () => cell.disconnectHosts(owner.id, other.id),
         () => void cell.cutLinks.add(`${host.id}>${other.id}`),
+        () => cell.disconnectHosts(owner.id, successor.id),
         () => cell.cutLinks.clear(),
         () => cell.cutLinks.clear(),
+        () => restartHost(cell, successor),
+        () => restartHost(cell, owner),
+        () => pauseHost(cell, successor),
+        () => {
+            cell.setStore(false);
+            cell.setStore(true, host.id);
+        },
+        () => {
+            cell.storeLossRate = cell.random.getFloat();
+            cell.storeDelayRate = cell.random.getFloat() * 0.6;
+        },
         () => pauseHost(cell, host),
         () => pauseHost(cell, owner),
         () => cell.stopHost(host),
@@ -46,11 +59,18 @@
         () => {
             cell.lossRate = 0;
             cell.delayRate = 0;
+            cell.storeLossRate = 0;
+            cell.storeDelayRate = 0;
         },
     ];
     random.pickOne(faults)?.();
 }
 
+function restartHost(cell: SimulatedCell, host: SimulatedHost): void {
+    cell.stopHost(host);
+    cell.startHost(host);
+}
+
 function pauseHost(cell: SimulatedCell, host: SimulatedHost): void {
     host.pausedUntil = cell.queue.now + cell.random.getFloat() * 9_000;
 }
--- a/packages/ownership/src/testing/simulated-cell.ts
+++ b/packages/ownership/src/testing/simulated-cell.ts
@@ -60,8 +60,11 @@
     readonly cutLinks = new Set<string>();
     record: { readonly record: OwnershipRecord; readonly revision: number; } | undefined;
     lossRate = 0;
-    /** Part of the messages and store calls that take up to `longDelayMs`. */
+    /** Part of the messages that take up to `longDelayMs`. */
     delayRate = 0;
+    /** Part of the store calls that are lost, before or after they take effect, and of those that are delayed. */
+    storeLossRate = 0;
+    storeDelayRate = 0;
     longDelayMs = 4_000;
 
     constructor(private readonly options: CellOptions) {
@@ -237,12 +240,12 @@
 
     private sendOver(from: string, to: string, arrive: () => void): void {
         if (!this.cutLinks.has(`${from}>${to}`) && this.random.getFloat() >= this.lossRate) {
-            this.queue.schedule(this.chooseDelay(), arrive);
+            this.queue.schedule(this.chooseDelay(this.delayRate), arrive);
         }
     }
 
-    private chooseDelay(): number {
-        return this.random.getFloat() < this.delayRate
+    private chooseDelay(delayRate: number): number {
+        return this.random.getFloat() < delayRate
             ? this.random.getFloat() * this.longDelayMs
             : 0.5 + this.random.getFloat() * 4;
     }
@@ -276,13 +279,13 @@
 
     /** Loses the call or its answer at random; then the failure is reported late or never. */
     private requestStore(host: SimulatedHost, run: () => () => void, fail: () => void): void {
-        const isLost = !host.hasStore || this.random.getFloat() < this.lossRate;
-        const isAnswerLost = this.random.getFloat() < this.lossRate;
+        const isLost = !host.hasStore || this.random.getFloat() < this.storeLossRate / 2;
+        const isAnswerLost = this.random.getFloat() < this.storeLossRate;
         if (!isLost) {
-            this.queue.schedule(this.chooseDelay(), () => {
+            this.queue.schedule(this.chooseDelay(this.storeDelayRate), () => {
                 const answer = run();
                 if (!isAnswerLost && host.hasStore) {
-                    this.queue.schedule(this.chooseDelay(), answer);
+                    this.queue.schedule(this.chooseDelay(this.storeDelayRate), answer);
                 }
             });
         }
