--- a/packages/grants/src/bucket-replica.ts
+++ b/packages/grants/src/bucket-replica.ts
@@ -38,15 +38,14 @@
     }
 
     /** Returns what the shard may use of a team's limit: the least of all values that the bucket can have. */
-    getAllowance(team: TeamId, shard: ShardId, limit: TeamLimit | undefined): GrantVector {
+    getAllowance(team: TeamId, shard: ShardId, limit: TeamLimit | undefined, isCautious: boolean): GrantVector {
         if (this.known === undefined) {
             return zeroGrant;
         }
-        const known = computeAllowance(this.known.bucket.teams[team], shard, limit);
-        return this.unresolved.reduce(
-            (least, write) => intersectGrants(least, computeAllowance(write.bucket.teams[team], shard, limit)),
-            known,
-        );
+        const buckets = [this.known.bucket, ...this.unresolved.map(write => write.bucket)];
+        return buckets
+            .map(bucket => computeAllowance(bucket.teams[team], shard, limit, isCautious))
+            .reduce(intersectGrants);
     }
 
     /** Reads the bucket from the store. Fails with `grants-unreadable` or the failure of the store. */
--- a/packages/grants/src/bucket.ts
+++ b/packages/grants/src/bucket.ts
@@ -5,7 +5,8 @@
 import type { Failure, Result, TeamId } from "@waxwingroute/core";
 import { createHash } from "node:crypto";
 import { z } from "zod";
-import type { GrantVector } from "./grant-vector.js";
+import { grantFields } from "./grant-vector.js";
+import type { GrantField, GrantVector } from "./grant-vector.js";
 
 export const bucketCount = 16;
 
@@ -19,8 +20,8 @@
     readonly granted: GrantVector;
     /** The shard starts nothing above this; less than `granted` while running work above it ends. */
     readonly ceiling: GrantVector;
-    /** Whether the shard has waiting work that its grant does not cover. */
-    readonly isWanting: boolean;
+    /** The fields of which the shard has waiting work that its grant does not cover. */
+    readonly wanting: readonly GrantField[];
     /** Revision of the lowered limit to which the ceiling was last adapted; 0 for none. */
     readonly reducedFor: number;
 }
@@ -55,7 +56,12 @@
             lowered: z.object({ revision: z.number().int(), sum: vector }).optional(),
             shards: z.record(
                 z.string(),
-                z.object({ granted: vector, ceiling: vector, isWanting: z.boolean(), reducedFor: z.number().int() }),
+                z.object({
+                    granted: vector,
+                    ceiling: vector,
+                    wanting: z.array(z.enum(grantFields)),
+                    reducedFor: z.number().int(),
+                }),
             ),
         }),
     ),
--- a/packages/grants/src/grant-vector.ts
+++ b/packages/grants/src/grant-vector.ts
@@ -14,7 +14,7 @@
     readonly slots: number;
 }
 
-const grantFields = ["cpuMillis", "memoryMb", "accelerators", "slots"] as const;
+export const grantFields = ["cpuMillis", "memoryMb", "accelerators", "slots"] as const;
 
 export type GrantField = typeof grantFields[number];
 
--- a/packages/grants/src/grants-driver.ts
+++ b/packages/grants/src/grants-driver.ts
@@ -7,7 +7,7 @@
 import { BucketReplica } from "./bucket-replica.js";
 import { bucketCount, getBucketKey, getBucketNumber, grantsPrefix } from "./bucket.js";
 import type { GrantBucket } from "./bucket.js";
-import { zeroGrant } from "./grant-vector.js";
+import { fitsGrant, zeroGrant } from "./grant-vector.js";
 import type { GrantVector } from "./grant-vector.js";
 import { createTeamGrants, planGrants } from "./plan.js";
 import type { TeamLimit, TeamUse } from "./plan.js";
@@ -29,6 +29,11 @@
     readonly writeIntervalMs?: number;
     /** Time between two reads of all buckets in ms, to notice shards that want more. Default 10,000. */
     readonly refreshIntervalMs?: number;
+    /**
+     * Time after a limit was lowered in which nothing starts until a write under the new limit, in ms. After it, without the
+     * store, the shard uses its part of the lowered limit. Default 10,000.
+     */
+    readonly loweredWaitMs?: number;
     /** Called once when a later owner of the shard has written. */
     readonly onFenced?: (failure: Failure) => void;
     /** Called with failures of reads and writes, for logs. The driver goes on with the grants that it has. */
@@ -53,6 +58,7 @@
     private readonly lastWriteAt: number[] = [];
     private readonly busy = new Set<number>();
     private limits: ReadonlyMap<TeamId, TeamLimit> = new Map();
+    private readonly loweredAt = new Map<TeamId, number>();
     private lastRefreshAt = -Infinity;
     private failure: Failure | undefined;
     private timer: Timer | undefined;
@@ -100,15 +106,23 @@
 
     /** Sets the limits of the teams from the configuration replica. It takes effect at once for `getGrant`. */
     setLimits(limits: ReadonlyMap<TeamId, TeamLimit>): void {
+        for (const [team, { limit }] of limits) {
+            const previous = this.limits.get(team);
+            if (previous !== undefined && !fitsGrant(previous.limit, limit)) {
+                this.loweredAt.set(team, this.options.clock.getNow());
+            }
+        }
         this.limits = limits;
     }
 
     /** Returns up to what the shard may run of a team now. Running work can be above it after a limit was lowered. */
     getGrant(team: TeamId): GrantVector {
         const replica = this.replicas[getBucketNumber(team)];
+        const { clock, shard, loweredWaitMs } = this.options;
+        const isCautious = clock.getNow() < (this.loweredAt.get(team) ?? -Infinity) + (loweredWaitMs ?? 10_000);
         return this.failure !== undefined || replica === undefined
             ? zeroGrant
-            : replica.getAllowance(team, this.options.shard, this.limits.get(team));
+            : replica.getAllowance(team, shard, this.limits.get(team), isCautious);
     }
 
     private scheduleTick(): void {
--- a/packages/grants/src/plan.ts
+++ b/packages/grants/src/plan.ts
@@ -3,7 +3,7 @@
  */
 import type { ShardId } from "@waxwingroute/core";
 import type { ShardGrant, TeamGrants } from "./bucket.js";
-import { fitsGrant, intersectGrants, mapGrant, sumGrants, zeroGrant } from "./grant-vector.js";
+import { fitsGrant, grantFields, intersectGrants, mapGrant, sumGrants, zeroGrant } from "./grant-vector.js";
 import type { GrantField, GrantVector } from "./grant-vector.js";
 
 /** A team's limit as a shard's configuration replica has it. */
@@ -26,7 +26,7 @@
 /** Part of the use that a shard keeps when it returns grants, so that short tasks do not cause a write each. */
 const spareFraction = 0.1;
 
-const noGrant: ShardGrant = { granted: zeroGrant, ceiling: zeroGrant, isWanting: false, reducedFor: 0 };
+const noGrant: ShardGrant = { granted: zeroGrant, ceiling: zeroGrant, wanting: [], reducedFor: 0 };
 
 export function createTeamGrants(limit: TeamLimit): TeamGrants {
     return { limit: limit.limit, limitRevision: limit.revision, lowered: undefined, shards: {} };
@@ -46,9 +46,9 @@
     const own = applyLoweredLimit(current, current.shards[shard] ?? noGrant);
     const others = Object.entries(current.shards).flatMap(([other, grant]) => other === shard ? [] : [grant]);
     const room = computeRoom(current.limit, others);
-    const fair = computeFairPart(current, others, own);
     const wanted = sumGrants([teamUse.use, teamUse.demand]);
-    const target = mapGrant(field => computeTarget(field, own, room, wanted, teamUse, fair));
+    const plan: FieldPlan = { own, room, wanted, teamUse, others, row: current };
+    const target = mapGrant(field => computeTarget(field, plan));
     // A shard that cannot start even one task with its grant returns the idle part, so that another shard can.
     const isUseful = fitsGrant(sumGrants([teamUse.use, teamUse.unit]), target);
     const hasDemand = !fitsGrant(teamUse.demand, zeroGrant);
@@ -57,35 +57,43 @@
     const next: ShardGrant = {
         granted,
         ceiling: kept,
-        isWanting: !fitsGrant(wanted, kept),
+        wanting: grantFields.filter(field => wanted[field] > kept[field]),
         reducedFor: own.reducedFor,
     };
     const rest = Object.fromEntries(Object.entries(current.shards).filter(([other]) => other !== shard));
-    const isEmpty = !next.isWanting && fitsGrant(granted, zeroGrant);
+    const isEmpty = next.wanting.length === 0 && fitsGrant(granted, zeroGrant);
     return { ...current, shards: isEmpty ? rest : { ...rest, [shard]: next } };
 }
 
 /**
- * Returns up to what a shard may start, given the row that it last read. Under a lowered limit that the row does not
- * contain yet, the other shards can hold all of the limit in the row, so that the part is measured against that.
+ * Returns up to what a shard may start, given the row that it last read. `isCautious` is for the time in which a write under
+ * a newer, lower limit is due: nothing starts until the row shows what the other shards still hold. Without caution the
+ * shard uses its part of the lowered limit. The others can hold all of the limit in the row, so that the part is measured
+ * against that.
  */
 export function computeAllowance(
     row: TeamGrants | undefined,
     shard: ShardId,
     limit: TeamLimit | undefined,
+    isCautious = false,
 ): GrantVector {
     const own = row?.shards[shard];
     if (row === undefined || own === undefined) {
         return zeroGrant;
     }
+    const sum = sumGrants(Object.values(row.shards).map(grant => grant.granted));
     const adapted = applyLoweredLimit(row, own).ceiling;
+    const allowed = mapGrant(field => {
+        const room = Math.max(0, row.limit[field] - (sum[field] - own.granted[field]));
+        return sum[field] > row.limit[field] ? Math.min(adapted[field], room) : adapted[field];
+    });
     if (limit === undefined || limit.revision <= row.limitRevision) {
-        return adapted;
+        return allowed;
     }
-    const sum = sumGrants(Object.values(row.shards).map(grant => grant.granted));
     return mapGrant(field => {
         const base = Math.max(row.limit[field], sum[field]);
-        return limit.limit[field] >= base ? adapted[field] : Math.floor(adapted[field] * limit.limit[field] / base);
+        const part = isCautious ? 0 : Math.floor(allowed[field] * limit.limit[field] / base);
+        return limit.limit[field] >= base ? allowed[field] : part;
     });
 }
 
@@ -124,31 +132,41 @@
     return mapGrant(field => Math.max(0, limit[field] - taken[field]));
 }
 
-/** Returns an equal part of the limit if another shard wants more than it has and has less than that; else `undefined`. */
-function computeFairPart(row: TeamGrants, others: readonly ShardGrant[], own: ShardGrant): GrantVector | undefined {
-    const claimants = others.filter(grant => grant.isWanting || !fitsGrant(grant.granted, zeroGrant)).length + 1;
-    const fair = mapGrant(field => Math.floor(row.limit[field] / claimants));
-    const isShort = others.some(grant => grant.isWanting && fitsGrant(grant.granted, fair));
-    return isShort && !fitsGrant(own.granted, fair) ? fair : undefined;
+/**
+ * Returns up to what a shard may hold of a field while others want more of it: an equal part of what the shards hold that
+ * want it or, if no such shard has less than that part, the limit.
+ */
+function computeFairPart(row: TeamGrants, others: readonly ShardGrant[], field: GrantField): number {
+    const claimants = others.filter(grant => grant.wanting.includes(field));
+    const settled = others.filter(grant => !grant.wanting.includes(field));
+    const rest = row.limit[field] - settled.reduce((sum, { granted }) => sum + granted[field], 0);
+    const part = Math.max(0, Math.floor(rest / (claimants.length + 1)));
+    return claimants.some(grant => grant.granted[field] <= part) ? part : row.limit[field];
+}
+
+interface FieldPlan {
+    readonly own: ShardGrant;
+    readonly room: GrantVector;
+    readonly wanted: GrantVector;
+    readonly teamUse: TeamUse;
+    readonly others: readonly ShardGrant[];
+    readonly row: TeamGrants;
 }
 
-function computeTarget(
-    field: GrantField,
-    own: ShardGrant,
-    room: GrantVector,
-    wanted: GrantVector,
-    { use, unit }: TeamUse,
-    fair: GrantVector | undefined,
-): number {
+function computeTarget(field: GrantField, { own, room, wanted, teamUse, others, row }: FieldPlan): number {
     const base = own.ceiling[field];
-    // While running work ends, the shard gets nothing new.
-    const most = own.granted[field] > base ? base : Math.max(base, room[field]);
-    const capped = fair === undefined ? most : Math.min(most, Math.max(base === 0 ? unit[field] : 0, fair[field]));
+    const unit = teamUse.unit[field];
+    // Above a lowered limit every shard gives way to what the others still hold.
+    const most = own.granted[field] > room[field] ? Math.min(base, room[field]) : room[field];
+    // A shard without a grant gets one task's worth even if that is more than its part.
+    const fair = Math.max(base === 0 ? unit : 0, computeFairPart(row, others, field));
+    const capped = Math.min(most, fair);
     if (wanted[field] <= base) {
-        const spare = Math.ceil(use[field] * spareFraction);
+        const spare = Math.ceil(teamUse.use[field] * spareFraction);
         return Math.min(base, capped, wanted[field] + spare);
     }
-    // Half of what is free at a time leaves a part to shards that ask at the same moment.
-    const step = Math.max(unit[field], Math.ceil((capped - base) / 2));
-    return Math.min(capped, wanted[field], base + step);
+    // Half of what is free at a time leaves a part to the other shards that want more.
+    const isContended = others.some(grant => grant.wanting.includes(field));
+    const step = Math.max(unit, Math.ceil((capped - base) / 2));
+    return Math.min(capped, wanted[field], isContended ? base + step : capped);
 }
