placement: Preempt normal batch tasks only

The preemption of several tasks on one worker also took urgent tasks, so an urgent job preempted its own tasks for ever. Change: the check of each victim includes kind and priority; the random runs check every preempted task.

--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -86,7 +86,7 @@
     describe("under random events", () => {
         for (let seed = 1; seed <= 20; seed++) {
             // Guards against any order of events that oversubscribes a worker, exceeds a grant, splits a gang, starts a
-            // task outside its window, or starts a task twice.
+            // task outside its window, starts a task twice, or preempts urgent work, a service or a part of a gang.
             it(`keeps its bounds with seed ${seed}`, t => {
                 const startCount = runRandomEvents(seed);
                 t.diagnostic(`result: ${startCount} starts checked`);
@@ -456,6 +456,10 @@
         }
     }
     for (const decision of decisions) {
+        if (decision.kind === "preempt") {
+            const { kind, priority } = jobs.get(decision.job)!.submission;
+            expect([kind, priority]).toEqual(["batch", "normal"]);
+        }
         if (decision.kind !== "start") {
             cluster.end(decision.task, decision.kind === "preempt" ? "preempted" : "stopped");
         }
--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -194,5 +194,5 @@
 }
 
 function isPreemptible(task: TaskRow): boolean {
-    return !task.hasEnded && task.state === "running";
+    return !task.hasEnded && task.state === "running" && task.job.kind === "batch" && task.job.priority === "normal";
 }
