--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,6 @@
-/** Measurements of decisions, waiting time, packing, shares, request path and control cost. */
-export {};
+/** Measurements of the placement engine against its goals and against simple baselines. */
+export { runDecisionCost } from "./decision-cost.js";
+export { runPacking } from "./packing.js";
+export type { BenchReport, Figure, Goal, SectionReport } from "./report.js";
+export { runShareError } from "./share-error.js";
+export { runWaitingTime } from "./waiting-time.js";
