--- a/packages/stand-ins/src/stand-in.ts
+++ b/packages/stand-ins/src/stand-in.ts
@@ -62,8 +62,11 @@
         }
     }
 
-    /** Closes all servers. */
+    /** Closes all servers and ends all tasks and requests. */
     async close(): Promise<void> {
+        for (const endpoint of [...this.fleet.workers.values(), ...this.fleet.executors.values()]) {
+            endpoint.state.reset();
+        }
         await Promise.all(this.fronts.map(front => front.close()));
     }
 
--- /dev/null
+++ b/packages/stand-ins/src/stand-in_test.ts
@@ -0,0 +1,305 @@
+import type { Failure, QueueId, RequestKey, Result, TaskId, TeamId, WriterToken, ZoneId } from "@waxwingroute/core";
+import type { ExecutorRequest, TaskStart } from "@waxwingroute/platform";
+import { HttpExecutor, HttpHostList, HttpStore, HttpWorker } from "@waxwingroute/platform";
+import { expect } from "earl";
+import { Agent, request as sendRequest } from "node:http";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { isWholeEcho } from "./executor-state.js";
+import { layoutSchema } from "./layout.js";
+import type { RecordsReport } from "./records-report.js";
+import type { StandInAddresses } from "./stand-in.js";
+import { applyToStandIn, StandIn } from "./stand-in.js";
+
+const timeoutMs = 150;
+const absent = { kind: "absent" } as const;
+
+function getCode(result: Result<unknown, Failure>): unknown {
+    return result.ok ? "ok" : [result.val.code, result.val.verdict];
+}
+
+function createWrite(key: string, value = "v") {
+    return { key, value, expected: absent, token: "token-1" as WriterToken };
+}
+
+function createStart(task: string, changes: Partial<TaskStart> = {}): TaskStart {
+    return {
+        task: task as TaskId,
+        team: "sales" as TeamId,
+        job: "job" as never,
+        resources: { cpuMillis: 600, memoryMb: 100, accelerators: 0 },
+        command: "run forever",
+        leaseMs: 60_000,
+        expiresInMs: timeoutMs,
+        epoch: 1,
+        ...changes,
+    };
+}
+
+function createRequest(name: string, changes: Partial<ExecutorRequest> = {}): ExecutorRequest {
+    return {
+        attempt: `attempt-${name}` as never,
+        requestKey: `glasgow.0.1.1.${name}` as RequestKey,
+        queue: "orders" as QueueId,
+        team: "sales" as TeamId,
+        isIdempotent: false,
+        contentType: "application/octet-stream",
+        body: Buffer.from([0, 255, 13, 10, 200]),
+        timeoutMs,
+        epoch: 7,
+        ...changes,
+    };
+}
+
+describe("StandIn over HTTP", () => {
+    let standIn: StandIn;
+    let addresses: StandInAddresses;
+    let store: HttpStore;
+    let worker: HttpWorker;
+    let executor: HttpExecutor;
+    let hostList: HttpHostList;
+
+    beforeEach(async () => {
+        standIn = new StandIn(layoutSchema.parse({
+            hostListLagMs: 10,
+            zones: [{
+                zone: "glasgow",
+                workers: { count: 2, capacity: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 } },
+                executors: { count: 2, connections: 3 },
+            }],
+        }));
+        addresses = await standIn.open();
+        const source = "glasgow/host-1";
+        store = new HttpStore({ url: addresses.store, timeoutMs, source });
+        worker = new HttpWorker({ url: addresses.workers[0]?.url ?? "", timeoutMs, source });
+        executor = new HttpExecutor({ url: addresses.executors[0]?.url ?? "", timeoutMs, source });
+        hostList = new HttpHostList({ url: addresses.hostList, timeoutMs, source });
+    });
+
+    afterEach(async () => {
+        [store, worker, executor, hostList].forEach(adapter => adapter.close());
+        await standIn.close();
+    });
+
+    describe("HttpStore", () => {
+        it("reads, writes, deletes, ranges and shows tokens", async () => {
+            expect((await store.read("a/ü?&")).unwrap()).toEqual(undefined);
+            expect((await store.write(createWrite("a/ü?&", "välue"))).unwrap()).toEqual(1);
+            expect((await store.read("a/ü?&")).unwrap()).toEqual({ key: "a/ü?&", value: "välue", revision: 1 });
+            expect((await store.readToken("a/ü?&")).unwrap()).toEqual({ token: "token-1" as WriterToken, revision: 1 });
+            expect((await store.readRange("a/")).unwrap().entries.length).toEqual(1);
+            expect(getCode(await store.write(createWrite("a/ü?&")))).toEqual(["store-conflict", "notRun"]);
+            expect((await store.delete("a/ü?&", 1)).unwrap()).toEqual(2);
+            expect((await store.readToken("a/ü?&")).unwrap()).toEqual(undefined);
+        });
+
+        it("watches by long poll beyond its time-out", async () => {
+            const watching = store.watch("a", 0, 5_000);
+            await new Promise(resolve => setTimeout(resolve, timeoutMs + 50));
+            await store.write(createWrite("a"));
+            const watched = (await watching).unwrap();
+            expect(watched).toEqual({ changes: [{ key: "a", value: "v", revision: 1 }], revision: 1 });
+            await store.delete("a", 1);
+            expect((await store.watch("a", 1, 0)).unwrap().changes).toEqual([
+                { key: "a", value: undefined, revision: 2 },
+            ]);
+            standIn.fleet.store.state.compact();
+            expect(getCode(await store.watch("a", 0, 0))).toEqual(["store-compacted", "notRun"]);
+        });
+
+        // Guards against a lost answer that is reported as a write that did not happen.
+        it("reports a lost answer as may have run, and its token is there", async () => {
+            await applyToStandIn(standIn, { action: "lose-answers", target: "store", count: 1 });
+            expect(getCode(await store.write(createWrite("a")))).toEqual(["store-unavailable", "mayHaveRun"]);
+            expect((await store.readToken("a")).unwrap()?.token).toEqual("token-1" as WriterToken);
+        });
+
+        it("reports a store that is down as not run, and works when it is back", async () => {
+            await store.write(createWrite("a"));
+            await applyToStandIn(standIn, { action: "down", target: "store" });
+            // A request on a kept-alive connection whose end has not arrived yet counts as sent.
+            await new Promise(resolve => setTimeout(resolve, 20));
+            expect(getCode(await store.write(createWrite("b")))).toEqual(["store-unavailable", "notRun"]);
+            await applyToStandIn(standIn, { action: "up", target: "store" });
+            expect((await store.read("a")).unwrap()?.revision).toEqual(1);
+            expect((await store.read("b")).unwrap()).toEqual(undefined);
+        });
+
+        it("times out when cut off, and the write never takes effect", async () => {
+            await applyToStandIn(standIn, { action: "cut", source: "glasgow", target: "platform" });
+            expect(getCode(await store.write(createWrite("a")))).toEqual(["store-timeout", "mayHaveRun"]);
+            expect(getCode(await hostList.list("glasgow" as ZoneId))).toEqual(["host-list-unavailable", "mayHaveRun"]);
+            await applyToStandIn(standIn, { action: "mend", source: "glasgow", target: "platform" });
+            expect((await store.read("a")).unwrap()).toEqual(undefined);
+        });
+
+        it("refuses oversize values on both sides", async () => {
+            const value = "x".repeat(1_048_577);
+            expect(getCode(await store.write(createWrite("a", value)))).toEqual(["store-too-large", "notRun"]);
+            expect(standIn.fleet.store.state.counts.writes).toEqual(0);
+            const path = `${addresses.store}/v1/entry`;
+            const response = await fetch(path, { method: "PUT", body: JSON.stringify(createWrite("a", value)) });
+            expect(response.status).toEqual(413);
+            expect(getCode(await store.write(createWrite("a", value.slice(1))))).toEqual("ok");
+        });
+    });
+
+    describe("HttpWorker", () => {
+        it("starts, renews, throttles, checkpoints, stops and lists", async () => {
+            expect(getCode(await worker.start(createStart("job/0")))).toEqual("ok");
+            expect(getCode(await worker.throttle("job/0" as TaskId, 50))).toEqual("ok");
+            expect(getCode(await worker.throttle("job/9" as TaskId, 50))).toEqual(["worker-unknown-task", "notRun"]);
+            expect(getCode(await worker.checkpoint("job/0" as TaskId))).toEqual("ok");
+            expect(getCode(await worker.stop("job/0" as TaskId))).toEqual("ok");
+            const [listed] = (await worker.list()).unwrap().tasks;
+            expect([listed?.task, listed?.outcome, listed?.usage]).toEqual(["job/0" as TaskId, "stopped", undefined]);
+            const renewal = { tasks: [], leaseMs: 1_000, acknowledged: ["job/0" as TaskId] };
+            expect((await worker.renew(renewal)).unwrap().tasks).toEqual([]);
+        });
+
+        it("reports a lost answer to a start as may have run", async () => {
+            await applyToStandIn(standIn, { action: "lose-answers", target: "glasgow-worker-0", count: 1 });
+            expect(getCode(await worker.start(createStart("job/0")))).toEqual(["worker-lost", "mayHaveRun"]);
+            expect((await worker.list()).unwrap().tasks.length).toEqual(1);
+        });
+
+        // Guards against a start that waited on its way and runs after its sender gave it up.
+        it("does not run a start that the worker sees after its expiry", async () => {
+            await applyToStandIn(standIn, { action: "hang", target: "glasgow-worker-0" });
+            const start = createStart("job/0", { expiresInMs: 60 });
+            expect(getCode(await worker.start(start))).toEqual(["worker-lost", "mayHaveRun"]);
+            await applyToStandIn(standIn, { action: "go-on", target: "glasgow-worker-0" });
+            expect((await worker.list()).unwrap().tasks).toEqual([]);
+            expect(standIn.fleet.records.lateStarts.length).toEqual(1);
+        });
+
+        it("reports a killed worker as not run", async () => {
+            await applyToStandIn(standIn, { action: "kill", target: "glasgow-worker-0" });
+            expect(getCode(await worker.start(createStart("job/0")))).toEqual(["worker-unreachable", "notRun"]);
+            await applyToStandIn(standIn, { action: "restart", target: "glasgow-worker-0" });
+            expect(getCode(await worker.start(createStart("job/0")))).toEqual("ok");
+        });
+    });
+
+    describe("HttpExecutor", () => {
+        const setMode = (mode: string, delayMs = 0) =>
+            applyToStandIn(standIn, { action: "executor-behaviour", target: "glasgow", mode, delayMs });
+
+        it("carries raw bytes both ways and lists what runs", async () => {
+            const request = createRequest("1");
+            const answer = (await executor.execute(request)).unwrap();
+            expect(isWholeEcho(request.body, answer.body)).toEqual(true);
+            expect([answer.status, answer.contentType]).toEqual([200, "application/octet-stream"]);
+            await setMode("echo", 100);
+            const running = executor.execute(createRequest("2"));
+            await new Promise(resolve => setTimeout(resolve, 40));
+            expect((await executor.list()).unwrap().running).toEqual(["attempt-2" as never]);
+            await running;
+        });
+
+        it("gives each fault its verdict", async () => {
+            await setMode("fail");
+            expect((await executor.execute(createRequest("1"))).unwrap().status).toEqual(500);
+            await setMode("refuse");
+            expect(getCode(await executor.execute(createRequest("2")))).toEqual(["executor-refused", "notRun"]);
+            for (const mode of ["cut", "hang", "late"]) {
+                await setMode(mode);
+                const result = await executor.execute(createRequest(mode));
+                expect([mode, getCode(result)]).toEqual([mode, ["executor-lost", "mayHaveRun"]]);
+            }
+            await applyToStandIn(standIn, { action: "kill", target: "glasgow-executor-0" });
+            expect(getCode(await executor.execute(createRequest("3")))).toEqual(["executor-unreachable", "notRun"]);
+        });
+
+        // Guards against the second copy of one answer that is taken for the answer to the next request.
+        it("never gives a caller the answer to another request when answers come twice", async () => {
+            await setMode("twice");
+            let answered = 0;
+            for (let index = 0; index < 50; index++) {
+                const request = createRequest(String(index), { body: Buffer.from(`body ${index}`) });
+                const result = await executor.execute(request);
+                if (result.ok) {
+                    answered++;
+                    expect(isWholeEcho(request.body, result.val.body)).toEqual(true);
+                }
+                else {
+                    expect(getCode(result)).toEqual(["executor-lost", "mayHaveRun"]);
+                }
+            }
+            expect(answered).toBeGreaterThan(0);
+        });
+
+        it("refuses to send a content type that no header can hold", async () => {
+            const request = createRequest("1", { contentType: "text/plain\r\nx: y" });
+            expect(getCode(await executor.execute(request))).toEqual(["executor-invalid-request", "notRun"]);
+        });
+
+        // Guards against stand-ins that cannot see more connections than an executor accepts.
+        it("notes more connections than it accepts", async () => {
+            await setMode("echo", 50);
+            await Promise.all(["1", "2", "3", "4"].map(name => executor.execute(createRequest(name))));
+            const overloads = standIn.fleet.records.overloads.map(({ kind, bound }) => [kind, bound]);
+            expect(overloads).toEqual([["connections", 3]]);
+        });
+    });
+
+    it("lists hosts with addresses that work", async () => {
+        await applyToStandIn(standIn, { action: "drain", target: "glasgow-worker-1", isDraining: true });
+        await new Promise(resolve => setTimeout(resolve, 30));
+        const listing = (await hostList.list("glasgow" as ZoneId)).unwrap();
+        expect(listing.workers.map(({ state }) => state)).toEqual(["live", "leaving"]);
+        expect(listing.executors.length).toEqual(2);
+        const second = new HttpWorker({ url: listing.workers[1]?.address.url ?? "", timeoutMs });
+        expect((await second.list()).unwrap().isDraining).toEqual(true);
+        second.close();
+    });
+
+    describe("control server", () => {
+        const post = (content: unknown) =>
+            fetch(`${addresses.control}/control`, { method: "POST", body: JSON.stringify(content) });
+
+        it("applies commands and returns records", async () => {
+            expect((await post({ action: "drain", target: "glasgow-worker-0", isDraining: true })).status).toEqual(200);
+            expect((await worker.list()).unwrap().isDraining).toEqual(true);
+            await worker.start(createStart("job/0"));
+            await worker.start(createStart("job/1"));
+            const report = await (await fetch(`${addresses.control}/records`)).json() as RecordsReport;
+            expect(report.overcommits.length).toEqual(1);
+            expect(report.taskRuns.map(run => run.task)).toEqual(["job/0", "job/1"] as TaskId[]);
+            const short = await (await fetch(`${addresses.control}/records?runs=false`)).json() as RecordsReport;
+            expect([short.taskRunCount, short.taskRuns.length]).toEqual([2, 0]);
+        });
+
+        it("names what is wrong with a command", async () => {
+            const unknown = await post({ action: "kill", target: "nowhere" });
+            expect(unknown.status).toEqual(404);
+            expect(await unknown.text()).toEqual(expect.includes("nowhere"));
+            const invalid = await post({ action: "slow", target: "store", delayMs: -1 });
+            expect(invalid.status).toEqual(400);
+            expect(await invalid.text()).toEqual(expect.includes("delayMs"));
+        });
+    });
+
+    // Guards against a stand-in that crashes on malformed input.
+    it("refuses malformed calls with a reason", async () => {
+        const put = (body: string) => fetch(`${addresses.store}/v1/entry`, { method: "PUT", body });
+        expect((await put("{")).status).toEqual(400);
+        expect((await put("{\"key\":\"\"}")).status).toEqual(400);
+        expect((await fetch(`${addresses.store}/v1/watch?revision=-1&waitMs=1`)).status).toEqual(400);
+        expect((await fetch(`${addresses.store}/v2`)).status).toEqual(404);
+        expect((await fetch(`${addresses.executors[0]?.url}/v1/execute`, { method: "POST" })).status).toEqual(400);
+        expect(getCode(await store.read("a"))).toEqual("ok");
+    });
+
+    // Guards against a caller that closes its connection in the middle of a body.
+    it("survives callers that give up in the middle of a request", async () => {
+        const agent = new Agent();
+        const headers = { "content-length": 1_000 };
+        const outgoing = sendRequest(`${addresses.store}/v1/entry`, { method: "PUT", agent, headers });
+        outgoing.on("error", () => undefined);
+        outgoing.write("{");
+        await new Promise(resolve => setTimeout(resolve, 20));
+        outgoing.destroy();
+        expect(getCode(await store.write(createWrite("a")))).toEqual("ok");
+        agent.destroy();
+    });
+});
--- a/packages/stand-ins/src/worker-state.ts
+++ b/packages/stand-ins/src/worker-state.ts
@@ -35,6 +35,7 @@
     readonly endsAt: number | undefined;
     endTimer: Timer | undefined;
     leaseTimer: Timer | undefined;
+    keepTimer: Timer | undefined;
     outcome: TaskOutcome | undefined;
     throttlePercent: number;
 }
@@ -67,6 +68,7 @@
             if (wasRunning) {
                 return Ok(undefined);
             }
+            this.dropRow(existing);
         }
         this.run(start);
         return Ok(undefined);
@@ -75,8 +77,9 @@
     /** Renews the leases of the named tasks, forgets acknowledged outcomes, and reports. */
     renew(renewal: WorkerRenewal): Result<WorkerReport, Failure> {
         for (const task of renewal.acknowledged) {
-            if (this.tasks.get(task)?.outcome !== undefined) {
-                this.tasks.delete(task);
+            const row = this.tasks.get(task);
+            if (row?.outcome !== undefined) {
+                this.dropRow(row);
             }
         }
         for (const task of renewal.tasks) {
@@ -122,8 +125,8 @@
             if (row.outcome === undefined) {
                 this.finishRow(row, "stopped");
             }
+            this.dropRow(row);
         }
-        this.tasks.clear();
     }
 
     list(): Result<WorkerReport, Failure> {
@@ -151,6 +154,7 @@
             endsAt: durationMs === undefined ? undefined : startedAt + durationMs,
             endTimer: undefined,
             leaseTimer: undefined,
+            keepTimer: undefined,
             outcome: undefined,
             throttlePercent: 100,
         };
@@ -192,11 +196,12 @@
             accelerators: -row.start.resources.accelerators,
         });
         this.recordOvercommit();
-        this.options.clock.schedule(this.options.outcomeKeepMs ?? 600_000, () => {
-            if (this.tasks.get(row.start.task) === row) {
-                this.tasks.delete(row.start.task);
-            }
-        });
+        row.keepTimer = this.options.clock.schedule(this.options.outcomeKeepMs ?? 600_000, () => this.dropRow(row));
+    }
+
+    private dropRow(row: TaskRow): void {
+        row.keepTimer?.cancel();
+        this.tasks.delete(row.start.task);
     }
 
     private recordOvercommit(): void {
