--- a/packages/stand-ins/src/executor-state.ts
+++ b/packages/stand-ins/src/executor-state.ts
@@ -41,6 +41,9 @@
 /** Milliseconds after the caller's time-out at which a late answer is sent. */
 const lateByMs = 200;
 
+/** Bytes of each request body that are recorded. */
+const bodyStartBytes = 64;
+
 /** The state of one executor. */
 export class ExecutorState {
     isDraining = false;
@@ -72,7 +75,9 @@
         }
         const { attempt, requestKey, queue, team } = request;
         const { executor } = address;
-        const run = records.recordRequestStart({ executor, requestKey, attempt, queue, team }, request.isIdempotent);
+        const bodyStart = Buffer.from(request.body.subarray(0, bodyStartBytes)).toString("latin1");
+        const started = { executor, requestKey, attempt, queue, team, bodyStart };
+        const run = records.recordRequestStart(started, request.isIdempotent);
         const id = Symbol(attempt);
         const { generation } = this;
         this.running.set(id, attempt);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -34,3 +34,4 @@
 export { applyToStandIn, StandIn } from "./stand-in.js";
 export type { StandInAddresses } from "./stand-in.js";
 export type { StoreCounts } from "./store-state.js";
+export { parseDuration } from "./task-command.js";
--- a/packages/stand-ins/src/records.ts
+++ b/packages/stand-ins/src/records.ts
@@ -71,6 +71,7 @@
     readonly worker: WorkerId;
     readonly task: TaskId;
     readonly team: TeamId;
+    readonly resources: ResourceVector;
     readonly epoch: number;
     readonly startedAt: number;
     endedAt?: number;
@@ -84,6 +85,8 @@
     readonly attempt: AttemptId;
     readonly queue: QueueId;
     readonly team: TeamId;
+    /** First 64 bytes of the body, as Latin-1, so that a caller can find its own request whatever key it got. */
+    readonly bodyStart: string;
     readonly startedAt: number;
     endedAt?: number;
 }
--- a/packages/stand-ins/src/worker-state.ts
+++ b/packages/stand-ins/src/worker-state.ts
@@ -146,10 +146,10 @@
         const startedAt = clock.getNow();
         const durationMs = records.checkpoints.get(start.task) ?? behaviour.durationMs;
         records.checkpoints.delete(start.task);
-        const { task, team, epoch } = start;
+        const { task, team, resources, epoch } = start;
         const row: TaskRow = {
             start,
-            run: records.recordTaskStart({ worker: address.worker, task, team, epoch }),
+            run: records.recordTaskStart({ worker: address.worker, task, team, resources, epoch }),
             startedAt,
             endsAt: durationMs === undefined ? undefined : startedAt + durationMs,
             endTimer: undefined,
