--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -48,7 +48,7 @@
 /** One call. */
 export interface HttpRequest {
     readonly operation: string;
-    readonly method: "GET" | "POST" | "PUT";
+    readonly method: "GET" | "POST" | "PUT" | "DELETE";
     /** Path below the base URL, with query. */
     readonly path: string;
     readonly headers?: OutgoingHttpHeaders;
--- a/packages/scenario/src/child-program.ts
+++ b/packages/scenario/src/child-program.ts
@@ -52,7 +52,7 @@
 
     /** Sends SIGTERM and waits; fails if the program does not end by itself with status 0. */
     async stop(): Promise<Result<void, Failure>> {
-        const sent = this.signal("SIGTERM");
+        const sent = this.sendSignal("SIGTERM");
         if (!sent.ok) {
             return sent;
         }
@@ -71,17 +71,17 @@
 
     /** Ends the program with SIGKILL, also while it is paused. */
     async kill(): Promise<Result<void, Failure>> {
-        const sent = this.signal("SIGKILL");
+        const sent = this.sendSignal("SIGKILL");
         await this.exited;
         return sent;
     }
 
     pause(): Result<void, Failure> {
-        return this.signal("SIGSTOP");
+        return this.sendSignal("SIGSTOP");
     }
 
     resume(): Result<void, Failure> {
-        return this.signal("SIGCONT");
+        return this.sendSignal("SIGCONT");
     }
 
     /** Returns the end of the program's log. */
@@ -94,7 +94,7 @@
         }
     }
 
-    private signal(name: NodeJS.Signals): Result<void, Failure> {
+    private sendSignal(name: NodeJS.Signals): Result<void, Failure> {
         if (!this.isRunning) {
             const message = `process "${this.options.name}" is not running; log: ${this.readLogTail()}`;
             return Err(createFailure("process-ended", message, "notRun"));
--- a/packages/scenario/src/find-free-ports.ts
+++ b/packages/scenario/src/find-free-ports.ts
@@ -1,21 +1,37 @@
 /**
  * Free TCP ports for the programs of a test, which take fixed ports from their settings.
  */
-import type { AddressInfo, Server } from "node:net";
+import { SystemRandom } from "@waxwingroute/core";
+import type { Server } from "node:net";
 import { createServer } from "node:net";
 
+/** Range below the ports that Linux gives to outgoing connections, which could take a port before its program starts. */
+const firstPort = 20_000;
+const portCount = 12_000;
+const maxAttempts = 1_000;
+
 /** Finds `count` ports that are free on `address` now. All are held until all are found, so that they differ. */
 export async function findFreePorts(address: string, count: number): Promise<readonly number[]> {
-    const servers: Server[] = [];
-    for (let index = 0; index < count; index++) {
-        const server = createServer();
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(0, address, resolve);
-        });
-        servers.push(server);
+    const random = new SystemRandom();
+    const servers = new Map<number, Server>();
+    for (let attempt = 0; servers.size < count && attempt < maxAttempts; attempt++) {
+        const port = firstPort + random.getInteger(portCount);
+        const server = servers.has(port) ? undefined : await tryListen(address, port);
+        if (server !== undefined) {
+            servers.set(port, server);
+        }
+    }
+    await Promise.all([...servers.values()].map(server => new Promise(resolve => server.close(resolve))));
+    if (servers.size < count) {
+        throw new Error(`found ${servers.size} of ${count} free ports on ${address} in ${maxAttempts} attempts`);
     }
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    return [...servers.keys()];
+}
+
+function tryListen(address: string, port: number): Promise<Server | undefined> {
+    return new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(undefined));
+        server.listen(port, address, () => resolve(server));
+    });
 }
--- a/packages/scenario/src/link-relay.ts
+++ b/packages/scenario/src/link-relay.ts
@@ -39,7 +39,7 @@
     /** Opens or cuts the link. Opening it ends the connections that lost bytes while it was cut. */
     setOpen(isOpen: boolean): void {
         if (isOpen && !this.isOpen) {
-            this.destroySockets();
+            this.dropSockets();
         }
         this.isOpen = isOpen;
     }
@@ -47,7 +47,7 @@
     close(): Promise<void> {
         return new Promise(resolve => {
             this.server.close(() => resolve());
-            this.destroySockets();
+            this.dropSockets();
         });
     }
 
@@ -83,7 +83,7 @@
         socket.on("close", () => this.sockets.delete(socket));
     }
 
-    private destroySockets(): void {
+    private dropSockets(): void {
         for (const socket of this.sockets) {
             socket.destroy();
         }
--- a/packages/scenario/src/scenario.peggy
+++ b/packages/scenario/src/scenario.peggy
@@ -131,7 +131,7 @@
         return { kind: "tasks", state, bound, group: of ?? undefined };
     }
     / "requests" _ state:requestState _ bound:bound { return { kind: "requests", state, bound }; }
-    / "job" _ name:name _ state:$("accepted" / "refused" / "unanswered") { return { kind: "job", name, state }; }
+    / "job" _ name:name _ state:$("accepted" / "refused" / "lost" / "waiting") { return { kind: "job", name, state }; }
     / "process" _ name:name _ state:$("running" / "ready" / "ended") { return { kind: "process", name, state }; }
 
 amount "cpu, memory, accelerators or slots"
--- a/packages/scenario/src/submissions.ts
+++ b/packages/scenario/src/submissions.ts
@@ -41,16 +41,16 @@
 
     constructor(private readonly options: SubmissionsOptions) {}
 
-    /** Notes that a job was sent and, when it is known, what became of it. A failure is a refusal. */
+    /** Notes that a job was sent and, when it is known, what became of it. Only `notRun` is a refusal. */
     async trackJob(name: string, answer: Promise<Result<void, Failure>>): Promise<void> {
-        this.jobs.set(name, { state: "unanswered" });
+        this.jobs.set(name, { state: "waiting" });
         const result = await answer;
-        this.jobs.set(
-            name,
-            result.ok
-                ? { state: "accepted" }
-                : { state: "refused", verdict: result.val.verdict, message: result.val.message },
-        );
+        if (result.ok) {
+            this.jobs.set(name, { state: "accepted" });
+            return;
+        }
+        const { verdict, message } = result.val;
+        this.jobs.set(name, { state: verdict === "notRun" ? "refused" : "lost", verdict, message });
     }
 
     /** Sends the requests of a step; their answers are noted as they come. */
--- /dev/null
+++ b/packages/scenario/src/testing/entry-stub.ts
@@ -0,0 +1,4 @@
+/**
+ * The stub as `waxwing-entry`; the name of the file tells the stub which ports are its own.
+ */
+import "./stub-program.js";
--- a/packages/scenario/src/types.ts
+++ b/packages/scenario/src/types.ts
@@ -18,7 +18,7 @@
 
 export type TaskState = "running" | "started" | "succeeded" | "failed" | "stopped";
 export type RequestState = "answered" | "refused" | "lost" | "waiting";
-export type JobState = "accepted" | "refused" | "unanswered";
+export type JobState = "accepted" | "refused" | "lost" | "waiting";
 export type ProcessState = "running" | "ready" | "ended";
 
 /** What a scenario expects. */
