Add the HTTP resource interface for operators

Cause: operators declare teams, keys, queues, drains and jobs over HTTP, and watch changes.

Change: OperatorServer over abstract gateways for jobs and the cluster: list, get, create, update with If-Match, delete, watches that resume from a revision, jobs under a key of their team, config where and force-release. Every failure is JSON with a code, a message and a verdict.

--- /dev/null
+++ b/packages/operator/src/job-handlers.ts
@@ -0,0 +1,104 @@
+/**
+ * Submission, cancellation and description of jobs, and commands to the cluster.
+ */
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import type { Failure, Result, ShardId } from "@waxwingroute/core";
+import { createTextSchema, maxReasonLength, parseName, parseResource, validateValue } from "@waxwingroute/resources";
+import type { JobResource } from "@waxwingroute/resources";
+import { z } from "zod";
+import type { Authorization } from "./authorization.js";
+import type { Reply } from "./replies.js";
+import { parseInteger, parseQuery } from "./request-reading.js";
+import type { ClusterGateway, JobGateway, JobStatus } from "./types.js";
+
+/** Jobs in one list, at most and by default. */
+const maxListedJobs = 1_000;
+const defaultListedJobs = 500;
+
+const reasonSchema = z.strictObject({ reason: createTextSchema(0, maxReasonLength).default("") }).default({
+    reason: "",
+});
+
+/** Handlers of jobs and cluster commands. */
+export class JobHandlers {
+    constructor(
+        private readonly jobs: JobGateway,
+        private readonly cluster: ClusterGateway,
+        private readonly authorization: Authorization,
+    ) {}
+
+    async list(query: URLSearchParams): Promise<Result<Reply, Failure>> {
+        const parameters = parseQuery(query, ["team", "after", "limit"]);
+        if (!parameters.ok) {
+            return Err(parameters.val);
+        }
+        const { team, after, limit = String(defaultListedJobs) } = parameters.val;
+        for (const [label, name] of Object.entries({ team, after })) {
+            const checked = name === undefined ? Ok("") : parseName(name, label);
+            if (!checked.ok) {
+                return Err(checked.val);
+            }
+        }
+        const count = parseInteger("limit", limit, 1, maxListedJobs);
+        if (!count.ok) {
+            return Err(count.val);
+        }
+        const items = await this.jobs.list({ team, after, limit: count.val });
+        return items.map(found => ({ status: 200, body: { items: found } }));
+    }
+
+    async describe(name: string): Promise<Result<Reply, Failure>> {
+        return (await this.jobs.describe(name)).map(createJobReply);
+    }
+
+    async explain(name: string): Promise<Result<Reply, Failure>> {
+        return (await this.jobs.explain(name)).map(body => ({ status: 200, body }));
+    }
+
+    /** Submits a job under the key of its team. The operator token does not replace the key. */
+    async submit(body: unknown, secret: string | undefined): Promise<Result<Reply, Failure>> {
+        const resource = parseResource(body);
+        if (!resource.ok) {
+            return Err(resource.val);
+        }
+        if (resource.val.kind !== "Job") {
+            const message = `kind is "${resource.val.kind}", the path is that of Job: use the path of its kind`;
+            return Err(createFailure("invalid-resource", message, "notRun"));
+        }
+        const job: JobResource = resource.val;
+        const allowed = this.authorization.checkTeam(secret, job.spec.team);
+        if (!allowed.ok) {
+            return Err(allowed.val);
+        }
+        return (await this.jobs.submit(job)).map(status => ({ ...createJobReply(status), status: 201 }));
+    }
+
+    /** Cancels a job with the operator token or a key of its team. */
+    async cancel(name: string, token: string | undefined): Promise<Result<Reply, Failure>> {
+        if (!this.authorization.checkOperator(token).ok) {
+            const job = await this.jobs.describe(name);
+            const allowed = job.andThen(({ team }) => this.authorization.checkTeam(token, team));
+            if (!allowed.ok) {
+                return Err(allowed.val);
+            }
+        }
+        return (await this.jobs.cancel(name)).map(createJobReply);
+    }
+
+    async listRevisions(): Promise<Result<Reply, Failure>> {
+        return (await this.cluster.listRevisions()).map(items => ({ status: 200, body: { items } }));
+    }
+
+    async releaseShard(shard: ShardId, body: unknown): Promise<Result<Reply, Failure>> {
+        const request = validateValue(reasonSchema, body, "force-release");
+        if (!request.ok) {
+            return Err(request.val);
+        }
+        const released = await this.cluster.releaseShard(shard, request.val.reason);
+        return released.map(epoch => ({ status: 200, body: { shard, epoch } }));
+    }
+}
+
+function createJobReply(job: JobStatus): Reply {
+    return { status: 200, body: job };
+}
--- /dev/null
+++ b/packages/operator/src/operator-server.ts
@@ -0,0 +1,208 @@
+/**
+ * The HTTP resource interface for operators (docs/design.md, section 5).
+ */
+import { createFailure, Err } from "@waxwingroute/core";
+import type { Failure } from "@waxwingroute/core";
+import type { ConfigurationReplica } from "@waxwingroute/relay";
+import type { ResourceRepository } from "@waxwingroute/resources";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { match } from "ts-pattern";
+import { Authorization } from "./authorization.js";
+import { JobHandlers } from "./job-handlers.js";
+import { createErrorReply, sendReply } from "./replies.js";
+import type { Reply } from "./replies.js";
+import { dropBody } from "./request-reading.js";
+import { RequestRouter, splitUrl } from "./request-router.js";
+import { ResourceHandlers } from "./resource-handlers.js";
+import { allowedMethods, parseRoute } from "./routes.js";
+import type { ClusterGateway, JobGateway } from "./types.js";
+import { WatchSessions } from "./watch-sessions.js";
+
+/** Options of an `OperatorServer`. */
+export interface OperatorServerOptions {
+    readonly repository: ResourceRepository;
+    readonly replica: ConfigurationReplica;
+    readonly jobs: JobGateway;
+    readonly cluster: ClusterGateway;
+    /** Address to listen on. Default `127.0.0.1`. */
+    readonly address?: string;
+    /** Port to listen on; 0 for any free one. Default 0. */
+    readonly port?: number;
+    /** SHA-256 of the operator token, 64 hexadecimal digits. Default: writes need no token. */
+    readonly operatorTokenHash?: string;
+    /** Age of the last confirmation above which keys are not judged, in milliseconds. Default 30,000. */
+    readonly keyStalenessMs?: number;
+    /** What happens to jobs while keys cannot be judged. Default `refuse`. */
+    readonly whenStale?: "refuse" | "serve";
+    /** Most connections at one time. Default 512. */
+    readonly maximumConnections?: number;
+    /** Most watches at one time. Default 256. */
+    readonly maximumWatches?: number;
+    /** Period of progress lines in watches, in milliseconds. Default 10,000. */
+    readonly progressMs?: number;
+    /** Bytes that wait for a slow watcher before its watch ends. Default 1 MB. */
+    readonly maximumBufferedBytes?: number;
+    /** Time for a client to send a whole request, in milliseconds. Default 30,000. */
+    readonly requestTimeoutMs?: number;
+    /** Time that requests under way have to end at shutdown, in milliseconds. Default 5,000. */
+    readonly shutdownMs?: number;
+    /** Called once for each write with its outcome, for the audit log. Default: nothing. */
+    readonly onWrite?: (write: OperatorWrite) => void;
+    /** Called for faults of this program; the client gets `internal-error`. Default: nothing. */
+    readonly onError?: (error: unknown) => void;
+}
+
+/** A write as the audit log records it. Bodies and tokens are not part of it. */
+export interface OperatorWrite {
+    readonly method: string;
+    readonly path: string;
+    readonly client: string | undefined;
+    readonly status: number;
+    readonly failure: Failure | undefined;
+}
+
+/**
+ * Serves the resource interface.
+ *
+ * @example
+ * ```ts
+ * const server = new OperatorServer({ repository, replica, jobs, cluster, port: 7400 });
+ * await server.start();
+ * process.once("SIGTERM", () => void server.shutdown());
+ * ```
+ */
+export class OperatorServer {
+    private readonly server: Server;
+    private readonly router: RequestRouter;
+    private readonly watches: WatchSessions;
+    private isStopping = false;
+
+    constructor(private readonly options: OperatorServerOptions) {
+        const { repository, replica, jobs, cluster, operatorTokenHash } = options;
+        const { keyStalenessMs = 30_000, whenStale = "refuse", requestTimeoutMs = 30_000 } = options;
+        const authorization = new Authorization({ replica, operatorTokenHash, keyStalenessMs, whenStale });
+        this.watches = new WatchSessions({
+            replica,
+            jobs,
+            maximumWatches: options.maximumWatches ?? 256,
+            progressMs: options.progressMs ?? 10_000,
+            maximumBufferedBytes: options.maximumBufferedBytes ?? 1024 * 1024,
+        });
+        this.router = new RequestRouter({
+            authorization,
+            resources: new ResourceHandlers(repository, replica),
+            jobs: new JobHandlers(jobs, cluster, authorization),
+            watches: this.watches,
+        });
+        const headersTimeout = Math.min(10_000, requestTimeoutMs);
+        this.server = createServer({ requestTimeout: requestTimeoutMs, headersTimeout }, (request, response) => {
+            void this.handle(request, response);
+        });
+        this.server.maxConnections = options.maximumConnections ?? 512;
+        // Node would drop the headers above its bound without a word; `checkHeaders` refuses them.
+        this.server.maxHeadersCount = 0;
+        this.server.on("clientError", refuseConnection);
+    }
+
+    /** Number of open watches. */
+    get watchCount(): number {
+        return this.watches.size;
+    }
+
+    /** Starts to listen; returns the port. Rejects if the address is in use. */
+    async start(): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.options.port ?? 0, this.options.address ?? "127.0.0.1", resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Ends watches, refuses new requests, lets those under way end, and closes. */
+    async shutdown(): Promise<void> {
+        this.isStopping = true;
+        const closed = new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+        });
+        this.watches.close();
+        this.server.closeIdleConnections();
+        const timer = setTimeout(() => this.server.closeAllConnections(), this.options.shutdownMs ?? 5_000);
+        await closed;
+        clearTimeout(timer);
+    }
+
+    private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        response.on("error", () => undefined);
+        if (this.isStopping) {
+            response.setHeader("Connection", "close");
+        }
+        let failure: Failure | undefined;
+        try {
+            const stopping = createFailure("server-stopping", "the server stops: use another one", "notRun", 1_000);
+            const result = this.isStopping ? Err(stopping) : await this.router.process(request, response);
+            failure = result.ok ? undefined : result.val;
+            if (!result.ok && !request.complete) {
+                await dropBody(request);
+            }
+            const reply = result.ok ? result.val : this.createFailureReply(result.val, request, response);
+            if (reply !== undefined) {
+                sendReply(response, reply);
+            }
+        }
+        catch (error) {
+            failure = this.handleFault(error, response);
+        }
+        if (request.method !== "GET") {
+            const path = (request.url ?? "").slice(0, 256);
+            const { method = "", socket } = request;
+            this.options.onWrite?.({
+                method,
+                path,
+                client: socket.remoteAddress,
+                status: response.statusCode,
+                failure,
+            });
+        }
+    }
+
+    private handleFault(error: unknown, response: ServerResponse): Failure {
+        this.options.onError?.(error);
+        const failure = createFailure("internal-error", "the server failed: see its log", "mayHaveRun");
+        if (response.headersSent) {
+            response.destroy();
+        }
+        else {
+            sendReply(response, createErrorReply(failure));
+        }
+        return failure;
+    }
+
+    private createFailureReply(failure: Failure, request: IncomingMessage, response: ServerResponse): Reply {
+        if (!request.complete) {
+            // The rest of the body would be read as the next request.
+            response.setHeader("Connection", "close");
+        }
+        const path = parseRoute(splitUrl(request).path);
+        const isMethodRefused = failure.code === "method-not-allowed" && path.ok;
+        return createErrorReply(failure, isMethodRefused ? { Allow: allowedMethods[path.val.type].join(", ") } : {});
+    }
+}
+
+/** Answers bytes that are not a request. Node has no response object for them. */
+function refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || error.code === "ECONNRESET") {
+        socket.destroy();
+        return;
+    }
+    const [code, message] = match(error.code)
+        .with("HPE_HEADER_OVERFLOW", () => ["too-many-headers", "the headers are over 16 KB: send fewer"] as const)
+        .with("ERR_HTTP_REQUEST_TIMEOUT", () => ["invalid-request", "the request did not arrive in time"] as const)
+        .otherwise(() => ["invalid-request", "the bytes are not an HTTP request"] as const);
+    const reply = createErrorReply(createFailure(code, message, "notRun"));
+    const text = `${JSON.stringify(reply.body)}\n`;
+    const status = reply.status === 431 ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const headers = `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(text)}\r\nConnection: close`;
+    socket.end(`HTTP/1.1 ${status}\r\n${headers}\r\nWaxwing-Verdict: notRun\r\n\r\n${text}`);
+}
--- /dev/null
+++ b/packages/operator/src/testing/operator-fixture.ts
@@ -0,0 +1,113 @@
+/**
+ * An operator server on loopback over a store in memory, with gateways that record calls.
+ */
+import { createFailure, Err, Ok, SystemClock } from "@waxwingroute/core";
+import type { Failure, HostId, Result, ShardId, ZoneId } from "@waxwingroute/core";
+import { ConfigurationReplica } from "@waxwingroute/relay";
+import { ResourceRepository } from "@waxwingroute/resources";
+import type { JobResource } from "@waxwingroute/resources";
+import { MemoryStore } from "@waxwingroute/resources/testing";
+import { OperatorServer } from "../operator-server.js";
+import type { OperatorServerOptions, OperatorWrite } from "../operator-server.js";
+import { ClusterGateway, JobGateway } from "../types.js";
+import type { HostRevision, JobExplanation, JobQuery, JobStatus, JobWatch } from "../types.js";
+
+/** Jobs in memory. */
+export class MemoryJobs extends JobGateway {
+    readonly jobs = new Map<string, JobStatus>();
+    private readonly watches = new Set<JobWatch>();
+    private revision = 0;
+
+    async submit(job: JobResource): Promise<Result<JobStatus, Failure>> {
+        const { name, spec: { team, kind, taskCount } } = job;
+        if (this.jobs.has(name)) {
+            return Err(createFailure("already-exists", `job "${name}" exists: choose another name`, "notRun"));
+        }
+        const tasks = { waiting: taskCount, running: 0, succeeded: 0, failed: 0, stopped: 0, mayHaveRun: 0 };
+        return Ok(this.record({ name, team, kind, state: "waiting", shard: "glasgow/0", tasks, revision: 0 }));
+    }
+
+    async cancel(name: string): Promise<Result<JobStatus, Failure>> {
+        return (await this.describe(name)).map(job => this.record({ ...job, state: "cancelled" }));
+    }
+
+    async describe(name: string): Promise<Result<JobStatus, Failure>> {
+        const job = this.jobs.get(name);
+        return job === undefined
+            ? Err(createFailure("not-found", `job "${name}" does not exist: check the name`, "notRun"))
+            : Ok(job);
+    }
+
+    async list({ team, limit }: JobQuery): Promise<Result<readonly JobStatus[], Failure>> {
+        return Ok([...this.jobs.values()].filter(job => team === undefined || job.team === team).slice(0, limit));
+    }
+
+    async watch(watch: JobWatch): Promise<Result<void, Failure>> {
+        this.watches.add(watch);
+        return new Promise(resolve => {
+            watch.signal.addEventListener("abort", () => resolve(Ok(undefined)));
+        });
+    }
+
+    async explain(name: string): Promise<Result<JobExplanation, Failure>> {
+        const reasons = [{ code: "no-capacity", message: "no worker has 500 free cpuMillis" }];
+        return (await this.describe(name)).map(job => ({ job, reasons, estimatedWaitMs: 1_500 }));
+    }
+
+    private record(job: JobStatus): JobStatus {
+        const recorded = { ...job, revision: ++this.revision };
+        this.jobs.set(job.name, recorded);
+        this.watches.forEach(watch => watch.onEvent(recorded));
+        return recorded;
+    }
+}
+
+/** A cluster of one host. */
+export class MemoryCluster extends ClusterGateway {
+    readonly released: string[] = [];
+
+    constructor(private readonly replica: ConfigurationReplica) {
+        super();
+    }
+
+    async listRevisions(): Promise<Result<readonly HostRevision[], Failure>> {
+        const { revision } = this.replica;
+        return Ok([{ host: "g1" as HostId, zone: "glasgow" as ZoneId, revision, confirmedAgoMs: 0 }]);
+    }
+
+    async releaseShard(shard: ShardId, reason: string): Promise<Result<number, Failure>> {
+        this.released.push(`${shard}: ${reason}`);
+        return Ok(8);
+    }
+}
+
+/** Starts a server. Call `sync` to bring the store's changes into force in its replica. */
+export async function startOperator(options: Partial<OperatorServerOptions> = {}) {
+    const store = new MemoryStore(new SystemClock());
+    const replica = new ConfigurationReplica();
+    const repository = new ResourceRepository({ store, retryDelayMs: 1 });
+    const jobs = new MemoryJobs();
+    const cluster = new MemoryCluster(replica);
+    const writes: OperatorWrite[] = [];
+    const errors: unknown[] = [];
+    const sync = (): void => {
+        const { changes, revision } = store.data;
+        const from = replica.revision ?? 0;
+        const newer = changes.filter(change => change.revision > from);
+        replica.applyUpdate({ kind: "delta", from, revision, changes: newer }).unwrap();
+        replica.confirm(revision, performance.now());
+    };
+    replica.applyUpdate({ kind: "snapshot", revision: 0, entries: [] }).unwrap();
+    sync();
+    const server = new OperatorServer({
+        repository,
+        replica,
+        jobs,
+        cluster,
+        onWrite: write => writes.push(write),
+        onError: error => errors.push(error),
+        ...options,
+    });
+    const port = await server.start();
+    return { server, port, store, replica, repository, jobs, cluster, writes, errors, sync };
+}
--- /dev/null
+++ b/packages/operator/src/watch-sessions.ts
@@ -0,0 +1,209 @@
+/**
+ * Watches: responses that go on, one JSON object a line. A client resumes from the revision of the last line that it saw.
+ */
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import type { Failure, Result } from "@waxwingroute/core";
+import type { StoreChange } from "@waxwingroute/platform";
+import type { ConfigurationReplica } from "@waxwingroute/relay";
+import { decodeResource, formatValue, maxRevision, parseName, parseStoreKey } from "@waxwingroute/resources";
+import type { ConfigurationKind } from "@waxwingroute/resources";
+import type { ServerResponse } from "node:http";
+import { parseInteger, parseQuery } from "./request-reading.js";
+import { findKind } from "./routes.js";
+import type { JobGateway, JobStatus, WatchLine } from "./types.js";
+
+/** Options of `WatchSessions`. */
+export interface WatchSessionsOptions {
+    readonly replica: ConfigurationReplica;
+    readonly jobs: JobGateway;
+    /** Most watches at one time. */
+    readonly maximumWatches: number;
+    /** Period of progress lines, in milliseconds. */
+    readonly progressMs: number;
+    /** Bytes that wait for a slow client before its watch ends. */
+    readonly maximumBufferedBytes: number;
+}
+
+/** What a client watches. */
+type WatchRequest =
+    | {
+        readonly type: "configuration";
+        readonly kind: ConfigurationKind | undefined;
+        readonly from: number | undefined;
+    }
+    | { readonly type: "jobs"; readonly team: string | undefined; readonly from: number | undefined; };
+
+interface Session {
+    readonly response: ServerResponse;
+    readonly controller: AbortController;
+    /** Revision of the last line. */
+    revision: number | undefined;
+}
+
+/** All watches of a server. */
+export class WatchSessions {
+    private readonly sessions = new Set<Session>();
+
+    constructor(private readonly options: WatchSessionsOptions) {}
+
+    get size(): number {
+        return this.sessions.size;
+    }
+
+    /**
+     * Starts a watch on a response, or returns a failure before anything is sent: `invalid-query`, `unknown-kind`,
+     * `revision-compacted`, `too-many-watches`, `not-ready` (`notRun`).
+     */
+    start(query: URLSearchParams, response: ServerResponse): Result<undefined, Failure> {
+        const request = parseWatch(query);
+        if (!request.ok) {
+            return Err(request.val);
+        }
+        if (this.sessions.size >= this.options.maximumWatches) {
+            const message = `${this.sessions.size} watches are open, the most of this server: use another server`;
+            return Err(createFailure("too-many-watches", message, "notRun", 5_000));
+        }
+        const session = { response, controller: new AbortController(), revision: request.val.from };
+        return request.val.type === "jobs"
+            ? this.startJobs(session, request.val.team)
+            : this.startConfiguration(session, request.val.kind);
+    }
+
+    /** Ends all watches with a last line that says from which revision to resume. */
+    close(): void {
+        for (const session of [...this.sessions]) {
+            this.finish(session, "server-stopping", "the server stops: resume at another one");
+        }
+    }
+
+    private startConfiguration(session: Session, kind: ConfigurationKind | undefined): Result<undefined, Failure> {
+        const { replica } = this.options;
+        if (replica.revision === undefined) {
+            return Err(createFailure("not-ready", "no configuration is loaded yet: try again", "notRun", 1_000));
+        }
+        const from = session.revision ?? replica.revision;
+        const missed = replica.listChanges(from);
+        if (!missed.ok) {
+            return Err(missed.val);
+        }
+        this.open(session);
+        const report = (changes: readonly StoreChange[], revision: number): void => {
+            for (const change of changes) {
+                const line = change.revision > from ? toLine(change, kind) : undefined;
+                if (line !== undefined) {
+                    this.send(session, line);
+                }
+            }
+            session.revision = Math.max(session.revision ?? from, revision);
+        };
+        report(missed.val, replica.revision);
+        this.send(session, { type: "progress", revision: session.revision ?? from });
+        const unsubscribe = replica.subscribe(report);
+        const timer = setInterval(() => {
+            this.send(session, { type: "progress", revision: session.revision ?? from });
+        }, this.options.progressMs);
+        session.controller.signal.addEventListener("abort", () => {
+            unsubscribe();
+            clearInterval(timer);
+        });
+        return Ok(undefined);
+    }
+
+    private startJobs(session: Session, team: string | undefined): Result<undefined, Failure> {
+        this.open(session);
+        const { signal } = session.controller;
+        const onEvent = (job: JobStatus): void => {
+            session.revision = Math.max(session.revision ?? 0, job.revision);
+            this.send(session, { type: "job", revision: job.revision, job });
+        };
+        const timer = setInterval(() => {
+            this.send(session, { type: "progress", revision: session.revision ?? 0 });
+        }, this.options.progressMs);
+        signal.addEventListener("abort", () => clearInterval(timer));
+        const watch = this.options.jobs.watch({ team, from: session.revision, onEvent, signal });
+        watch.then(
+            result =>
+                result.ok
+                    ? this.finish(session, "watch-ended", "the shard owners ended the watch: resume it")
+                    : this.finish(session, result.val.code, result.val.message),
+            (error: unknown) => this.finish(session, "internal-error", `the watch failed: ${String(error)}`),
+        );
+        return Ok(undefined);
+    }
+
+    private open(session: Session): void {
+        this.sessions.add(session);
+        session.response.writeHead(200, { "Content-Type": "application/x-ndjson", "Cache-Control": "no-store" });
+        session.response.flushHeaders();
+        session.response.on("close", () => this.remove(session));
+    }
+
+    private send(session: Session, line: WatchLine): void {
+        const { response } = session;
+        if (!this.sessions.has(session)) {
+            return;
+        }
+        response.write(`${JSON.stringify(line)}\n`);
+        if (response.writableLength > this.options.maximumBufferedBytes) {
+            // The client does not read; it resumes from its last line when it does.
+            this.remove(session);
+            response.destroy();
+        }
+    }
+
+    private finish(session: Session, code: string, message: string): void {
+        if (this.sessions.has(session)) {
+            this.send(session, { type: "end", revision: session.revision, code, message });
+            this.remove(session);
+            session.response.end();
+        }
+    }
+
+    private remove(session: Session): void {
+        if (this.sessions.delete(session)) {
+            session.controller.abort();
+        }
+    }
+}
+
+function parseWatch(query: URLSearchParams): Result<WatchRequest, Failure> {
+    const parameters = parseQuery(query, ["kind", "team", "from"]);
+    if (!parameters.ok) {
+        return Err(parameters.val);
+    }
+    const { kind: text, team, from: fromText } = parameters.val;
+    const from = fromText === undefined ? Ok(undefined) : parseInteger("from", fromText, 0, maxRevision);
+    if (!from.ok) {
+        return Err(from.val);
+    }
+    if (text === "jobs" || text === "Job") {
+        const checked = team === undefined ? Ok(undefined) : parseName(team, "team");
+        return checked.map(name => ({ type: "jobs", team: name, from: from.val }));
+    }
+    const kind = text === undefined ? undefined : findKind(text);
+    if (text !== undefined && kind === undefined) {
+        const message = `kind ${formatValue(text)} does not exist: use teams, keys, queues, drains or jobs`;
+        return Err(createFailure("unknown-kind", message, "notRun"));
+    }
+    if (team !== undefined) {
+        return Err(
+            createFailure("invalid-query", "query parameter team is only for kind=jobs: leave it out", "notRun"),
+        );
+    }
+    return Ok({ type: "configuration", kind, from: from.val });
+}
+
+function toLine(change: StoreChange, wanted: ConfigurationKind | undefined): WatchLine | undefined {
+    const parsed = parseStoreKey(change.key);
+    if (parsed === undefined || wanted !== undefined && wanted !== parsed.kind) {
+        return undefined;
+    }
+    const { key, value, revision } = change;
+    if (value === undefined) {
+        return { type: "delete", revision, kind: parsed.kind, name: parsed.name };
+    }
+    const decoded = decodeResource({ key, value, revision });
+    return decoded.ok
+        ? { type: "put", revision, resource: decoded.val }
+        : { type: "problem", revision, code: decoded.val.code, message: decoded.val.message };
+}
--- a/packages/relay/src/configuration-replica.ts
+++ b/packages/relay/src/configuration-replica.ts
@@ -173,16 +173,19 @@
         return Ok(true);
     }
 
-    /** Lists what a snapshot changes. Deletions get the revision of the snapshot: their own is not known. */
+    /**
+     * Lists what a snapshot changes. The revisions of deletions are not known, so they get the lowest possible: a watch that
+     * ends among them then resumes below the log and lists again, instead of missing the rest.
+     */
     private computeChanges(snapshot: RelaySnapshot): StoreChange[] {
         const present = new Set(snapshot.entries.map(entry => entry.key));
         const deleted = [...this.entries.keys()]
             .filter(key => !present.has(key))
-            .map(key => ({ key, value: undefined, revision: snapshot.revision }));
+            .map(key => ({ key, value: undefined, revision: (this.currentRevision ?? 0) + 1 }));
         const written = snapshot.entries
             .filter(entry => this.entries.get(entry.key)?.revision !== entry.revision)
             .sort((first, second) => first.revision - second.revision);
-        return [...written, ...deleted];
+        return [...deleted, ...written];
     }
 
     private advance(revision: number, changes: readonly StoreChange[]): void {
--- a/packages/relay/src/configuration-replica_test.ts
+++ b/packages/relay/src/configuration-replica_test.ts
@@ -61,14 +61,17 @@
         expect(other.view.list("Team")).toEqual(replica.view.list("Team"));
     });
 
+    // Guards against deletions that a watch misses when it ends amid the changes of a snapshot.
     it("tells listeners what a snapshot changed and deleted", () => {
         const { replica } = createReplica();
         replica.applyUpdate(createDelta(0, 1, 2)).unwrap();
         const seen: string[] = [];
-        replica.subscribe(changes => seen.push(...changes.map(({ key, value }) => `${key} ${value !== undefined}`)));
+        replica.subscribe(changes => {
+            seen.push(...changes.map(({ key, value, revision }) => `${key} ${value !== undefined} at ${revision}`));
+        });
         const entries = [createChange(2), createChange(4, "t4")];
         replica.applyUpdate({ kind: "snapshot", revision: 5, entries }).unwrap();
-        expect(seen).toEqual(["config/team/t4 true", "config/team/t1 false"]);
+        expect(seen).toEqual(["config/team/t1 false at 3", "config/team/t4 true at 4"]);
         expect(replica.view.findTeam("t1")).toEqual(undefined);
     });
 
