--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,135 @@
+/**
+ * `waxwing apply`: creates or updates the resources of a file.
+ */
+import { parseResource, resourceKinds } from "@waxwingroute/resources";
+import type { Resource } from "@waxwingroute/resources";
+import { isDeepStrictEqual } from "node:util";
+import { z } from "zod";
+import { parseJson } from "../http-client.js";
+import { CommandError, exitCodes } from "../program-io.js";
+import type { ProgramIo } from "../program-io.js";
+import { readBody, toSegment } from "../session.js";
+import type { Session } from "../session.js";
+
+/** Most resources in one file. */
+const maxResources = 1_000;
+/** Kinds that others refer to come first. */
+const kindOrder: readonly string[] = ["Team", "Queue", "Key", "Drain", "Job"];
+
+/** A key without a hash: the server generates its secret. */
+const newKeySchema = z.strictObject({
+    kind: z.literal("Key"),
+    name: z.string(),
+    spec: z.strictObject({ team: z.string() }),
+});
+
+type AppliedResource = Resource | z.output<typeof newKeySchema>;
+type Outcome = "created" | "updated" | "unchanged" | "failed";
+
+/** Applies a file. All resources are checked before the first is written. */
+export async function applyFile(session: Session, path: string, key: string | undefined): Promise<number> {
+    const resources = parseFile(await readFile(session.io, path), path);
+    const rows: object[] = [];
+    let exitCode: number = exitCodes.done;
+    for (const resource of resources) {
+        const { kind, name } = resource;
+        try {
+            const { outcome, ...details } = await applyResource(session, resource, key);
+            rows.push({ kind, name, outcome, ...details });
+        }
+        catch (error) {
+            if (!(error instanceof CommandError) || error.exitCode !== exitCodes.failed) {
+                throw error;
+            }
+            exitCode = error.exitCode;
+            session.io.writeError(`waxwing: ${kind} "${name}": ${error.message}\n`);
+            rows.push({ kind, name, outcome: "failed" satisfies Outcome });
+        }
+    }
+    session.printList(rows);
+    return exitCode;
+}
+
+async function readFile(io: ProgramIo, path: string): Promise<string> {
+    try {
+        return await io.readText(path);
+    }
+    catch (error) {
+        throw new CommandError(
+            `file "${path}" cannot be read (${error instanceof Error ? error.message : String(error)}): check the path`,
+            exitCodes.usage,
+        );
+    }
+}
+
+function parseFile(text: string, path: string): readonly AppliedResource[] {
+    const value = parseJson(text);
+    const values: readonly unknown[] = Array.isArray(value) ? value : [value];
+    if (value === undefined) {
+        throw new CommandError(`file "${path}" is not JSON: write one resource or an array of them`, exitCodes.failed);
+    }
+    if (values.length > maxResources) {
+        const message = `file "${path}" has ${values.length} resources: write at most ${maxResources} in one file`;
+        throw new CommandError(message, exitCodes.failed);
+    }
+    const resources = values.map((item, index) => parseItem(item, `file "${path}", resource ${index}`));
+    return resources.sort((first, second) => kindOrder.indexOf(first.kind) - kindOrder.indexOf(second.kind));
+}
+
+function parseItem(value: unknown, label: string): AppliedResource {
+    const newKey = newKeySchema.safeParse(value);
+    if (newKey.success) {
+        return newKey.data;
+    }
+    const resource = parseResource(value);
+    if (!resource.ok) {
+        throw new CommandError(`${label}: ${resource.val.message}; nothing was applied`, exitCodes.failed);
+    }
+    return resource.val;
+}
+
+async function applyResource(
+    session: Session,
+    resource: AppliedResource,
+    key: string | undefined,
+): Promise<{ readonly outcome: Outcome; readonly version?: unknown; readonly secret?: unknown; }> {
+    const path = `/v1/${toSegment(resource.kind)}`;
+    if (resource.kind === "Job") {
+        const { kind, name, spec } = resource;
+        await session.request("POST", path, { body: { kind, name, spec }, bearer: key });
+        return { outcome: "created" };
+    }
+    const found = await session.send("GET", `${path}/${resource.name}`);
+    if (found.status === 404) {
+        const { kind, name, spec } = resource;
+        const { version, secret } = await session.request("POST", path, { body: { kind, name, spec } });
+        return { outcome: "created", version, secret };
+    }
+    const current = readBody(found);
+    if (!("version" in resource)) {
+        return checkNewKey(resource, current);
+    }
+    const { kind, name, spec } = resource;
+    if (isDeepStrictEqual(current["spec"], JSON.parse(JSON.stringify(spec)))) {
+        return { outcome: "unchanged", version: current["version"] };
+    }
+    const version = resource.version === 0 ? Number(current["version"]) : resource.version;
+    const updated = await session.request("PUT", `${path}/${name}`, { body: { kind, name, spec }, version });
+    return { outcome: "updated", version: updated["version"] };
+}
+
+function checkNewKey(
+    resource: z.output<typeof newKeySchema>,
+    current: Record<string, unknown>,
+): { readonly outcome: Outcome; readonly version: unknown; } {
+    const { team } = current["spec"] as { readonly team?: string; };
+    if (team !== resource.spec.team) {
+        const message =
+            `it exists for team "${team}", not "${resource.spec.team}": withdraw it, or choose another name`;
+        throw new CommandError(message, exitCodes.failed);
+    }
+    return { outcome: "unchanged", version: current["version"] };
+}
+
+/** The kinds that a file may have, for help texts. */
+export const applicableKinds = resourceKinds.join(", ");
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,4 @@
 /** The operators' command line. */
-export {};
+export { exitCodes } from "./program-io.js";
+export type { ProgramIo } from "./program-io.js";
+export { runProgram } from "./run-program.js";
