--- a/packages/routing/src/executor-pool.ts
+++ b/packages/routing/src/executor-pool.ts
@@ -32,11 +32,16 @@
     private readonly rows = new Table<ExecutorId, ExecutorRow>();
     private readonly running = new Map<TeamId, number>();
     private readonly maxListAgeMs: number;
+    /** When no attempt of an earlier owner can run any more. */
+    private readonly earlierOwnerEndsBy: number;
+    private unknownSlots = 0;
     private evaluateAt = 0;
 
     /** `attemptPrefix` begins the id of each attempt of this owner. */
     constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {
         this.maxListAgeMs = maxListAge * options.listIntervalMs;
+        const { clock, maxDeadlineMs, startInFlightMs, clockRateBound } = options;
+        this.earlierOwnerEndsBy = clock.getNow() + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
     }
 
     list(): ExecutorRow[] {
@@ -58,6 +63,7 @@
             row.definition = definition;
             row.isRemoved = false;
         }
+        this.updateUnknownSlots();
     }
 
     /** Removes an executor. Its row stays until its attempts have ended, in case the executor is added again. */
@@ -74,6 +80,14 @@
         return this.running.get(team) ?? 0;
     }
 
+    /**
+     * Returns the slots of executors that were never listed. An earlier owner may have filled them with attempts of any one
+     * team, so they count against the grant of each team until the last such attempt has timed out.
+     */
+    countUnknownSlots(now: number): number {
+        return now < this.earlierOwnerEndsBy ? this.unknownSlots : 0;
+    }
+
     /** Returns the slots of executors in rotation that serve a queue, without those whose use is uncertain. */
     countUsableSlots(queue: QueueId, now: number): number {
         let slots = 0;
@@ -97,6 +111,7 @@
     choose(need: ExecutorNeed, now: number): ExecutorRow | undefined {
         let best: ExecutorRow | undefined;
         let bestFree = 0;
+        let equalCount = 0;
         for (const row of this.rows.values()) {
             if (row.freeSlots <= 0 || !row.isInRotation(now, this.maxListAgeMs) || !hasQueue(row, need.queue)) {
                 continue;
@@ -111,7 +126,8 @@
                 continue;
             }
             const free = row.freeSlots / row.capacity;
-            if (free > bestFree || free === bestFree && this.options.random.getFloat() < 0.5) {
+            equalCount = free > bestFree ? 1 : free === bestFree ? equalCount + 1 : equalCount;
+            if (free > bestFree || free === bestFree && this.options.random.getInteger(equalCount) === 0) {
                 best = row;
                 bestFree = free;
             }
@@ -173,6 +189,7 @@
         for (const attempt of attempts) {
             this.addForeign(row, attempt, now);
         }
+        this.updateUnknownSlots();
     }
 
     /** Applies a list that was requested at `requestedAt`, unless a newer one was applied before. */
@@ -182,6 +199,7 @@
         }
         row.isReportedDraining = report.isDraining;
         row.reportedSlots = report.slots;
+        const isFirst = row.listedAt === Number.NEGATIVE_INFINITY;
         row.isListed ||= requestedAt >= row.listNeededFrom;
         row.listedAt = requestedAt;
         row.markSeen(report, requestedAt);
@@ -191,17 +209,9 @@
         if (row.uncertainCount > 0) {
             this.scheduleList(row, now);
         }
-        const expired = new Map(row.expired);
-        row.expired.clear();
-        for (const attempt of report.running) {
-            const earlier = expired.get(attempt);
-            if (earlier !== undefined) {
-                this.take(row, { ...earlier, endsBy: Number.POSITIVE_INFINITY });
-            }
-            // An own attempt that takes no slot was answered after the list was requested.
-            else if (!row.uses.has(attempt) && !attempt.startsWith(this.attemptPrefix)) {
-                this.addForeign(row, attempt, now);
-            }
+        this.addListed(row, report, now);
+        if (isFirst) {
+            this.updateUnknownSlots();
         }
     }
 
@@ -236,8 +246,34 @@
         return outliers;
     }
 
+    /** Counts listed attempts that take no slot yet: those of earlier owners, and own ones whose slot expired. */
+    private addListed(row: ExecutorRow, report: ExecutorReport, now: number): void {
+        const expired = new Map(row.expired);
+        row.expired.clear();
+        for (const attempt of report.running) {
+            const earlier = expired.get(attempt);
+            if (earlier !== undefined) {
+                this.take(row, earlier);
+            }
+            // An own attempt that takes no slot was answered after the list was requested.
+            else if (!row.uses.has(attempt) && !attempt.startsWith(this.attemptPrefix)) {
+                this.addForeign(row, attempt, now);
+            }
+        }
+    }
+
+    private updateUnknownSlots(): void {
+        this.unknownSlots = this.list()
+            .filter(row => row.listedAt === Number.NEGATIVE_INFINITY)
+            .reduce((sum, row) => sum + row.capacity, 0);
+    }
+
     private deleteUnused(row: ExecutorRow): void {
-        if (row.isRemoved && row.uses.size === 0) {
+        const isKnown = row.listedAt !== Number.NEGATIVE_INFINITY;
+        if (
+            row.isRemoved && row.uses.size === 0
+            && (isKnown || this.countUnknownSlots(this.options.clock.getNow()) === 0)
+        ) {
             this.rows.delete(row.definition.executor);
         }
     }
@@ -246,8 +282,7 @@
         if (row.uses.has(attempt)) {
             return;
         }
-        const { maxDeadlineMs, startInFlightMs, clockRateBound } = this.options;
-        const endsBy = now + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
+        const endsBy = this.earlierOwnerEndsBy;
         this.take(row, {
             attempt,
             team: parseAttemptTeam(attempt),
--- a/packages/routing/src/team-queues.ts
+++ b/packages/routing/src/team-queues.ts
@@ -124,11 +124,12 @@
     /** Returns the next job to send and its executor, or `undefined` if no waiting job can be sent. */
     choose(now: number): Placement | undefined {
         let best: Placement | undefined;
+        const unknownSlots = this.pool.countUnknownSlots(now);
         for (const team of this.active) {
             if (best !== undefined && team.virtualTime >= best.team.virtualTime) {
                 continue;
             }
-            if (this.pool.countRunning(team.settings.team) < team.settings.slots) {
+            if (this.pool.countRunning(team.settings.team) + unknownSlots < team.settings.slots) {
                 best = this.chooseOfTeam(team, now) ?? best;
             }
         }
