--- a/packages/cluster/src/ownership-service.ts
+++ b/packages/cluster/src/ownership-service.ts
@@ -86,9 +86,7 @@
 
 /** Adds the shard that a message is about. */
 function createShardMessage<T>(message: z.ZodType<T>): z.ZodType<{ readonly shard: string; readonly message: T; }> {
-    return z.object({ shard: z.string(), message }) as unknown as z.ZodType<
-        { readonly shard: string; readonly message: T; }
-    >;
+    return z.object({ shard: z.string(), message });
 }
 
 export const ownershipService = {
--- a/packages/cluster/src/start-relay.ts
+++ b/packages/cluster/src/start-relay.ts
@@ -1,6 +1,7 @@
 /**
  * Creates the configuration replica of a process and keeps it current.
  */
+import { toId } from "@waxwingroute/core";
 import type { HostId, ZoneId } from "@waxwingroute/core";
 import type { Store } from "@waxwingroute/platform";
 import { ConfigurationReplica, RelayDriver } from "@waxwingroute/relay";
@@ -35,7 +36,8 @@
         }
     }
     const driver = new RelayDriver({
-        host: place.host,
+        // A process that only pulls is none of the zone's relays; it must not count itself as the one on its host.
+        host: store === undefined ? toId<HostId>(`${place.host}-client`) : place.host,
         zone: place.zone,
         zoneHosts: listZoneHosts(settings, place.zone).map(other => other.host),
         otherZones,
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -29,14 +29,27 @@
     const { stalenessMs, whenStale } = settings.keys;
     const server = new EntryServer({
         clock,
-        gateway: new RpcShardGateway({ settings, zone: place.zone, clock, shards: new ShardClient({ settings, clients }) }),
+        gateway: new RpcShardGateway({
+            settings,
+            zone: place.zone,
+            clock,
+            shards: new ShardClient({ settings, clients }),
+        }),
         access: new ReplicaAccessControl({ replica, stalenessMs, whenStale }),
         host: place.settings.address,
         port: place.settings.ports.entry,
         maxBodyBytes: settings.entry.maxBodyBytes,
         maxConnections: settings.entry.maxConnections,
         onResult: ({ status, code, verdict, team, queue, requestKey, elapsedMs }) => {
-            logger.write("info", "request served", { status, code, verdict, team, queue, requestKey, elapsedMs: Math.round(elapsedMs * 10) / 10 });
+            logger.write("info", "request served", {
+                status,
+                code,
+                verdict,
+                team,
+                queue,
+                requestKey,
+                elapsedMs: Math.round(elapsedMs * 10) / 10,
+            });
             metrics.increment("entry.requests", 1, { status: String(status), verdict });
             metrics.recordTiming("entry.request_ms", elapsedMs);
         },
@@ -63,7 +76,9 @@
         ],
         listProblems: () => [
             ...driver.isReady ? [] : ["the configuration is not loaded: no scheduler of the zone has answered"],
-            ...driver.isReady && whenStale === "refuse" && !replica.isFresh(stalenessMs) ? ["the configuration is stale"] : [],
+            ...driver.isReady && whenStale === "refuse" && !replica.isFresh(stalenessMs)
+                ? ["the configuration is stale"]
+                : [],
             ...isStopping ? ["the program is stopping"] : [],
         ],
         describeStatus: () => ({ revision: replica.revision, ...server.getCounters() }),
--- a/packages/entry/src/replica-access-control.ts
+++ b/packages/entry/src/replica-access-control.ts
@@ -56,7 +56,11 @@
             return refuse(401, "missing-key", "send the team's key as \"Authorization: Bearer <key>\"");
         }
         if (whenStale === "refuse" && !replica.isFresh(stalenessMs)) {
-            return refuse(503, "configuration-stale", `no confirmation of the configuration for ${stalenessMs} ms, so that keys cannot be judged`);
+            return refuse(
+                503,
+                "configuration-stale",
+                `no confirmation of the configuration for ${stalenessMs} ms, so that keys cannot be judged`,
+            );
         }
         const holder = replica.view.authenticate(apiKey);
         return holder === undefined
--- a/packages/entry/src/rpc-shard-gateway.ts
+++ b/packages/entry/src/rpc-shard-gateway.ts
@@ -31,14 +31,20 @@
         super();
     }
 
-    async execute(shard: ShardId | undefined, request: EntryRequest, body: Uint8Array): Promise<Result<Answer, RequestFailure>> {
+    async execute(
+        shard: ShardId | undefined,
+        request: EntryRequest,
+        body: Uint8Array,
+    ): Promise<Result<Answer, RequestFailure>> {
         const { clock } = this.options;
         const deadline = clock.getNow() + request.deadlineMs;
         if (shard !== undefined) {
             const result = await this.send(shard, request, body, request.deadlineMs);
             const { requestKey } = request;
             // The key may have been used before, so that an owner that cannot be reached proves nothing.
-            return result.mapErr(failure => failure.code === "no-owner" ? { ...failure, verdict: "mayHaveRun", requestKey } : failure);
+            return result.mapErr(failure =>
+                failure.code === "no-owner" ? { ...failure, verdict: "mayHaveRun", requestKey } : failure
+            );
         }
         let last = createFailure("no-owner", "no zone serves requests now", "notRun");
         for (const candidate of this.listCandidates()) {
@@ -67,7 +73,12 @@
         return Err(last);
     }
 
-    private async send(shard: ShardId, request: EntryRequest, body: Uint8Array, timeoutMs: number): Promise<Result<Answer, RequestFailure>> {
+    private async send(
+        shard: ShardId,
+        request: EntryRequest,
+        body: Uint8Array,
+        timeoutMs: number,
+    ): Promise<Result<Answer, RequestFailure>> {
         const { team, queue, requestKey, isIdempotent, contentType } = request;
         const message = { shard, team, queue, requestKey, isIdempotent, contentType, body, timeoutMs };
         const ownerWaitMs = Math.min(timeoutMs, ownZoneWaitMs);
@@ -88,7 +99,8 @@
         const own = all.filter(shard => getShardZone(shard) === zone);
         const first = this.turn++ % Math.max(1, own.length);
         const others = all.filter((shard, index) =>
-            getShardZone(shard) !== zone && all.findIndex(other => getShardZone(other) === getShardZone(shard)) === index
+            getShardZone(shard) !== zone
+            && all.findIndex(other => getShardZone(other) === getShardZone(shard)) === index
         );
         return [...own.slice(first), ...own.slice(0, first), ...others];
     }
--- a/packages/operator/src/rpc-cluster-gateway.ts
+++ b/packages/operator/src/rpc-cluster-gateway.ts
@@ -27,10 +27,10 @@
     }
 
     async listRevisions(): Promise<Result<readonly HostRevision[], Failure>> {
-        return Ok(await Promise.all(listHosts(this.options.settings).map(place => this.askHost(place))));
+        return Ok(await Promise.all(listHosts(this.options.settings).map(place => this.fetchRevision(place))));
     }
 
-    async forceRelease(shard: ShardId, reason: string): Promise<Result<number, Failure>> {
+    async releaseShard(shard: ShardId, reason: string): Promise<Result<number, Failure>> {
         const { settings, clients } = this.options;
         const hosts = listZoneHosts(settings, getShardZone(shard));
         const results = await Promise.all(
@@ -51,7 +51,7 @@
         return Ok(Math.max(0, ...epochs));
     }
 
-    private async askHost({ host, zone }: HostPlace): Promise<HostRevision> {
+    private async fetchRevision({ host, zone }: HostPlace): Promise<HostRevision> {
         const { clients, relay } = this.options;
         const result = await clients.call(host, relayService.digest, relay.buildDigest(), callTimeoutMs);
         return result.ok
--- a/packages/operator/src/rpc-job-gateway.ts
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -79,7 +79,7 @@
         );
         const failure = lists.find(list => list.err);
         if (failure?.err === true && lists.every(list => list.err)) {
-            return Err(failure.val as Failure);
+            return Err(failure.val);
         }
         const jobs = lists.flatMap(list => list.ok ? list.val.jobs : [])
             .filter(job => job.name > after && (team === undefined || job.team === team))
--- a/packages/operator/src/testing/operator-fixture.ts
+++ b/packages/operator/src/testing/operator-fixture.ts
@@ -23,7 +23,15 @@
         if (this.jobs.has(name)) {
             return Err(createFailure("already-exists", `job "${name}" exists: choose another name`, "notRun"));
         }
-        const tasks = { waiting: taskCount, running: 0, succeeded: 0, failed: 0, stopped: 0, mayHaveRun: 0 };
+        const tasks = {
+            waiting: taskCount,
+            starting: 0,
+            running: 0,
+            succeeded: 0,
+            failed: 0,
+            stopped: 0,
+            mayHaveRun: 0,
+        };
         return Ok(this.record({ name, team, kind, state: "waiting", shard: "glasgow/0", tasks, revision: 0 }));
     }
 
--- a/packages/operator/src/types.ts
+++ b/packages/operator/src/types.ts
@@ -17,6 +17,8 @@
     /** Number of tasks in each state. */
     readonly tasks: {
         readonly waiting: number;
+        /** Placed, but not confirmed by the worker yet. */
+        readonly starting: number;
         readonly running: number;
         readonly succeeded: number;
         readonly failed: number;
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -75,7 +75,7 @@
             const row = this.jobs.get(journalJob.job);
             const spec = this.readSpec(journalJob);
             if (row !== undefined) {
-                this.catchUp(row, journalJob);
+                this.reconcileJob(row, journalJob);
             }
             else if (spec !== undefined) {
                 this.restoreJob(journalJob, spec, true);
@@ -284,7 +284,7 @@
     }
 
     /** Applies what the journal has beyond an incomplete copy of it. */
-    private catchUp(row: JobRow, { job, startedThrough, outcomes, cancelledAt }: JournalJob): void {
+    private reconcileJob(row: JobRow, { job, startedThrough, outcomes, cancelledAt }: JournalJob): void {
         const now = this.context.clock.getNow();
         visitOutcomes(outcomes, (index, outcome) => {
             if (row.getState(index) === TaskState.Waiting) {
--- a/packages/scheduler/src/mirror-store.ts
+++ b/packages/scheduler/src/mirror-store.ts
@@ -38,7 +38,7 @@
     }
 
     start(): void {
-        this.mirrors.forEach(mirror => void this.follow(mirror));
+        this.mirrors.forEach(mirror => void this.track(mirror));
     }
 
     stop(): void {
@@ -86,7 +86,7 @@
         return this.options.store.readToken(key);
     }
 
-    private async follow(mirror: Mirror): Promise<void> {
+    private async track(mirror: Mirror): Promise<void> {
         const { clock, isWanted, periodMs = 500 } = this.options;
         while (!this.isStopped) {
             if (isWanted()) {
--- a/packages/scheduler/src/scheduler-handlers.ts
+++ b/packages/scheduler/src/scheduler-handlers.ts
@@ -45,7 +45,7 @@
     };
     server.addService(schedulerService, {
         execute: request => withOwner(request.shard, owner => owner.execute(request)),
-        issueKey: ({ shard }) => withOwner(shard, owner => Ok({ requestKey: owner.router.issueKey() as string })),
+        issueKey: ({ shard }) => withOwner(shard, owner => Ok({ requestKey: owner.router.issueKey() })),
         submitJob: ({ shard, name, spec }) => withOwner(shard, owner => submitJob(owner, shard, name, spec)),
         cancelJob: ({ shard, job }) => withOwner(shard, owner => owner.tracker.cancelJob(toId<JobId>(job))),
         describeJob: ({ shard, job }) => withOwner(shard, owner => describeJob(owner, job)),
--- a/packages/scheduler/src/shard-owner.ts
+++ b/packages/scheduler/src/shard-owner.ts
@@ -5,7 +5,7 @@
  * executors' own lists.
  */
 import { createFailure, Err, Ok, parseTaskId, toId } from "@waxwingroute/core";
-import type { AttemptId, ExecutorId, Failure, JobId, RequestKey, Result, TaskId, TeamId } from "@waxwingroute/core";
+import type { ExecutorId, Failure, JobId, RequestKey, Result, TaskId } from "@waxwingroute/core";
 import type { Journal, JournalJob } from "@waxwingroute/journal";
 import { PlacementEngine } from "@waxwingroute/placement";
 import type { Decision, PreemptDecision, StartDecision, StopDecision } from "@waxwingroute/placement";
@@ -188,7 +188,7 @@
     }
 
     /** Ends everything at once after the right is lost. */
-    abandon(): void {
+    close(): void {
         this.isStopping = true;
         void this.router.stop(0);
         this.tracker.journal?.close();
@@ -253,17 +253,17 @@
         const { task, worker, reason, forJob, rejectedCount } = decision;
         context.logger.write("info", "task preempted", { task, worker, reason, forJob, rejectedTasks: rejectedCount });
         this.tracker.markPreempting(task);
-        await this.repeatUntilTaken(() => link.access.checkpoint(task), task, link);
+        await this.retryUntilTaken(() => link.access.checkpoint(task), task, link);
     }
 
     private async performStop(decision: StopDecision, link: WorkerLink): Promise<void> {
         const { task, worker, reason } = decision;
         this.options.context.logger.write("info", "task stopped", { task, worker, reason });
-        await this.repeatUntilTaken(() => link.access.stop(task), task, link);
+        await this.retryUntilTaken(() => link.access.stop(task), task, link);
     }
 
     /** Repeats a call that has the same effect when repeated, until the worker took it or the task ended. */
-    private async repeatUntilTaken(
+    private async retryUntilTaken(
         call: () => Promise<Result<void, Failure>>,
         task: TaskId,
         link: WorkerLink,
@@ -356,7 +356,7 @@
             catalog.listExecutors(shard).map(async ({ address }) => {
                 const result = await endpoints.openExecutor(address).list();
                 if (result.ok) {
-                    this.router.setRunning(address.executor, result.val.running as readonly AttemptId[]);
+                    this.router.setRunning(address.executor, result.val.running);
                 }
             }),
         );
@@ -367,7 +367,7 @@
         this.options.context.logger.write("info", `request ${kind}`, {
             requestKey,
             attempt,
-            team: team as TeamId | undefined,
+            team: team,
             queue,
             executor,
             code,
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -56,8 +56,8 @@
             timings: settings.ownership,
             listener: {
                 onRightGained: ({ generation, epoch, basis, waitMs }) =>
-                    void this.gain(generation, epoch, basis, waitMs),
-                onRightLost: generation => this.lose(generation, "right lost"),
+                    void this.acquireRight(generation, epoch, basis, waitMs),
+                onRightLost: generation => this.releaseRight(generation, "right lost"),
                 onFault: failure =>
                     context.logger.write("error", "ownership fault", {
                         shard,
@@ -127,11 +127,11 @@
         this.ownership.stop();
     }
 
-    private async gain(generation: number, epoch: number, basis: string, waitMs: number): Promise<void> {
+    private async acquireRight(generation: number, epoch: number, basis: string, waitMs: number): Promise<void> {
         const { context } = this.options;
         const { shard, clock, logger } = context;
         if (this.active !== undefined) {
-            this.lose(this.active.right.generation, "replaced by a newer right");
+            this.releaseRight(this.active.right.generation, "replaced by a newer right");
         }
         this.generation = generation;
         logger.write("info", "right gained", { shard, epoch, basis, waitMs });
@@ -153,7 +153,7 @@
             right,
             store: this.mirror,
             shardCount: listShards(context.settings).length,
-            onFenced: () => this.lose(generation, "grants fenced"),
+            onFenced: () => this.releaseRight(generation, "grants fenced"),
         });
         const owner = new ShardOwner({ context, right, grants, journal, journalJobs: jobs.values() });
         this.active = { right, owner, grants };
@@ -188,14 +188,14 @@
         return read.ok ? read.val : undefined;
     }
 
-    private lose(generation: number, reason: string): void {
+    private releaseRight(generation: number, reason: string): void {
         if (this.generation !== generation) {
             return;
         }
         this.generation = undefined;
         const { shard, logger } = this.options.context;
         logger.write(this.isStopping ? "info" : "warn", "right lost", { shard, reason });
-        this.active?.owner.abandon();
+        this.active?.owner.close();
         this.active?.grants.close();
         this.active = undefined;
     }
@@ -210,7 +210,7 @@
                 store,
                 clock,
                 random,
-                onFenced: () => this.lose(generation, "journal fenced"),
+                onFenced: () => this.releaseRight(generation, "journal fenced"),
                 onCheckpointFailed: failure =>
                     logger.write("warn", "journal checkpoint failed", { shard, error: failure.message }),
             });
--- a/packages/scheduler/src/shard-runner_test.ts
+++ b/packages/scheduler/src/shard-runner_test.ts
@@ -1,3 +1,5 @@
+import { toId } from "@waxwingroute/core";
+import type { TeamId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { FakeZone } from "./testing/fake-zone.js";
@@ -147,7 +149,7 @@
             await zone.submitJob("quotes", { taskCount: 50, command: "run 2s" });
             await zone.advance(40_000);
             expect(zone.describeJob("quotes")?.succeeded).toEqual(50);
-            expect(zone.computePeakCpu("quotes" as any, 1_000)).toEqual(6_000);
+            expect(zone.computePeakCpu(toId<TeamId>("quotes"), 1_000)).toEqual(6_000);
         });
     });
 
--- a/packages/scheduler/src/testing/host-gate.ts
+++ b/packages/scheduler/src/testing/host-gate.ts
@@ -40,7 +40,7 @@
     }
 
     /** Lets an answer through; the promise of a dead host stays pending. */
-    pass<T>(promise: Promise<T>): Promise<T> {
+    forward<T>(promise: Promise<T>): Promise<T> {
         return new Promise((resolve, reject) => {
             promise.then(
                 value => this.run(() => resolve(value)),
@@ -62,7 +62,7 @@
                         return new Promise(() => undefined);
                     }
                     const result: unknown = Reflect.apply(value, object, args);
-                    return result instanceof Promise ? this.pass(result) : result;
+                    return result instanceof Promise ? this.forward(result) : result;
                 };
             },
         });
--- a/scripts/verbs.js
+++ b/scripts/verbs.js
@@ -154,6 +154,8 @@
     "restart",
     "resume",
     "retry",
+    "withdraw",
+    "restore",
     "return",
     "revoke",
     "run",
