--- /dev/null
+++ b/packages/platform/src/http-worker_test.ts
@@ -0,0 +1,67 @@
+import type { JobId, TaskId, TeamId } from "@waxwingroute/core";
+import { expect } from "earl";
+import type { Server } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { HttpWorker } from "./http-worker.js";
+import type { TaskStart } from "./worker.js";
+
+function createStart(task: string, expiresInMs: number): TaskStart {
+    return {
+        task: task as TaskId,
+        team: "sales" as TeamId,
+        job: "job" as JobId,
+        resources: { cpuMillis: 1, memoryMb: 1, accelerators: 0 },
+        command: "run 1s",
+        leaseMs: 1_000,
+        expiresInMs,
+        epoch: 1,
+    };
+}
+
+describe("HttpWorker", () => {
+    let server: Server;
+    let worker: HttpWorker;
+    let starts: number;
+    let aborted: number;
+
+    beforeEach(async () => {
+        starts = 0;
+        aborted = 0;
+        server = createServer(request => {
+            starts++;
+            request.socket.once("close", () => aborted++);
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        worker = new HttpWorker({ url, timeoutMs: 5_000, maxConnections: 1 });
+    });
+
+    afterEach(() => {
+        worker.close();
+        server.close();
+        server.closeAllConnections();
+    });
+
+    // Guards against a start that is still on its way when its owner counts on it being over.
+    it("aborts a start at its expiry, before the time-out", async () => {
+        const startedAt = performance.now();
+        const result = await worker.start(createStart("job/0", 50));
+        const elapsedMs = performance.now() - startedAt;
+        expect(result.ok ? "started" : [result.val.code, result.val.verdict]).toEqual(["worker-lost", "mayHaveRun"]);
+        expect(elapsedMs).toBeLessThan(2_000);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        expect([starts, aborted]).toEqual([1, 1]);
+    });
+
+    // Guards against a start that waits for a connection and is sent after its expiry.
+    it("never sends a start that expired while it waited for a connection", async () => {
+        const first = worker.start(createStart("job/0", 150));
+        const second = await worker.start(createStart("job/1", 50));
+        expect(second.ok ? "started" : [second.val.code, second.val.verdict]).toEqual(["worker-unreachable", "notRun"]);
+        await first;
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(starts).toEqual(1);
+    });
+});
