Match tasks whose job has its zone before its name

Cause: a trial with the real scheduler started 20 tasks named glasgow.cuts/0 to /19, and the scenario found none of them. Change: expectations and lapsed leases match a task with or without its zone. Conclusion: the new test fails without the change; all tests of scenario pass.

--- a/packages/scenario/src/check-expectation.ts
+++ b/packages/scenario/src/check-expectation.ts
@@ -2,10 +2,10 @@
  * Checks expectations against what the stand-ins recorded. Pure.
  */
 import type { ResourceName, TaskId, WorkerId } from "@waxwingroute/core";
-import { parseTaskId } from "@waxwingroute/core";
 import type { TaskRun } from "@waxwingroute/stand-ins";
 import { match, P } from "ts-pattern";
 import type { Observation, RequestRecord } from "./scenario-world.js";
+import { getJobName, isTaskNamed } from "./task-names.js";
 import type { Bound, Expectation, TaskGroup, TaskState } from "./types.js";
 
 /** Most offending items that a message lists. */
@@ -59,11 +59,11 @@
 }
 
 function checkTask({ report }: Observation, name: string, isRunning: boolean): string | undefined {
-    const isFound = report.running.some(({ task }) => task === name);
+    const isFound = report.running.some(({ task }) => isTaskNamed(task, name));
     if (isFound === isRunning) {
         return undefined;
     }
-    const last = report.taskRuns.findLast(run => run.task === name);
+    const last = report.taskRuns.findLast(run => isTaskNamed(run.task, name));
     const found = last === undefined ? "never started" : `last run on ${last.worker}: ${last.outcome ?? "running"}`;
     return `task "${name}" is ${isFound ? "" : "not "}running (${found})`;
 }
@@ -73,7 +73,7 @@
     const isInGroup = (task: TaskId, team: string, worker: WorkerId | undefined) =>
         match(group)
             .with(undefined, () => true)
-            .with({ by: "job" }, ({ name }) => parseTaskId(task)?.job === name)
+            .with({ by: "job" }, ({ name }) => getJobName(task) === name)
             .with({ by: "team" }, ({ name }) => team === name)
             .with({ by: "zone" }, ({ name }) => zones.get(worker ?? "") === name)
             .exhaustive();
@@ -100,7 +100,7 @@
     const markers = countMarkers(report.requestRuns.map(run => run.bodyStart));
     const refusedRequests = requests.filter(({ marker, verdict }) => verdict === "notRun" && markers.has(marker));
     const refusedJobs = new Set([...jobs].filter(([, job]) => job.verdict === "notRun").map(([name]) => name));
-    const runs = report.taskRuns.filter(run => refusedJobs.has(parseTaskId(run.task)?.job ?? ""));
+    const runs = report.taskRuns.filter(run => refusedJobs.has(getJobName(run.task)));
     return checkNone("request run that was refused as not run", refusedRequests.map(({ marker }) => marker))
         ?? checkNone("task run of a job that was refused as not run", runs);
 }
--- a/packages/scenario/src/check-expectation_test.ts
+++ b/packages/scenario/src/check-expectation_test.ts
@@ -100,6 +100,18 @@
         expect(check("no more than 1 slots of team sales", observe({ requestRuns }))).toEqual(expect.includes("2"));
     });
 
+    // Guards against expectations that miss every task because the system puts the zone before the job.
+    it("finds tasks whose job has its zone before its name", () => {
+        const running = [{ task: "glasgow.cuts/1", team: "sales", workers: ["w0"] }] as never;
+        const observation = observe({ running, taskRuns: [createRun("glasgow.cuts/1", 0)] });
+        expect(check("task cuts/1 running", observation)).toEqual(undefined);
+        expect(check("task cuts/11 not running", observation)).toEqual(undefined);
+        expect(check("tasks started 1 of job cuts", observation)).toEqual(undefined);
+        expect(check("tasks started 0 of job uts", observation)).toEqual(undefined);
+        const jobs = new Map([["cuts", { state: "refused", verdict: "notRun" } as const]]);
+        expect(check("no refused work run", { ...observation, jobs })).toEqual(expect.includes("cuts/1"));
+    });
+
     it("counts tasks by state and group, each task once", () => {
         const taskRuns = [createRun("a/0", 0, 10), createRun("a/0", 10, 20), createRun("b/0", 0)];
         const observation = observe({ taskRuns }, { zones: new Map([["w0", "glasgow"]]) });
--- a/packages/scenario/src/run-scenario.ts
+++ b/packages/scenario/src/run-scenario.ts
@@ -8,6 +8,7 @@
 import { checkExpectation } from "./check-expectation.js";
 import { parseScenario } from "./parse-scenario.js";
 import type { ScenarioWorld } from "./scenario-world.js";
+import { isTaskNamed } from "./task-names.js";
 import type { Action, Expectation, Step } from "./types.js";
 
 /** Options of `runScenario`. */
@@ -108,7 +109,7 @@
             { kind: "loseAnswers" },
             ({ target, count }) => world.applyControl({ action: "lose-answers", target, count }),
         )
-        .with({ kind: "expireLease" }, ({ task }) => world.applyControl({ action: "lapse-lease", task }))
+        .with({ kind: "expireLease" }, ({ task }) => expireLease(task, world))
         .with({ kind: "revokeKey" }, ({ name }) => world.revokeKey(name))
         .with({ kind: "declare" }, write => world.writeResource(write, "create"))
         .with({ kind: "change" }, write => world.writeResource(write, "replace"))
@@ -139,6 +140,15 @@
         .exhaustive();
 }
 
+async function expireLease(name: string, world: ScenarioWorld): Promise<Result<void, Failure>> {
+    const observation = await world.observe();
+    if (!observation.ok) {
+        return observation;
+    }
+    const running = observation.val.report.running.find(({ task }) => isTaskNamed(task, name));
+    return world.applyControl({ action: "lapse-lease", task: running?.task ?? name });
+}
+
 async function pollExpectation(
     expectation: Expectation,
     withinMs: number,
