--- /dev/null
+++ b/packages/system-tests/src/index.ts
@@ -0,0 +1,2 @@
+/** Scenarios that prove the promises, in process and over real processes. */
+export {};
