Run the scenarios in process on a manual clock

Cause: scenarios over real processes take half a minute each; most proofs need fakes and a seeded, manual clock. Change: the scheduler's parts are one SchedulerProgram, which the main program and the in-process cluster share; calls between hosts pass through the same services and codecs. Test worlds listen on a loopback address of their own: two parallel worlds had picked the same port (EADDRINUSE in one of six runs).

--- a/packages/cluster/src/scheduler-clients.ts
+++ b/packages/cluster/src/scheduler-clients.ts
@@ -8,6 +8,17 @@
 import { RpcClient } from "@waxwingroute/transport";
 import type { UnaryMethod } from "@waxwingroute/transport";
 
+/** Calls to schedulers by host; the programs use gRPC, tests call in process. */
+export interface SchedulerCalls {
+    /** Calls a method of the scheduler on `host` and waits up to `timeoutMs`. */
+    call<Request, Response>(
+        host: HostId,
+        method: UnaryMethod<Request, Response>,
+        request: Request,
+        timeoutMs: number,
+    ): Promise<Result<Response, Failure>>;
+}
+
 /** A call that ended, for metering of the bytes that cross zones and regions. */
 export interface PeerCall {
     readonly to: HostPlace;
@@ -23,7 +34,7 @@
 }
 
 /** Opens connections on first use and keeps them. */
-export class SchedulerClients {
+export class SchedulerClients implements SchedulerCalls {
     private readonly clients = new Map<HostId, RpcClient>();
     private readonly places: ReadonlyMap<HostId, HostPlace>;
 
--- a/packages/cluster/src/shard-client.ts
+++ b/packages/cluster/src/shard-client.ts
@@ -10,7 +10,7 @@
 import { listZoneHosts } from "@waxwingroute/settings";
 import type { Settings } from "@waxwingroute/settings";
 import type { UnaryMethod } from "@waxwingroute/transport";
-import type { SchedulerClients } from "./scheduler-clients.js";
+import type { SchedulerCalls } from "./scheduler-clients.js";
 
 /** Wait before the hosts of a zone are tried again, in milliseconds. */
 const retryDelayMs = 100;
@@ -20,7 +20,7 @@
 
 export interface ShardClientOptions {
     readonly settings: Settings;
-    readonly clients: SchedulerClients;
+    readonly clients: SchedulerCalls;
     /** Default: the clock of the machine. */
     readonly clock?: Clock;
 }
--- a/packages/cluster/src/start-relay.ts
+++ b/packages/cluster/src/start-relay.ts
@@ -2,20 +2,22 @@
  * Creates the configuration replica of a process and keeps it current.
  */
 import { toId } from "@waxwingroute/core";
-import type { HostId, ZoneId } from "@waxwingroute/core";
+import type { Clock, HostId, ZoneId } from "@waxwingroute/core";
 import type { Store } from "@waxwingroute/platform";
 import { ConfigurationReplica, RelayDriver } from "@waxwingroute/relay";
 import { listHosts, listZoneHosts } from "@waxwingroute/settings";
 import type { HostPlace, Settings } from "@waxwingroute/settings";
 import { RpcRelayPeers } from "./rpc-relay-peers.js";
-import type { SchedulerClients } from "./scheduler-clients.js";
+import type { SchedulerCalls } from "./scheduler-clients.js";
 
 export interface RelayOptions {
     readonly settings: Settings;
     readonly place: HostPlace;
-    readonly clients: SchedulerClients;
+    readonly clients: SchedulerCalls;
     /** Given to schedulers, which may watch the store; entry and operator processes pull from schedulers. */
     readonly store?: Store;
+    /** Default: the clock of the machine. */
+    readonly clock?: Clock;
     /** Called with problems for the log. */
     readonly onProblem?: (code: string, message: string) => void;
 }
@@ -27,8 +29,8 @@
 }
 
 /** Creates a relay; the caller starts its driver. */
-export function createRelay({ settings, place, clients, store, onProblem }: RelayOptions): Relay {
-    const replica = new ConfigurationReplica();
+export function createRelay({ settings, place, clients, store, clock, onProblem }: RelayOptions): Relay {
+    const replica = new ConfigurationReplica({ clock });
     const otherZones = new Map<ZoneId, HostId[]>();
     for (const { host, zone } of listHosts(settings)) {
         if (zone !== place.zone) {
@@ -44,6 +46,7 @@
         store,
         peers: new RpcRelayPeers(clients),
         replica,
+        clock,
         onProblem: problem => onProblem?.(problem.code, problem.message),
     });
     return { replica, driver };
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,5 @@
 /** The program that takes requests from callers. */
-export {};
+export { ReplicaAccessControl } from "./replica-access-control.js";
+export type { ReplicaAccessControlOptions } from "./replica-access-control.js";
+export { RpcShardGateway } from "./rpc-shard-gateway.js";
+export type { RpcShardGatewayOptions } from "./rpc-shard-gateway.js";
--- a/packages/operator/src/rpc-job-gateway.ts
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -29,7 +29,8 @@
 export interface RpcJobGatewayOptions {
     readonly settings: Settings;
     readonly shards: ShardClient;
-    readonly clients: SchedulerClients;
+    /** Opens the streams of watches; without it, watches follow nothing. */
+    readonly clients?: SchedulerClients;
 }
 
 export class RpcJobGateway extends JobGateway {
@@ -131,7 +132,7 @@
             const { shards, clients } = this.options;
             const probe = await shards.call(shard, schedulerService.listJobs, { shard }, searchTimeoutMs);
             const owner = shards.getLastOwner(shard);
-            const client = owner === undefined ? undefined : clients.get(owner);
+            const client = owner === undefined ? undefined : clients?.get(owner);
             if (probe.ok && client !== undefined) {
                 probe.val.jobs.filter(job => job.revision >= next).forEach(onStatus);
                 next = Math.max(next, ...probe.val.jobs.map(job => job.revision + 1));
--- a/packages/scenario/src/cluster-plan.ts
+++ b/packages/scenario/src/cluster-plan.ts
@@ -24,8 +24,13 @@
     readonly relay: LinkRelay;
 }
 
-/** All processes of a world listen on this address. */
-export const address = "127.0.0.1";
+/**
+ * All processes of a world listen on this address. Each test process has a loopback address of its own, because ports that
+ * were free when they were chosen could be taken by a world of another test process before the programs start.
+ */
+export const address = `127.${64 + (process.pid >>> 14 & 63)}.${1 + (process.pid >>> 7 & 127)}.${
+    1 + (process.pid & 127)
+}`;
 
 /** Ports and relays of the entry hosts. Every connection between schedulers of two hosts runs through a relay. */
 export class ClusterPlan {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,2 +1,4 @@
-/** The program that owns shards: placement, executor slots, journal and configuration relay. */
-export {};
+/** The scheduler of an entry host, for the program and for tests. */
+export { SchedulerProgram } from "./scheduler-program.js";
+export type { SchedulerProgramOptions } from "./scheduler-program.js";
+export type { EndpointAccess } from "./shard-context.js";
--- a/packages/scheduler/src/scheduler-handlers.ts
+++ b/packages/scheduler/src/scheduler-handlers.ts
@@ -7,7 +7,7 @@
 import type { RelayDriver } from "@waxwingroute/relay";
 import { jobSpecSchema } from "@waxwingroute/resources";
 import { schedulerService } from "@waxwingroute/transport";
-import type { RpcServer } from "@waxwingroute/transport";
+import type { ServiceRegistry } from "@waxwingroute/transport";
 import { toJobId } from "./job-row.js";
 import type { ShardOwner } from "./shard-owner.js";
 import type { ShardRunner } from "./shard-runner.js";
@@ -21,7 +21,7 @@
 }
 
 /** Adds the scheduler's services to a server. */
-export function installSchedulerServices(server: RpcServer, options: SchedulerHandlersOptions): void {
+export function installSchedulerServices(server: ServiceRegistry, options: SchedulerHandlersOptions): void {
     installSchedulerService(server, options);
     installOwnershipService(server, options.runners);
     server.addService(relayService, {
@@ -31,7 +31,7 @@
 }
 
 function installSchedulerService(
-    server: RpcServer,
+    server: ServiceRegistry,
     { host, runners, getRevision, logger }: SchedulerHandlersOptions,
 ): void {
     const findOwner = (shard: string): Result<ShardOwner, Failure> =>
@@ -73,7 +73,7 @@
     });
 }
 
-function installOwnershipService(server: RpcServer, runners: ReadonlyMap<string, ShardRunner>): void {
+function installOwnershipService(server: ServiceRegistry, runners: ReadonlyMap<string, ShardRunner>): void {
     const find = (shard: string) => findRunner(runners, shard).map(runner => runner.ownership);
     server.addService(ownershipService, {
         heartbeat: async ({ shard, message }) =>
--- /dev/null
+++ b/packages/system-tests/src/in-process-host.ts
@@ -0,0 +1,142 @@
+/**
+ * The programs of one entry host, run in process: scheduler, entry and operator, each with a life of its own.
+ */
+import { createRelay, ShardClient } from "@waxwingroute/cluster";
+import type { Relay } from "@waxwingroute/cluster";
+import { toId } from "@waxwingroute/core";
+import type { IncarnationId, ManualClock, RandomSource } from "@waxwingroute/core";
+import { ReplicaAccessControl, RpcShardGateway } from "@waxwingroute/entry";
+import { RpcJobGateway } from "@waxwingroute/operator";
+import { ResourceRepository } from "@waxwingroute/resources";
+import { SchedulerProgram } from "@waxwingroute/scheduler";
+import { HostClock, HostGate } from "@waxwingroute/scheduler/testing";
+import type { HostPlace, Settings } from "@waxwingroute/settings";
+import type { Fleet } from "@waxwingroute/stand-ins";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import { InProcessServer } from "./in-process-network.js";
+import type { InProcessNetwork } from "./in-process-network.js";
+
+export interface HostParts {
+    readonly settings: Settings;
+    readonly place: HostPlace;
+    readonly clock: ManualClock;
+    readonly random: RandomSource;
+    readonly fleet: Fleet;
+    readonly network: InProcessNetwork;
+    readonly logger: LogWriter;
+}
+
+/** A program that can be paused, killed and stopped. */
+export interface InProcessProgram {
+    readonly gate: HostGate;
+    readonly isReady: () => boolean;
+    readonly stop: () => Promise<void>;
+    readonly kill: () => void;
+}
+
+/** Starts the scheduler of a host. */
+export function startScheduler(
+    { settings, place, clock, random, fleet, network, logger }: HostParts,
+): InProcessProgram {
+    const gate = new HostGate();
+    const { host } = place;
+    const scheduler = new SchedulerProgram({
+        settings,
+        place,
+        clock: new HostClock(clock, gate),
+        random,
+        store: gate.wrap(fleet.store.forSource(host)),
+        hostList: gate.wrap(fleet.hostList.forSource(host)),
+        endpoints: {
+            openWorker: ({ worker }) => gate.wrap(fleet.workers.get(worker)!.forSource(host)),
+            openExecutor: ({ executor }) => gate.wrap(fleet.executors.get(executor)!.forSource(host)),
+        },
+        clients: network.createClients(host, gate),
+        logger,
+    });
+    const server = new InProcessServer(gate);
+    scheduler.installServices(server);
+    network.setServer(host, server);
+    scheduler.start(toId<IncarnationId>(random.getHex(16)));
+    const end = () => {
+        network.setServer(host, undefined);
+        gate.kill();
+    };
+    return {
+        gate,
+        isReady: () => scheduler.listProblems().length === 0,
+        stop: async () => {
+            await scheduler.shutdown(settings.shutdown.boundMs * 0.7);
+            end();
+        },
+        kill: end,
+    };
+}
+
+interface PullingProgram extends InProcessProgram {
+    readonly relay: Relay;
+    readonly shards: ShardClient;
+}
+
+/** Starts what entry and operator processes have in common: a replica that pulls, and access to shard owners. */
+function startPulling({ settings, place, clock, network, logger }: HostParts): PullingProgram {
+    const gate = new HostGate();
+    const hostClock = new HostClock(clock, gate);
+    const clients = network.createClients(place.host, gate);
+    const relay = createRelay({
+        settings,
+        place,
+        clients,
+        clock: hostClock,
+        onProblem: (code, message) => logger.write("warn", "configuration problem", { code, error: message }),
+    });
+    relay.driver.start();
+    return {
+        gate,
+        relay,
+        shards: new ShardClient({ settings, clients, clock: hostClock }),
+        isReady: () => relay.driver.isReady,
+        stop: async () => {
+            relay.driver.stop();
+            gate.kill();
+        },
+        kill: () => gate.kill(),
+    };
+}
+
+export interface EntryProgram extends InProcessProgram {
+    readonly gateway: RpcShardGateway;
+    readonly access: ReplicaAccessControl;
+}
+
+/** Starts the entry program of a host, without its HTTP server. */
+export function startEntry(parts: HostParts): EntryProgram {
+    const { settings, place, clock } = parts;
+    const program = startPulling(parts);
+    const hostClock = new HostClock(clock, program.gate);
+    return {
+        ...program,
+        gateway: new RpcShardGateway({ settings, zone: place.zone, shards: program.shards, clock: hostClock }),
+        access: new ReplicaAccessControl({ replica: program.relay.replica, ...settings.keys }),
+    };
+}
+
+export interface OperatorProgram extends InProcessProgram {
+    readonly repository: ResourceRepository;
+    readonly jobs: RpcJobGateway;
+    readonly relay: Relay;
+}
+
+/** Starts the operator program of a host, without its HTTP server. */
+export function startOperator(parts: HostParts): OperatorProgram {
+    const { settings, place, fleet, clock } = parts;
+    const program = startPulling(parts);
+    return {
+        ...program,
+        repository: new ResourceRepository({
+            store: program.gate.wrap(fleet.store.forSource(place.host)),
+            clock: new HostClock(clock, program.gate),
+        }),
+        jobs: new RpcJobGateway({ settings, shards: program.shards, clients: undefined }),
+    };
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -3,7 +3,7 @@
 export { RpcClient } from "./rpc-client.js";
 export type { RpcClientOptions, RpcStream, StreamHandlers } from "./rpc-client.js";
 export { RpcServer } from "./rpc-server.js";
-export type { RpcServerOptions, ServiceHandlers, StreamWriter } from "./rpc-server.js";
+export type { RpcServerOptions, ServiceHandlers, ServiceRegistry, StreamWriter } from "./rpc-server.js";
 export { createStreamMethod, createUnaryMethod, failureSchema } from "./service.js";
 export type { StreamMethod, UnaryMethod } from "./service.js";
 export { jobEventSchema, jobStatusSchema, schedulerService, shardStatusSchema } from "./services/scheduler-service.js";
--- a/packages/transport/src/rpc-server.ts
+++ b/packages/transport/src/rpc-server.ts
@@ -31,6 +31,11 @@
         : never;
 };
 
+/** Takes the functions that serve methods. */
+export interface ServiceRegistry {
+    addService<Methods extends object>(methods: Methods, handlers: ServiceHandlers<Methods>): void;
+}
+
 export interface RpcServerOptions {
     /** `<ip>:<port>`; port 0 picks a free one. */
     readonly address: string;
@@ -48,7 +53,7 @@
  * const port = await server.listen();
  * ```
  */
-export class RpcServer {
+export class RpcServer implements ServiceRegistry {
     private readonly server: Server;
 
     constructor(private readonly options: RpcServerOptions) {
