--- a/packages/system-tests/src/in-process-cluster.ts
+++ b/packages/system-tests/src/in-process-cluster.ts
@@ -57,7 +57,7 @@
         [];
     private readonly settings: Settings;
     private readonly random: SeededRandom;
-    private readonly network = new InProcessNetwork({ clock: this.clock, delayMs: 1 });
+    private readonly network: InProcessNetwork;
     private readonly programs = new Map<string, RunningProgram>();
     private readonly keys = new Map<string, DeclaredKey>();
     private readonly teamByQueue = new Map<string, string>();
@@ -67,6 +67,7 @@
         super();
         const { zones = ["glasgow"], hostsPerZone = 2, workersPerZone = 4, executorsPerZone = 2, seed = 1 } = options;
         this.random = new SeededRandom(seed);
+        this.network = new InProcessNetwork({ clock: this.clock, random: new SeededRandom(seed), delayMs: [0.5, 8] });
         this.settings = createSettings(zones, hostsPerZone);
         for (const zone of zones) {
             this.addEndpoints(toId<ZoneId>(zone), workersPerZone, executorsPerZone);
@@ -385,7 +386,7 @@
     const createPorts = () =>
         Object.fromEntries(
             ["scheduler", "entry", "operator", "schedulerHealth", "entryHealth", "operatorHealth"].map(
-                name => [name, port++]
+                name => [name, port++],
             ),
         );
     const regions = zones.map(zone => ({
--- a/packages/system-tests/src/in-process-network.ts
+++ b/packages/system-tests/src/in-process-network.ts
@@ -1,12 +1,12 @@
 /**
  * Calls between in-process schedulers: the same services and messages as over gRPC, without sockets.
  *
- * A call takes a fixed time each way, is lost while the link is cut, and waits while the callee is paused. Messages are
+ * A call takes a random time each way, is lost while the link is cut, and waits while the callee is paused. Messages are
  * encoded and decoded, so that nothing that gRPC would drop gets through.
  */
 import type { SchedulerCalls } from "@waxwingroute/cluster";
 import { createFailure, Err } from "@waxwingroute/core";
-import type { Clock, Failure, HostId, Result } from "@waxwingroute/core";
+import type { Clock, Failure, HostId, RandomSource, Result } from "@waxwingroute/core";
 import type { HostGate } from "@waxwingroute/scheduler/testing";
 import { decodeMessage, encodeMessage } from "@waxwingroute/transport";
 import type { ServiceHandlers, ServiceRegistry, StreamMethod, UnaryMethod } from "@waxwingroute/transport";
@@ -31,8 +31,9 @@
 
 export interface InProcessNetworkOptions {
     readonly clock: Clock;
-    /** One-way delay in milliseconds. */
-    readonly delayMs: number;
+    readonly random: RandomSource;
+    /** Shortest and longest one-way delay, in milliseconds. */
+    readonly delayMs: readonly [shortest: number, longest: number];
 }
 
 /** Servers by host, and the cuts between hosts. */
@@ -76,7 +77,7 @@
         request: Request,
         timeoutMs: number,
     ): Promise<Result<Response, Failure>> {
-        const { clock, delayMs } = this.options;
+        const { clock } = this.options;
         return new Promise(resolve => {
             const timer = clock.schedule(
                 timeoutMs,
@@ -86,7 +87,7 @@
                 timer.cancel();
                 resolve(result);
             };
-            clock.schedule(delayMs, () => {
+            clock.schedule(this.chooseDelay(), () => {
                 if (this.isCut(from, to)) {
                     // No connection can be made, which the real client notices after its connect timeout.
                     clock.schedule(
@@ -104,7 +105,7 @@
                 const message = decodeMessage(method.request, encodeMessage(request));
                 server.gate.run(() => {
                     void server.gate.forward(handler(message)).then(result => {
-                        clock.schedule(delayMs, () => {
+                        clock.schedule(this.chooseDelay(), () => {
                             if (!this.isCut(from, to)) {
                                 reply(result.map(value => decodeMessage(method.response, encodeMessage(value))));
                             }
@@ -115,6 +116,11 @@
         });
     }
 
+    private chooseDelay(): number {
+        const { random, delayMs: [shortest, longest] } = this.options;
+        return shortest + random.getFloat() * (longest - shortest);
+    }
+
     private isCut(from: HostId, to: HostId): boolean {
         return this.cuts.has(`${from} ${to}`);
     }
--- a/packages/system-tests/src/run-in-process-main.ts
+++ b/packages/system-tests/src/run-in-process-main.ts
@@ -1,13 +1,13 @@
 #!/usr/bin/env node
 /**
- * Runs one scenario file in process and prints the log: node run-in-process-main.js <name>
+ * Runs one scenario file in process and prints the log: node run-in-process-main.js <name> [seed]
  */
 import { runScenarioFile } from "@waxwingroute/scenario";
 import { InProcessCluster } from "./in-process-cluster.js";
 import { getScenarioPath } from "./process-cluster.js";
 
-const [name = "owner-killed"] = process.argv.slice(2);
-const cluster = new InProcessCluster();
+const [name = "owner-killed", seed = "1"] = process.argv.slice(2);
+const cluster = new InProcessCluster({ zones: ["glasgow", "aberdeen"], seed: Number(seed) });
 const result = await runScenarioFile(getScenarioPath(name), cluster.createWorld());
 for (const { at, host, message, fields } of cluster.log) {
     process.stdout.write(`${at} ${host} ${message} ${JSON.stringify(fields)}\n`);
