Add the callers' HTTP server

Change: EntryServer over the abstract ShardGateway and AccessControl: bounded headers, bodies, connections and memory, one status and verdict for each failure, time-outs for slow callers, graceful stop. Failures seen first: timers that kept a stopped process alive for 30, 15 and 2 s, because a message whose response was sent early emits no close event.

--- /dev/null
+++ b/packages/entry/src/body-reader.ts
@@ -0,0 +1,143 @@
+/**
+ * Reads bodies into memory, with a bound for each and for all together.
+ */
+import { Err, Ok } from "@waxwingroute/core";
+import type { Result } from "@waxwingroute/core";
+import type { IncomingMessage } from "node:http";
+import { createRefusal } from "./http-failure.js";
+import type { HttpFailure } from "./http-failure.js";
+
+/** The memory that all bodies in progress share. */
+export class ByteBudget {
+    private used = 0;
+
+    constructor(private readonly limit: number) {}
+
+    get usedBytes(): number {
+        return this.used;
+    }
+
+    /** Takes bytes if they are left. */
+    tryTake(bytes: number): boolean {
+        if (this.used + bytes > this.limit) {
+            return false;
+        }
+        this.used += bytes;
+        return true;
+    }
+
+    /** Takes bytes that are in memory already; later requests wait for them. */
+    take(bytes: number): void {
+        this.used += bytes;
+    }
+
+    release(bytes: number): void {
+        this.used -= bytes;
+    }
+}
+
+/** Bounds on the body of one request. */
+export interface BodyLimits {
+    readonly maxBytes: number;
+    readonly timeoutMs: number;
+    /** The value of Content-Length, if there is one. */
+    readonly contentLength: number | undefined;
+    /** Ends the read. A message whose response was sent early emits no event when its connection closes. */
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Collects chunks in one growing buffer: a list of many small chunks would take far more memory than their bytes. Memory is
+ * taken as bytes arrive, because a caller that announces a long body and sends nothing must not keep others out.
+ */
+class BodyBuffer {
+    private buffer: Buffer = Buffer.alloc(0);
+    private length = 0;
+
+    constructor(private readonly budget: ByteBudget, private readonly limits: BodyLimits) {}
+
+    /** Adds a chunk, or returns why there is no room for it. */
+    append(chunk: Buffer): HttpFailure | undefined {
+        const needed = this.length + chunk.byteLength;
+        if (needed > this.limits.maxBytes) {
+            return createTooLarge(this.limits.maxBytes);
+        }
+        if (needed > this.buffer.byteLength) {
+            const expected = this.limits.contentLength ?? this.limits.maxBytes;
+            const capacity = Math.min(Math.max(needed, 2 * this.buffer.byteLength), Math.max(needed, expected));
+            if (!this.budget.tryTake(capacity - this.buffer.byteLength)) {
+                return createRefusal(
+                    503,
+                    "bodies-full",
+                    "the bodies of all requests in progress take all the memory for them",
+                );
+            }
+            const larger = this.length === 0 ? chunk : Buffer.allocUnsafeSlow(capacity);
+            this.buffer.copy(larger, 0, 0, this.length);
+            this.buffer = larger;
+        }
+        if (this.buffer !== chunk) {
+            chunk.copy(this.buffer, this.length);
+        }
+        this.length = needed;
+        return undefined;
+    }
+
+    /** Returns the body, which keeps its own bytes in the budget. */
+    finish(): Buffer {
+        this.budget.release(this.buffer.byteLength - this.length);
+        return this.buffer.subarray(0, this.length);
+    }
+
+    release(): void {
+        this.budget.release(this.buffer.byteLength);
+    }
+}
+
+function createTooLarge(maxBytes: number): HttpFailure {
+    return createRefusal(413, "body-too-large", `the body is larger than ${maxBytes} bytes`);
+}
+
+/**
+ * Reads the whole body of a request. On success the bytes of the body remain taken from the budget, for the caller to
+ * release; on failure nothing remains taken. Failures: 400, 408, 413, 503, all `notRun`.
+ */
+export function readBody(
+    message: IncomingMessage,
+    budget: ByteBudget,
+    limits: BodyLimits,
+): Promise<Result<Buffer, HttpFailure>> {
+    if ((limits.contentLength ?? 0) > limits.maxBytes) {
+        return Promise.resolve(Err(createTooLarge(limits.maxBytes)));
+    }
+    return new Promise(resolve => {
+        const body = new BodyBuffer(budget, limits);
+        const refuse = (failure: HttpFailure) => {
+            removeListeners();
+            body.release();
+            resolve(Err(failure));
+        };
+        const onData = (chunk: Buffer) => {
+            const failure = body.append(chunk);
+            if (failure !== undefined) {
+                refuse(failure);
+            }
+        };
+        const onEnd = () => {
+            removeListeners();
+            resolve(Ok(body.finish()));
+        };
+        const onClose = () =>
+            refuse(createRefusal(400, "body-incomplete", "the connection ended before the body was complete"));
+        const onTimeout = () =>
+            refuse(createRefusal(408, "body-timeout", `the body did not arrive within ${limits.timeoutMs} ms`));
+        const timer = setTimeout(onTimeout, limits.timeoutMs);
+        const removeListeners = () => {
+            clearTimeout(timer);
+            message.off("data", onData).off("end", onEnd).off("close", onClose);
+            limits.signal.removeEventListener("abort", onClose);
+        };
+        message.on("data", onData).on("end", onEnd).on("close", onClose);
+        limits.signal.addEventListener("abort", onClose);
+    });
+}
--- /dev/null
+++ b/packages/entry/src/entry-server.ts
@@ -0,0 +1,212 @@
+/**
+ * The HTTP server for callers.
+ */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { match } from "ts-pattern";
+import { ByteBudget } from "./body-reader.js";
+import { Exchange } from "./exchange.js";
+import { createRefusal } from "./http-failure.js";
+import type { HttpFailure } from "./http-failure.js";
+import { encodeRawFailure, writeFailure } from "./response-writer.js";
+import { resolveEntryOptions } from "./types.js";
+import type { EntryServerOptions, ResolvedEntryOptions } from "./types.js";
+
+/** Numbers of an entry server. */
+export interface EntryCounters {
+    /** Requests in progress. */
+    readonly running: number;
+    /** Bytes of bodies in progress. */
+    readonly bodyBytes: number;
+    /** Connections that were closed because there were too many. */
+    readonly droppedConnections: number;
+    /** Connections on which no request could be parsed. */
+    readonly badConnections: number;
+}
+
+/**
+ * Takes requests from callers and sends them to the owners of the shards.
+ *
+ * @example
+ * ```ts
+ * const server = new EntryServer({ clock: new SystemClock(), gateway, access, port: 8080 });
+ * await server.start();
+ * process.once("SIGTERM", () => void server.stop(10_000));
+ * ```
+ */
+export class EntryServer {
+    private readonly options: ResolvedEntryOptions;
+    private readonly budget: ByteBudget;
+    private readonly server: Server;
+    private readonly running = new Set<Exchange>();
+    /** Requests without a finished response by connection. */
+    private readonly open = new WeakMap<Duplex, Set<Exchange>>();
+    private droppedConnections = 0;
+    private badConnections = 0;
+    private isStopping = false;
+
+    constructor(options: EntryServerOptions) {
+        this.options = resolveEntryOptions(options);
+        this.budget = new ByteBudget(this.options.maxTotalBytes);
+        const { maxHeaderBytes, headerTimeoutMs, bodyTimeoutMs, keepAliveMs } = this.options;
+        this.server = createServer({
+            maxHeaderSize: maxHeaderBytes,
+            headersTimeout: headerTimeoutMs,
+            // The exchange itself ends slow bodies; this is for bodies that it discards.
+            requestTimeout: headerTimeoutMs + 2 * bodyTimeoutMs,
+            keepAliveTimeout: keepAliveMs,
+            connectionsCheckingInterval: Math.min(1000, headerTimeoutMs),
+            // No route depends on the host, and Node's own refusal would lack a verdict.
+            requireHostHeader: false,
+        });
+        // The size of the header is bounded; Node would ignore fields above this number without a refusal.
+        this.server.maxHeadersCount = 0;
+        this.server.maxConnections = this.options.maxConnections;
+        this.server.on("request", (request, response) => this.handle(request, response, false));
+        this.server.on("checkContinue", (request, response) => this.handle(request, response, true));
+        this.server.on("checkExpectation", (request, response) => this.handleExpectation(request, response));
+        this.server.on("connect", (_request, socket) => this.handleConnect(socket));
+        this.server.on("clientError", (error, socket) => this.handleClientError(error, socket));
+        this.server.on("drop", () => this.droppedConnections++);
+    }
+
+    /** Listens; resolves with the port, rejects if the address cannot be bound. */
+    start(): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(this.options.port, this.options.host, () => {
+                this.server.off("error", reject);
+                resolve((this.server.address() as AddressInfo).port);
+            });
+        });
+    }
+
+    /**
+     * Stops gracefully. From now on new requests are refused as `notRun` with `Connection: close`, for at least
+     * `refuseMs` milliseconds (default 500) so that callers with open connections see a refusal instead of a closed
+     * connection. Running requests may finish for `waitMs` milliseconds; then they fail with the verdict that applies.
+     */
+    async stop(waitMs: number, refuseMs = 500): Promise<void> {
+        this.isStopping = true;
+        const { clock } = this.options;
+        const startedAt = clock.getNow();
+        const isDue = () => {
+            const elapsed = clock.getNow() - startedAt;
+            return elapsed >= waitMs || this.running.size === 0 && elapsed >= Math.min(refuseMs, waitMs);
+        };
+        while (!isDue()) {
+            await clock.wait(10);
+        }
+        const closed = new Promise<void>(resolve => {
+            this.server.close(() => resolve());
+        });
+        for (const exchange of this.running) {
+            exchange.stop();
+        }
+        this.server.closeIdleConnections();
+        // Responses that were just written get a moment to leave; slow readers do not hold up the stop.
+        const timer = clock.schedule(lastWriteMs, () => this.server.closeAllConnections());
+        await closed;
+        timer.cancel();
+    }
+
+    /** Returns the present numbers. */
+    getCounters(): EntryCounters {
+        const { droppedConnections, badConnections } = this;
+        return { running: this.running.size, bodyBytes: this.budget.usedBytes, droppedConnections, badConnections };
+    }
+
+    private handle(request: IncomingMessage, response: ServerResponse, needsContinue: boolean): void {
+        const exchange = new Exchange(this.options, this.budget, request, response, needsContinue);
+        const { socket } = request;
+        const open = this.open.get(socket) ?? new Set();
+        this.open.set(socket, open.add(exchange));
+        response.on("close", () => open.delete(exchange));
+        const refusal = this.checkCapacity();
+        if (refusal === undefined) {
+            this.running.add(exchange);
+            response.on("close", () => this.running.delete(exchange));
+            void exchange.run();
+        }
+        else if (this.isStopping) {
+            response.shouldKeepAlive = false;
+            failAfterBody(request, () => exchange.fail(refusal));
+        }
+        else {
+            exchange.fail(refusal);
+        }
+    }
+
+    private checkCapacity(): HttpFailure | undefined {
+        if (this.isStopping) {
+            return createRefusal(503, "stopping", "the entry server is stopping; use another");
+        }
+        if (this.running.size >= this.options.maxRequests) {
+            return createRefusal(
+                503,
+                "too-many-requests",
+                `${this.running.size} requests are in progress, the most allowed`,
+            );
+        }
+        return undefined;
+    }
+
+    private handleExpectation(request: IncomingMessage, response: ServerResponse): void {
+        request.resume();
+        writeFailure(response, createRefusal(417, "unknown-expectation", "only \"Expect: 100-continue\" is known"));
+    }
+
+    private handleConnect(socket: Duplex): void {
+        socket.on("error", () => undefined);
+        socket.end(encodeRawFailure(createRefusal(405, "method-not-allowed", "CONNECT is not supported")));
+    }
+
+    private handleClientError(error: Error & { readonly code?: string; }, socket: Duplex): void {
+        this.badConnections++;
+        const refusal = match(error.code)
+            .with(
+                "HPE_HEADER_OVERFLOW",
+                () =>
+                    createRefusal(
+                        431,
+                        "header-too-large",
+                        `the header is larger than ${this.options.maxHeaderBytes} bytes`,
+                    ),
+            )
+            .with(
+                "ERR_HTTP_REQUEST_TIMEOUT",
+                () => createRefusal(408, "request-timeout", "the request arrived too slowly"),
+            )
+            .otherwise(() => createRefusal(400, "bad-http", `not a valid HTTP/1.1 request: ${error.message}`));
+        const open = [...this.open.get(socket) ?? []];
+        const [only] = open;
+        if (!socket.writable) {
+            socket.destroy();
+        }
+        else if (only === undefined) {
+            socket.end(encodeRawFailure(refusal), () => socket.destroy());
+        }
+        // A caller with several requests in progress could take this refusal for the response to another of them.
+        else if (open.length > 1 || !only.tryRefuse(refusal)) {
+            socket.destroy();
+        }
+    }
+}
+
+/**
+ * Calls `fail` when the body has arrived, or after a second. A connection that is closed with unread bytes is reset, and the
+ * caller may lose the refusal.
+ */
+function failAfterBody(request: IncomingMessage, fail: () => void): void {
+    const timer = setTimeout(fail, 1000);
+    request.once("end", () => {
+        clearTimeout(timer);
+        fail();
+    });
+    request.resume();
+}
+
+// A response to a caller nearby is written in far less.
+const lastWriteMs = 200;
--- /dev/null
+++ b/packages/entry/src/http-failure.ts
@@ -0,0 +1,34 @@
+/**
+ * The HTTP form of failures.
+ */
+import { createFailure } from "@waxwingroute/core";
+import type { Failure, Verdict } from "@waxwingroute/core";
+import type { RequestFailure } from "@waxwingroute/routing";
+import { match } from "ts-pattern";
+
+/** A failure and the HTTP status that tells it. */
+export interface HttpFailure extends RequestFailure {
+    readonly status: number;
+}
+
+/** Creates a failure of a request that was not sent to any owner. */
+export function createRefusal(status: number, code: string, message: string, verdict: Verdict = "notRun"): HttpFailure {
+    return { ...createFailure(code, message, verdict), status };
+}
+
+/** Returns the HTTP status of a failure that came from the owner of a shard. */
+export function toStatus(failure: Failure): number {
+    return match(failure)
+        .with({ code: "bad-request-key" }, () => 400)
+        .with({ code: "request-key-conflict" }, () => 409)
+        .with({ code: "queue-full" }, { code: "bodies-full" }, () => 429)
+        .with({ code: "deadline-exceeded" }, () => 504)
+        .with({ verdict: "notRun" }, () => 503)
+        .with({ verdict: "mayHaveRun" }, { verdict: "ran" }, () => 502)
+        .exhaustive();
+}
+
+/** Returns the body of the response that tells a failure. */
+export function encodeFailure({ code, message, verdict }: Failure): Buffer {
+    return Buffer.from(JSON.stringify({ error: { code, message, verdict } }));
+}
--- /dev/null
+++ b/packages/entry/src/request-parser.ts
@@ -0,0 +1,119 @@
+/**
+ * Reads the request line and the headers of callers. Anything unclear is refused: a header that is ignored by mistake could
+ * make a request run twice, or for another team.
+ */
+import { Err, isName, Ok, toId } from "@waxwingroute/core";
+import type { QueueId, RequestKey, Result, ShardId } from "@waxwingroute/core";
+import { parseRequestKey } from "@waxwingroute/routing";
+import type { IncomingMessage } from "node:http";
+import { createRefusal } from "./http-failure.js";
+import type { HttpFailure } from "./http-failure.js";
+
+/** What a caller asks for. */
+export type Route =
+    | { readonly kind: "execute"; readonly queue: QueueId; }
+    | { readonly kind: "issueKey"; readonly queue: QueueId | undefined; };
+
+/** The headers of a request for work. */
+export interface RequestHeaders {
+    readonly requestKey: RequestKey | undefined;
+    /** The shard that the key names. */
+    readonly home: ShardId | undefined;
+    readonly isIdempotent: boolean;
+    /** `undefined` for the default of the queue. */
+    readonly deadlineMs: number | undefined;
+    readonly contentType: string;
+    /** `undefined` for a body of unknown length. */
+    readonly contentLength: number | undefined;
+}
+
+export const maxDeadlineMs = 600_000;
+
+/** Finds the route of a request, or why it has none. */
+export function parseRoute(method: string, url: string): Result<Route, HttpFailure> {
+    const [path, query] = url.split("?", 2) as [string, string | undefined];
+    const executeMatch = /^\/v1\/queues\/([^/]*)\/requests$/.exec(path);
+    if (executeMatch === null && path !== "/v1/request-keys") {
+        return Err(
+            createRefusal(404, "unknown-path", "no such path; use /v1/queues/{queue}/requests or /v1/request-keys"),
+        );
+    }
+    if (method !== "POST") {
+        return Err(createRefusal(405, "method-not-allowed", `${path} accepts only POST`));
+    }
+    const name = executeMatch?.[1] ?? new URLSearchParams(query ?? "").get("queue") ?? undefined;
+    if (name !== undefined && !isName(name)) {
+        const message = "a queue name has 1 to 63 lower-case letters, digits and inner hyphens";
+        return Err(createRefusal(400, "bad-queue-name", message));
+    }
+    const queue = name === undefined ? undefined : toId<QueueId>(name);
+    return Ok(
+        executeMatch !== null && queue !== undefined ? { kind: "execute", queue } : { kind: "issueKey", queue },
+    );
+}
+
+/** Returns the API key of a request, `undefined` if it has none, or why it cannot be read. */
+export function parseApiKey(message: IncomingMessage): Result<string | undefined, HttpFailure> {
+    const header = getSingle(message, "authorization");
+    if (header.err || header.val === undefined) {
+        return header;
+    }
+    const apiKey = /^Bearer +([!-~]{1,512})$/i.exec(header.val)?.[1];
+    return apiKey === undefined
+        ? Err(createRefusal(401, "bad-authorization", "the Authorization header must be \"Bearer <key>\""))
+        : Ok(apiKey);
+}
+
+/** Reads the headers of a request for work. */
+export function parseHeaders(message: IncomingMessage): Result<RequestHeaders, HttpFailure> {
+    const names = [
+        "waxwing-request-key",
+        "waxwing-idempotent",
+        "waxwing-deadline-ms",
+        "content-type",
+        "content-encoding",
+    ];
+    const values: (string | undefined)[] = [];
+    for (const name of names) {
+        const value = getSingle(message, name);
+        if (value.err) {
+            return value;
+        }
+        values.push(value.val);
+    }
+    const [requestKey, idempotent = "false", deadline, contentType = "application/octet-stream", encoding] = values;
+    const parts = requestKey === undefined ? undefined : parseRequestKey(requestKey);
+    if (requestKey !== undefined && parts === undefined) {
+        return refuseHeader("bad-request-key", "Waxwing-Request-Key is not a key that this system issued");
+    }
+    if (idempotent !== "true" && idempotent !== "false") {
+        return refuseHeader("bad-idempotent", "Waxwing-Idempotent must be \"true\" or \"false\"");
+    }
+    if (deadline !== undefined && (!/^[1-9][0-9]{0,5}$/.test(deadline) || Number(deadline) > maxDeadlineMs)) {
+        return refuseHeader("bad-deadline", `Waxwing-Deadline-Ms must be a whole number from 1 to ${maxDeadlineMs}`);
+    }
+    if (encoding !== undefined && encoding.toLowerCase() !== "identity") {
+        return Err(createRefusal(415, "unsupported-encoding", "send the body without Content-Encoding"));
+    }
+    const length = message.headers["content-length"];
+    return Ok({
+        requestKey: requestKey === undefined ? undefined : toId<RequestKey>(requestKey),
+        home: parts?.shard,
+        isIdempotent: idempotent === "true",
+        deadlineMs: deadline === undefined ? undefined : Number(deadline),
+        contentType,
+        contentLength: length === undefined ? undefined : Number(length),
+    });
+}
+
+function refuseHeader(code: string, message: string): Result<never, HttpFailure> {
+    return Err(createRefusal(400, code, message));
+}
+
+/** Returns the value of a header that may occur once. */
+function getSingle(message: IncomingMessage, name: string): Result<string | undefined, HttpFailure> {
+    const values = message.headersDistinct[name] ?? [];
+    return values.length > 1
+        ? Err(createRefusal(400, "repeated-header", `the header "${name}" occurs ${values.length} times`))
+        : Ok(values[0]);
+}
--- /dev/null
+++ b/packages/entry/src/response-writer.ts
@@ -0,0 +1,107 @@
+/**
+ * Writes responses. Each has a Content-Length, so that a cut response can never look whole, and each is written at once.
+ */
+import type { RequestKey, Verdict } from "@waxwingroute/core";
+import type { Answer } from "@waxwingroute/routing";
+import { validateHeaderValue } from "node:http";
+import type { ServerResponse } from "node:http";
+import { createRefusal, encodeFailure } from "./http-failure.js";
+import type { HttpFailure } from "./http-failure.js";
+
+/** A response as it was written. */
+export interface WrittenResponse {
+    readonly status: number;
+    readonly code: string | undefined;
+    readonly verdict: Verdict;
+    readonly requestKey: RequestKey | undefined;
+    readonly bodyBytes: number;
+}
+
+// HTTP gives these statuses no body, so an answer with one cannot reach its caller whole.
+const statusesWithoutBody = new Set([204, 205, 304]);
+
+/** Writes the answer of an executor, or a failure if HTTP cannot carry the answer. */
+export function writeAnswer(response: ServerResponse, answer: Answer): WrittenResponse {
+    const { status, body, requestKey } = answer;
+    const hasBody = !statusesWithoutBody.has(status);
+    if (!Number.isInteger(status) || status < 200 || status > 599 || !hasBody && body.byteLength > 0) {
+        const message =
+            `the executor answered with status ${status} and ${body.byteLength} bytes, which HTTP cannot carry`;
+        return writeFailure(response, { ...createRefusal(502, "bad-answer", message, "ran"), requestKey });
+    }
+    response.statusCode = status;
+    if (hasBody) {
+        response.setHeader(
+            "Content-Type",
+            isHeaderValue(answer.contentType) ? answer.contentType : "application/octet-stream",
+        );
+        response.setHeader("Content-Length", body.byteLength);
+    }
+    writeVerdict(response, "ran", requestKey);
+    response.end(body);
+    return { status, code: undefined, verdict: "ran", requestKey, bodyBytes: body.byteLength };
+}
+
+/** Writes a failure as JSON. */
+export function writeFailure(response: ServerResponse, failure: HttpFailure): WrittenResponse {
+    const { status, code, verdict, requestKey, retryAfterMs } = failure;
+    const body = encodeFailure(failure);
+    response.statusCode = status;
+    response.setHeader("Content-Type", "application/json");
+    response.setHeader("Content-Length", body.byteLength);
+    writeVerdict(response, verdict, requestKey);
+    if (retryAfterMs !== undefined) {
+        response.setHeader("Retry-After", Math.ceil(retryAfterMs / 1000));
+    }
+    if (status === 401) {
+        response.setHeader("WWW-Authenticate", "Bearer");
+    }
+    if (status === 405) {
+        response.setHeader("Allow", "POST");
+    }
+    response.end(body);
+    return { status, code, verdict, requestKey, bodyBytes: body.byteLength };
+}
+
+/** Writes a request key that was issued. */
+export function writeIssuedKey(response: ServerResponse, requestKey: RequestKey): WrittenResponse {
+    const body = Buffer.from(JSON.stringify({ requestKey }));
+    response.statusCode = 201;
+    response.setHeader("Content-Type", "application/json");
+    response.setHeader("Content-Length", body.byteLength);
+    // The key was not used yet.
+    writeVerdict(response, "notRun", requestKey);
+    response.end(body);
+    return { status: 201, code: undefined, verdict: "notRun", requestKey, bodyBytes: body.byteLength };
+}
+
+/** Returns a whole HTTP response for a connection on which no request could be parsed. */
+export function encodeRawFailure(failure: HttpFailure): Buffer {
+    const body = encodeFailure(failure);
+    const reasons: Record<number, string> = { 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout" };
+    const head = [
+        `HTTP/1.1 ${failure.status} ${reasons[failure.status] ?? "Request Header Fields Too Large"}`,
+        "Content-Type: application/json",
+        `Content-Length: ${body.byteLength}`,
+        `Waxwing-Verdict: ${failure.verdict}`,
+        "Connection: close",
+    ];
+    return Buffer.concat([Buffer.from(`${head.join("\r\n")}\r\n\r\n`), body]);
+}
+
+function writeVerdict(response: ServerResponse, verdict: Verdict, requestKey: RequestKey | undefined): void {
+    response.setHeader("Waxwing-Verdict", verdict);
+    if (requestKey !== undefined) {
+        response.setHeader("Waxwing-Request-Key", requestKey);
+    }
+}
+
+function isHeaderValue(value: string): boolean {
+    try {
+        validateHeaderValue("Content-Type", value);
+        return value.length <= 1024;
+    }
+    catch {
+        return false;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/testing/fake-system.ts
@@ -0,0 +1,95 @@
+/**
+ * Stand-ins for the parts behind the entry server.
+ */
+import { createFailure, Err, Ok, SystemClock, toId } from "@waxwingroute/core";
+import type { ExecutorId, Failure, QueueId, RequestKey, Result, ShardId, TeamId } from "@waxwingroute/core";
+import type { Answer, RequestFailure } from "@waxwingroute/routing";
+import { EntryServer } from "../entry-server.js";
+import { AccessControl, ShardGateway } from "../types.js";
+import type { Access, AccessFailure, EntryRequest, EntryResult, EntryServerOptions } from "../types.js";
+
+export const requestKey = toId<RequestKey>("glasgow.0.1.1.0123456789abcdef");
+
+/** A call that reached the gateway. */
+export interface GatewayCall {
+    readonly shard: ShardId | undefined;
+    readonly request: EntryRequest;
+    readonly body: Uint8Array;
+}
+
+/** Answers with the body of the request, unless a test replaces `behave`. */
+export class FakeGateway extends ShardGateway {
+    readonly calls: GatewayCall[] = [];
+    behave: (call: GatewayCall) => Promise<Result<Answer, RequestFailure>>;
+
+    constructor() {
+        super();
+        this.behave = call => Promise.resolve(Ok(this.createEcho(call)));
+    }
+
+    execute(
+        shard: ShardId | undefined,
+        request: EntryRequest,
+        body: Uint8Array,
+    ): Promise<Result<Answer, RequestFailure>> {
+        const call = { shard, request, body };
+        this.calls.push(call);
+        return this.behave(call);
+    }
+
+    async issueKey(): Promise<Result<RequestKey, Failure>> {
+        return Ok(requestKey);
+    }
+
+    createEcho({ request, body }: GatewayCall, status = 200): Answer {
+        const { contentType } = request;
+        return {
+            requestKey: request.requestKey ?? requestKey,
+            executor: toId<ExecutorId>("e"),
+            status,
+            contentType,
+            body,
+        };
+    }
+}
+
+/** Knows the API key `secret` of the team `quotes`, and the queues `orders`, `plans` (another team) and `open`. */
+export class FakeAccess extends AccessControl {
+    authenticate(apiKey: string | undefined, queue: QueueId | undefined): Result<Access, AccessFailure> {
+        const refuse = (status: number, code: string) =>
+            Err({ ...createFailure(code, `refused with ${code}`, "notRun"), status });
+        if (queue === "open") {
+            return Ok({ team: toId<TeamId>("public"), defaultDeadlineMs: 1000 });
+        }
+        if (apiKey !== "secret") {
+            return refuse(401, "bad-key");
+        }
+        if (queue === "plans") {
+            return refuse(403, "wrong-team");
+        }
+        return queue === undefined || queue === "orders"
+            ? Ok({ team: toId<TeamId>("quotes"), defaultDeadlineMs: 1000 })
+            : refuse(404, "unknown-queue");
+    }
+}
+
+/** A started entry server with fakes behind it. */
+export interface EntryFixture {
+    readonly server: EntryServer;
+    readonly gateway: FakeGateway;
+    readonly results: EntryResult[];
+    readonly port: number;
+}
+
+export async function startEntry(options: Partial<EntryServerOptions> = {}): Promise<EntryFixture> {
+    const gateway = new FakeGateway();
+    const results: EntryResult[] = [];
+    const server = new EntryServer({
+        clock: new SystemClock(),
+        gateway,
+        access: new FakeAccess(),
+        onResult: result => results.push(result),
+        ...options,
+    });
+    return { server, gateway, results, port: await server.start() };
+}
