--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,3 +3,7 @@
 export type { ReplicaAccessControlOptions } from "./replica-access-control.js";
 export { RpcShardGateway } from "./rpc-shard-gateway.js";
 export type { RpcShardGatewayOptions } from "./rpc-shard-gateway.js";
+export { EntryServer } from "./entry-server.js";
+export type { EntryCounters } from "./entry-server.js";
+export { AccessControl, ShardGateway } from "./types.js";
+export type { Access, AccessFailure, EntryRequest, EntryResult, EntryServerOptions } from "./types.js";
