--- a/packages/ownership/src/machine.ts
+++ b/packages/ownership/src/machine.ts
@@ -12,7 +12,7 @@
 } from "./owner.js";
 import { updateKnownRecord } from "./record.js";
 import { expireRight, settleRight } from "./right.js";
-import { generateRequestId, hasUnresolvedWrite } from "./step.js";
+import { computeWait, generateRequestId, hasUnresolvedWrite } from "./step.js";
 import type { Step } from "./step.js";
 import { replyToArm, replyToDisarm, replyToIdentify, replyToRelease } from "./successor.js";
 import { applyRecordRelease, applyReleaseAnswer, runStandbyDuties } from "./takeover.js";
@@ -210,7 +210,9 @@
     const isWriteOverdue = hasUnresolvedWrite(state)
         && state.pending.some(write => isOverdue(step, write.sentAt, write.isAnswered));
     const isOwnerSilent = state.owner === undefined && now >= state.ownerHeardAt + 3 * timings.heartbeatMs;
-    const isInDoubt = state.known === undefined || isWriteOverdue || isOwnerSilent;
+    const storeRightMs = computeWait(timings, timings.storeRightMs);
+    const isLapsed = state.owner === undefined && now >= (state.known?.observedAt ?? now) + storeRightMs;
+    const isInDoubt = state.known === undefined || isWriteOverdue || isOwnerSilent || isLapsed;
     const intervalMs = isInDoubt ? timings.renewIntervalMs : timings.observeIntervalMs;
     if (now >= state.lastReadAt + intervalMs) {
         readRecord(step);
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -63,10 +63,12 @@
 function takeOverIfAllowed(step: Step, known: KnownRecord): void {
     const { state, now, timings } = step;
     const { successor } = state;
+    // A write without an answer would stop this host from going or staying solo, see `computePendingTakeoverEnd`.
+    if (now >= state.confirmedAt + timings.renewIntervalMs) {
+        return;
+    }
     if (successor.solo !== undefined) {
-        // Without a recent answer from the store, a write would put the present right at risk, see `computePendingTakeoverEnd`.
-        const isStoreUp = now < state.confirmedAt + timings.renewIntervalMs;
-        if (isStoreUp && successor.solo.epoch === known.record.epoch) {
+        if (successor.solo.epoch === known.record.epoch) {
             state.successor = { ...successor, soloTakeoverRevision: known.revision };
             writeTakeover(step, known);
         }
