--- /dev/null
+++ b/packages/journal/src/epoch.ts
@@ -0,0 +1,59 @@
+/**
+ * Begins an epoch: reads the journal and writes the entry that fences earlier writers.
+ */
+import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
+import type { Failure, Result, WriterToken } from "@waxwingroute/core";
+import { writeEntry } from "./entry-write.js";
+import type { EntryWriteOutcome } from "./entry-write.js";
+import { encodeValue, getEntryKey } from "./format.js";
+import type { ResolvedOptions } from "./options.js";
+import { createFenced, readJournal } from "./recovery.js";
+import type { JournalContent, StoredEntry } from "./recovery.js";
+import type { JournalRecord } from "./types.js";
+
+export interface BegunEpoch {
+    /** The journal up to the fence. Entries before it are final. */
+    readonly content: JournalContent;
+    readonly fence: StoredEntry;
+}
+
+/** Retries until `openTimeoutMs` while the store cannot be reached or an earlier writer takes the sequence number. */
+export async function beginEpoch(options: ResolvedOptions): Promise<Result<BegunEpoch, Failure>> {
+    const { clock, store, shard, epoch, random, retryMs, openTimeoutMs } = options;
+    const deadline = clock.getNow() + openTimeoutMs;
+    const token = toId<WriterToken>(`${epoch}.${random.getHex(24)}`);
+    let failure = createFailure("journal-unavailable", `the journal of "${shard}" cannot be read`, "notRun");
+    while (clock.getNow() < deadline) {
+        const read = await readJournal(store, shard);
+        if (read.ok && read.val.lastEpoch > epoch) {
+            return Err(createFenced(shard, epoch, read.val.lastEpoch));
+        }
+        if (!read.ok && read.val.code.startsWith("journal-")) {
+            return read;
+        }
+        if (read.ok) {
+            const content = read.val;
+            const sequence = content.lastSequence + 1;
+            const outcome = await writeFence(options, sequence, token);
+            if (outcome.kind === "written") {
+                const key = getEntryKey(shard, sequence);
+                return Ok({ content, fence: { key, sequence, revision: outcome.revision, isFence: true } });
+            }
+            if (outcome.kind === "occupied") {
+                continue;
+            }
+            failure = outcome.failure;
+        }
+        else {
+            failure = read.val;
+        }
+        await clock.wait(retryMs);
+    }
+    return Err(failure);
+}
+
+function writeFence(options: ResolvedOptions, sequence: number, token: WriterToken): Promise<EntryWriteOutcome> {
+    const { clock, store, shard, epoch, host } = options;
+    const record: JournalRecord = { kind: "epochBegun", epoch, host, at: clock.getWallTime() };
+    return writeEntry(store, getEntryKey(shard, sequence), encodeValue({ epoch, records: [record] }), token);
+}
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -4,53 +4,20 @@
  * One commit is in flight at a time. Its entry is created at the next sequence number under the condition that it does not
  * exist, so that a deposed writer cannot append after a later owner has begun its epoch.
  */
-import { createFailure, Err, Ok, SystemRandom, toId } from "@waxwingroute/core";
-import type { Clock, Failure, HostId, RandomSource, Result, ShardId, Timer, WriterToken } from "@waxwingroute/core";
-import type { Store } from "@waxwingroute/platform";
+import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
+import type { Failure, Result, Timer, WriterToken } from "@waxwingroute/core";
 import { Checkpointer } from "./checkpointer.js";
 import { writeEntry } from "./entry-write.js";
+import { beginEpoch } from "./epoch.js";
 import { encodeValue, getEntryKey, parseEntry } from "./format.js";
 import { applyJournalRecord } from "./job-table.js";
-import type { JobTable, Retention } from "./job-table.js";
-import { createFenced, readJournal } from "./recovery.js";
-import type { JournalContent } from "./recovery.js";
+import type { JobTable } from "./job-table.js";
+import { resolveOptions } from "./options.js";
+import type { JournalOptions, ResolvedOptions } from "./options.js";
+import { createFenced } from "./recovery.js";
+import type { JournalContent, StoredEntry } from "./recovery.js";
 import type { JournalRecord } from "./types.js";
 
-export interface JournalOptions {
-    readonly shard: ShardId;
-    /** Epoch of the right under which this process writes. */
-    readonly epoch: number;
-    readonly host: HostId;
-    readonly store: Store;
-    readonly clock: Clock;
-    /** Default: the system's random numbers. */
-    readonly random?: RandomSource;
-    /** Shortest time between the starts of two commits in ms. Default 100: at most 10 commits per second. */
-    readonly commitIntervalMs?: number;
-    /** Time after which an append without an outcome fails, in ms. Default 5,000. */
-    readonly appendTimeoutMs?: number;
-    /** Time between two attempts to reach the store in ms. Default 250. */
-    readonly retryMs?: number;
-    /** Time after which `open` fails, in ms. Default 10,000. */
-    readonly openTimeoutMs?: number;
-    /** Largest value in characters. Default 500,000: below 512 KB. */
-    readonly maxValueLength?: number;
-    /** Largest size of the jobs in characters; beyond it no job is accepted. Default 64,000,000. */
-    readonly maxTotalLength?: number;
-    /** Entries after which a checkpoint is written. Default 500. */
-    readonly checkpointEntries?: number;
-    /** Finished jobs that are kept. Default: 1,000 of at most 24 hours. */
-    readonly retention?: Retention;
-    /** Called once when a later owner has begun its epoch. The shard's owner then steps down. */
-    readonly onFenced?: (failure: Failure) => void;
-    /** Called when a checkpoint fails; the journal goes on without it. */
-    readonly onCheckpointFailed?: (failure: Failure) => void;
-}
-
-type ResolvedOptions =
-    & Required<Omit<JournalOptions, "onFenced" | "onCheckpointFailed">>
-    & Pick<JournalOptions, "onFenced" | "onCheckpointFailed">;
-
 interface PendingAppend {
     readonly record: JournalRecord;
     readonly text: string;
@@ -77,19 +44,23 @@
     private isCheckpointing = false;
     private failure: Failure | undefined;
     private lastCommitAt = -Infinity;
-    private entriesSinceCheckpoint = 0;
+    private entriesSinceCheckpoint: number;
+    private lastSequence: number;
+    private totalLength: number;
     private readonly table: JobTable;
     private readonly checkpointer: Checkpointer;
 
     private constructor(
         private readonly options: ResolvedOptions,
         content: JournalContent,
-        private lastSequence: number,
-        private totalLength: number,
+        fence: StoredEntry,
     ) {
         this.table = content.table;
+        this.totalLength = content.totalLength;
+        this.lastSequence = fence.sequence;
+        this.entriesSinceCheckpoint = fence.sequence - (content.manifest?.value.through ?? 0);
         this.checkpointer = new Checkpointer(options, content);
-        this.entriesSinceCheckpoint = lastSequence - (content.manifest?.value.through ?? 0);
+        this.checkpointer.addEntry(fence);
     }
 
     /**
@@ -98,38 +69,8 @@
      */
     static async open(options: JournalOptions): Promise<Result<Journal, Failure>> {
         const resolved = resolveOptions(options);
-        const { clock, store, shard, epoch, host } = resolved;
-        const deadline = clock.getNow() + resolved.openTimeoutMs;
-        const token = toId<WriterToken>(`${epoch}.${resolved.random.getHex(24)}`);
-        let failure = createFailure("journal-unavailable", `the journal of "${shard}" cannot be read`, "notRun");
-        while (clock.getNow() < deadline) {
-            const content = await readJournal(store, shard);
-            if (!content.ok) {
-                if (content.val.code.startsWith("journal-")) {
-                    return Err(content.val);
-                }
-                failure = content.val;
-                await clock.wait(resolved.retryMs);
-                continue;
-            }
-            if (content.val.lastEpoch > epoch) {
-                return Err(createFenced(shard, epoch, content.val.lastEpoch));
-            }
-            const sequence = content.val.lastSequence + 1;
-            const record: JournalRecord = { kind: "epochBegun", epoch, host, at: clock.getWallTime() };
-            const key = getEntryKey(shard, sequence);
-            const outcome = await writeEntry(store, key, encodeValue({ epoch, records: [record] }), token);
-            if (outcome.kind === "written") {
-                const journal = new Journal(resolved, content.val, sequence, content.val.totalBytes);
-                journal.checkpointer.addEntry({ key, sequence, revision: outcome.revision, isFence: true });
-                return Ok(journal);
-            }
-            if (outcome.kind !== "occupied") {
-                failure = outcome.failure;
-                await clock.wait(resolved.retryMs);
-            }
-        }
-        return Err(failure);
+        const begun = await beginEpoch(resolved);
+        return begun.map(({ content, fence }) => new Journal(resolved, content, fence));
     }
 
     /** The table of jobs as committed. Callers read it only; it changes with each commit. */
@@ -338,18 +279,3 @@
         this.isCheckpointing = false;
     }
 }
-
-function resolveOptions(options: JournalOptions): ResolvedOptions {
-    return {
-        random: new SystemRandom(),
-        commitIntervalMs: 100,
-        appendTimeoutMs: 5_000,
-        retryMs: 250,
-        openTimeoutMs: 10_000,
-        maxValueLength: 500_000,
-        maxTotalLength: 64_000_000,
-        checkpointEntries: 500,
-        retention: { count: 1_000, ageMs: 86_400_000 },
-        ...options,
-    };
-}
--- a/packages/journal/src/journal_test.ts
+++ b/packages/journal/src/journal_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { Journal } from "./journal.js";
-import type { JournalOptions } from "./journal.js";
+import type { JournalOptions } from "./options.js";
 import { MemoryStore } from "./testing/memory-store.js";
 import type { JournalRecord } from "./types.js";
 
--- a/packages/journal/src/recovery.ts
+++ b/packages/journal/src/recovery.ts
@@ -43,7 +43,8 @@
     readonly lastSequence: number;
     /** Epoch of the newest entry; 0 for an empty journal. */
     readonly lastEpoch: number;
-    readonly totalBytes: number;
+    /** Length of all values in characters. */
+    readonly totalLength: number;
 }
 
 /**
@@ -79,7 +80,7 @@
         parts: values.filter(value => isPartKey(shard, value.key)).map(({ key, revision }) => ({ key, revision })),
         lastSequence,
         lastEpoch,
-        totalBytes: values.reduce((sum, value) => sum + value.value.length, 0),
+        totalLength: values.reduce((sum, value) => sum + value.value.length, 0),
     }));
 }
 
--- a/packages/ownership/src/driver.ts
+++ b/packages/ownership/src/driver.ts
@@ -6,10 +6,6 @@
 import type { Store, StoreEntry } from "@waxwingroute/platform";
 import { match } from "ts-pattern";
 import { applyOwnershipEvent, createOwnershipState } from "./machine.js";
-import type { OwnershipPeers } from "./peers.js";
-import { encodeOwnershipRecord, parseOwnershipRecord } from "./record.js";
-import { canPlace } from "./right.js";
-import { defaultOwnershipTimings } from "./types.js";
 import type {
     ArmAnswer,
     ArmRequest,
@@ -18,14 +14,20 @@
     Heartbeat,
     IdentifyAnswer,
     IdentifyRequest,
+    OwnershipRecord,
+    ReleaseAnswer,
+    ReleaseRequest,
+} from "./messages.js";
+import type { OwnershipPeers } from "./peers.js";
+import { encodeOwnershipRecord, parseOwnershipRecord } from "./record.js";
+import { canPlace } from "./right.js";
+import { defaultOwnershipTimings } from "./types.js";
+import type {
     OwnershipAction,
     OwnershipEvent,
-    OwnershipRecord,
     OwnershipState,
     OwnershipTimings,
     RecordReading,
-    ReleaseAnswer,
-    ReleaseRequest,
     RightBasis,
     WriteAnswer,
 } from "./types.js";
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -2,10 +2,6 @@
 export { OwnershipDriver } from "./driver.js";
 export type { OwnershipDriverOptions, OwnershipListener } from "./driver.js";
 export { applyOwnershipEvent, createOwnershipState } from "./machine.js";
-export { OwnershipPeers } from "./peers.js";
-export { encodeOwnershipRecord, parseOwnershipRecord } from "./record.js";
-export { canPlace } from "./right.js";
-export { defaultOwnershipTimings } from "./types.js";
 export type {
     ArmAnswer,
     ArmRequest,
@@ -14,13 +10,19 @@
     Heartbeat,
     IdentifyAnswer,
     IdentifyRequest,
+    OwnershipRecord,
+    ReleaseAnswer,
+    ReleaseRequest,
+} from "./messages.js";
+export { OwnershipPeers } from "./peers.js";
+export { encodeOwnershipRecord, parseOwnershipRecord } from "./record.js";
+export { canPlace } from "./right.js";
+export { defaultOwnershipTimings } from "./types.js";
+export type {
     OwnershipAction,
     OwnershipEvent,
-    OwnershipRecord,
     OwnershipSettings,
     OwnershipState,
     OwnershipTimings,
-    ReleaseAnswer,
-    ReleaseRequest,
     RightBasis,
 } from "./types.js";
--- a/packages/ownership/src/machine.ts
+++ b/packages/ownership/src/machine.ts
@@ -2,6 +2,7 @@
  * The ownership state machine of one shard on one host. It is pure: the same state, event and time give the same result.
  */
 import { match } from "ts-pattern";
+import type { Heartbeat } from "./messages.js";
 import {
     applyArmAnswer,
     applyDisarmAnswer,
@@ -17,7 +18,6 @@
 import { replyToArm, replyToDisarm, replyToIdentify, replyToRelease } from "./successor.js";
 import { applyRecordRelease, applyReleaseAnswer, runStandbyDuties } from "./takeover.js";
 import type {
-    Heartbeat,
     OwnershipAction,
     OwnershipEvent,
     OwnershipSettings,
--- a/packages/ownership/src/owner.ts
+++ b/packages/ownership/src/owner.ts
@@ -3,9 +3,10 @@
  */
 import type { IncarnationId } from "@waxwingroute/core";
 import { match } from "ts-pattern";
+import type { ArmAnswer, DisarmAnswer, IdentifyAnswer } from "./messages.js";
 import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
 import type { Step } from "./step.js";
-import type { ArmAnswer, DisarmAnswer, IdentifyAnswer, KnownRecord, OwnerSide, PeerView } from "./types.js";
+import type { KnownRecord, OwnerSide, PeerView } from "./types.js";
 
 /** Does what is due for the owner named in the record. */
 export function runOwnerDuties(step: Step): void {
--- a/packages/ownership/src/peers.ts
+++ b/packages/ownership/src/peers.ts
@@ -12,7 +12,7 @@
     IdentifyRequest,
     ReleaseAnswer,
     ReleaseRequest,
-} from "./types.js";
+} from "./messages.js";
 
 /**
  * Sends ownership messages for one shard. An implementation may lose, delay or repeat messages, but an answer must come
--- a/packages/ownership/src/record.ts
+++ b/packages/ownership/src/record.ts
@@ -4,8 +4,9 @@
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { Failure, HostId, IncarnationId, Result, WriterToken } from "@waxwingroute/core";
 import { z } from "zod";
+import type { OwnershipRecord } from "./messages.js";
 import type { Step } from "./step.js";
-import type { OwnershipRecord, PendingWrite } from "./types.js";
+import type { PendingWrite } from "./types.js";
 
 const recordVersion = 1;
 
--- a/packages/ownership/src/step.ts
+++ b/packages/ownership/src/step.ts
@@ -3,7 +3,8 @@
  */
 import { toId } from "@waxwingroute/core";
 import type { WriterToken } from "@waxwingroute/core";
-import type { OwnershipAction, OwnershipRecord, OwnershipState, OwnershipTimings } from "./types.js";
+import type { OwnershipRecord } from "./messages.js";
+import type { OwnershipAction, OwnershipState, OwnershipTimings } from "./types.js";
 
 export interface Step {
     /** Handlers replace fields; they never change nested objects, because the state before the step shares them. */
--- a/packages/ownership/src/successor.ts
+++ b/packages/ownership/src/successor.ts
@@ -1,9 +1,10 @@
 /**
  * The successor's answers to requests of the owner and of third hosts.
  */
+import type { ArmRequest, ArmStatus, DisarmRequest, IdentifyRequest, ReleaseRequest } from "./messages.js";
 import { computeWait } from "./step.js";
 import type { Step } from "./step.js";
-import type { ArmRequest, ArmStatus, DisarmRequest, IdentifyRequest, OwnershipState, ReleaseRequest } from "./types.js";
+import type { OwnershipState } from "./types.js";
 
 export function replyToArm(step: Step, request: ArmRequest): void {
     observeEpoch(step, request.epoch);
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -1,10 +1,11 @@
 /**
  * What a host that is not the owner does: go solo, take over through the store, create the first record.
  */
+import type { ReleaseAnswer } from "./messages.js";
 import { computePendingTakeoverEnd } from "./right.js";
 import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
 import type { Step } from "./step.js";
-import type { KnownRecord, ReleaseAnswer } from "./types.js";
+import type { KnownRecord } from "./types.js";
 
 /** Does what is due for a host that the record does not name as owner. */
 export function runStandbyDuties(step: Step): void {
--- a/packages/ownership/src/testing/simulated-cell.ts
+++ b/packages/ownership/src/testing/simulated-cell.ts
@@ -7,11 +7,11 @@
 import { SeededRandom, toId } from "@waxwingroute/core";
 import type { HostId, IncarnationId } from "@waxwingroute/core";
 import { applyOwnershipEvent, createOwnershipState } from "../machine.js";
+import type { OwnershipRecord } from "../messages.js";
 import { computeRightEnd } from "../right.js";
 import type {
     OwnershipAction,
     OwnershipEvent,
-    OwnershipRecord,
     OwnershipState,
     OwnershipTimings,
     RecordReading,
