--- a/packages/journal/src/checkpointer.ts
+++ b/packages/journal/src/checkpointer.ts
@@ -13,6 +13,7 @@
 import type { JobTable, Retention } from "./job-table.js";
 import type { JournalContent, StoredEntry, StoredKey } from "./recovery.js";
 import { journalOutcomes } from "./types.js";
+import type { JournalJob } from "./types.js";
 
 /** Ranges in one piece of outcomes: at most about 40 KB of JSON. */
 const rangesPerPiece = 2_000;
@@ -54,26 +55,29 @@
     async writeCheckpoint(table: JobTable, through: number): Promise<Result<number, Failure>> {
         const { clock, retention, random, maxValueLength } = this.options;
         pruneFinishedJobs(table, retention, clock.getWallTime());
-        // Encoded before the first await, because the table changes meanwhile.
-        const values = encodeParts(table, maxValueLength);
+        // Rows are replaced, never changed, so that a copy of the list is a consistent state.
+        const rows = [...table.values()];
         const checkpoint = `${String(through).padStart(12, "0")}-${random.getHex(12)}`;
         const written: StoredKey[] = [];
-        for (const [number, value] of values.entries()) {
-            const key = getPartKey(this.options.shard, checkpoint, number);
+        let length = 0;
+        // Each part is encoded after the one before it was written, so that no step takes longer than one part.
+        for (const value of encodeParts(rows, maxValueLength)) {
+            const key = getPartKey(this.options.shard, checkpoint, written.length);
             const result = await this.writeValue(key, value, undefined);
             if (!result.ok) {
                 this.parts.push(...written);
                 return result;
             }
             written.push({ key, revision: result.val });
+            length += value.length;
         }
-        const isCurrent = await this.replaceManifest({ through, checkpoint, parts: values.length });
+        const isCurrent = await this.replaceManifest({ through, checkpoint, parts: written.length });
         if (!isCurrent.ok || !isCurrent.val) {
             // A manifest without an answer may name these parts, so that only a later open may remove them.
             return isCurrent.map(() => 0);
         }
         await this.trimReplaced(through, written);
-        return Ok(values.reduce((sum, value) => sum + value.length, 0));
+        return Ok(length);
     }
 
     /** Returns `false` if a newer checkpoint of a later owner is in place. */
@@ -142,30 +146,56 @@
     }
 }
 
-/** Encodes the table as values of at most `maxLength` characters, unless a single job is longer. */
-function encodeParts(table: JobTable, maxLength: number): string[] {
-    const parts: { jobs: string[]; outcomes: string[]; length: number; }[] = [];
-    const add = <Field extends keyof CheckpointPart>(field: Field, item: CheckpointPart[Field][number]): void => {
-        const text = JSON.stringify(item);
-        let part = parts.at(-1);
-        if (part === undefined || part.length + text.length + 1 > maxLength) {
-            part = { jobs: [], outcomes: [], length: 64 };
-            parts.push(part);
-        }
-        part[field].push(text);
-        part.length += text.length + 1;
-    };
-    for (const row of table.values()) {
-        const { outcomes, ...job } = row;
-        add("jobs", job);
-        for (const outcome of journalOutcomes) {
-            const ranges = outcomes[outcome] ?? [];
-            for (let start = 0; start < ranges.length; start += rangesPerPiece) {
-                add("outcomes", { job: row.job, outcome, ranges: ranges.slice(start, start + rangesPerPiece) });
+/** Encodes jobs as values of at most `maxLength` characters, unless a single job is longer. */
+function* encodeParts(rows: readonly JournalJob[], maxLength: number): Generator<string> {
+    let part = createPart();
+    for (const row of rows) {
+        for (const { field, text } of encodeJob(row)) {
+            if (part.length + text.length + 1 > maxLength && part.length > emptyPartLength) {
+                yield encodePart(part);
+                part = createPart();
             }
+            part[field].push(text);
+            part.length += text.length + 1;
+        }
+    }
+    if (part.length > emptyPartLength) {
+        yield encodePart(part);
+    }
+}
+
+/** Upper bound of the length of a part without jobs. */
+const emptyPartLength = 64;
+
+interface PartTexts {
+    readonly jobs: string[];
+    readonly outcomes: string[];
+    length: number;
+}
+
+function createPart(): PartTexts {
+    return { jobs: [], outcomes: [], length: emptyPartLength };
+}
+
+function encodePart({ jobs, outcomes }: PartTexts): string {
+    return `{"version":${journalVersion},"jobs":[${jobs.join(",")}],"outcomes":[${outcomes.join(",")}]}`;
+}
+
+/** Encodes a job and its outcomes as items of parts. */
+function encodeJob(row: JournalJob): { readonly field: keyof CheckpointPart; readonly text: string; }[] {
+    const { outcomes, ...rest } = row;
+    const job: CheckpointPart["jobs"][number] = rest;
+    const items: { field: keyof CheckpointPart; text: string; }[] = [{ field: "jobs", text: JSON.stringify(job) }];
+    for (const outcome of journalOutcomes) {
+        const ranges = outcomes[outcome] ?? [];
+        for (let start = 0; start < ranges.length; start += rangesPerPiece) {
+            const piece: CheckpointPart["outcomes"][number] = {
+                job: row.job,
+                outcome,
+                ranges: ranges.slice(start, start + rangesPerPiece),
+            };
+            items.push({ field: "outcomes", text: JSON.stringify(piece) });
         }
     }
-    return parts.map(({ jobs, outcomes }) =>
-        `{"version":${journalVersion},"jobs":[${jobs.join(",")}],"outcomes":[${outcomes.join(",")}]}`
-    );
+    return items;
 }
--- a/packages/journal/src/format.ts
+++ b/packages/journal/src/format.ts
@@ -40,7 +40,8 @@
 
 const job = z.string().min(1).transform(value => value as JobId);
 const time = z.number();
-const range = z.tuple([z.number().int().nonnegative(), z.number().int().nonnegative()]);
+const range = z.tuple([z.number().int().nonnegative(), z.number().int().nonnegative()])
+    .refine(([first, last]) => first <= last, "the first index is above the last");
 const outcome = z.enum(journalOutcomes);
 
 const recordSchema = z.discriminatedUnion("kind", [
@@ -101,6 +102,22 @@
     return key.startsWith(`${getJournalPrefix(shard)}checkpoint/`);
 }
 
+/** Encodes a record. Fails with `journal-bad-record` for one that recovery could not read. */
+export function encodeRecord(record: JournalRecord): Result<string, Failure> {
+    const checked = recordSchema.safeParse(record);
+    if (!checked.success) {
+        const message = `a ${record.kind} record cannot be journalled: ${z.prettifyError(checked.error)}`;
+        return Err(createFailure("journal-bad-record", message, "notRun"));
+    }
+    try {
+        return Ok(JSON.stringify(record));
+    }
+    catch (error) {
+        const message = `the specification of a job is not a JSON value: ${String(error)}`;
+        return Err(createFailure("journal-bad-record", message, "notRun"));
+    }
+}
+
 /** Encodes the content of an entry, a checkpoint part or a manifest. */
 export function encodeValue(content: object): string {
     return JSON.stringify({ version: journalVersion, ...content });
--- a/packages/journal/src/job-table.ts
+++ b/packages/journal/src/job-table.ts
@@ -4,7 +4,7 @@
 import { Table } from "@waxwingroute/core";
 import type { JobId } from "@waxwingroute/core";
 import { match } from "ts-pattern";
-import { mergeIndexRanges, subtractIndexRanges } from "./index-ranges.js";
+import { mergeIndexRanges, normalizeIndexRanges, subtractIndexRanges } from "./index-ranges.js";
 import { journalOutcomes } from "./types.js";
 import type { JournalJob, JournalRecord } from "./types.js";
 
@@ -36,8 +36,11 @@
         })
         .with({ kind: "outcomesRecorded" }, ({ job, outcome, ranges }) => {
             updateJob(table, job, row => {
-                const others = journalOutcomes.flatMap(other => other === outcome ? [] : row.outcomes[other] ?? []);
-                const added = subtractIndexRanges(ranges, others);
+                const others = journalOutcomes.filter(other => other !== outcome);
+                const added = others.reduce(
+                    (rest, other) => subtractIndexRanges(rest, row.outcomes[other] ?? []),
+                    normalizeIndexRanges(ranges),
+                );
                 const merged = mergeIndexRanges(row.outcomes[outcome] ?? [], added);
                 return { ...row, outcomes: { ...row.outcomes, [outcome]: merged } };
             });
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -9,7 +9,7 @@
 import { Checkpointer } from "./checkpointer.js";
 import { writeEntry } from "./entry-write.js";
 import { beginEpoch } from "./epoch.js";
-import { encodeValue, getEntryKey, parseEntry } from "./format.js";
+import { encodeRecord, encodeValue, getEntryKey, parseEntry } from "./format.js";
 import { applyJournalRecord } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
 import { resolveOptions } from "./options.js";
@@ -88,10 +88,14 @@
      * not be in the journal, else with `mayHaveRun`: it is unknown, and a later commit of it shows in `getJobs()`.
      *
      * Codes: `journal-fenced`, `journal-closed`, `journal-timeout`, `journal-full`, `journal-record-too-large`,
-     * `journal-job-exists`.
+     * `journal-bad-record`, `journal-job-exists`.
      */
     append(record: JournalRecord): Promise<Result<void, Failure>> {
-        const text = JSON.stringify(record);
+        const encoded = encodeRecord(record);
+        if (!encoded.ok) {
+            return Promise.resolve(encoded);
+        }
+        const text = encoded.val;
         const refusal = this.failure ?? this.checkRecord(record, text);
         if (refusal !== undefined) {
             return Promise.resolve(Err(refusal));
--- a/packages/journal/src/journal_test.ts
+++ b/packages/journal/src/journal_test.ts
@@ -110,6 +110,20 @@
             expect([...journal.getJobs().keys()]).toEqual([job(2)]);
         });
 
+        // Guards against a record that makes the journal unreadable for the next owner.
+        it("refuses records that cannot be read again", async () => {
+            const fixture = new Fixture();
+            const journal = await fixture.openOk(1);
+            const records: JournalRecord[] = [
+                accept(1, { size: 1n }),
+                { kind: "windowReserved", job: job(1), startedThrough: NaN },
+                { kind: "outcomesRecorded", job: job(1), outcome: "failed", ranges: [[3, 2]] },
+            ];
+            for (const record of records) {
+                expect(await fixture.append(journal, record)).toEqual("journal-bad-record notRun");
+            }
+        });
+
         it("refuses jobs beyond the bound of the total size", async () => {
             const fixture = new Fixture();
             const journal = await fixture.openOk(1, { maxTotalLength: 1_000 });
--- a/packages/ownership/src/machine_test.ts
+++ b/packages/ownership/src/machine_test.ts
@@ -69,6 +69,24 @@
         });
     });
 
+    // Guards against a host that others have replaced through the store: its own takeover write named it there as owner.
+    it("ends a solo right when a takeover write has no known outcome for 3 s", () => {
+        const cell = createSettledCell();
+        cell.setStore(false);
+        runFor(cell, 4_000);
+        cell.stopHost(cell.getHost("a"));
+        runFor(cell, 5_000);
+        expect(cell.listPlacing()).toEqual(["b"]);
+        cell.setStore(true, "b");
+        for (let step = 0; step < 1_500 && getState(cell, "b").pending.length === 0; step++) {
+            runFor(cell, 1);
+        }
+        cell.setStore(false);
+        expect([getState(cell, "b").pending.length, cell.listPlacing().join()]).toEqual([1, "b"]);
+        runFor(cell, 3_100);
+        expect(cell.listPlacing()).toEqual([]);
+    });
+
     // Guards against two successors: the record may already name another one, which takes over through the store.
     it("sends no arm request while a write that changes the successor has no answer", () => {
         const cell = createSettledCell();
