Check that one host places again after all faults have ended

Cause: the exploration showed safety only; a protocol in which nobody may ever place passes it. Change: after 30 s of random faults all faults end, and one host must place within 10 s.

--- a/packages/ownership/src/exploration_test.ts
+++ b/packages/ownership/src/exploration_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { TestContext } from "node:test";
-import { exploreFaults } from "./testing/random-faults.js";
+import { exploreFaults, resetFaults } from "./testing/random-faults.js";
 import { computeLawfulEnd } from "./testing/simulated-cell.js";
 import type { CellOptions } from "./testing/simulated-cell.js";
 import { defaultOwnershipTimings } from "./types.js";
@@ -41,6 +41,28 @@
         expect(explore(t, { timings }, false)).toEqual([]);
     });
 
+    // Guards against faults after which nobody can ever place again.
+    it("lets one host place within 10 s after all faults have ended", t => {
+        const stuck: string[] = [];
+        let longestMs = 0;
+        for (let seed = 1; seed <= runs / 2; seed++) {
+            const cell = exploreFaults({ timings, seed }, 30_000);
+            resetFaults(cell);
+            const start = cell.queue.now;
+            while (cell.listPlacing().length === 0 && cell.queue.now < start + 40_000) {
+                cell.queue.runUntil(cell.queue.now + 50);
+            }
+            longestMs = Math.max(longestMs, cell.queue.now - start);
+            if (cell.queue.now > start + 10_000) {
+                stuck.push(`seed ${seed}: ${cell.queue.now - start} ms`);
+            }
+        }
+        t.diagnostic(
+            `result: ${runs / 2} runs, nobody may place for up to ${longestMs.toFixed(0)} ms after the faults`,
+        );
+        expect(stuck.join("\n")).toEqual("");
+    });
+
     // Shows that the exploration notices when "never from the store alone" of rule 2 is ignored.
     it("finds the fault of an owner that relies on the store after it sent an arm request", t => {
         const computePlaceEnd: CellOptions["computePlaceEnd"] = state => {
--- a/packages/ownership/src/testing/random-faults.ts
+++ b/packages/ownership/src/testing/random-faults.ts
@@ -88,7 +88,8 @@
     return { host, owner, successor };
 }
 
-function resetFaults(cell: SimulatedCell): void {
+/** Ends all faults and starts the hosts that do not run. */
+export function resetFaults(cell: SimulatedCell): void {
     cell.lossRate = 0;
     cell.delayRate = 0;
     cell.storeLossRate = 0;
