Read a bucket of grants before each write; plan it twice in 2 s

Cause: with 20 shards that all want more, writes were planned on a stale bucket and conflicted: 80 writes in 10 s where 320 were due; each bucket was planned on each of 8 ticks per second. Change: a planned change is planned again on a fresh read, up to three attempts; buckets are planned in turns; hashes of team names are kept; test support moves to src/testing.

--- a/packages/grants/src/grants-driver.ts
+++ b/packages/grants/src/grants-driver.ts
@@ -25,7 +25,7 @@
      * before a write, so that the use is never above what the write leaves.
      */
     readonly listUse: () => ReadonlyMap<TeamId, TeamUse>;
-    /** Shortest time between two writes of one bucket in ms. Default 2,000. */
+    /** Shortest time between two writes of one bucket, but for two repetitions after conflicts, in ms. Default 2,000. */
     readonly writeIntervalMs?: number;
     /** Time between two reads of all buckets in ms, to notice shards that want more. Default 10,000. */
     readonly refreshIntervalMs?: number;
@@ -59,7 +59,10 @@
     private readonly busy = new Set<number>();
     private limits: ReadonlyMap<TeamId, TeamLimit> = new Map();
     private readonly loweredAt = new Map<TeamId, number>();
+    /** `getGrant` runs for every placement, a hash for each would show. */
+    private readonly bucketNumbers = new Map<TeamId, number>();
     private lastRefreshAt = -Infinity;
+    private tickCount = 0;
     private failure: Failure | undefined;
     private timer: Timer | undefined;
 
@@ -117,7 +120,7 @@
 
     /** Returns up to what the shard may run of a team now. Running work can be above it after a limit was lowered. */
     getGrant(team: TeamId): GrantVector {
-        const replica = this.replicas[getBucketNumber(team)];
+        const replica = this.replicas[this.getBucket(team)];
         const { clock, shard, loweredWaitMs } = this.options;
         const isCautious = clock.getNow() < (this.loweredAt.get(team) ?? -Infinity) + (loweredWaitMs ?? 10_000);
         return this.failure !== undefined || replica === undefined
@@ -125,6 +128,16 @@
             : replica.getAllowance(team, shard, this.limits.get(team), isCautious);
     }
 
+    private getBucket(team: TeamId): number {
+        const known = this.bucketNumbers.get(team);
+        if (known !== undefined) {
+            return known;
+        }
+        const number = getBucketNumber(team);
+        this.bucketNumbers.set(team, number);
+        return number;
+    }
+
     private scheduleTick(): void {
         const intervalMs = (this.options.writeIntervalMs ?? 2_000) / bucketCount;
         this.timer = this.options.clock.schedule(intervalMs, () => {
@@ -140,7 +153,11 @@
         if (clock.getNow() >= this.lastRefreshAt + (this.options.refreshIntervalMs ?? 10_000)) {
             this.reportFailure(await this.refreshBuckets());
         }
-        const due = [...this.replicas.keys()].filter(number => this.isWriteDue(number));
+        this.tickCount++;
+        const turn = this.tickCount % (bucketCount / bucketsPerTick);
+        const due = [...this.replicas.keys()].filter(number =>
+            number % (bucketCount / bucketsPerTick) === turn && this.isWriteDue(number)
+        );
         for (const number of due) {
             this.reportFailure(await this.updateBucket(number));
         }
@@ -164,24 +181,27 @@
         return result;
     }
 
+    /** Reads before each write: with many shards, a bucket read some seconds ago has nearly always changed. */
     private async planAndWrite(number: number, replica: BucketReplica): Promise<Result<void, Failure>> {
-        const read = replica.needsRead() ? await replica.read() : Ok(replica.getBucket());
-        const known = read.val;
-        if (!read.ok || known === undefined) {
-            return read.ok ? Ok(undefined) : Err(read.val);
-        }
-        const fence = this.checkFence(known as GrantBucket);
-        if (!fence.ok) {
-            return fence;
-        }
-        const planned = this.planBucket(number, known as GrantBucket);
-        if (planned === undefined) {
+        const known = replica.getBucket();
+        if (known !== undefined && !replica.needsRead() && this.planBucket(number, known) === undefined) {
             return Ok(undefined);
         }
-        const result = await this.writeBucket(number, planned);
-        if (!result.ok && result.val.code === "store-conflict") {
-            const reread = await replica.read();
-            return reread.ok ? Ok(undefined) : reread;
+        let result: Result<void, Failure> = Ok(undefined);
+        for (let attempt = 0; attempt < writeAttempts; attempt++) {
+            const read = await replica.read();
+            const checked = read.ok ? this.checkFence(read.val) : read;
+            if (!read.ok || !checked.ok) {
+                return checked.ok ? Ok(undefined) : Err(checked.val);
+            }
+            const planned = this.failure === undefined ? this.planBucket(number, read.val) : undefined;
+            if (planned === undefined) {
+                return Ok(undefined);
+            }
+            result = await this.writeBucket(number, planned);
+            if (result.ok || result.val.code !== "store-conflict") {
+                return result;
+            }
         }
         return result;
     }
@@ -197,7 +217,7 @@
         for (const team of names) {
             const limit = this.limits.get(team);
             const row = teams[team] ?? (limit === undefined ? undefined : createTeamGrants(limit));
-            if (row === undefined || getBucketNumber(team) !== number) {
+            if (row === undefined || this.getBucket(team) !== number) {
                 continue;
             }
             const planned = planGrants(row, shard, limit, use.get(team) ?? noUse);
@@ -257,4 +277,10 @@
     }
 }
 
+/** With 16 ticks in `writeIntervalMs`, each bucket is planned twice in it: planning costs more than a look at the clock. */
+const bucketsPerTick = 2;
+
+/** Attempts to write a bucket before the next interval; a conflict means that another shard's write came in between. */
+const writeAttempts = 3;
+
 const noUse: TeamUse = { use: zeroGrant, demand: zeroGrant, unit: zeroGrant };
--- /dev/null
+++ b/packages/grants/src/testing/simulated-shard.ts
@@ -0,0 +1,55 @@
+/**
+ * A shard with work of one team, for tests of grants.
+ */
+import { SeededRandom, toId } from "@waxwingroute/core";
+import type { ManualClock, ShardId, TeamId } from "@waxwingroute/core";
+import type { MemoryStore } from "@waxwingroute/journal/testing";
+import { fitsGrant, mapGrant } from "../grant-vector.js";
+import type { GrantVector } from "../grant-vector.js";
+import { GrantsDriver } from "../grants-driver.js";
+import type { TeamUse } from "../plan.js";
+
+export const team = toId<TeamId>("cutting");
+/** The same amount of each field. */
+export const all = (amount: number): GrantVector => mapGrant(() => amount);
+
+/** A shard that starts whatever its grant allows and ends tasks at random. */
+export class SimulatedShard {
+    running = 0;
+    demand = 0;
+    driver: GrantsDriver;
+
+    constructor(
+        readonly name: ShardId,
+        readonly store: MemoryStore,
+        readonly clock: ManualClock,
+        seed: number,
+        epoch = 1,
+    ) {
+        this.driver = new GrantsDriver({
+            shard: name,
+            epoch,
+            store,
+            clock,
+            random: new SeededRandom(seed),
+            loweredWaitMs: 60_000,
+            listUse: () => new Map([[team, this.describeUse()]]),
+        });
+    }
+
+    describeUse(): TeamUse {
+        return { use: all(this.running), demand: all(this.demand), unit: all(this.demand > 0 ? 1 : 0) };
+    }
+
+    /** Starts what fits and returns how much that is. */
+    startTasks(): number {
+        const grant = this.driver.getGrant(team);
+        let started = 0;
+        while (this.demand > 0 && fitsGrant(all(this.running + 1), grant)) {
+            this.running++;
+            this.demand--;
+            started++;
+        }
+        return started;
+    }
+}
