--- a/packages/journal/src/index.ts
+++ b/packages/journal/src/index.ts
@@ -4,4 +4,7 @@
 export { Journal } from "./journal.js";
 export type { JournalOptions } from "./journal.js";
 export { readJournalJobs } from "./recovery.js";
+export type { JournalOptions } from "./options.js";
+export { readJournal } from "./recovery.js";
+export type { JournalContent } from "./recovery.js";
 export type { IndexRange, JournalJob, JournalOutcome, JournalRecord } from "./types.js";
--- a/packages/ownership/src/takeover.ts
+++ b/packages/ownership/src/takeover.ts
@@ -1,10 +1,11 @@
 /**
  * What a host that is not the owner does: go solo, take over through the store, create the first record.
  */
+import type { ReleaseAnswer } from "./messages.js";
 import { computePendingTakeoverEnd } from "./right.js";
 import { computeWait, generateRequestId, hasUnresolvedWrite, sendWrite } from "./step.js";
 import type { Step } from "./step.js";
-import type { KnownRecord, ReleaseAnswer } from "./types.js";
+import type { KnownRecord } from "./types.js";
 
 /** Does what is due for a host that the record does not name as owner. */
 export function runStandbyDuties(step: Step): void {
@@ -63,10 +64,12 @@
 function takeOverIfAllowed(step: Step, known: KnownRecord): void {
     const { state, now, timings } = step;
     const { successor } = state;
+    // A write without an answer would stop this host from going or staying solo, see `computePendingTakeoverEnd`.
+    if (now >= state.confirmedAt + timings.renewIntervalMs) {
+        return;
+    }
     if (successor.solo !== undefined) {
-        // Without a recent answer from the store, a write would put the present right at risk, see `computePendingTakeoverEnd`.
-        const isStoreUp = now < state.confirmedAt + timings.renewIntervalMs;
-        if (isStoreUp && successor.solo.epoch === known.record.epoch) {
+        if (successor.solo.epoch === known.record.epoch) {
             state.successor = { ...successor, soloTakeoverRevision: known.revision };
             writeTakeover(step, known);
         }
