placement: Close and open sizes instead of parking queues

Cause: at 8,300 workers with 100,000 waiting tasks, about half of the time went into moving queues of 400 teams in and out of heaps each time a worker grew. Change: a size that fits no worker is closed for all teams at once; queues stay in lanes by team and size. Gangs compare workers in proportion to their size when they reserve, and at most 8 gangs a tick are tried again.

--- a/packages/placement/src/engine.ts
+++ b/packages/placement/src/engine.ts
@@ -87,14 +87,14 @@
         team.weight = change.weight ?? 1;
         team.limit = change.limit;
         team.overLimit = change.overLimit ?? "finish";
-        this.state.queues.resumeTeam(team);
+        this.state.resumeTeam(team);
     }
 
     /** Sets what a team may use in this shard; `undefined` is unlimited for a team without a limit. */
     setGrant(team: TeamId, grant: ResourceVector | undefined): void {
         const row = this.state.ensureTeam(team);
         row.grant = grant;
-        this.state.queues.resumeTeam(row);
+        this.state.resumeTeam(row);
     }
 
     /**
@@ -256,7 +256,7 @@
         this.preemption.applyGrants();
         this.reservations.startReady();
         state.queues.resumePaused(now);
-        state.queues.resumeGrown(state.workers);
+        state.queues.openGrown(state.workers);
         this.placement.run();
         this.reservations.fillHeld();
         this.preemption.serveUrgent();
--- a/packages/placement/src/indexed-heap.ts
+++ b/packages/placement/src/indexed-heap.ts
@@ -27,9 +27,13 @@
         return this.items[0];
     }
 
-    /** Returns up to `count` items near the top; only the first is certain to be the smallest. */
-    listNearTop(count: number): readonly T[] {
-        return this.items.slice(0, count);
+    /** Returns up to `count` items from a position, modulo the size. Position 0 is the top; the others are in no order. */
+    listFrom(position: number, count: number): readonly T[] {
+        if (this.items.length === 0) {
+            return [];
+        }
+        const start = position % this.items.length;
+        return this.items.slice(start, start + count);
     }
 
     push(item: T): void {
--- a/packages/placement/src/placement-system.ts
+++ b/packages/placement/src/placement-system.ts
@@ -4,6 +4,7 @@
 import { IndexedHeap } from "./indexed-heap.js";
 import type { PlacementPolicy } from "./policies.js";
 import { createPolicies } from "./policies.js";
+import { findNextQueue } from "./queues.js";
 import type { JobQueue, JobRow, TeamRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant } from "./team-shares.js";
@@ -25,7 +26,7 @@
 
     run(): void {
         this.runPass(team => this.selectUrgent(team));
-        this.runPass(team => team.urgent.getFirst() ?? team.normal.getFirst());
+        this.runPass(team => findNextQueue(team, false));
     }
 
     /** Returns the number of tasks of a job that start together. */
@@ -37,13 +38,16 @@
         // For fairness, urgency does not lift a team above its share while others wait.
         return this.state.options.objective === "fairness" && this.state.shares.isOverShare(team)
             ? undefined
-            : team.urgent.getFirst();
+            : findNextQueue(team, true);
     }
 
     private runPass(select: (team: TeamRow) => JobQueue | undefined): void {
-        const { shares } = this.state;
+        const { queues, shares } = this.state;
+        if (queues.openShapes.size === 0) {
+            return;
+        }
         for (const team of this.state.teams.values()) {
-            const queue = select(team);
+            const queue = team.lanes.size === 0 ? undefined : select(team);
             if (queue !== undefined) {
                 shares.updateOrder(team, queue);
                 this.order.push(team);
@@ -74,11 +78,14 @@
         }
         const outcome = policy.placeNext(job);
         if (outcome === "full") {
-            queues.setState(queue, "capacity");
+            queues.closeShape(queue.shape);
         }
-        else if (outcome === "unclear") {
+        else if (outcome === "unclear" && queue.kind === "gang") {
             queues.pause(queue, now + retryDelayMs);
         }
+        else if (outcome === "unclear") {
+            queues.closeShape(queue.shape, now + retryDelayMs);
+        }
     }
 }
 
--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -55,9 +55,9 @@
     serveUrgent(): void {
         let borrowers: TeamRow[] | undefined;
         let served = 0;
-        for (const queue of this.state.queues.parked) {
+        for (const queue of this.state.queues.urgent) {
             const job = queue.jobs.getFirst();
-            if (queue.priority !== "urgent" || queue.kind === "gang" || job === undefined) {
+            if (queue.kind === "gang" || queue.state !== "active" || queue.shape.isOpen || job === undefined) {
                 continue;
             }
             borrowers ??= this.listBorrowers();
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -1,44 +1,40 @@
 /**
- * Queues of waiting jobs and the reasons for which they rest. A queue that cannot be placed leaves the heap of its team
- * until something changes that may let it start, so blocked work costs nothing.
+ * Queues of waiting jobs and the reasons for which they rest.
+ *
+ * A size that fits no worker is closed for all teams at once and opened when a worker has grown enough for it, so
+ * blocked work costs nothing and need not be moved.
  */
 import { IndexedHeap } from "./indexed-heap.js";
-import type { JobQueue, JobRow, QueueState, Shape, TeamRow } from "./rows.js";
+import type { JobQueue, JobRow, Lane, QueueCandidate, QueueState, Shape, TeamRow } from "./rows.js";
 import { countStartable } from "./rows.js";
 import type { JobKind, Priority } from "./types.js";
 import type { WorkerTable } from "./worker-table.js";
 
-/** Rows times sizes that are compared exactly when workers grow; beyond it their largest free amounts are compared. */
+/** Rows times sizes that are compared exactly when workers grow; beyond it all sizes are opened. */
 const maxExactComparisons = 4096;
+/** Paused queues that one tick brings back, because each costs a search for a whole gang. */
+const maxResumedQueues = 8;
 
-/** Moves queues between the states of `QueueState`. */
+/** Moves queues between the states of `QueueState` and opens and closes sizes. */
 export class QueueBoard {
-    /** Queues for which no worker has room. */
-    readonly parked = new Set<JobQueue>();
-    /** Parked queues without a reservation, in the order in which they should get one. */
-    readonly candidates = new IndexedHeap<JobQueue>(isReservedBefore);
-    /** Parked queues that come back at their `retryAt`: to the heap of their team. */
-    readonly paused = new Set<JobQueue>();
-    /** Parked queues that come back at their `retryAt`: to the candidates for a reservation. */
-    readonly pausedCandidates = new Set<JobQueue>();
-    private readonly parkedShapes = new Set<Shape>();
+    /** Queues without a reservation that may need one, in the order in which they should get it. */
+    readonly candidates = new IndexedHeap<QueueCandidate>(isReservedBefore);
+    /** Urgent queues with startable jobs. */
+    readonly urgent = new Set<JobQueue>();
+    /** Sizes that some worker may have room for. */
+    readonly openShapes = new Set<Shape>();
+    private readonly closedShapes = new Set<Shape>();
+    /** Closed sizes that are opened at a time, because the search for room was not complete. */
+    private readonly retriedShapes = new Map<Shape, number>();
+    private readonly pausedQueues = new Set<JobQueue>();
+    private readonly pausedCandidates = new Set<JobQueue>();
 
     /** Returns the queue of a team for jobs of one priority, kind and size; gangs also differ by their size. */
     ensureQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, gangSize: number): JobQueue {
         const key = `${priority}/${kind}/${shape.cpu}/${shape.memory}/${shape.accelerators}/${gangSize}`;
         let queue = team.queues.get(key);
         if (queue === undefined) {
-            queue = {
-                team,
-                kind,
-                priority,
-                shape,
-                jobs: new IndexedHeap<JobRow>(isJobBefore),
-                state: "empty",
-                retryAt: 0,
-                heapIndex: -1,
-                key,
-            };
+            queue = createQueue(team, priority, kind, shape, key);
             team.queues.set(key, queue);
         }
         return queue;
@@ -60,127 +56,230 @@
         }
         if (queue.jobs.size === 0) {
             this.setState(queue, "empty");
-            queue.team.queues.delete(queue.key);
         }
         else if (queue.state === "empty") {
-            queue.team.queues.set(queue.key, queue);
             this.setState(queue, "active");
         }
-        else if (queue.heapIndex >= 0) {
-            this.getHeap(queue).update(queue);
+        else {
+            if (queue.heapIndex >= 0) {
+                getLaneHeap(queue).update(queue);
+            }
+            if (queue.candidate.heapIndex >= 0) {
+                this.candidates.update(queue.candidate);
+            }
         }
     }
 
     /** Moves a queue to another state. */
     setState(queue: JobQueue, state: QueueState): void {
+        const previous = queue.state;
+        if (previous === state) {
+            return;
+        }
         this.removeFromState(queue);
         queue.state = state;
         if (state === "active") {
-            this.getHeap(queue).push(queue);
+            this.addToLane(queue);
         }
-        else if (state === "capacity") {
-            queue.shape.parked.add(queue);
-            this.parkedShapes.add(queue.shape);
-            this.parked.add(queue);
-            this.candidates.push(queue);
+        else if (state === "paused") {
+            this.pausedQueues.add(queue);
         }
         else if (state === "grant") {
             queue.team.grantBlocked.add(queue);
         }
+        if (previous === "empty") {
+            this.addWaiting(queue);
+        }
+        else if (state === "empty") {
+            this.removeWaiting(queue);
+        }
     }
 
-    /** Parks a queue and brings it back at `retryAt`, because the search was not complete or is expensive. */
+    /** Takes a queue out until `retryAt`; `Infinity` until it is set to a time. */
     pause(queue: JobQueue, retryAt: number): void {
-        this.setState(queue, "capacity");
         queue.retryAt = retryAt;
-        this.paused.add(queue);
+        this.setState(queue, "paused");
     }
 
-    /** Takes a parked queue from the candidates for a reservation until `retryAt`. */
+    /** Closes a size, because no worker has room; with `retryAt` it is opened again at that time. */
+    closeShape(shape: Shape, retryAt?: number): void {
+        shape.isOpen = false;
+        this.openShapes.delete(shape);
+        this.closedShapes.add(shape);
+        if (retryAt !== undefined) {
+            this.retriedShapes.set(shape, retryAt);
+        }
+    }
+
+    /** Takes a queue from the candidates for a reservation until `retryAt`. */
     pauseCandidate(queue: JobQueue, retryAt: number): void {
-        this.candidates.remove(queue);
-        queue.retryAt = Math.max(queue.retryAt, retryAt);
+        this.candidates.remove(queue.candidate);
+        queue.candidate.retryAt = retryAt;
         this.pausedCandidates.add(queue);
     }
 
-    /** Makes a parked queue a candidate for a reservation again. */
+    /** Makes a queue a candidate for a reservation again. */
     addCandidate(queue: JobQueue): void {
         this.pausedCandidates.delete(queue);
-        if (queue.state === "capacity" && queue.heapIndex < 0) {
-            this.candidates.push(queue);
+        if (queue.state !== "empty" && queue.candidate.heapIndex < 0) {
+            this.candidates.push(queue.candidate);
         }
     }
 
-    /** Brings back the queues whose `retryAt` has come. */
+    /** Brings back what was paused until now. */
     resumePaused(now: number): void {
-        for (const queue of this.paused) {
+        let count = 0;
+        for (const queue of this.pausedQueues) {
             if (now >= queue.retryAt) {
                 this.setState(queue, "active");
+                count++;
+                if (count >= maxResumedQueues) {
+                    break;
+                }
             }
         }
         for (const queue of this.pausedCandidates) {
-            if (now >= queue.retryAt) {
+            if (now >= queue.candidate.retryAt) {
                 this.addCandidate(queue);
             }
         }
+        for (const [shape, retryAt] of this.retriedShapes) {
+            if (now >= retryAt) {
+                this.openShape(shape);
+            }
+        }
     }
 
-    /** Brings back the parked queues whose size may fit a worker that has grown. */
-    resumeGrown(workers: WorkerTable): void {
+    /** Opens the closed sizes that may fit a worker that has grown. */
+    openGrown(workers: WorkerTable): void {
         if (workers.grownRows.size === 0) {
             return;
         }
-        if (this.parkedShapes.size > 0) {
-            const isExact = workers.grownRows.size * this.parkedShapes.size <= maxExactComparisons;
-            for (const shape of this.parkedShapes) {
-                if (!isExact || hasRoom(workers, shape)) {
-                    this.resumeShape(shape);
-                }
+        const isExact = workers.grownRows.size * this.closedShapes.size <= maxExactComparisons;
+        for (const shape of this.closedShapes) {
+            if (!isExact || hasRoom(workers, shape)) {
+                this.openShape(shape);
             }
         }
         workers.grownRows.clear();
     }
 
-    /** Brings back the queues of a team that waited for its grant. */
-    resumeTeam(team: TeamRow): void {
+    /** Brings back the queues of a team that waited for its grant and now fit. */
+    resumeTeam(team: TeamRow, fits: (queue: JobQueue) => boolean): void {
         for (const queue of team.grantBlocked) {
-            this.setState(queue, "active");
+            if (fits(queue)) {
+                this.setState(queue, "active");
+            }
         }
     }
 
-    private resumeShape(shape: Shape): void {
-        for (const queue of shape.parked) {
-            // A reserved gang starts on what it holds; a paused queue waits for its time.
-            const isReservedGang = queue.kind === "gang" && (queue.jobs.getFirst()?.reservations.size ?? 0) > 0;
-            if (!isReservedGang && !this.paused.has(queue)) {
-                this.setState(queue, "active");
-            }
+    private openShape(shape: Shape): void {
+        shape.isOpen = true;
+        this.closedShapes.delete(shape);
+        this.retriedShapes.delete(shape);
+        if (shape.laneCount > 0) {
+            this.openShapes.add(shape);
+        }
+    }
+
+    private addWaiting(queue: JobQueue): void {
+        queue.team.queues.set(queue.key, queue);
+        this.addCandidate(queue);
+        if (queue.priority === "urgent") {
+            this.urgent.add(queue);
         }
     }
 
+    private removeWaiting(queue: JobQueue): void {
+        queue.team.queues.delete(queue.key);
+        this.candidates.remove(queue.candidate);
+        this.pausedCandidates.delete(queue);
+        this.urgent.delete(queue);
+    }
+
     private removeFromState(queue: JobQueue): void {
-        if (queue.heapIndex >= 0) {
-            this.getHeap(queue).remove(queue);
-        }
-        if (queue.state === "capacity") {
-            this.paused.delete(queue);
-            this.pausedCandidates.delete(queue);
-            this.parked.delete(queue);
-            queue.shape.parked.delete(queue);
-            if (queue.shape.parked.size === 0) {
-                this.parkedShapes.delete(queue.shape);
+        this.pausedQueues.delete(queue);
+        queue.team.grantBlocked.delete(queue);
+        if (queue.state === "active") {
+            this.removeFromLane(queue);
+        }
+    }
+
+    private addToLane(queue: JobQueue): void {
+        const { shape, team } = queue;
+        let lane = team.lanes.get(shape);
+        if (lane === undefined) {
+            lane = { shape, urgent: new IndexedHeap(isQueueBefore), normal: new IndexedHeap(isQueueBefore) };
+            team.lanes.set(shape, lane);
+            shape.laneCount++;
+            if (shape.isOpen) {
+                this.openShapes.add(shape);
+            }
+            else {
+                this.closedShapes.add(shape);
+            }
+        }
+        (queue.priority === "urgent" ? lane.urgent : lane.normal).push(queue);
+    }
+
+    private removeFromLane(queue: JobQueue): void {
+        const { shape, team } = queue;
+        getLaneHeap(queue).remove(queue);
+        const lane = team.lanes.get(shape) as Lane;
+        if (lane.urgent.size === 0 && lane.normal.size === 0) {
+            team.lanes.delete(shape);
+            shape.laneCount--;
+            if (shape.laneCount === 0) {
+                // A size that nobody waits for is not tracked; the next search finds out whether it fits.
+                this.openShapes.delete(shape);
+                this.closedShapes.delete(shape);
+                this.retriedShapes.delete(shape);
+                shape.isOpen = true;
             }
         }
-        queue.team.grantBlocked.delete(queue);
     }
+}
 
-    private getHeap(queue: JobQueue): IndexedHeap<JobQueue> {
-        return queue.state === "capacity"
-            ? this.candidates
-            : queue.priority === "urgent"
-            ? queue.team.urgent
-            : queue.team.normal;
+/** Returns the first queue of a team whose size is open: urgent ones first, then by the order of jobs. */
+export function findNextQueue(team: TeamRow, isUrgentOnly: boolean): JobQueue | undefined {
+    let urgent: JobQueue | undefined;
+    let normal: JobQueue | undefined;
+    for (const lane of team.lanes.values()) {
+        if (!lane.shape.isOpen) {
+            continue;
+        }
+        const first = lane.urgent.getFirst();
+        if (first !== undefined) {
+            urgent = urgent === undefined || isQueueBefore(first, urgent) ? first : urgent;
+        }
+        else if (!isUrgentOnly && urgent === undefined) {
+            const next = lane.normal.getFirst() as JobQueue;
+            normal = normal === undefined || isQueueBefore(next, normal) ? next : normal;
+        }
     }
+    return urgent ?? normal;
+}
+
+function createQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, key: string): JobQueue {
+    const queue: Omit<JobQueue, "candidate"> = {
+        team,
+        kind,
+        priority,
+        shape,
+        jobs: new IndexedHeap<JobRow>(isJobBefore),
+        state: "empty",
+        retryAt: 0,
+        heapIndex: -1,
+        key,
+    };
+    return Object.assign(queue, {
+        candidate: { queue: queue as JobQueue, retryAt: 0, heapIndex: -1 },
+    });
+}
+
+function getLaneHeap(queue: JobQueue): IndexedHeap<JobQueue> {
+    const lane = queue.team.lanes.get(queue.shape) as Lane;
+    return queue.priority === "urgent" ? lane.urgent : lane.normal;
 }
 
 function hasRoom(workers: WorkerTable, shape: Shape): boolean {
@@ -198,15 +297,15 @@
 }
 
 /** Returns whether the first job of one queue comes before that of another. */
-export function isQueueBefore(first: JobQueue, second: JobQueue): boolean {
+function isQueueBefore(first: JobQueue, second: JobQueue): boolean {
     const job = first.jobs.getFirst();
     const other = second.jobs.getFirst();
     return job !== undefined && (other === undefined || isJobBefore(job, other));
 }
 
-function isReservedBefore(first: JobQueue, second: JobQueue): boolean {
-    if (first.priority !== second.priority) {
-        return first.priority === "urgent";
+function isReservedBefore(first: QueueCandidate, second: QueueCandidate): boolean {
+    if (first.queue.priority !== second.queue.priority) {
+        return first.queue.priority === "urgent";
     }
-    return isQueueBefore(first, second);
+    return isQueueBefore(first.queue, second.queue);
 }
--- a/packages/placement/src/reservation-plan.ts
+++ b/packages/placement/src/reservation-plan.ts
@@ -20,6 +20,8 @@
 
 /** Workers that are compared for a single task, so that the cost does not grow with the fleet. */
 const maxComparedRows = 64;
+/** Further workers that are compared for each task of a gang. */
+const comparedRowsPerTask = 8;
 
 /** Returns when a task is expected to end; one that ran longer than expected is given a quarter of its time more. */
 export function computeExpectedEnd(task: TaskRow, now: number): number {
@@ -69,10 +71,14 @@
     return Infinity;
 }
 
-/** Compares all workers: gangs are few, and one of them at a time holds a reservation. */
+/** Compares workers in proportion to the size of the gang. */
 function planGang(state: PlacementState, shape: Shape, count: number): ReservationPlan | undefined {
     const candidates: Candidate[] = [];
-    for (let row = 0; row < state.workers.rowCount; row++) {
+    const rowCount = state.workers.rowCount;
+    const compared = Math.min(rowCount, maxComparedRows + count * comparedRowsPerTask);
+    const start = state.advanceCursor(compared);
+    for (let offset = 0; offset < compared; offset++) {
+        const row = (start + offset) % rowCount;
         if (state.workers.canPlace(row) && !state.workers.hasHolds(row)) {
             addCandidates(state, row, shape, candidates);
         }
--- a/packages/placement/src/reservation-system.ts
+++ b/packages/placement/src/reservation-system.ts
@@ -18,7 +18,7 @@
 const maxCandidates = 8;
 /** Workers with held capacity, and queues for each, that one tick considers for backfill. */
 const maxBackfillRows = 16;
-const maxBackfillQueues = 24;
+const maxBackfillQueues = 12;
 
 /** Creates, fulfils and releases reservations. */
 export class ReservationSystem {
@@ -54,11 +54,16 @@
             gangCount += reservation.purpose === "gang" ? 1 : 0;
         }
         for (let count = 0; count < maxCandidates; count++) {
-            const queue = queues.candidates.getFirst();
+            const queue = queues.candidates.getFirst()?.queue;
             const job = queue?.jobs.getFirst();
-            if (queue === undefined || job === undefined) {
+            if (queue === undefined || job === undefined || this.state.isBudgetExhausted) {
                 return;
             }
+            if (queue.state === "active" && queue.shape.isOpen) {
+                // Not blocked: it was not tried in this tick.
+                queues.pauseCandidate(queue, now);
+                continue;
+            }
             const isGang = job.kind === "gang";
             const hasPlace = isGang ? gangCount === 0 : headCount < this.state.options.maxReservations;
             if (!isGang && !hasPlace && gangCount > 0) {
@@ -81,7 +86,7 @@
         for (const reservation of this.state.reservations) {
             for (const part of reservation.parts) {
                 if (
-                    this.state.queues.parked.size === 0 || this.state.isBudgetExhausted || rowCount >= maxBackfillRows
+                    this.state.isBudgetExhausted || rowCount >= maxBackfillRows
                 ) {
                     return;
                 }
@@ -142,12 +147,10 @@
 
     private fillRow(row: number, reservation: Reservation): void {
         const { queues, workers } = this.state;
-        let checked = 0;
-        for (const queue of queues.parked) {
-            checked++;
-            if (checked > maxBackfillQueues || this.state.isBudgetExhausted) {
-                return;
-            }
+        // The first ones by order, and others in turn.
+        const nearTop = queues.candidates.listFrom(0, maxBackfillQueues);
+        const others = queues.candidates.listFrom(this.state.advanceCursor(maxBackfillQueues), maxBackfillQueues);
+        for (const { queue } of [...nearTop, ...others]) {
             const job = queue.jobs.getFirst();
             if (job === undefined || queue.kind === "gang" || job === reservation.job) {
                 continue;
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -11,17 +11,26 @@
     readonly memory: number;
     readonly accelerators: number;
     readonly resources: ResourceVector;
-    /** Queues that wait until a worker has grown enough for this size. */
-    readonly parked: Set<JobQueue>;
+    /** `false` while no worker has room for this size. */
+    isOpen: boolean;
+    /** Teams with active queues of this size. */
+    laneCount: number;
+}
+
+/** The active queues of one team for one size. */
+export interface Lane {
+    readonly shape: Shape;
+    readonly urgent: IndexedHeap<JobQueue>;
+    readonly normal: IndexedHeap<JobQueue>;
 }
 
 /**
- * - `active`: in the heap of its team.
- * - `capacity`: no worker has room.
+ * - `active`: in a lane of its team; it can be placed when its size is open.
+ * - `paused`: not tried before `retryAt`, because it is a gang that did not fit or that has a reservation.
  * - `grant`: the grant of the team has no room.
  * - `empty`: no job has startable tasks.
  */
-export type QueueState = "active" | "capacity" | "grant" | "empty";
+export type QueueState = "active" | "paused" | "grant" | "empty";
 
 /** Jobs of one team, priority, kind and size. Either the first of them can be placed or none can. */
 export interface JobQueue extends HeapItem {
@@ -33,7 +42,15 @@
     /** Key in the queues of the team. */
     readonly key: string;
     state: QueueState;
-    /** The next attempt to place or to reserve is not before this time, because the last one failed. */
+    /** End of the state `paused`. */
+    retryAt: number;
+    readonly candidate: QueueCandidate;
+}
+
+/** A queue in the order of reservations. */
+export interface QueueCandidate extends HeapItem {
+    readonly queue: JobQueue;
+    /** Time until which it is not considered, because the last attempt failed. */
     retryAt: number;
 }
 
@@ -62,8 +79,7 @@
     rank: number;
     /** Order among teams of one rank. */
     orderKey: number;
-    readonly urgent: IndexedHeap<JobQueue>;
-    readonly normal: IndexedHeap<JobQueue>;
+    readonly lanes: Map<Shape, Lane>;
     readonly queues: Map<string, JobQueue>;
     readonly grantBlocked: Set<JobQueue>;
     /** Tasks that may be preempted, oldest first. Ended tasks stay until the list is pruned. */
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -4,12 +4,11 @@
  */
 import { Table, toTaskId } from "@waxwingroute/core";
 import type { JobId, ResourceVector, TaskId, TeamId } from "@waxwingroute/core";
-import { IndexedHeap } from "./indexed-heap.js";
-import { isQueueBefore, QueueBoard } from "./queues.js";
+import { QueueBoard } from "./queues.js";
 import type { JobRow, Reservation, Shape, TaskRow, TaskState, TeamRow } from "./rows.js";
 import { countStartable, countWaiting, takeNextIndex } from "./rows.js";
 import { RunTimeEstimates } from "./run-time-estimates.js";
-import { TeamShares } from "./team-shares.js";
+import { fitsGrant, TeamShares } from "./team-shares.js";
 import type { Decision, PlacementOptions, PreemptDecision, StartReason } from "./types.js";
 import { WorkerHealth } from "./worker-health.js";
 import { WorkerTable } from "./worker-table.js";
@@ -38,6 +37,7 @@
     readonly tasksToStop: TaskRow[] = [];
     private readonly shapes = new Map<string, Shape>();
     private placementCount = 0;
+    private nextPruneSize = 1024;
 
     constructor(options: PlacementOptions) {
         this.options = {
@@ -70,13 +70,28 @@
                 memory: resources.memoryMb,
                 accelerators: resources.accelerators,
                 resources,
-                parked: new Set(),
+                isOpen: true,
+                laneCount: 0,
             };
+            this.pruneShapes();
             this.shapes.set(key, shape);
         }
         return shape;
     }
 
+    /** Forgets sizes that nobody waits for; running tasks keep their own reference. */
+    private pruneShapes(): void {
+        if (this.shapes.size < this.nextPruneSize) {
+            return;
+        }
+        for (const [key, shape] of this.shapes) {
+            if (shape.laneCount === 0) {
+                this.shapes.delete(key);
+            }
+        }
+        this.nextPruneSize = 1024 + 2 * this.shapes.size;
+    }
+
     /** Adds waiting tasks of a job to the demand of its team; `count` may be negative. */
     addDemand(job: JobRow, count: number): void {
         const team = job.team;
@@ -164,7 +179,12 @@
         if (job.kind === "service") {
             this.addSpread(task, -1);
         }
-        this.queues.resumeTeam(job.team);
+        this.resumeTeam(job.team);
+    }
+
+    /** Brings back the queues of a team that fit its grant again. */
+    resumeTeam(team: TeamRow): void {
+        this.queues.resumeTeam(team, queue => fitsGrant(team, queue.shape, 1));
     }
 
     /** Marks a task as stopping, so that its capacity counts as about to be released. */
@@ -185,7 +205,11 @@
     addReservation(reservation: Reservation): void {
         this.reservations.add(reservation);
         reservation.job.reservations.add(reservation);
-        this.queues.candidates.remove(reservation.job.queue);
+        this.queues.candidates.remove(reservation.job.queue.candidate);
+        if (reservation.purpose === "gang") {
+            // The gang starts on what it holds, and is not searched for elsewhere.
+            this.queues.pause(reservation.job.queue, Infinity);
+        }
         for (const part of reservation.parts) {
             this.workers.addHolds(part.row, reservation.job.shape, part.count);
         }
@@ -201,6 +225,9 @@
             this.workers.addHolds(part.row, job.shape, -part.count);
         }
         this.queues.addCandidate(job.queue);
+        if (reservation.purpose === "gang" && job.queue.state === "paused") {
+            this.queues.setState(job.queue, "active");
+        }
     }
 
     /** Notes whether the start window of a job should become larger. */
@@ -303,8 +330,7 @@
         weightedShare: 0,
         rank: 0,
         orderKey: 0,
-        urgent: new IndexedHeap(isQueueBefore),
-        normal: new IndexedHeap(isQueueBefore),
+        lanes: new Map(),
         queues: new Map(),
         grantBlocked: new Set(),
         preemptible: [],
