bench: Replace ended tasks within the measured step

Change: each ended task is replaced by a new one of its size; the submission is part of the measured time.

--- a/packages/bench/src/decision-cost.ts
+++ b/packages/bench/src/decision-cost.ts
@@ -1,12 +1,13 @@
 /**
  * Decisions a second and time for one decision, with a full fleet and waiting work.
  *
- * Every measured step ends running tasks at random and ticks, as the scheduler does when workers report. The queue is
- * refilled between the steps, outside the measured time.
+ * Every measured step ends running tasks at random, submits as many new ones of the same sizes, and ticks, as the scheduler does.
+ * Between the steps the fleet and the queue are refilled, outside the measured time. Without the new tasks only those
+ * would wait that did not fit before, and most ends would start nothing.
  */
-import type { JobId, RandomSource, TaskId, TeamId } from "@waxwingroute/core";
+import type { JobId, RandomSource, ResourceVector, TeamId } from "@waxwingroute/core";
 import { SeededRandom, toId } from "@waxwingroute/core";
-import type { JobKind } from "@waxwingroute/placement";
+import type { Decision, JobKind, StartDecision } from "@waxwingroute/placement";
 import { PlacementEngine } from "@waxwingroute/placement";
 import { build } from "hdr-histogram-js";
 import { createFleet, pickSize } from "./fleet.js";
@@ -18,7 +19,7 @@
 /** Time spent on each of the two measurements of one combination. */
 const measureMs = 1000;
 /** Tasks that end before one tick in the measurement of the rate; the peak of 2,700 starts a second every 20 ms. */
-const batchSize = 54; // not more than the waiting tasks, so that the fleet stays full
+const batchSize = 54;
 
 interface CostResult {
     readonly perSecond: number;
@@ -30,7 +31,7 @@
 /** A full fleet with waiting work. */
 class LoadedEngine {
     readonly engine = new PlacementEngine({ objective: "fairness" });
-    private readonly running: TaskId[] = [];
+    private readonly running: StartDecision[] = [];
     private readonly random: RandomSource;
     private readonly teamCount: number;
     private jobCount = 0;
@@ -48,63 +49,67 @@
     /** Submits jobs and starts what fits, until `count` tasks wait and none fits. */
     fillUp(count: number): void {
         for (let decisionCount = 1; decisionCount > 0;) {
-            this.submit(count);
-            ({ decisionCount } = this.runStep(0));
-        }
-    }
-
-    /** Submits jobs until `count` tasks wait. */
-    private submit(count: number): void {
-        while (this.waitingCount < count) {
-            const kindNumber = this.random.getInteger(20);
-            const kind: JobKind = kindNumber < 3 ? "service" : kindNumber === 3 ? "gang" : "batch";
-            const taskCount = 1 + this.random.getInteger(kind === "gang" ? 8 : 40);
-            const submission = {
-                job: toId<JobId>(`job-${this.jobCount++}`),
-                team: toId<TeamId>(`team-${this.random.getInteger(this.teamCount)}`),
-                kind,
-                priority: this.random.getInteger(20) === 0 ? "urgent" as const : "normal" as const,
-                taskCount,
-                resources: pickSize(this.random, 0.15),
-                estimatedRunMs: 1000 + this.random.getInteger(600_000),
-            };
-            if (this.engine.submitJob(this.now, submission).ok) {
-                this.waitingCount += taskCount;
+            while (this.waitingCount < count) {
+                const isGang = this.random.getInteger(20) === 0;
+                const kind = isGang ? "gang" : this.random.getInteger(6) === 0 ? "service" : "batch";
+                this.submit(kind, 1 + this.random.getInteger(isGang ? 8 : 40), pickSize(this.random, 0.15));
             }
+            ({ decisionCount } = this.runStep(0));
         }
     }
 
-    /** Ends `endCount` random tasks and ticks. Returns the number of decisions and the milliseconds they took. */
+    /** Ends `endCount` random tasks, replaces them, and ticks. Returns the number of decisions and the time they took. */
     runStep(endCount: number): { readonly decisionCount: number; readonly elapsedMs: number; } {
-        const ended: TaskId[] = [];
-        for (let count = 0; count < endCount && this.running.length > 0; count++) {
-            const index = this.random.getInteger(this.running.length);
-            ended.push(this.running[index] as TaskId);
-            this.running[index] = this.running[this.running.length - 1] as TaskId;
-            this.running.pop();
-        }
+        const ended = Array.from({ length: Math.min(endCount, this.running.length) }, () => this.takeRunning());
+        const counts = new Map<ResourceVector, number>();
+        ended.forEach(({ resources }) => counts.set(resources, (counts.get(resources) ?? 0) + 1));
         this.now += 20;
         const start = performance.now();
-        for (const task of ended) {
-            this.engine.recordTaskEnded(this.now, task, "succeeded");
+        ended.forEach(({ task }) => this.engine.recordTaskEnded(this.now, task, "succeeded"));
+        for (const [resources, count] of counts) {
+            this.submit(this.random.getInteger(6) === 0 ? "service" : "batch", count, resources);
         }
         const { decisions } = this.engine.tick(this.now, { maxDecisions: 10_000 });
         const elapsedMs = performance.now() - start;
-        for (const decision of decisions) {
-            if (decision.kind === "start") {
-                this.running.push(decision.task);
-                this.engine.recordTaskStarted(this.now, decision.task);
-                this.waitingCount--;
-            }
-            else {
-                // A preempted task waits again.
-                this.running.splice(this.running.indexOf(decision.task), 1);
-                this.engine.recordTaskEnded(this.now, decision.task, "preempted");
-                this.waitingCount++;
-            }
-        }
+        decisions.forEach(decision => this.apply(decision));
         return { decisionCount: decisions.length, elapsedMs };
     }
+
+    private submit(kind: JobKind, taskCount: number, resources: ResourceVector): void {
+        const submission = {
+            job: toId<JobId>(`job-${this.jobCount++}`),
+            team: toId<TeamId>(`team-${this.random.getInteger(this.teamCount)}`),
+            kind,
+            priority: this.random.getInteger(20) === 0 ? "urgent" as const : "normal" as const,
+            taskCount,
+            resources,
+            estimatedRunMs: 1000 + this.random.getInteger(600_000),
+        };
+        if (this.engine.submitJob(this.now, submission).ok) {
+            this.waitingCount += taskCount;
+        }
+    }
+
+    private takeRunning(): StartDecision {
+        const index = this.random.getInteger(this.running.length);
+        const taken = this.running[index] as StartDecision;
+        this.running[index] = this.running[this.running.length - 1] as StartDecision;
+        this.running.pop();
+        return taken;
+    }
+
+    private apply(decision: Decision): void {
+        if (decision.kind === "start") {
+            this.running.push(decision);
+            this.engine.recordTaskStarted(this.now, decision.task);
+            this.waitingCount--;
+            return;
+        }
+        // A preempted task waits again.
+        this.running.splice(this.running.findIndex(start => start.task === decision.task), 1);
+        this.engine.recordTaskEnded(this.now, decision.task, "preempted");
+        this.waitingCount++;
+    }
 }
 
 function measure(fleetSize: number, waitingCount: number, seed: number): CostResult {
@@ -134,7 +139,7 @@
     const wallEnd = performance.now() + 4 * durationMs;
     while (elapsed < durationMs && performance.now() < wallEnd) {
         loaded.fillUp(waitingCount);
-        const { decisionCount, elapsedMs } = loaded.runStep(Math.min(batchSize, waitingCount));
+        const { decisionCount, elapsedMs } = loaded.runStep(batchSize);
         total += decisionCount;
         elapsed += elapsedMs;
     }
@@ -190,7 +195,7 @@
         );
     }
     const lines = [
-        `rate: ${batchSize} tasks end, then one tick; times: one task ends, then one tick, with or without a start`,
+        `rate: ${batchSize} tasks end and as many arrive, then one tick; times: one task ends and one arrives, then one tick`,
         ...formatTable(rows),
     ];
     return { section: "decisions", lines, figures, goals };
