placement: Stop searching teams and preemptions that cannot succeed

Cause: at 8,300 workers most time went into selecting the next queue of each of 400 teams, also after the last open size had closed, and into planning preemptions that had just failed. Change: a pass ends with the last open size; the smaller of open sizes and lanes is searched; preemption considers only workers large enough, 4 teams and 16 tasks each, and waits 250 ms after a failure.

--- a/packages/placement/src/placement-system.ts
+++ b/packages/placement/src/placement-system.ts
@@ -25,49 +25,50 @@
     }
 
     run(): void {
-        this.runPass(team => this.selectUrgent(team));
-        this.runPass(team => findNextQueue(team, false));
+        this.runPass(true);
+        this.runPass(false);
     }
 
-    /** Returns the number of tasks of a job that start together. */
-    countTogether(job: JobRow): number {
-        return this.policies[job.kind].countTogether(job);
-    }
-
-    private selectUrgent(team: TeamRow): JobQueue | undefined {
-        // For fairness, urgency does not lift a team above its share while others wait.
-        return this.state.options.objective === "fairness" && this.state.shares.isOverShare(team)
-            ? undefined
-            : findNextQueue(team, true);
-    }
-
-    private runPass(select: (team: TeamRow) => JobQueue | undefined): void {
-        const { queues, shares } = this.state;
-        if (queues.openShapes.size === 0) {
+    /** Places the queues of the teams in order, in the first pass only urgent ones. */
+    private runPass(isUrgentOnly: boolean): void {
+        const { openShapes } = this.state.queues;
+        if (openShapes.size === 0) {
             return;
         }
         for (const team of this.state.teams.values()) {
-            const queue = team.lanes.size === 0 ? undefined : select(team);
-            if (queue !== undefined) {
-                shares.updateOrder(team, queue);
+            if (isUrgentOnly ? team.urgentCount > 0 : team.lanes.size > 0) {
+                this.updateOrder(team, isUrgentOnly);
                 this.order.push(team);
             }
         }
         for (let team = this.order.getFirst(); team !== undefined; team = this.order.getFirst()) {
-            const queue = this.state.isBudgetExhausted ? undefined : select(team);
+            if (this.state.isBudgetExhausted || openShapes.size === 0) {
+                this.order.clear();
+                return;
+            }
+            const queue = this.findNext(team, isUrgentOnly);
             if (queue === undefined) {
                 this.order.remove(team);
                 continue;
             }
             this.placeFirst(queue);
-            const next = select(team);
-            if (next !== undefined) {
-                shares.updateOrder(team, next);
-                this.order.update(team);
-            }
+            this.updateOrder(team, isUrgentOnly);
+            this.order.update(team);
         }
     }
 
+    private updateOrder(team: TeamRow, isUrgentOnly: boolean): void {
+        const needsQueue = this.state.options.objective === "waiting";
+        this.state.shares.updateOrder(team, needsQueue ? this.findNext(team, isUrgentOnly) : undefined);
+    }
+
+    private findNext(team: TeamRow, isUrgentOnly: boolean): JobQueue | undefined {
+        const { queues, shares, options } = this.state;
+        // For fairness, urgency does not lift a team above its share while others wait.
+        const isRefused = isUrgentOnly && options.objective === "fairness" && shares.isOverShare(team);
+        return isRefused ? undefined : findNextQueue(team, queues.openShapes, isUrgentOnly);
+    }
+
     private placeFirst(queue: JobQueue): void {
         const { queues, now } = this.state;
         const job = queue.jobs.getFirst() as JobRow;
--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -4,7 +4,7 @@
  * Only running batch tasks of normal priority are preempted, and only while their team stays at or above its share
  * without them.
  */
-import { addResources } from "@waxwingroute/core";
+import { addResources, fitsWithin } from "@waxwingroute/core";
 import { countFitting } from "./rows.js";
 import type { JobRow, Reservation, TaskRow, TeamRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
@@ -13,8 +13,11 @@
 
 /** Urgent tasks for which one tick preempts. */
 const maxPreemptions = 64;
-/** Running tasks of one team that are considered for one urgent task. */
-const maxConsideredTasks = 32;
+/** Teams from which one urgent task may take, and running tasks of each that are considered. */
+const maxBorrowers = 4;
+const maxConsideredTasks = 16;
+/** Delay before preemption is planned again for a queue for which none was possible, in milliseconds. */
+const preemptDelayMs = 250;
 /** Urgent tasks that one set of preemptions on a worker makes room for. */
 const maxTasksPerWorker = 8;
 
@@ -53,16 +56,21 @@
 
     /** Makes room for urgent jobs that wait for capacity. */
     serveUrgent(): void {
+        const { now } = this.state;
         let borrowers: TeamRow[] | undefined;
         let served = 0;
         for (const queue of this.state.queues.urgent) {
             const job = queue.jobs.getFirst();
-            if (queue.kind === "gang" || queue.state !== "active" || queue.shape.isOpen || job === undefined) {
+            if (
+                queue.kind === "gang" || queue.state !== "active" || queue.shape.isOpen || job === undefined
+                || now < queue.preemptAt
+            ) {
                 continue;
             }
             borrowers ??= this.listBorrowers();
             while (served < maxPreemptions && !this.state.isBudgetExhausted && this.state.countUnreserved(job) > 0) {
                 if (borrowers.length === 0 || !this.serveJob(job, borrowers)) {
+                    queue.preemptAt = now + preemptDelayMs;
                     break;
                 }
                 served++;
@@ -75,7 +83,7 @@
         return [...this.state.teams.values()]
             .filter(team => this.state.shares.isOverShare(team))
             .sort((first, second) => second.weightedShare - first.weightedShare)
-            .slice(0, 8);
+            .slice(0, maxBorrowers);
     }
 
     private serveJob(job: JobRow, borrowers: readonly TeamRow[]): boolean {
@@ -107,7 +115,10 @@
                 continue;
             }
             considered++;
-            if (!workers.canPlace(task.row) || workers.hasHolds(task.row)) {
+            if (
+                !workers.canPlace(task.row) || workers.hasHolds(task.row)
+                || !fitsWithin(job.shape.resources, workers.getCapacity(task.row))
+            ) {
                 continue;
             }
             const plan = this.planRow(job, task.row, borrower, considered);
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -220,11 +220,13 @@
             }
         }
         (queue.priority === "urgent" ? lane.urgent : lane.normal).push(queue);
+        team.urgentCount += queue.priority === "urgent" ? 1 : 0;
     }
 
     private removeFromLane(queue: JobQueue): void {
         const { shape, team } = queue;
         getLaneHeap(queue).remove(queue);
+        team.urgentCount -= queue.priority === "urgent" ? 1 : 0;
         const lane = team.lanes.get(shape) as Lane;
         if (lane.urgent.size === 0 && lane.normal.size === 0) {
             team.lanes.delete(shape);
@@ -241,23 +243,36 @@
 }
 
 /** Returns the first queue of a team whose size is open: urgent ones first, then by the order of jobs. */
-export function findNextQueue(team: TeamRow, isUrgentOnly: boolean): JobQueue | undefined {
-    let urgent: JobQueue | undefined;
-    let normal: JobQueue | undefined;
-    for (const lane of team.lanes.values()) {
-        if (!lane.shape.isOpen) {
-            continue;
-        }
-        const first = lane.urgent.getFirst();
-        if (first !== undefined) {
-            urgent = urgent === undefined || isQueueBefore(first, urgent) ? first : urgent;
-        }
-        else if (!isUrgentOnly && urgent === undefined) {
-            const next = lane.normal.getFirst() as JobQueue;
-            normal = normal === undefined || isQueueBefore(next, normal) ? next : normal;
+export function findNextQueue(
+    team: TeamRow,
+    openShapes: ReadonlySet<Shape>,
+    isUrgentOnly: boolean,
+): JobQueue | undefined {
+    let best: JobQueue | undefined;
+    // The smaller set is searched: many teams may wait for one open size, and one team for many closed ones.
+    if (openShapes.size < team.lanes.size) {
+        for (const shape of openShapes) {
+            const lane = team.lanes.get(shape);
+            best = lane === undefined ? best : chooseQueue(best, lane, isUrgentOnly);
         }
+        return best;
+    }
+    for (const lane of team.lanes.values()) {
+        best = lane.shape.isOpen ? chooseQueue(best, lane, isUrgentOnly) : best;
+    }
+    return best;
+}
+
+function chooseQueue(best: JobQueue | undefined, lane: Lane, isUrgentOnly: boolean): JobQueue | undefined {
+    const urgent = lane.urgent.getFirst();
+    const next = urgent ?? (isUrgentOnly ? undefined : lane.normal.getFirst());
+    if (next === undefined || best === undefined) {
+        return next ?? best;
+    }
+    if (next.priority !== best.priority) {
+        return next.priority === "urgent" ? next : best;
     }
-    return urgent ?? normal;
+    return isQueueBefore(next, best) ? next : best;
 }
 
 function createQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, key: string): JobQueue {
@@ -269,6 +284,7 @@
         jobs: new IndexedHeap<JobRow>(isJobBefore),
         state: "empty",
         retryAt: 0,
+        preemptAt: 0,
         heapIndex: -1,
         key,
     };
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -44,6 +44,8 @@
     state: QueueState;
     /** End of the state `paused`. */
     retryAt: number;
+    /** Time before which no preemption is planned for the queue, because none was possible. */
+    preemptAt: number;
     readonly candidate: QueueCandidate;
 }
 
@@ -80,6 +82,8 @@
     /** Order among teams of one rank. */
     orderKey: number;
     readonly lanes: Map<Shape, Lane>;
+    /** Active urgent queues. */
+    urgentCount: number;
     readonly queues: Map<string, JobQueue>;
     readonly grantBlocked: Set<JobQueue>;
     /** Tasks that may be preempted, oldest first. Ended tasks stay until the list is pruned. */
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -331,6 +331,7 @@
         rank: 0,
         orderKey: 0,
         lanes: new Map(),
+        urgentCount: 0,
         queues: new Map(),
         grantBlocked: new Set(),
         preemptible: [],
--- a/packages/placement/src/team-shares.ts
+++ b/packages/placement/src/team-shares.ts
@@ -35,11 +35,11 @@
         team.weightedShare = this.computeShare(team.usedCpu, team.usedMemory, team.usedAccelerators) / team.weight;
     }
 
-    /** Sets the place of a team in the order of the objective. */
-    updateOrder(team: TeamRow, next: JobQueue): void {
+    /** Sets the place of a team in the order of the objective; `waiting` needs the next queue of the team. */
+    updateOrder(team: TeamRow, next: JobQueue | undefined): void {
         const isWithinShare = !this.isOverShare(team);
         team.rank = isWithinShare ? 0 : 1;
-        const job = next.jobs.getFirst();
+        const job = next?.jobs.getFirst();
         team.orderKey = this.objective === "waiting" && isWithinShare && job !== undefined
             ? job.orderKey
             : team.weightedShare;
