placement: Bound the visits of urgent and paused queues in each tick

Cause: each tick listed the teams above their share for every urgent queue that was due, and visited all paused queues. Change: the list of borrowing teams is used for 100 ms (the share of each is checked at every use), at most 64 urgent queues are visited a tick in turn, and paused queues are visited until the first that is not due.

--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -16,6 +16,10 @@
 /** Teams from which one urgent task may take, and running tasks of each that are considered. */
 const maxBorrowers = 4;
 const maxConsideredTasks = 16;
+/** Time for which the list of borrowing teams is used, in milliseconds; the share of each is checked at every use. */
+const borrowersMs = 100;
+/** Urgent queues that one tick visits. */
+const maxVisitedQueues = 64;
 /** Delay before preemption is planned again for a queue for which none was possible, in milliseconds. */
 const preemptDelayMs = 250;
 /** Urgent tasks that one set of preemptions on a worker makes room for. */
@@ -31,6 +35,8 @@
 /** Decides preemptions. */
 export class PreemptionSystem {
     private readonly state: PlacementState;
+    private borrowers: readonly TeamRow[] = [];
+    private borrowersUntil = -Infinity;
 
     constructor(state: PlacementState) {
         this.state = state;
@@ -56,10 +62,17 @@
 
     /** Makes room for urgent jobs that wait for capacity. */
     serveUrgent(): void {
-        const { now } = this.state;
-        let borrowers: TeamRow[] | undefined;
+        const { now, queues } = this.state;
         let served = 0;
-        for (const queue of this.state.queues.urgent) {
+        let remaining = Math.min(queues.urgent.size, maxVisitedQueues);
+        for (const queue of queues.urgent) {
+            remaining--;
+            if (remaining < 0) {
+                break;
+            }
+            // Moved behind the others, so that each tick visits those that waited longest for a visit.
+            queues.urgent.delete(queue);
+            queues.urgent.add(queue);
             const job = queue.jobs.getFirst();
             if (
                 queue.kind === "gang" || queue.state !== "active" || queue.shape.isOpen || job === undefined
@@ -67,7 +80,7 @@
             ) {
                 continue;
             }
-            borrowers ??= this.listBorrowers();
+            const borrowers = this.listBorrowers();
             while (served < maxPreemptions && !this.state.isBudgetExhausted && this.state.countUnreserved(job) > 0) {
                 if (borrowers.length === 0 || !this.serveJob(job, borrowers)) {
                     queue.preemptAt = now + preemptDelayMs;
@@ -79,11 +92,17 @@
     }
 
     /** Returns the teams above their share, the one furthest above it first. */
-    private listBorrowers(): TeamRow[] {
-        return [...this.state.teams.values()]
+    private listBorrowers(): readonly TeamRow[] {
+        const { now } = this.state;
+        if (now < this.borrowersUntil) {
+            return this.borrowers;
+        }
+        this.borrowersUntil = now + borrowersMs;
+        this.borrowers = [...this.state.teams.values()]
             .filter(team => this.state.shares.isOverShare(team))
             .sort((first, second) => second.weightedShare - first.weightedShare)
             .slice(0, maxBorrowers);
+        return this.borrowers;
     }
 
     private serveJob(job: JobRow, borrowers: readonly TeamRow[]): boolean {
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -129,19 +129,24 @@
     /** Brings back what was paused until now. */
     resumePaused(now: number): void {
         let count = 0;
+        // Every pause has the same length, so the sets are in the order of their ends, except for reserved gangs.
         for (const queue of this.pausedQueues) {
             if (now >= queue.retryAt) {
                 this.setState(queue, "active");
                 count++;
-                if (count >= maxResumedQueues) {
-                    break;
-                }
+            }
+            else if (queue.retryAt !== Infinity) {
+                break;
+            }
+            if (count >= maxResumedQueues) {
+                break;
             }
         }
         for (const queue of this.pausedCandidates) {
-            if (now >= queue.candidate.retryAt) {
-                this.addCandidate(queue);
+            if (now < queue.candidate.retryAt) {
+                break;
             }
+            this.addCandidate(queue);
         }
         for (const [shape, retryAt] of this.retriedShapes) {
             if (now >= retryAt) {
--- a/packages/placement/src/reservation-system.ts
+++ b/packages/placement/src/reservation-system.ts
@@ -61,7 +61,7 @@
             }
             if (queue.state === "active" && queue.shape.isOpen) {
                 // Not blocked: it was not tried in this tick.
-                queues.pauseCandidate(queue, now);
+                queues.pauseCandidate(queue, now + candidatePauseMs);
                 continue;
             }
             const isGang = job.kind === "gang";
