placement: Keep the lanes of all teams in order for each size

Cause: each tick rebuilt the order of up to 400 teams, although only the shares of a few had changed. Change: each size keeps a heap of the lanes of all teams; a changed share moves the lanes of its team only. The next queue is the first one among the tops of the open sizes.

--- a/packages/placement/src/engine.ts
+++ b/packages/placement/src/engine.ts
@@ -251,7 +251,7 @@
         const decisions: Decision[] = [];
         state.decisions = decisions;
         state.maxDecisions = budget.maxDecisions ?? defaultMaxDecisions;
-        state.shares.refresh(state.teams.values());
+        state.refreshShares();
         this.stopCancelled();
         this.preemption.applyGrants();
         this.reservations.startReady();
--- a/packages/placement/src/indexed-heap.ts
+++ b/packages/placement/src/indexed-heap.ts
@@ -36,13 +36,6 @@
         return this.items.slice(start, start + count);
     }
 
-    clear(): void {
-        for (const item of this.items) {
-            item.heapIndex = -1;
-        }
-        this.items.length = 0;
-    }
-
     push(item: T): void {
         item.heapIndex = this.items.length;
         this.items.push(item);
--- a/packages/placement/src/placement-system.ts
+++ b/packages/placement/src/placement-system.ts
@@ -1,11 +1,9 @@
 /**
  * Starts waiting work: urgent queues first, then teams in the order of the objective.
  */
-import { IndexedHeap } from "./indexed-heap.js";
 import type { PlacementPolicy } from "./policies.js";
 import { createPolicies } from "./policies.js";
-import { findNextQueue } from "./queues.js";
-import type { JobQueue, JobRow, TeamRow } from "./rows.js";
+import type { JobQueue, JobRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant } from "./team-shares.js";
 import type { JobKind } from "./types.js";
@@ -17,7 +15,6 @@
 export class PlacementSystem {
     private readonly state: PlacementState;
     private readonly policies: Readonly<Record<JobKind, PlacementPolicy>>;
-    private readonly order = new IndexedHeap<TeamRow>(isTeamBefore);
 
     constructor(state: PlacementState) {
         this.state = state;
@@ -29,46 +26,18 @@
         this.runPass(false);
     }
 
-    /** Places the queues of the teams in order, in the first pass only urgent ones. */
+    /** Places the next queues, in the first pass only urgent ones. */
     private runPass(isUrgentOnly: boolean): void {
-        const { openShapes } = this.state.queues;
-        if (openShapes.size === 0) {
-            return;
-        }
-        for (const team of this.state.teams.values()) {
-            if (isUrgentOnly ? team.urgentCount > 0 : team.lanes.size > 0) {
-                this.updateOrder(team, isUrgentOnly);
-                this.order.push(team);
-            }
-        }
-        for (let team = this.order.getFirst(); team !== undefined; team = this.order.getFirst()) {
-            if (this.state.isBudgetExhausted || openShapes.size === 0) {
-                this.order.clear();
-                return;
-            }
-            const queue = this.findNext(team, isUrgentOnly);
+        const { queues } = this.state;
+        while (!this.state.isBudgetExhausted) {
+            const queue = queues.findNext(isUrgentOnly);
             if (queue === undefined) {
-                this.order.remove(team);
-                continue;
+                return;
             }
             this.placeFirst(queue);
-            this.updateOrder(team, isUrgentOnly);
-            this.order.update(team);
         }
     }
 
-    private updateOrder(team: TeamRow, isUrgentOnly: boolean): void {
-        const needsQueue = this.state.options.objective === "waiting";
-        this.state.shares.updateOrder(team, needsQueue ? this.findNext(team, isUrgentOnly) : undefined, isUrgentOnly);
-    }
-
-    private findNext(team: TeamRow, isUrgentOnly: boolean): JobQueue | undefined {
-        const { queues, shares } = this.state;
-        return isUrgentOnly && !shares.allowsUrgentFirst(team)
-            ? undefined
-            : findNextQueue(team, queues.openShapes, isUrgentOnly);
-    }
-
     private placeFirst(queue: JobQueue): void {
         const { queues, now } = this.state;
         const job = queue.jobs.getFirst() as JobRow;
@@ -89,7 +58,3 @@
         }
     }
 }
-
-function isTeamBefore(first: TeamRow, second: TeamRow): boolean {
-    return first.rank < second.rank || first.rank === second.rank && first.orderKey < second.orderKey;
-}
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -5,9 +5,11 @@
  * blocked work costs nothing and need not be moved.
  */
 import { IndexedHeap } from "./indexed-heap.js";
-import type { JobQueue, JobRow, Lane, QueueCandidate, QueueState, Shape, TeamRow } from "./rows.js";
+import type { LaneOrder } from "./queue-order.js";
+import { createLaneOrder, isJobBefore, isQueueBefore, isReservedBefore } from "./queue-order.js";
+import type { JobQueue, JobRow, Lane, LaneItem, QueueCandidate, QueueState, Shape, TeamRow } from "./rows.js";
 import { countStartable } from "./rows.js";
-import type { JobKind, Priority } from "./types.js";
+import type { JobKind, Objective, Priority } from "./types.js";
 import type { WorkerTable } from "./worker-table.js";
 
 /** Rows times sizes that are compared exactly when workers grow; beyond it all sizes are opened. */
@@ -23,12 +25,17 @@
     readonly urgent = new Set<JobQueue>();
     /** Sizes that some worker may have room for. */
     readonly openShapes = new Set<Shape>();
+    private readonly order: LaneOrder;
     private readonly closedShapes = new Set<Shape>();
     /** Closed sizes that are opened at a time, because the search for room was not complete. */
     private readonly retriedShapes = new Map<Shape, number>();
     private readonly pausedQueues = new Set<JobQueue>();
     private readonly pausedCandidates = new Set<JobQueue>();
 
+    constructor(objective: Objective) {
+        this.order = createLaneOrder(objective);
+    }
+
     /** Returns the queue of a team for jobs of one priority, kind and size; gangs also differ by their size. */
     ensureQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, gangSize: number): JobQueue {
         const key = `${priority}/${kind}/${shape.cpu}/${shape.memory}/${shape.accelerators}/${gangSize}`;
@@ -40,6 +47,37 @@
         return queue;
     }
 
+    /** Returns empty heaps for the lanes of a size. */
+    createLaneHeaps(): Pick<Shape, "lanes" | "urgentLanes"> {
+        return {
+            lanes: new IndexedHeap(this.order.isBefore),
+            urgentLanes: new IndexedHeap(this.order.isUrgentBefore),
+        };
+    }
+
+    /** Restores the order of the lanes of a team after its share changed. */
+    sortTeam(team: TeamRow): void {
+        for (const lane of team.lanes.values()) {
+            this.sortLane(lane);
+        }
+    }
+
+    /** Returns the queue of an open size that is the next to be placed. */
+    findNext(isUrgentOnly: boolean): JobQueue | undefined {
+        const isBefore = isUrgentOnly ? this.order.isUrgentBefore : this.order.isBefore;
+        let best: LaneItem | undefined;
+        for (const shape of this.openShapes) {
+            const item = (isUrgentOnly ? shape.urgentLanes : shape.lanes).getFirst();
+            if (item !== undefined && (best === undefined || isBefore(item, best))) {
+                best = item;
+            }
+        }
+        if (best === undefined || isUrgentOnly && !best.lane.team.isUrgentFirst) {
+            return undefined;
+        }
+        return best.lane.urgent.getFirst() ?? best.lane.normal.getFirst();
+    }
+
     /** Brings a job into or out of its queue after its counts changed. */
     refreshJob(job: JobRow): void {
         const isQueued = job.heapIndex >= 0;
@@ -63,6 +101,7 @@
         else {
             if (queue.heapIndex >= 0) {
                 getLaneHeap(queue).update(queue);
+                this.sortLane(queue.team.lanes.get(queue.shape) as Lane);
             }
             if (queue.candidate.heapIndex >= 0) {
                 this.candidates.update(queue.candidate);
@@ -182,7 +221,7 @@
         shape.isOpen = true;
         this.closedShapes.delete(shape);
         this.retriedShapes.delete(shape);
-        if (shape.laneCount > 0) {
+        if (shape.lanes.size > 0) {
             this.openShapes.add(shape);
         }
     }
@@ -212,72 +251,61 @@
 
     private addToLane(queue: JobQueue): void {
         const { shape, team } = queue;
-        let lane = team.lanes.get(shape);
-        if (lane === undefined) {
-            lane = { shape, urgent: new IndexedHeap(isQueueBefore), normal: new IndexedHeap(isQueueBefore) };
+        const lane = team.lanes.get(shape) ?? createLane(team, shape);
+        (queue.priority === "urgent" ? lane.urgent : lane.normal).push(queue);
+        if (lane.item.heapIndex < 0) {
             team.lanes.set(shape, lane);
-            shape.laneCount++;
-            if (shape.isOpen) {
-                this.openShapes.add(shape);
-            }
-            else {
-                this.closedShapes.add(shape);
-            }
+            shape.lanes.push(lane.item);
+            (shape.isOpen ? this.openShapes : this.closedShapes).add(shape);
         }
-        (queue.priority === "urgent" ? lane.urgent : lane.normal).push(queue);
-        team.urgentCount += queue.priority === "urgent" ? 1 : 0;
+        if (lane.urgent.size > 0 && lane.urgentItem.heapIndex < 0) {
+            shape.urgentLanes.push(lane.urgentItem);
+        }
+        this.sortLane(lane);
     }
 
     private removeFromLane(queue: JobQueue): void {
         const { shape, team } = queue;
-        getLaneHeap(queue).remove(queue);
-        team.urgentCount -= queue.priority === "urgent" ? 1 : 0;
         const lane = team.lanes.get(shape) as Lane;
-        if (lane.urgent.size === 0 && lane.normal.size === 0) {
-            team.lanes.delete(shape);
-            shape.laneCount--;
-            if (shape.laneCount === 0) {
-                // A size that nobody waits for is not tracked; the next search finds out whether it fits.
-                this.openShapes.delete(shape);
-                this.closedShapes.delete(shape);
-                this.retriedShapes.delete(shape);
-                shape.isOpen = true;
-            }
+        getLaneHeap(queue).remove(queue);
+        if (lane.urgent.size === 0) {
+            shape.urgentLanes.remove(lane.urgentItem);
+        }
+        if (lane.urgent.size + lane.normal.size > 0) {
+            this.sortLane(lane);
+            return;
+        }
+        shape.lanes.remove(lane.item);
+        team.lanes.delete(shape);
+        if (shape.lanes.size === 0) {
+            // A size that nobody waits for is not tracked; the next search finds out whether it fits.
+            this.openShapes.delete(shape);
+            this.closedShapes.delete(shape);
+            this.retriedShapes.delete(shape);
+            shape.isOpen = true;
         }
     }
-}
 
-/** Returns the first queue of a team whose size is open: urgent ones first, then by the order of jobs. */
-export function findNextQueue(
-    team: TeamRow,
-    openShapes: ReadonlySet<Shape>,
-    isUrgentOnly: boolean,
-): JobQueue | undefined {
-    let best: JobQueue | undefined;
-    // The smaller set is searched: many teams may wait for one open size, and one team for many closed ones.
-    if (openShapes.size < team.lanes.size) {
-        for (const shape of openShapes) {
-            const lane = team.lanes.get(shape);
-            best = lane === undefined ? best : chooseQueue(best, lane, isUrgentOnly);
-        }
-        return best;
-    }
-    for (const lane of team.lanes.values()) {
-        best = lane.shape.isOpen ? chooseQueue(best, lane, isUrgentOnly) : best;
+    private sortLane(lane: Lane): void {
+        lane.shape.lanes.update(lane.item);
+        if (lane.urgentItem.heapIndex >= 0) {
+            lane.shape.urgentLanes.update(lane.urgentItem);
+        }
     }
-    return best;
 }
 
-function chooseQueue(best: JobQueue | undefined, lane: Lane, isUrgentOnly: boolean): JobQueue | undefined {
-    const urgent = lane.urgent.getFirst();
-    const next = urgent ?? (isUrgentOnly ? undefined : lane.normal.getFirst());
-    if (next === undefined || best === undefined) {
-        return next ?? best;
-    }
-    if (next.priority !== best.priority) {
-        return next.priority === "urgent" ? next : best;
-    }
-    return isQueueBefore(next, best) ? next : best;
+function createLane(team: TeamRow, shape: Shape): Lane {
+    const lane: Omit<Lane, "item" | "urgentItem"> = {
+        team,
+        shape,
+        urgent: new IndexedHeap(isQueueBefore),
+        normal: new IndexedHeap(isQueueBefore),
+    };
+    const complete = lane as Lane;
+    return Object.assign(lane, {
+        item: { lane: complete, heapIndex: -1 },
+        urgentItem: { lane: complete, heapIndex: -1 },
+    });
 }
 
 function createQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, key: string): JobQueue {
@@ -311,22 +339,3 @@
     }
     return false;
 }
-
-function isJobBefore(first: JobRow, second: JobRow): boolean {
-    return first.orderKey < second.orderKey
-        || first.orderKey === second.orderKey && first.sequence < second.sequence;
-}
-
-/** Returns whether the first job of one queue comes before that of another. */
-function isQueueBefore(first: JobQueue, second: JobQueue): boolean {
-    const job = first.jobs.getFirst();
-    const other = second.jobs.getFirst();
-    return job !== undefined && (other === undefined || isJobBefore(job, other));
-}
-
-function isReservedBefore(first: QueueCandidate, second: QueueCandidate): boolean {
-    if (first.queue.priority !== second.queue.priority) {
-        return first.queue.priority === "urgent";
-    }
-    return isQueueBefore(first.queue, second.queue);
-}
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -13,15 +13,26 @@
     readonly resources: ResourceVector;
     /** `false` while no worker has room for this size. */
     isOpen: boolean;
-    /** Teams with active queues of this size. */
-    laneCount: number;
+    /** The lanes of all teams, the next to be placed at the top. */
+    readonly lanes: IndexedHeap<LaneItem>;
+    /** The same for lanes with urgent queues. */
+    readonly urgentLanes: IndexedHeap<LaneItem>;
 }
 
 /** The active queues of one team for one size. */
 export interface Lane {
+    readonly team: TeamRow;
     readonly shape: Shape;
     readonly urgent: IndexedHeap<JobQueue>;
     readonly normal: IndexedHeap<JobQueue>;
+    /** Its place among the lanes of the size, and among those with urgent queues. */
+    readonly item: LaneItem;
+    readonly urgentItem: LaneItem;
+}
+
+/** A lane in the order of all lanes of its size. */
+export interface LaneItem extends HeapItem {
+    readonly lane: Lane;
 }
 
 /**
@@ -57,7 +68,7 @@
 }
 
 /** A team: its share, limits and use. */
-export interface TeamRow extends HeapItem {
+export interface TeamRow {
     readonly team: TeamId;
     weight: number;
     limit: ResourceVector | undefined;
@@ -83,13 +94,11 @@
     weightedShare: number;
     /** The same of its urgent tasks alone. */
     urgentWeightedShare: number;
-    /** 0 for teams that come first in the order of the objective, and 1 for others. */
-    rank: number;
-    /** Order among teams of one rank. */
-    orderKey: number;
+    /** The team uses at least what its weight entitles it to when all active teams want capacity. */
+    isOverShare: boolean;
+    /** Its urgent work comes before the normal work of other teams. */
+    isUrgentFirst: boolean;
     readonly lanes: Map<Shape, Lane>;
-    /** Active urgent queues. */
-    urgentCount: number;
     readonly queues: Map<string, JobQueue>;
     readonly grantBlocked: Set<JobQueue>;
     /** Tasks that may be preempted, oldest first. Ended tasks stay until the list is pruned. */
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -26,7 +26,7 @@
     readonly tasks = new Table<TaskId, TaskRow>();
     /** Tasks by worker row. */
     readonly rowTasks: Set<TaskRow>[] = [];
-    readonly queues = new QueueBoard();
+    readonly queues: QueueBoard;
     readonly shares: TeamShares;
     readonly health: WorkerHealth;
     readonly estimates: RunTimeEstimates;
@@ -48,6 +48,7 @@
             maxReservations: options.maxReservations ?? 4,
             probeIntervalMs: options.probeIntervalMs ?? 15_000,
         };
+        this.queues = new QueueBoard(this.options.objective);
         this.shares = new TeamShares(this.workers, this.options.objective);
         this.health = new WorkerHealth(this.workers, this.options.probeIntervalMs);
         this.estimates = new RunTimeEstimates(this.options.defaultRunMs);
@@ -71,7 +72,7 @@
                 accelerators: resources.accelerators,
                 resources,
                 isOpen: true,
-                laneCount: 0,
+                ...this.queues.createLaneHeaps(),
             };
             this.pruneShapes();
             this.shapes.set(key, shape);
@@ -85,7 +86,7 @@
             return;
         }
         for (const [key, shape] of this.shapes) {
-            if (shape.laneCount === 0) {
+            if (shape.lanes.size === 0) {
                 this.shapes.delete(key);
             }
         }
@@ -187,6 +188,16 @@
         this.queues.resumeTeam(team, queue => fitsGrant(team, queue.shape, 1));
     }
 
+    /** Recomputes the shares of all teams, because totals, weights or demand may have changed. */
+    refreshShares(): void {
+        this.shares.refreshActiveWeight(this.teams.values());
+        for (const team of this.teams.values()) {
+            if (this.shares.update(team)) {
+                this.queues.sortTeam(team);
+            }
+        }
+    }
+
     /** Marks a task as stopping, so that its capacity counts as about to be released. */
     markStopping(task: TaskRow): void {
         if (task.state !== "stopping") {
@@ -291,7 +302,9 @@
             team.urgentMemory += sign * task.shape.memory;
             team.urgentAccelerators += sign * task.shape.accelerators;
         }
-        this.shares.update(team);
+        if (this.shares.update(team)) {
+            this.queues.sortTeam(team);
+        }
     }
 
     private addStopping(task: TaskRow, sign: 1 | -1): void {
@@ -337,13 +350,11 @@
         urgentAccelerators: 0,
         weightedShare: 0,
         urgentWeightedShare: 0,
-        rank: 0,
-        orderKey: 0,
+        isOverShare: false,
+        isUrgentFirst: true,
         lanes: new Map(),
-        urgentCount: 0,
         queues: new Map(),
         grantBlocked: new Set(),
         preemptible: [],
-        heapIndex: -1,
     };
 }
--- a/packages/placement/src/team-shares.ts
+++ b/packages/placement/src/team-shares.ts
@@ -3,7 +3,7 @@
  */
 import type { ResourceVector } from "@waxwingroute/core";
 import { zeroResources } from "@waxwingroute/core";
-import type { JobQueue, Shape, TeamRow } from "./rows.js";
+import type { Shape, TeamRow } from "./rows.js";
 import type { Objective } from "./types.js";
 import type { WorkerTable } from "./worker-table.js";
 
@@ -19,42 +19,31 @@
         this.objective = objective;
     }
 
-    /** Recomputes the shares of all teams, because totals or weights may have changed. */
-    refresh(teams: Iterable<TeamRow>): void {
+    /** Recomputes the sum of the weights of active teams. */
+    refreshActiveWeight(teams: Iterable<TeamRow>): void {
         this.activeWeight = 0;
         for (const team of teams) {
             if (team.waitingCount > 0 || team.runningCount > 0) {
                 this.activeWeight += team.weight;
             }
-            this.update(team);
         }
     }
 
-    /** Recomputes the share of a team after its use changed. */
-    update(team: TeamRow): void {
-        team.weightedShare = this.computeShare(team.usedCpu, team.usedMemory, team.usedAccelerators) / team.weight;
-        team.urgentWeightedShare = this.computeShare(team.urgentCpu, team.urgentMemory, team.urgentAccelerators)
-            / team.weight;
-    }
-
-    /** Sets the place of a team in the order of the objective; `waiting` needs the next queue of the team. */
-    updateOrder(team: TeamRow, next: JobQueue | undefined, isUrgentOnly: boolean): void {
-        const job = next?.jobs.getFirst();
-        if (this.objective === "waiting" && job !== undefined && !this.isOverShare(team)) {
-            team.rank = 0;
-            team.orderKey = job.orderKey;
-            return;
-        }
-        team.rank = 1;
-        team.orderKey = this.objective === "fairness" && isUrgentOnly ? team.urgentWeightedShare : team.weightedShare;
-    }
-
-    /**
-     * Returns whether urgent work of a team comes before normal work of others. For fairness it does so only while the
-     * urgent work alone is within the share of the team; its normal work then waits instead.
-     */
-    allowsUrgentFirst(team: TeamRow): boolean {
-        return this.objective === "waiting" || team.urgentWeightedShare * this.activeWeight < 1;
+    /** Recomputes the share of a team and returns whether its place in the order may have changed. */
+    update(team: TeamRow): boolean {
+        const share = this.computeShare(team.usedCpu, team.usedMemory, team.usedAccelerators) / team.weight;
+        const urgentShare = this.computeShare(team.urgentCpu, team.urgentMemory, team.urgentAccelerators) / team.weight;
+        const isOverShare = share * this.activeWeight >= 1;
+        // For fairness, urgent work comes first only while it alone is within the share of its team; the normal work of
+        // the team then waits instead.
+        const isUrgentFirst = this.objective === "waiting" || urgentShare * this.activeWeight < 1;
+        const hasChanged = share !== team.weightedShare || urgentShare !== team.urgentWeightedShare
+            || isOverShare !== team.isOverShare || isUrgentFirst !== team.isUrgentFirst;
+        team.weightedShare = share;
+        team.urgentWeightedShare = urgentShare;
+        team.isOverShare = isOverShare;
+        team.isUrgentFirst = isUrgentFirst;
+        return hasChanged;
     }
 
     /** Returns whether a team uses at least what its weight entitles it to when all active teams want capacity. */
