--- a/packages/placement/src/placement-system.ts
+++ b/packages/placement/src/placement-system.ts
@@ -1,10 +1,9 @@
 /**
  * Starts waiting work: urgent queues first, then teams in the order of the objective.
  */
-import { IndexedHeap } from "./indexed-heap.js";
 import type { PlacementPolicy } from "./policies.js";
 import { createPolicies } from "./policies.js";
-import type { JobQueue, JobRow, TeamRow } from "./rows.js";
+import type { JobQueue, JobRow } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant } from "./team-shares.js";
 import type { JobKind } from "./types.js";
@@ -16,7 +15,6 @@
 export class PlacementSystem {
     private readonly state: PlacementState;
     private readonly policies: Readonly<Record<JobKind, PlacementPolicy>>;
-    private readonly order = new IndexedHeap<TeamRow>(isTeamBefore);
 
     constructor(state: PlacementState) {
         this.state = state;
@@ -24,43 +22,19 @@
     }
 
     run(): void {
-        this.runPass(team => this.selectUrgent(team));
-        this.runPass(team => team.urgent.getFirst() ?? team.normal.getFirst());
+        this.runPass(true);
+        this.runPass(false);
     }
 
-    /** Returns the number of tasks of a job that start together. */
-    countTogether(job: JobRow): number {
-        return this.policies[job.kind].countTogether(job);
-    }
-
-    private selectUrgent(team: TeamRow): JobQueue | undefined {
-        // For fairness, urgency does not lift a team above its share while others wait.
-        return this.state.options.objective === "fairness" && this.state.shares.isOverShare(team)
-            ? undefined
-            : team.urgent.getFirst();
-    }
-
-    private runPass(select: (team: TeamRow) => JobQueue | undefined): void {
-        const { shares } = this.state;
-        for (const team of this.state.teams.values()) {
-            const queue = select(team);
-            if (queue !== undefined) {
-                shares.updateOrder(team, queue);
-                this.order.push(team);
-            }
-        }
-        for (let team = this.order.getFirst(); team !== undefined; team = this.order.getFirst()) {
-            const queue = this.state.isBudgetExhausted ? undefined : select(team);
+    /** Places the next queues, in the first pass only urgent ones. */
+    private runPass(isUrgentOnly: boolean): void {
+        const { queues } = this.state;
+        while (!this.state.isBudgetExhausted) {
+            const queue = queues.findNext(isUrgentOnly);
             if (queue === undefined) {
-                this.order.remove(team);
-                continue;
+                return;
             }
             this.placeFirst(queue);
-            const next = select(team);
-            if (next !== undefined) {
-                shares.updateOrder(team, next);
-                this.order.update(team);
-            }
         }
     }
 
@@ -74,14 +48,13 @@
         }
         const outcome = policy.placeNext(job);
         if (outcome === "full") {
-            queues.setState(queue, "capacity");
+            queues.closeShape(queue.shape);
         }
-        else if (outcome === "unclear") {
+        else if (outcome === "unclear" && queue.kind === "gang") {
             queues.pause(queue, now + retryDelayMs);
         }
+        else if (outcome === "unclear") {
+            queues.closeShape(queue.shape, now + retryDelayMs);
+        }
     }
 }
-
-function isTeamBefore(first: TeamRow, second: TeamRow): boolean {
-    return first.rank < second.rank || first.rank === second.rank && first.orderKey < second.orderKey;
-}
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -11,17 +11,37 @@
     readonly memory: number;
     readonly accelerators: number;
     readonly resources: ResourceVector;
-    /** Queues that wait until a worker has grown enough for this size. */
-    readonly parked: Set<JobQueue>;
+    /** `false` while no worker has room for this size. */
+    isOpen: boolean;
+    /** The lanes of all teams, the next to be placed at the top. */
+    readonly lanes: IndexedHeap<LaneItem>;
+    /** The same for lanes with urgent queues. */
+    readonly urgentLanes: IndexedHeap<LaneItem>;
+}
+
+/** The active queues of one team for one size. */
+export interface Lane {
+    readonly team: TeamRow;
+    readonly shape: Shape;
+    readonly urgent: IndexedHeap<JobQueue>;
+    readonly normal: IndexedHeap<JobQueue>;
+    /** Its place among the lanes of the size, and among those with urgent queues. */
+    readonly item: LaneItem;
+    readonly urgentItem: LaneItem;
+}
+
+/** A lane in the order of all lanes of its size. */
+export interface LaneItem extends HeapItem {
+    readonly lane: Lane;
 }
 
 /**
- * - `active`: in the heap of its team.
- * - `capacity`: no worker has room.
+ * - `active`: in a lane of its team; it can be placed when its size is open.
+ * - `paused`: not tried before `retryAt`, because it is a gang that did not fit or that has a reservation.
  * - `grant`: the grant of the team has no room.
  * - `empty`: no job has startable tasks.
  */
-export type QueueState = "active" | "capacity" | "grant" | "empty";
+export type QueueState = "active" | "paused" | "grant" | "empty";
 
 /** Jobs of one team, priority, kind and size. Either the first of them can be placed or none can. */
 export interface JobQueue extends HeapItem {
@@ -33,12 +53,22 @@
     /** Key in the queues of the team. */
     readonly key: string;
     state: QueueState;
-    /** The next attempt to place or to reserve is not before this time, because the last one failed. */
+    /** End of the state `paused`. */
+    retryAt: number;
+    /** Time before which no preemption is planned for the queue, because none was possible. */
+    preemptAt: number;
+    readonly candidate: QueueCandidate;
+}
+
+/** A queue in the order of reservations. */
+export interface QueueCandidate extends HeapItem {
+    readonly queue: JobQueue;
+    /** Time until which it is not considered, because the last attempt failed. */
     retryAt: number;
 }
 
 /** A team: its share, limits and use. */
-export interface TeamRow extends HeapItem {
+export interface TeamRow {
     readonly team: TeamId;
     weight: number;
     limit: ResourceVector | undefined;
@@ -56,14 +86,19 @@
     waitingAccelerators: number;
     waitingCount: number;
     runningCount: number;
+    /** Part of the use by urgent tasks. */
+    urgentCpu: number;
+    urgentMemory: number;
+    urgentAccelerators: number;
     /** Dominant share of what the team uses, divided by its weight. */
     weightedShare: number;
-    /** 0 for teams that come first in the order of the objective, and 1 for others. */
-    rank: number;
-    /** Order among teams of one rank. */
-    orderKey: number;
-    readonly urgent: IndexedHeap<JobQueue>;
-    readonly normal: IndexedHeap<JobQueue>;
+    /** The same of its urgent tasks alone. */
+    urgentWeightedShare: number;
+    /** The team uses at least what its weight entitles it to when all active teams want capacity. */
+    isOverShare: boolean;
+    /** Its urgent work comes before the normal work of other teams. */
+    isUrgentFirst: boolean;
+    readonly lanes: Map<Shape, Lane>;
     readonly queues: Map<string, JobQueue>;
     readonly grantBlocked: Set<JobQueue>;
     /** Tasks that may be preempted, oldest first. Ended tasks stay until the list is pruned. */
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -4,12 +4,11 @@
  */
 import { Table, toTaskId } from "@waxwingroute/core";
 import type { JobId, ResourceVector, TaskId, TeamId } from "@waxwingroute/core";
-import { IndexedHeap } from "./indexed-heap.js";
-import { isQueueBefore, QueueBoard } from "./queues.js";
+import { QueueBoard } from "./queues.js";
 import type { JobRow, Reservation, Shape, TaskRow, TaskState, TeamRow } from "./rows.js";
 import { countStartable, countWaiting, takeNextIndex } from "./rows.js";
 import { RunTimeEstimates } from "./run-time-estimates.js";
-import { TeamShares } from "./team-shares.js";
+import { fitsGrant, TeamShares } from "./team-shares.js";
 import type { Decision, PlacementOptions, PreemptDecision, StartReason } from "./types.js";
 import { WorkerHealth } from "./worker-health.js";
 import { WorkerTable } from "./worker-table.js";
@@ -27,7 +26,7 @@
     readonly tasks = new Table<TaskId, TaskRow>();
     /** Tasks by worker row. */
     readonly rowTasks: Set<TaskRow>[] = [];
-    readonly queues = new QueueBoard();
+    readonly queues: QueueBoard;
     readonly shares: TeamShares;
     readonly health: WorkerHealth;
     readonly estimates: RunTimeEstimates;
@@ -38,6 +37,7 @@
     readonly tasksToStop: TaskRow[] = [];
     private readonly shapes = new Map<string, Shape>();
     private placementCount = 0;
+    private nextPruneSize = 1024;
 
     constructor(options: PlacementOptions) {
         this.options = {
@@ -48,6 +48,7 @@
             maxReservations: options.maxReservations ?? 4,
             probeIntervalMs: options.probeIntervalMs ?? 15_000,
         };
+        this.queues = new QueueBoard(this.options.objective);
         this.shares = new TeamShares(this.workers, this.options.objective);
         this.health = new WorkerHealth(this.workers, this.options.probeIntervalMs);
         this.estimates = new RunTimeEstimates(this.options.defaultRunMs);
@@ -70,13 +71,28 @@
                 memory: resources.memoryMb,
                 accelerators: resources.accelerators,
                 resources,
-                parked: new Set(),
+                isOpen: true,
+                ...this.queues.createLaneHeaps(),
             };
+            this.pruneShapes();
             this.shapes.set(key, shape);
         }
         return shape;
     }
 
+    /** Forgets sizes that nobody waits for; running tasks keep their own reference. */
+    private pruneShapes(): void {
+        if (this.shapes.size < this.nextPruneSize) {
+            return;
+        }
+        for (const [key, shape] of this.shapes) {
+            if (shape.lanes.size === 0) {
+                this.shapes.delete(key);
+            }
+        }
+        this.nextPruneSize = 1024 + 2 * this.shapes.size;
+    }
+
     /** Adds waiting tasks of a job to the demand of its team; `count` may be negative. */
     addDemand(job: JobRow, count: number): void {
         const team = job.team;
@@ -164,7 +180,22 @@
         if (job.kind === "service") {
             this.addSpread(task, -1);
         }
-        this.queues.resumeTeam(job.team);
+        this.resumeTeam(job.team);
+    }
+
+    /** Brings back the queues of a team that fit its grant again. */
+    resumeTeam(team: TeamRow): void {
+        this.queues.resumeTeam(team, queue => fitsGrant(team, queue.shape, 1));
+    }
+
+    /** Recomputes the shares of all teams, because totals, weights or demand may have changed. */
+    refreshShares(): void {
+        this.shares.refreshActiveWeight(this.teams.values());
+        for (const team of this.teams.values()) {
+            if (this.shares.update(team)) {
+                this.queues.sortTeam(team);
+            }
+        }
     }
 
     /** Marks a task as stopping, so that its capacity counts as about to be released. */
@@ -185,7 +216,11 @@
     addReservation(reservation: Reservation): void {
         this.reservations.add(reservation);
         reservation.job.reservations.add(reservation);
-        this.queues.candidates.remove(reservation.job.queue);
+        this.queues.candidates.remove(reservation.job.queue.candidate);
+        if (reservation.purpose === "gang") {
+            // The gang starts on what it holds, and is not searched for elsewhere.
+            this.queues.pause(reservation.job.queue, Infinity);
+        }
         for (const part of reservation.parts) {
             this.workers.addHolds(part.row, reservation.job.shape, part.count);
         }
@@ -201,6 +236,9 @@
             this.workers.addHolds(part.row, job.shape, -part.count);
         }
         this.queues.addCandidate(job.queue);
+        if (reservation.purpose === "gang" && job.queue.state === "paused") {
+            this.queues.setState(job.queue, "active");
+        }
     }
 
     /** Notes whether the start window of a job should become larger. */
@@ -259,7 +297,14 @@
         team.usedMemory += sign * task.shape.memory;
         team.usedAccelerators += sign * task.shape.accelerators;
         team.runningCount += sign;
-        this.shares.update(team);
+        if (task.job.priority === "urgent") {
+            team.urgentCpu += sign * task.shape.cpu;
+            team.urgentMemory += sign * task.shape.memory;
+            team.urgentAccelerators += sign * task.shape.accelerators;
+        }
+        if (this.shares.update(team)) {
+            this.queues.sortTeam(team);
+        }
     }
 
     private addStopping(task: TaskRow, sign: 1 | -1): void {
@@ -300,14 +345,16 @@
         waitingAccelerators: 0,
         waitingCount: 0,
         runningCount: 0,
+        urgentCpu: 0,
+        urgentMemory: 0,
+        urgentAccelerators: 0,
         weightedShare: 0,
-        rank: 0,
-        orderKey: 0,
-        urgent: new IndexedHeap(isQueueBefore),
-        normal: new IndexedHeap(isQueueBefore),
+        urgentWeightedShare: 0,
+        isOverShare: false,
+        isUrgentFirst: true,
+        lanes: new Map(),
         queues: new Map(),
         grantBlocked: new Set(),
         preemptible: [],
-        heapIndex: -1,
     };
 }
