--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -20,3 +20,4 @@
     RequestSubmission,
     Step,
 } from "./types.js";
+export { readWorldFile } from "./world-file.js";
--- a/packages/scenario/src/operator-client.ts
+++ b/packages/scenario/src/operator-client.ts
@@ -32,28 +32,28 @@
         return key === undefined ? this.findTeamSecret(this.teamByQueue.get(queue)) : this.keys.get(key)?.secret;
     }
 
-    async create({ resource, name, spec }: ResourceWrite): Promise<Result<void, Failure>> {
+    async create({ resource, name, spec, at }: ResourceWrite): Promise<Result<void, Failure>> {
         const content = { kind: resource, name, spec };
-        const result = await this.send({ operation: "create", method: "POST", path: toPath(resource), content });
+        const result = await this.send({ operation: "create", method: "POST", path: toPath(resource), content }, at);
         return result.map(created => this.recordCreated(resource, name, spec, created));
     }
 
-    async replace({ resource, name, spec }: ResourceWrite): Promise<Result<void, Failure>> {
+    async replace({ resource, name, spec, at }: ResourceWrite): Promise<Result<void, Failure>> {
         const path = `${toPath(resource)}/${name}`;
-        const found = await this.send({ operation: "get", method: "GET", path });
+        const found = await this.send({ operation: "get", method: "GET", path }, at);
         if (!found.ok) {
             return found;
         }
         const { version } = found.val as { version: number; };
         const content = { kind: resource, name, version, spec };
-        const result = await this.send({ operation: "update", method: "PUT", path, content });
+        const result = await this.send({ operation: "update", method: "PUT", path, content }, at);
         return result.map(() => undefined);
     }
 
     /** Deletes a key. Its secret is kept, so that the scenario can go on presenting it. */
-    async revokeKey(name: string): Promise<Result<void, Failure>> {
+    async revokeKey(name: string, at?: string): Promise<Result<void, Failure>> {
         const path = `${toPath("Key")}/${name}`;
-        const result = await this.send({ operation: "delete", method: "DELETE", path });
+        const result = await this.send({ operation: "delete", method: "DELETE", path }, at);
         return result.map(() => undefined);
     }
 
--- a/packages/scenario/src/process-world.ts
+++ b/packages/scenario/src/process-world.ts
@@ -169,8 +169,8 @@
         return mode === "create" ? this.operator.create(write) : this.operator.replace(write);
     }
 
-    revokeKey(name: string): Promise<Result<void, Failure>> {
-        return this.operator.revokeKey(name);
+    revokeKey(name: string, at?: string): Promise<Result<void, Failure>> {
+        return this.operator.revokeKey(name, at);
     }
 
     async submitJob(job: JobSubmission): Promise<Result<void, Failure>> {
--- a/packages/scenario/src/run-scenario.ts
+++ b/packages/scenario/src/run-scenario.ts
@@ -110,7 +110,7 @@
             ({ target, count }) => world.applyControl({ action: "lose-answers", target, count }),
         )
         .with({ kind: "expireLease" }, ({ task }) => expireLease(task, world))
-        .with({ kind: "revokeKey" }, ({ name }) => world.revokeKey(name))
+        .with({ kind: "revokeKey" }, ({ name, at }) => world.revokeKey(name, at))
         .with({ kind: "declare" }, write => world.writeResource(write, "create"))
         .with({ kind: "change" }, write => world.writeResource(write, "replace"))
         .with(
--- a/packages/scenario/src/scenario-world.ts
+++ b/packages/scenario/src/scenario-world.ts
@@ -43,6 +43,8 @@
     readonly resource: string;
     readonly name: string;
     readonly spec: Readonly<Record<string, unknown>>;
+    /** Host whose operator process to call. Default: each in turn. */
+    readonly at?: string;
 }
 
 /** The world of a scenario. A method fails when its step cannot be carried out, which ends the scenario. */
@@ -66,7 +68,7 @@
     abstract applyControl(command: ControlCommand): Promise<Result<void, Failure>>;
     /** Creates a resource, or replaces it. */
     abstract writeResource(write: ResourceWrite, mode: "create" | "replace"): Promise<Result<void, Failure>>;
-    abstract revokeKey(name: string): Promise<Result<void, Failure>>;
+    abstract revokeKey(name: string, at?: string): Promise<Result<void, Failure>>;
     abstract submitJob(job: JobSubmission): Promise<Result<void, Failure>>;
     /** Sends requests without waiting for their answers. */
     abstract submitRequests(submission: RequestSubmission): Promise<Result<void, Failure>>;
--- a/packages/scenario/src/scenario.peggy
+++ b/packages/scenario/src/scenario.peggy
@@ -48,11 +48,17 @@
 
 lapse = "lapse" _ "the" _ "lease" _ "of" _ "task" _ task:name { return { kind: "expireLease", task }; }
 
-withdraw = "withdraw" _ "key" _ name:name { return { kind: "revokeKey", name }; }
+withdraw = "withdraw" _ "key" _ name:name at:at? { return { kind: "revokeKey", name, at: at ?? undefined }; }
 
-declare = "declare" _ resource:resourceKind _ name:name _ spec:json { return { kind: "declare", resource, name, spec }; }
+declare = "declare" _ resource:resourceKind _ name:name at:at? _ spec:json {
+    return { kind: "declare", resource, name, spec, at: at ?? undefined };
+}
+
+change = "change" _ resource:resourceKind _ name:name at:at? _ spec:json {
+    return { kind: "change", resource, name, spec, at: at ?? undefined };
+}
 
-change = "change" _ resource:resourceKind _ name:name _ spec:json { return { kind: "change", resource, name, spec }; }
+at = _ "at" _ @name
 
 drain
     = "drain" _ name:name { return { kind: "drain", name, isDraining: true }; }
--- a/packages/scenario/src/types.ts
+++ b/packages/scenario/src/types.ts
@@ -95,12 +95,13 @@
     | { readonly kind: "slow"; readonly target: string; readonly delayMs: number; }
     | { readonly kind: "loseAnswers"; readonly target: string; readonly count: number; }
     | { readonly kind: "expireLease"; readonly task: string; }
-    | { readonly kind: "revokeKey"; readonly name: string; }
+    | { readonly kind: "revokeKey"; readonly name: string; readonly at?: string; }
     | {
         readonly kind: "declare" | "change";
         readonly resource: string;
         readonly name: string;
         readonly spec: Readonly<Record<string, unknown>>;
+        readonly at?: string;
     }
     | { readonly kind: "drain"; readonly name: string; readonly isDraining: boolean; }
     | {
