--- a/packages/scenario/src/main.ts
+++ b/packages/scenario/src/main.ts
@@ -3,7 +3,7 @@
  * The program `waxwing-scenario`: runs scenario files over real processes, each in a world of its own.
  */
 import { defineCommand, runMain } from "citty";
-import { basename } from "node:path";
+import { basename, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { ProcessWorld } from "./process-world.js";
 import { runScenarioFile } from "./run-scenario.js";
@@ -27,7 +27,11 @@
             valueHint: "DIRECTORY",
             description: "directory of the built packages (default: this workspace's)",
         },
-        logs: { type: "string", valueHint: "DIRECTORY", description: "directory that keeps settings and logs" },
+        logs: {
+            type: "string",
+            valueHint: "DIRECTORY",
+            description: "directory that keeps settings and logs, one directory for each scenario",
+        },
         steps: { type: "boolean", default: false, description: "print each step as it runs" },
         files: { type: "positional", required: true, valueHint: "SCENARIO...", description: "scenario files" },
     },
@@ -40,7 +44,10 @@
         }
         let failed = 0;
         for (const file of args._) {
-            const world = new ProcessWorld({ ...options.val, directory: args.logs });
+            const world = new ProcessWorld({
+                ...options.val,
+                directory: args.logs === undefined ? undefined : join(args.logs, basename(file, ".scenario")),
+            });
             failed += Number(!await runFile(file, world, args.steps));
         }
         print(`${args._.length - failed} passed, ${failed} failed`);
--- a/packages/scenario/src/process-world.ts
+++ b/packages/scenario/src/process-world.ts
@@ -5,7 +5,7 @@
 import type { Failure, Result, WorkerId } from "@waxwingroute/core";
 import { createFailure, Err, Ok, SystemClock, SystemRandom } from "@waxwingroute/core";
 import type { ControlCommand, LayoutInput, StandInAddresses } from "@waxwingroute/stand-ins";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { CallerClient } from "./caller-client.js";
@@ -37,7 +37,7 @@
     readonly shards?: number;
     /** Fields of the settings file, over the defaults. */
     readonly settings?: Readonly<Record<string, unknown>>;
-    /** Directory for settings and logs. Default: a new one below the system's, removed when the world closes. */
+    /** Directory for settings and logs. Created if missing. Default: a new one below the system's, removed at the end. */
     readonly directory?: string;
     /** Milliseconds within which a program ends after SIGTERM. Default 15,000. */
     readonly stopMs?: number;
@@ -92,6 +92,7 @@
 
     /** Starts the stand-in process and writes the settings of each host. Starts no program of the system. */
     async open(): Promise<void> {
+        mkdirSync(this.directory, { recursive: true });
         await this.standIn.start();
         await this.plan.open();
         for (const host of this.plan.hosts) {
