--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -22,3 +22,4 @@
     RequestSubmission,
     Step,
 } from "./types.js";
+export { readWorldFile } from "./world-file.js";
