bench: Measure the request path over real processes

For the measurement, scenario tells process ids and bytes of links, and the stand-in store counts calls by operation and prefix.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { readFileSync } from "node:fs";
 import { runDecisionCost } from "./decision-cost.js";
 import { runPacking } from "./packing.js";
+import { listProcessSections, processSections } from "./process-sections.js";
 import type { BenchReport, SectionReport } from "./report.js";
 import { compareReports, formatSection } from "./report.js";
 import { runShareError } from "./share-error.js";
@@ -18,6 +19,8 @@
     shares: runShareError,
 };
 
+const allNames = [...Object.keys(sections), ...Object.keys(processSections)];
+
 const command = defineCommand({
     meta: {
         name: "waxwing-bench",
@@ -26,18 +29,18 @@
     args: {
         seed: { type: "string", default: "1", description: "Seed of the generated workers and work" },
         output: { type: "string", default: "text", description: "text or json" },
-        only: { type: "string", description: `Run one section: ${Object.keys(sections).join(", ")}` },
+        only: { type: "string", description: `Run one section: ${allNames.join(", ")}` },
         baseline: { type: "string", description: "JSON file of an earlier run to compare with" },
     },
-    run: ({ args }) => {
+    run: async ({ args }) => {
         const seed = Number(args.seed);
-        const names = args.only === undefined ? Object.keys(sections) : [args.only];
-        const unknown = names.find(name => sections[name] === undefined);
+        const names = args.only === undefined ? [...Object.keys(sections), ...listProcessSections()] : [args.only];
+        const unknown = names.find(name => !allNames.includes(name));
         if (!Number.isSafeInteger(seed)) {
             fail(`--seed "${args.seed}" is not an integer`);
         }
         if (unknown !== undefined) {
-            fail(`--only "${unknown}" is not one of ${Object.keys(sections).join(", ")}`);
+            fail(`--only "${unknown}" is not one of ${allNames.join(", ")}`);
         }
         if (args.output !== "text" && args.output !== "json") {
             fail(`--output "${args.output}" is not text or json`);
@@ -45,7 +48,7 @@
         const baseline = args.baseline === undefined ? undefined : readReport(args.baseline);
         const reports: SectionReport[] = [];
         for (const name of names) {
-            const report = sections[name]?.(seed) as SectionReport;
+            const report = (sections[name]?.(seed) ?? await processSections[name]?.run()) as SectionReport;
             reports.push(report);
             if (args.output === "text") {
                 print(formatSection(report));
--- /dev/null
+++ b/packages/bench/src/process-sections.ts
@@ -0,0 +1,20 @@
+/**
+ * The sections that start real processes.
+ */
+import type { SectionReport } from "./report.js";
+import { runRequestPath } from "./request-path.js";
+
+export interface ProcessSection {
+    readonly run: () => Promise<SectionReport>;
+    /** Whether a run without `--only` includes it. */
+    readonly isDefault: boolean;
+}
+
+export const processSections: Readonly<Record<string, ProcessSection>> = {
+    path: { run: runRequestPath, isDefault: true },
+};
+
+/** Returns the names of the sections that a run without `--only` includes. */
+export function listProcessSections(): readonly string[] {
+    return Object.entries(processSections).filter(([, section]) => section.isDefault).map(([name]) => name);
+}
--- a/packages/scenario/src/child-program.ts
+++ b/packages/scenario/src/child-program.ts
@@ -34,6 +34,11 @@
         return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
     }
 
+    /** Id of the running process; `undefined` while it does not run. */
+    get processId(): number | undefined {
+        return this.isRunning ? this.child?.pid : undefined;
+    }
+
     start(): Result<void, Failure> {
         const { name, main, args, logFile } = this.options;
         if (this.isRunning) {
--- a/packages/scenario/src/cluster-plan.ts
+++ b/packages/scenario/src/cluster-plan.ts
@@ -24,6 +24,13 @@
     readonly relay: LinkRelay;
 }
 
+/** Bytes carried between the programs of host `from` and the scheduler of host `to`. */
+export interface LinkBytes {
+    readonly from: string;
+    readonly to: string;
+    readonly bytes: number;
+}
+
 /** All processes of a world listen on this address. */
 export const address = "127.0.0.1";
 
@@ -80,6 +87,11 @@
         return links.length;
     }
 
+    /** Returns the bytes that each link between two hosts has carried, in both directions. */
+    listLinkBytes(): readonly LinkBytes[] {
+        return this.links.map(({ from, to, relay }) => ({ from, to, bytes: relay.byteCount }));
+    }
+
     /** Creates the settings that the programs of a host get: other hosts' schedulers are behind the relays. */
     createSettings(
         viewer: string,
--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -1,7 +1,7 @@
 /** A small language for failure scenarios, its parser and its runner. */
 export { ChildProgram } from "./child-program.js";
 export type { ChildProgramOptions } from "./child-program.js";
-export type { EntryHost } from "./cluster-plan.js";
+export type { EntryHost, LinkBytes } from "./cluster-plan.js";
 export { InProcessSystem, InProcessWorld } from "./in-process-world.js";
 export type { InProcessWorldOptions } from "./in-process-world.js";
 export { parseScenario } from "./parse-scenario.js";
--- a/packages/scenario/src/link-relay.ts
+++ b/packages/scenario/src/link-relay.ts
@@ -18,6 +18,7 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private isOpen = true;
+    private bytes = 0;
 
     constructor(private readonly options: LinkRelayOptions) {
         this.server = createServer(incoming => this.accept(incoming));
@@ -28,6 +29,11 @@
         return (this.server.address() as AddressInfo).port;
     }
 
+    /** Bytes forwarded in both directions since it was created. */
+    get byteCount(): number {
+        return this.bytes;
+    }
+
     /** Begins to listen on a free port. */
     listen(): Promise<void> {
         return new Promise((resolve, reject) => {
@@ -66,7 +72,8 @@
     }
 
     private forward(from: Socket, to: Socket): void {
-        from.on("data", chunk => {
+        from.on("data", (chunk: Buffer) => {
+            this.bytes += chunk.length;
             if (this.isOpen && !to.write(chunk)) {
                 from.pause();
                 to.once("drain", () => from.resume());
--- a/packages/scenario/src/process-world.ts
+++ b/packages/scenario/src/process-world.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { CallerClient } from "./caller-client.js";
 import { ChildProgram } from "./child-program.js";
-import type { EntryHost } from "./cluster-plan.js";
+import type { EntryHost, LinkBytes } from "./cluster-plan.js";
 import { address, ClusterPlan } from "./cluster-plan.js";
 import { ClientPool } from "./http-exchange.js";
 import { OperatorClient } from "./operator-client.js";
@@ -104,6 +104,20 @@
         return `http://${address}:${this.plan.getPorts(host)[port]}`;
     }
 
+    /** Returns the ids of the running programs by name. */
+    listProcessIds(): ReadonlyMap<string, number> {
+        return new Map(
+            [...this.programs].flatMap(([name, { processId }]) =>
+                processId === undefined ? [] : [[name, processId] as const]
+            ),
+        );
+    }
+
+    /** Returns the bytes that each link between two hosts has carried, in both directions. */
+    listLinkBytes(): readonly LinkBytes[] {
+        return this.plan.listLinkBytes();
+    }
+
     getNow(): number {
         return this.clock.getNow();
     }
--- a/packages/stand-ins/src/records-report.ts
+++ b/packages/stand-ins/src/records-report.ts
@@ -13,12 +13,13 @@
     TaskInTwoPlaces,
     TaskRun,
 } from "./records.js";
-import type { StoreCounts } from "./store-state.js";
+import type { StoreCalls, StoreCounts } from "./store-state.js";
 
 /** Everything that a stand-in process recorded. Times in milliseconds of its monotonic clock. */
 export interface RecordsReport {
     readonly now: number;
     readonly store: StoreCounts;
+    readonly storeCalls: StoreCalls;
     readonly overcommits: readonly Overcommit[];
     readonly tasksInTwoPlaces: readonly TaskInTwoPlaces[];
     readonly repeatedStarts: readonly RepeatedStart[];
@@ -45,6 +46,7 @@
     return {
         now: clock.getNow(),
         store: store.state.counts,
+        storeCalls: store.state.calls,
         overcommits: records.overcommits,
         tasksInTwoPlaces: records.tasksInTwoPlaces,
         repeatedStarts: records.repeatedStarts,
--- a/packages/stand-ins/src/store-state.ts
+++ b/packages/stand-ins/src/store-state.ts
@@ -6,6 +6,9 @@
 import type { StoreChange, StoreEntry, StoreRange, StoreWatchResult, StoreWrite } from "@waxwingroute/platform";
 import { wire } from "@waxwingroute/platform";
 
+/** Number of calls by operation and first part of the key, for example `write owner`. */
+export type StoreCalls = Readonly<Record<string, number>>;
+
 /** Calls that reached the store. */
 export interface StoreCounts {
     reads: number;
@@ -32,6 +35,7 @@
 /** The state of one store. */
 export class StoreState {
     readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0, conflicts: 0, bytesWritten: 0, bytesRead: 0 };
+    private readonly callCounts = new Map<string, number>();
     private readonly rows = new Map<string, Row>();
     private readonly watchers = new Set<Watcher>();
     private history: StoreChange[] = [];
@@ -41,7 +45,13 @@
     /** `historyLength`: number of changes kept for watches. */
     constructor(private readonly clock: Clock, private readonly historyLength = 10_000) {}
 
+    /** Calls by cause. */
+    get calls(): StoreCalls {
+        return Object.fromEntries(this.callCounts);
+    }
+
     read(key: string): Result<StoreEntry | undefined, Failure> {
+        this.countCall("read", key);
         this.counts.reads++;
         const row = this.rows.get(key);
         this.counts.bytesRead += row?.value.length ?? 0;
@@ -49,12 +59,14 @@
     }
 
     readToken(key: string): Result<{ token: WriterToken; revision: number; } | undefined, Failure> {
+        this.countCall("read", key);
         this.counts.reads++;
         const row = this.rows.get(key);
         return Ok(row === undefined ? undefined : { token: row.token, revision: row.revision });
     }
 
     readRange(prefix: string): Result<StoreRange, Failure> {
+        this.countCall("read", prefix);
         this.counts.reads++;
         const entries = [...this.rows.entries()]
             .filter(([key]) => key.startsWith(prefix))
@@ -65,6 +77,7 @@
     }
 
     write(write: StoreWrite): Result<number, Failure> {
+        this.countCall("write", write.key);
         this.counts.writes++;
         const bytes = Buffer.byteLength(write.value);
         if (bytes > wire.maxStoreValueBytes) {
@@ -84,6 +97,7 @@
     }
 
     delete(key: string, revision: number): Result<number, Failure> {
+        this.countCall("write", key);
         this.counts.writes++;
         const current = this.rows.get(key)?.revision;
         if (current !== revision) {
@@ -97,6 +111,7 @@
 
     /** Resolves with the changes after `revision`, at once if there are some, else with the first one or after `waitMs`. */
     async watch(prefix: string, revision: number, waitMs: number): Promise<Result<StoreWatchResult, Failure>> {
+        this.countCall("watch", prefix);
         this.counts.watches++;
         if (revision < this.compactedThrough) {
             const message = `the store no longer keeps revision ${revision}; the oldest is ${this.compactedThrough}`;
@@ -116,6 +131,11 @@
         this.compactedThrough = this.revision;
     }
 
+    private countCall(operation: "read" | "write" | "watch", key: string): void {
+        const cause = `${operation} ${key.split("/")[0] ?? ""}`;
+        this.callCounts.set(cause, (this.callCounts.get(cause) ?? 0) + 1);
+    }
+
     private waitForChange(prefix: string, waitMs: number): Promise<void> {
         return new Promise(resolve => {
             const wake = () => {
