--- a/packages/bench/src/process-sections.ts
+++ b/packages/bench/src/process-sections.ts
@@ -1,6 +1,7 @@
 /**
  * The sections that start real processes.
  */
+import { runRecovery } from "./recovery.js";
 import type { SectionReport } from "./report.js";
 import { runRequestPath } from "./request-path.js";
 
@@ -12,6 +13,8 @@
 
 export const processSections: Readonly<Record<string, ProcessSection>> = {
     path: { run: runRequestPath, isDefault: true },
+    // Takes minutes.
+    recovery: { run: runRecovery, isDefault: false },
 };
 
 /** Returns the names of the sections that a run without `--only` includes. */
