--- a/packages/scenario/src/cluster-plan.ts
+++ b/packages/scenario/src/cluster-plan.ts
@@ -31,6 +31,13 @@
 export const address = `127.${64 + (process.pid >>> 14 & 63)}.${1 + (process.pid >>> 7 & 127)}.${
     1 + (process.pid & 127)
 }`;
+/** Bytes carried between the programs of host `from` and the scheduler of host `to`. */
+export interface LinkBytes {
+    readonly from: string;
+    readonly to: string;
+    readonly bytes: number;
+}
+
 
 /** Ports and relays of the entry hosts. Every connection between schedulers of two hosts runs through a relay. */
 export class ClusterPlan {
@@ -85,6 +92,11 @@
         return links.length;
     }
 
+    /** Returns the bytes that each link between two hosts has carried, in both directions. */
+    listLinkBytes(): readonly LinkBytes[] {
+        return this.links.map(({ from, to, relay }) => ({ from, to, bytes: relay.byteCount }));
+    }
+
     /** Creates the settings that the programs of a host get: other hosts' schedulers are behind the relays. */
     createSettings(
         viewer: string,
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -3,7 +3,7 @@
  */
 import { createFailure, Err, getShardZone, Ok } from "@waxwingroute/core";
 import type { Failure, HostId, IncarnationId, Result } from "@waxwingroute/core";
-import { Journal, readJournalJobs } from "@waxwingroute/journal";
+import { Journal, readJournal } from "@waxwingroute/journal";
 import type { JobTable } from "@waxwingroute/journal";
 import { OwnershipDriver } from "@waxwingroute/ownership";
 import type { OwnershipPeers } from "@waxwingroute/ownership";
@@ -181,11 +181,11 @@
 
     private async readJournalCopy(): Promise<JobTable | undefined> {
         const { shard, logger } = this.options.context;
-        const read = await readJournalJobs(this.mirror, shard);
+        const read = await readJournal(this.mirror, shard);
         if (read.err) {
             logger.write("warn", "no copy of the journal", { shard, code: read.val.code, error: read.val.message });
         }
-        return read.ok ? read.val : undefined;
+        return read.ok ? read.val.table : undefined;
     }
 
     private releaseRight(generation: number, reason: string): void {
