--- a/packages/settings/src/settings-reference_test.ts
+++ b/packages/settings/src/settings-reference_test.ts
@@ -6,7 +6,7 @@
 
 const root = fileURLToPath(new URL("../../..", import.meta.url));
 
-describe("docs/settings.md", () => {
+describe("settings reference of docs/install.md", () => {
     // Guards against a field, bound or default that changes in the schema and not on the page that operators read.
     it("is what the schema generates", () => {
         const script = join(root, "scripts/settings-reference.js");
