--- a/scripts/settings-reference.js
+++ b/scripts/settings-reference.js
@@ -27,7 +27,7 @@
     "regions[].zones": "Availability zones of the region. Zone names are unique in the file.",
     "regions[].zones[].name": "Name of the zone, as the host list reports it for endpoints.",
     "regions[].zones[].shards":
-        "Number of shards of the zone. Workers and executors are divided by a hash of their name, so a change moves endpoints between shards; stop the schedulers of the zone first.",
+        "Number of shards of the zone. Workers and executors are divided by a hash of their name, jobs by a hash of theirs over all shards. A change moves endpoints, and the jobs of a removed shard have no owner any more: let them end first.",
     "regions[].zones[].hosts":
         "Entry hosts of the zone, in the order in which they hold the configuration watch and take shards.",
     [`${host}.name`]: "Name of the entry host, unique in the file; the value of `--host`.",
