--- a/packages/entry/src/replica-access-control.ts
+++ b/packages/entry/src/replica-access-control.ts
@@ -28,14 +28,22 @@
     authenticate(apiKey: string | undefined, queue: QueueId | undefined): Result<Access, AccessFailure> {
         const { replica } = this.options;
         if (replica.revision === undefined) {
-            return refuse(503, "not-ready", "the configuration is not loaded yet");
+            return refuse(
+                503,
+                "not-ready",
+                "the configuration is not loaded yet: use another entry host, or try again",
+            );
         }
         if (queue === undefined) {
             return this.authenticateTeam(apiKey).map(team => ({ team, defaultDeadlineMs: keyDeadlineMs }));
         }
         const resource = replica.view.findQueue(queue);
         if (resource === undefined) {
-            return refuse(404, "unknown-queue", `queue "${queue}" does not exist`);
+            return refuse(
+                404,
+                "unknown-queue",
+                `queue "${queue}" does not exist: check the name; a new queue works after some seconds`,
+            );
         }
         const { spec } = resource;
         const defaultDeadlineMs = Math.min(spec.defaultDeadlineMs, maxDeadlineMs);
@@ -59,12 +67,16 @@
             return refuse(
                 503,
                 "configuration-stale",
-                `no confirmation of the configuration for ${stalenessMs} ms, so that keys cannot be judged`,
+                `no confirmation of the configuration for ${stalenessMs} ms, so that keys cannot be judged: use another entry host, or try again`,
             );
         }
         const holder = replica.view.authenticate(apiKey);
         return holder === undefined
-            ? refuse(401, "invalid-key", "the key is unknown or has been withdrawn")
+            ? refuse(
+                401,
+                "invalid-key",
+                "the key is unknown or has been withdrawn: get a key of the team from an operator; a new key works after some seconds",
+            )
             : Ok(toId<TeamId>(holder.team.name));
     }
 }
--- a/packages/entry/src/rpc-shard-gateway.ts
+++ b/packages/entry/src/rpc-shard-gateway.ts
@@ -46,7 +46,7 @@
                 failure.code === "no-owner" ? { ...failure, verdict: "mayHaveRun", requestKey } : failure
             );
         }
-        let last = createFailure("no-owner", "no zone serves requests now", "notRun");
+        let last = createFailure("no-owner", "no zone serves requests now: try again", "notRun");
         for (const candidate of this.listCandidates()) {
             const left = deadline - clock.getNow();
             if (left <= 0 || request.signal.aborted) {
@@ -62,7 +62,7 @@
     }
 
     async issueKey(): Promise<Result<RequestKey, Failure>> {
-        let last = createFailure("no-owner", "no zone serves requests now", "notRun");
+        let last = createFailure("no-owner", "no zone serves requests now: try again", "notRun");
         for (const shard of this.listCandidates()) {
             const result = await this.options.shards.call(shard, schedulerService.issueKey, { shard }, ownZoneWaitMs);
             if (result.ok) {
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -188,7 +188,11 @@
             return createFailure("journal-job-exists", `job "${record.job}" exists in "${shard}"`, "notRun");
         }
         return this.totalLength + text.length > maxTotalLength
-            ? createFailure("journal-full", `the jobs of "${shard}" exceed ${maxTotalLength} characters`, "notRun")
+            ? createFailure(
+                "journal-full",
+                `the jobs of "${shard}" exceed ${maxTotalLength} characters: cancel jobs, or submit to another zone`,
+                "notRun",
+            )
             : undefined;
     }
 
--- a/packages/operator/src/rpc-job-gateway.ts
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -43,7 +43,14 @@
         const candidates = zone === undefined ? listShards(settings) : listZoneShards(settings, toId<ZoneId>(zone));
         const shard = chooseByName(candidates, job.name);
         if (shard === undefined) {
-            return Err(createFailure("unknown-zone", `spec.zone: zone "${zone}" does not exist`, "notRun"));
+            const known = settings.regions.flatMap(region => region.zones).map(other => other.name).join(", ");
+            return Err(
+                createFailure(
+                    "unknown-zone",
+                    `spec.zone: zone "${zone}" does not exist: use one of ${known}`,
+                    "notRun",
+                ),
+            );
         }
         const request = { shard, name: job.name, spec: JSON.stringify(job.spec), timeoutMs: callTimeoutMs };
         const result = await shards.call(shard, schedulerService.submitJob, request, callTimeoutMs);
--- a/packages/routing/src/request-router.ts
+++ b/packages/routing/src/request-router.ts
@@ -111,7 +111,8 @@
         }
         const team = this.queues.get(request.team);
         if (team === undefined) {
-            const message = `team "${request.team}" has no slots in shard "${this.options.shard}"`;
+            const message =
+                `team "${request.team}" is not known in shard "${this.options.shard}" yet: try again, or check that it exists`;
             return this.refuse(request, createFailure("unknown-team", message, "notRun"), now);
         }
         return this.accept(request, team, now);
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -104,7 +104,7 @@
             return Err(
                 createFailure(
                     "store-unavailable",
-                    "jobs cannot be made durable while the store is down",
+                    "jobs cannot be made durable while the store is down: submit it again later",
                     "notRun",
                     1_000,
                 ),
@@ -133,7 +133,7 @@
             return Err(
                 createFailure(
                     "store-unavailable",
-                    "the cancellation cannot be made durable while the store is down",
+                    "the cancellation cannot be made durable while the store is down: cancel it again later",
                     "notRun",
                     1_000,
                 ),
