--- a/packages/scenario/src/cluster-plan.ts
+++ b/packages/scenario/src/cluster-plan.ts
@@ -38,7 +38,6 @@
     readonly bytes: number;
 }
 
-
 /** Ports and relays of the entry hosts. Every connection between schedulers of two hosts runs through a relay. */
 export class ClusterPlan {
     private readonly ports = new Map<string, HostPorts>();
