Spread the turns of shards over a bucket of grants

Cause: 12 shards that start together planned the same bucket at the same moment, and a holder noticed only after up to 10 s that others want more. Change: the first turn is random, a conflict is followed by a random wait up to 100 ms, buckets are read every 5 s.

--- a/packages/grants/src/grants-driver.ts
+++ b/packages/grants/src/grants-driver.ts
@@ -27,7 +27,7 @@
     readonly listUse: () => ReadonlyMap<TeamId, TeamUse>;
     /** Shortest time between two writes of one bucket, but for two repetitions after conflicts, in ms. Default 2,000. */
     readonly writeIntervalMs?: number;
-    /** Time between two reads of all buckets in ms, to notice shards that want more. Default 10,000. */
+    /** Time between two reads of all buckets in ms, to notice shards that want more. Default 5,000. */
     readonly refreshIntervalMs?: number;
     /**
      * Time after a limit was lowered in which nothing starts until a write under the new limit, in ms. After it, without the
@@ -62,15 +62,18 @@
     /** `getGrant` runs for every placement, a hash for each would show. */
     private readonly bucketNumbers = new Map<TeamId, number>();
     private lastRefreshAt = -Infinity;
-    private tickCount = 0;
+    /** Starts at random, so that shards that start together do not write the same bucket at the same time. */
+    private tickCount: number;
+    private readonly random: RandomSource;
     private failure: Failure | undefined;
     private timer: Timer | undefined;
 
     constructor(private readonly options: GrantsDriverOptions) {
-        const random = options.random ?? new SystemRandom();
+        this.random = options.random ?? new SystemRandom();
+        this.tickCount = this.random.getInteger(bucketCount);
         this.replicas = Array.from(
             { length: bucketCount },
-            (_, number) => new BucketReplica(number, options.store, random),
+            (_, number) => new BucketReplica(number, options.store, this.random),
         );
     }
 
@@ -150,7 +153,7 @@
 
     private async runTick(): Promise<void> {
         const { clock } = this.options;
-        if (clock.getNow() >= this.lastRefreshAt + (this.options.refreshIntervalMs ?? 10_000)) {
+        if (clock.getNow() >= this.lastRefreshAt + (this.options.refreshIntervalMs ?? 5_000)) {
             this.reportFailure(await this.refreshBuckets());
         }
         this.tickCount++;
@@ -202,6 +205,7 @@
             if (result.ok || result.val.code !== "store-conflict") {
                 return result;
             }
+            await this.options.clock.wait(this.random.getInteger(conflictWaitMs));
         }
         return result;
     }
@@ -280,6 +284,9 @@
 /** With 16 ticks in `writeIntervalMs`, each bucket is planned twice in it: planning costs more than a look at the clock. */
 const bucketsPerTick = 2;
 
+/** Longest wait after a conflict in ms: some ten times the time between a read and the answer to the write. */
+const conflictWaitMs = 100;
+
 /** Attempts to write a bucket before the next interval; a conflict means that another shard's write came in between. */
 const writeAttempts = 3;
 
--- a/packages/grants/src/interleaving_test.ts
+++ b/packages/grants/src/interleaving_test.ts
@@ -49,6 +49,26 @@
         expect(store.writeCount).toEqual(writeCount);
     });
 
+    // Guards against writes that conflict again and again, and against holders that never notice who wants more.
+    it("gives a part to each of 12 shards that ask at the same time", async () => {
+        const clock = new ManualClock();
+        const store = new MemoryStore();
+        store.waitBeforeAnswer = () => clock.wait(5);
+        const shards = Array.from(
+            { length: 12 },
+            (_, index) => new SimulatedShard(toId<ShardId>(`zone-${index}/0`), store, clock, index),
+        );
+        for (const shard of shards) {
+            shard.demand = 50;
+            shard.driver.setLimits(new Map([[team, { limit: all(240), revision: 1 }]]));
+            void shard.driver.open();
+        }
+        await clock.advance(20_000);
+        const grants = shards.map(({ driver }) => driver.getGrant(team).slots);
+        expect(Math.min(...grants) > 0).toEqual(true);
+        expect(grants.reduce((sum, grant) => sum + grant, 0) <= 240).toEqual(true);
+    });
+
     it("keeps its grant and gets no more while the store is down", async () => {
         const { clock, store, shards: [a] } = await createShards();
         a.demand = 20;
