placement: Refuse the adoption of a task that is known on another worker

Cause: adoptTask ignored a second worker that reported the same task, so a task that runs in two places was not noticed. Change: it fails with task-elsewhere and the verdict mayHaveRun. Tests for adoption above capacity and for tasks on removed workers are added. Checked: the test of task-elsewhere failed before the change; the other two passed at once.

--- a/packages/placement/src/engine.ts
+++ b/packages/placement/src/engine.ts
@@ -133,7 +133,7 @@
 
     /**
      * Adds a task that runs or may run already. It holds capacity even above what its worker has. Fails with
-     * `unknown-job` or `unknown-worker`.
+     * `unknown-job`, `unknown-worker`, or `task-elsewhere` for a task that is known on another worker.
      */
     adoptTask(now: number, adopted: AdoptedTask): Result<void, Failure> {
         this.advanceTo(now);
@@ -147,6 +147,14 @@
             return Err(createFailure("unknown-worker", `worker "${adopted.worker}" is not known`, "mayHaveRun"));
         }
         const known = this.state.tasks.get(adopted.task);
+        if (known !== undefined && known.row !== row) {
+            return Err(createFailure(
+                "task-elsewhere",
+                `task "${adopted.task}" is known on worker "${this.state.workers.ids[known.row]}", not on `
+                    + `"${adopted.worker}"`,
+                "mayHaveRun",
+            ));
+        }
         if (known !== undefined) {
             known.state = known.state === "starting" || known.state === "uncertain" ? "running" : known.state;
             return Ok(undefined);
--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -336,6 +336,50 @@
     });
 });
 
+describe("adoption", () => {
+    // Guards against a task that runs in two places and of which only one is known.
+    it("refuses a task that is known on another worker", () => {
+        const cluster = new Cluster(2, makeSize(4000));
+        cluster.submit("j");
+        const start = cluster.tick()[0]!;
+        const other = toId<WorkerId>(start.worker === "w0" ? "w1" : "w0");
+        const adopted = { task: start.task, team: teams[0]!, resources: makeSize(1000) };
+        const result = cluster.engine.adoptTask(0, { ...adopted, worker: other });
+        expect(result.err && result.val.code).toEqual("task-elsewhere");
+        expect(cluster.engine.adoptTask(0, { ...adopted, worker: start.worker }).ok).toEqual(true);
+    });
+
+    // Guards against adopted tasks that overfill a worker and are then not counted, so that more is placed beside them.
+    it("counts tasks above the capacity of their worker", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        cluster.submit("j", { taskCount: 8 });
+        for (let index = 0; index < 6; index++) {
+            const task = toId<TaskId>(`j/${index}`);
+            const worker = toId<WorkerId>("w0");
+            cluster.engine.adoptTask(0, { task, team: teams[0]!, worker, resources: makeSize(1000) });
+        }
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/0"), "succeeded");
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/1"), "succeeded");
+        expect(cluster.tick().length).toEqual(0);
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/2"), "succeeded");
+        expect(cluster.tick().length).toEqual(1);
+    });
+
+    // Guards against capacity that is given away while a task on a removed or unreachable worker may still run.
+    it("keeps the grant of tasks on workers that left", () => {
+        const cluster = new Cluster(2, makeSize(4000));
+        cluster.engine.setTeam({ team: teams[0]!, limit: makeSize(4000) });
+        cluster.engine.setGrant(teams[0]!, makeSize(4000));
+        cluster.submit("j", { taskCount: 8 });
+        const starts = cluster.tick();
+        expect(starts.length).toEqual(4);
+        cluster.engine.removeWorker(starts[0]!.worker);
+        expect(cluster.tick().length).toEqual(0);
+        starts.forEach(start => cluster.end(start.task, "leaseExpired", true));
+        expect(cluster.tick().length).toEqual(4);
+    });
+});
+
 function endOneByOne(cluster: Cluster, job: JobId): void {
     for (const start of cluster.listRunning(job)) {
         cluster.now += 100;
