placement: Split modules and check the index of adopted tasks

Change: job indexes, queue and lane rows, team rows, recovery and summaries are modules of their own. adoptTask refuses an index that the job does not have, and an uncertain report does not mark a known task as running. Checked: the test of the index failed before the change.

--- a/packages/placement/src/engine.ts
+++ b/packages/placement/src/engine.ts
@@ -7,16 +7,18 @@
  * run.
  */
 import type { JobId, ResourceVector, Result, TaskId, TeamId, WorkerId } from "@waxwingroute/core";
-import { createFailure, Err, Ok, parseTaskId } from "@waxwingroute/core";
+import { Err, Ok } from "@waxwingroute/core";
 import type { Failure, Verdict } from "@waxwingroute/core";
 import { explainJob } from "./explain.js";
+import { computeWantedWindow, countWaiting } from "./job-indexes.js";
 import { createJobRow, validateSubmission } from "./job-submission.js";
 import { PlacementSystem } from "./placement-system.js";
 import { PreemptionSystem } from "./preemption-system.js";
+import { adoptRunning, recordEndedBefore } from "./recovery.js";
 import { ReservationSystem } from "./reservation-system.js";
-import type { JobRow, TaskRow } from "./rows.js";
-import { countWaiting, takeIndex } from "./rows.js";
+import type { TaskRow } from "./rows.js";
 import { PlacementState } from "./state.js";
+import { computeSummary, describeDemands } from "./summaries.js";
 import { recordHealth } from "./task-outcomes.js";
 import type {
     AdoptedTask,
@@ -137,36 +139,7 @@
      */
     adoptTask(now: number, adopted: AdoptedTask): Result<void, Failure> {
         this.advanceTo(now);
-        const parsed = parseTaskId(adopted.task);
-        const job = parsed === undefined ? undefined : this.state.jobs.get(parsed.job);
-        const row = this.state.workers.findRow(adopted.worker);
-        if (parsed === undefined || job === undefined) {
-            return Err(createFailure("unknown-job", `task "${adopted.task}" belongs to no known job`, "mayHaveRun"));
-        }
-        if (row === undefined) {
-            return Err(createFailure("unknown-worker", `worker "${adopted.worker}" is not known`, "mayHaveRun"));
-        }
-        const known = this.state.tasks.get(adopted.task);
-        if (known !== undefined && known.row !== row) {
-            return Err(createFailure(
-                "task-elsewhere",
-                `task "${adopted.task}" is known on worker "${this.state.workers.ids[known.row]}", not on `
-                    + `"${adopted.worker}"`,
-                "mayHaveRun",
-            ));
-        }
-        if (known !== undefined) {
-            known.state = known.state === "starting" || known.state === "uncertain" ? "running" : known.state;
-            return Ok(undefined);
-        }
-        this.takeIndexOf(job, parsed.index);
-        const runMs = job.kind === "service"
-            ? Infinity
-            : this.state.estimates.estimate(job.jobClass, job.declaredRunMs);
-        const shape = this.state.ensureShape(adopted.resources);
-        const taskState = adopted.isUncertain === true ? "uncertain" : "running";
-        this.state.addTask(adopted.task, job, parsed.index, row, shape, runMs, taskState, false);
-        return Ok(undefined);
+        return adoptRunning(this.state, adopted);
     }
 
     /** Allows tasks of a job below `throughIndex` to start, because the journal holds that they may have started. */
@@ -183,21 +156,13 @@
     collectWindowRequests(): WindowRequest[] {
         return [...this.state.windowJobs].map(job => ({
             job: job.job,
-            throughIndex: this.state.computeWantedWindow(job),
+            throughIndex: computeWantedWindow(job, this.state.options.windowSize),
         }));
     }
 
     /** Returns use and demand of every team, for the division of limits among shards. */
     collectGrantDemands(): GrantDemand[] {
-        return [...this.state.teams.values()].map(team => ({
-            team: team.team,
-            used: { cpuMillis: team.usedCpu, memoryMb: team.usedMemory, accelerators: team.usedAccelerators },
-            waiting: {
-                cpuMillis: team.waitingCpu,
-                memoryMb: team.waitingMemory,
-                accelerators: team.waitingAccelerators,
-            },
-        }));
+        return describeDemands(this.state);
     }
 
     /** Records that a worker confirmed a start. */
@@ -239,7 +204,7 @@
         this.advanceTo(now);
         const row = this.state.tasks.get(task);
         if (row === undefined) {
-            return this.recordUnknownEnded(task, isRetried);
+            return recordEndedBefore(this.state, task, isRetried);
         }
         recordHealth(this.state, row, outcome);
         this.state.removeTask(row);
@@ -280,31 +245,7 @@
 
     /** Returns totals for metrics. */
     getSummary(): EngineSummary {
-        const { workers } = this.state;
-        let waitingCount = 0;
-        let used = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-        for (const team of this.state.teams.values()) {
-            waitingCount += team.waitingCount;
-            used = {
-                cpuMillis: used.cpuMillis + team.usedCpu,
-                memoryMb: used.memoryMb + team.usedMemory,
-                accelerators: used.accelerators + team.usedAccelerators,
-            };
-        }
-        return {
-            workerCount: workers.size,
-            jobCount: this.state.jobs.size,
-            taskCount: this.state.tasks.size,
-            waitingCount,
-            ejectedWorkerCount: this.state.health.ejected.size,
-            reservationCount: this.state.reservations.size,
-            capacity: {
-                cpuMillis: workers.totalCpu,
-                memoryMb: workers.totalMemory,
-                accelerators: workers.totalAccelerators,
-            },
-            used,
-        };
+        return computeSummary(this.state);
     }
 
     private advanceTo(now: number): void {
@@ -330,14 +271,6 @@
         }
     }
 
-    private takeIndexOf(job: JobRow, index: number): void {
-        const waiting = countWaiting(job);
-        takeIndex(job, index);
-        this.state.addDemand(job, countWaiting(job) - waiting);
-        this.state.refreshWindow(job);
-        this.state.queues.refreshJob(job);
-    }
-
     private returnIndex(task: TaskRow): void {
         const job = task.job;
         if (!job.isCancelled) {
@@ -347,18 +280,4 @@
         }
         this.state.removeFinished(job);
     }
-
-    /** A restored job learns of tasks that ended before the takeover, or that must not start again. */
-    private recordUnknownEnded(task: TaskId, isRetried: boolean): boolean {
-        const parsed = parseTaskId(task);
-        const job = parsed === undefined ? undefined : this.state.jobs.get(parsed.job);
-        if (parsed === undefined || job === undefined || isRetried || parsed.index >= job.taskCount) {
-            return false;
-        }
-        const waiting = countWaiting(job);
-        this.takeIndexOf(job, parsed.index);
-        // A second report of the same end takes nothing.
-        job.finishedCount += waiting - countWaiting(job);
-        return this.state.removeFinished(job);
-    }
 }
--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -349,6 +349,16 @@
         expect(cluster.engine.adoptTask(0, { ...adopted, worker: start.worker }).ok).toEqual(true);
     });
 
+    // Guards against a worker that reports a task outside its job and so makes the counts of the job wrong.
+    it("refuses an index that its job does not have", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        const job = cluster.submit("j", { taskCount: 2 });
+        const adopted = { team: teams[0]!, resources: makeSize(1000), worker: toId<WorkerId>("w0") };
+        const result = cluster.engine.adoptTask(0, { ...adopted, task: toId<TaskId>("j/2") });
+        expect(result.err && result.val.code).toEqual("unknown-job");
+        expect(cluster.engine.explain(job)?.waitingCount).toEqual(2);
+    });
+
     // Guards against adopted tasks that overfill a worker and are then not counted, so that more is placed beside them.
     it("counts tasks above the capacity of their worker", () => {
         const cluster = new Cluster(1, makeSize(4000));
--- a/packages/placement/src/explain.ts
+++ b/packages/placement/src/explain.ts
@@ -2,8 +2,8 @@
  * Explains to people why a job waits.
  */
 import { match } from "ts-pattern";
+import { countStartable, countWaiting } from "./job-indexes.js";
 import type { JobRow } from "./rows.js";
-import { countStartable, countWaiting } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant, getGrant } from "./team-shares.js";
 import type { JobExplanation, WaitReason } from "./types.js";
--- /dev/null
+++ b/packages/placement/src/job-indexes.ts
@@ -0,0 +1,67 @@
+/**
+ * Which tasks of a job wait, may start, or were taken. Waiting tasks are counted and have no rows.
+ */
+import type { JobRow } from "./rows.js";
+
+/** Returns how many tasks of a job wait. */
+export function countWaiting(job: JobRow): number {
+    if (job.isCancelled) {
+        return 0;
+    }
+    return job.taskCount - job.nextIndex - job.takenAhead.size + job.returned.length;
+}
+
+/** Returns how many tasks of a job may be started now. */
+export function countStartable(job: JobRow): number {
+    if (job.isCancelled) {
+        return 0;
+    }
+    let ahead = Math.max(0, Math.min(job.startedThrough, job.taskCount) - job.nextIndex);
+    if (job.takenAhead.size > 0) {
+        for (const index of job.takenAhead) {
+            ahead -= index < job.startedThrough ? 1 : 0;
+        }
+    }
+    const startable = ahead + job.returned.length;
+    return job.kind === "gang" && startable < countWaiting(job) ? 0 : startable;
+}
+
+/** Takes the index of the next task to start. `countStartable` must be above 0. */
+export function takeNextIndex(job: JobRow): number {
+    const returned = job.returned.pop();
+    if (returned !== undefined) {
+        return returned;
+    }
+    const index = job.nextIndex;
+    job.nextIndex++;
+    advanceIndex(job);
+    return index;
+}
+
+/** Marks an index as running or ended, whether it waits or not. */
+export function takeIndex(job: JobRow, index: number): void {
+    const position = job.returned.indexOf(index);
+    if (position >= 0) {
+        job.returned.splice(position, 1);
+    }
+    else if (index >= job.nextIndex) {
+        job.takenAhead.add(index);
+        advanceIndex(job);
+    }
+}
+
+function advanceIndex(job: JobRow): void {
+    while (job.takenAhead.delete(job.nextIndex)) {
+        job.nextIndex++;
+    }
+}
+
+/** Returns the index below which tasks of a job should be startable, for windows of `size` tasks. */
+export function computeWantedWindow(job: JobRow, size: number): number {
+    if (job.kind === "gang") {
+        return job.taskCount;
+    }
+    // A new window is requested when half of the last one is used, so that starts seldom wait for a commit.
+    const windows = Math.floor((job.nextIndex + size / 2) / size) + 1;
+    return Math.min(job.taskCount, windows * size);
+}
--- a/packages/placement/src/policies.ts
+++ b/packages/placement/src/policies.ts
@@ -1,8 +1,8 @@
 /**
  * Where the next task of a job goes: one policy for each kind of job.
  */
+import { countWaiting } from "./job-indexes.js";
 import type { JobRow } from "./rows.js";
-import { countWaiting } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import type { JobKind } from "./types.js";
 
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -5,10 +5,11 @@
  * blocked work costs nothing and need not be moved.
  */
 import { IndexedHeap } from "./indexed-heap.js";
+import { countStartable } from "./job-indexes.js";
 import type { LaneOrder } from "./queue-order.js";
-import { createLaneOrder, isJobBefore, isQueueBefore, isReservedBefore } from "./queue-order.js";
+import { createLaneOrder, isReservedBefore } from "./queue-order.js";
+import { createLane, createQueue } from "./queue-rows.js";
 import type { JobQueue, JobRow, Lane, LaneItem, QueueCandidate, QueueState, Shape, TeamRow } from "./rows.js";
-import { countStartable } from "./rows.js";
 import type { JobKind, Objective, Priority } from "./types.js";
 import type { WorkerTable } from "./worker-table.js";
 
@@ -294,38 +295,6 @@
     }
 }
 
-function createLane(team: TeamRow, shape: Shape): Lane {
-    const lane: Omit<Lane, "item" | "urgentItem"> = {
-        team,
-        shape,
-        urgent: new IndexedHeap(isQueueBefore),
-        normal: new IndexedHeap(isQueueBefore),
-    };
-    const complete = lane as Lane;
-    return Object.assign(lane, {
-        item: { lane: complete, heapIndex: -1 },
-        urgentItem: { lane: complete, heapIndex: -1 },
-    });
-}
-
-function createQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, key: string): JobQueue {
-    const queue: Omit<JobQueue, "candidate"> = {
-        team,
-        kind,
-        priority,
-        shape,
-        jobs: new IndexedHeap<JobRow>(isJobBefore),
-        state: "empty",
-        retryAt: 0,
-        preemptAt: 0,
-        heapIndex: -1,
-        key,
-    };
-    return Object.assign(queue, {
-        candidate: { queue: queue as JobQueue, retryAt: 0, heapIndex: -1 },
-    });
-}
-
 function getLaneHeap(queue: JobQueue): IndexedHeap<JobQueue> {
     const lane = queue.team.lanes.get(queue.shape) as Lane;
     return queue.priority === "urgent" ? lane.urgent : lane.normal;
--- /dev/null
+++ b/packages/placement/src/recovery.ts
@@ -0,0 +1,67 @@
+/**
+ * What a new owner learns of tasks that ran before it took over.
+ */
+import type { Failure, Result, TaskId } from "@waxwingroute/core";
+import { createFailure, Err, Ok, parseTaskId } from "@waxwingroute/core";
+import { countWaiting, takeIndex } from "./job-indexes.js";
+import type { JobRow } from "./rows.js";
+import type { PlacementState } from "./state.js";
+import type { AdoptedTask } from "./types.js";
+
+/** Adds a task that runs or may run already. */
+export function adoptRunning(state: PlacementState, adopted: AdoptedTask): Result<void, Failure> {
+    const parsed = parseTaskId(adopted.task);
+    const job = parsed === undefined ? undefined : state.jobs.get(parsed.job);
+    const row = state.workers.findRow(adopted.worker);
+    if (parsed === undefined || job === undefined || parsed.index >= job.taskCount) {
+        return Err(createFailure("unknown-job", `task "${adopted.task}" belongs to no known job`, "mayHaveRun"));
+    }
+    if (row === undefined) {
+        return Err(createFailure("unknown-worker", `worker "${adopted.worker}" is not known`, "mayHaveRun"));
+    }
+    const known = state.tasks.get(adopted.task);
+    if (known !== undefined && known.row !== row) {
+        return Err(createFailure(
+            "task-elsewhere",
+            `task "${adopted.task}" is known on worker "${state.workers.ids[known.row]}", not on `
+                + `"${adopted.worker}"`,
+            "mayHaveRun",
+        ));
+    }
+    if (known !== undefined) {
+        if (known.state !== "stopping" && adopted.isUncertain !== true) {
+            known.state = "running";
+        }
+        return Ok(undefined);
+    }
+    takeIndexOf(state, job, parsed.index);
+    const runMs = job.kind === "service"
+        ? Infinity
+        : state.estimates.estimate(job.jobClass, job.declaredRunMs);
+    const shape = state.ensureShape(adopted.resources);
+    const taskState = adopted.isUncertain === true ? "uncertain" : "running";
+    state.addTask(adopted.task, job, parsed.index, row, shape, runMs, taskState, false);
+    return Ok(undefined);
+}
+
+/** Records for a restored job that a task ended before the takeover or must not start again. */
+export function recordEndedBefore(state: PlacementState, task: TaskId, isRetried: boolean): boolean {
+    const parsed = parseTaskId(task);
+    const job = parsed === undefined ? undefined : state.jobs.get(parsed.job);
+    if (parsed === undefined || job === undefined || isRetried || parsed.index >= job.taskCount) {
+        return false;
+    }
+    const waiting = countWaiting(job);
+    takeIndexOf(state, job, parsed.index);
+    // A second report of the same end takes nothing.
+    job.finishedCount += waiting - countWaiting(job);
+    return state.removeFinished(job);
+}
+
+function takeIndexOf(state: PlacementState, job: JobRow, index: number): void {
+    const waiting = countWaiting(job);
+    takeIndex(job, index);
+    state.addDemand(job, countWaiting(job) - waiting);
+    state.refreshWindow(job);
+    state.queues.refreshJob(job);
+}
--- a/packages/placement/src/reservation-system.ts
+++ b/packages/placement/src/reservation-system.ts
@@ -6,9 +6,9 @@
  * time, which is fixed when a job is submitted, so every job that can be reserved for becomes the first at some time.
  * One gang at a time cannot deadlock with another.
  */
+import { countWaiting } from "./job-indexes.js";
 import { planParts } from "./reservation-plan.js";
 import type { JobRow, Reservation } from "./rows.js";
-import { countWaiting } from "./rows.js";
 import type { PlacementState } from "./state.js";
 import { fitsGrant } from "./team-shares.js";
 
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -179,59 +179,6 @@
     readonly readyAt: number;
 }
 
-/** Returns how many tasks of a job wait. */
-export function countWaiting(job: JobRow): number {
-    if (job.isCancelled) {
-        return 0;
-    }
-    return job.taskCount - job.nextIndex - job.takenAhead.size + job.returned.length;
-}
-
-/** Returns how many tasks of a job may be started now. */
-export function countStartable(job: JobRow): number {
-    if (job.isCancelled) {
-        return 0;
-    }
-    let ahead = Math.max(0, Math.min(job.startedThrough, job.taskCount) - job.nextIndex);
-    if (job.takenAhead.size > 0) {
-        for (const index of job.takenAhead) {
-            ahead -= index < job.startedThrough ? 1 : 0;
-        }
-    }
-    const startable = ahead + job.returned.length;
-    return job.kind === "gang" && startable < countWaiting(job) ? 0 : startable;
-}
-
-/** Takes the index of the next task to start. `countStartable` must be above 0. */
-export function takeNextIndex(job: JobRow): number {
-    const returned = job.returned.pop();
-    if (returned !== undefined) {
-        return returned;
-    }
-    const index = job.nextIndex;
-    job.nextIndex++;
-    advanceIndex(job);
-    return index;
-}
-
-/** Marks an index as running or ended, whether it waits or not. */
-export function takeIndex(job: JobRow, index: number): void {
-    const position = job.returned.indexOf(index);
-    if (position >= 0) {
-        job.returned.splice(position, 1);
-    }
-    else if (index >= job.nextIndex) {
-        job.takenAhead.add(index);
-        advanceIndex(job);
-    }
-}
-
-function advanceIndex(job: JobRow): void {
-    while (job.takenAhead.delete(job.nextIndex)) {
-        job.nextIndex++;
-    }
-}
-
 /** Returns how many tasks of a size fit into an amount, which may be negative. */
 export function countFitting(free: ResourceVector, shape: Shape): number {
     const count = Math.min(
--- a/packages/placement/src/state.ts
+++ b/packages/placement/src/state.ts
@@ -4,10 +4,11 @@
  */
 import { Table, toTaskId } from "@waxwingroute/core";
 import type { JobId, ResourceVector, TaskId, TeamId } from "@waxwingroute/core";
+import { computeWantedWindow, countStartable, countWaiting, takeNextIndex } from "./job-indexes.js";
 import { QueueBoard } from "./queues.js";
 import type { JobRow, Reservation, Shape, TaskRow, TaskState, TeamRow } from "./rows.js";
-import { countStartable, countWaiting, takeNextIndex } from "./rows.js";
 import { RunTimeEstimates } from "./run-time-estimates.js";
+import { createTeam } from "./team-row.js";
 import { fitsGrant, TeamShares } from "./team-shares.js";
 import type { Decision, PlacementOptions, PreemptDecision, StartReason } from "./types.js";
 import { WorkerHealth } from "./worker-health.js";
@@ -243,8 +244,7 @@
 
     /** Notes whether the start window of a job should become larger. */
     refreshWindow(job: JobRow): void {
-        const isWanted = !job.isCancelled && job.startedThrough < this.computeWantedWindow(job);
-        if (isWanted) {
+        if (!job.isCancelled && job.startedThrough < computeWantedWindow(job, this.options.windowSize)) {
             this.windowJobs.add(job);
         }
         else {
@@ -252,17 +252,6 @@
         }
     }
 
-    /** Returns the index below which tasks of a job should be startable. */
-    computeWantedWindow(job: JobRow): number {
-        if (job.kind === "gang") {
-            return job.taskCount;
-        }
-        // A new window is requested when half of the last one is used, so that starts seldom wait for a commit.
-        const size = this.options.windowSize;
-        const windows = Math.floor((job.nextIndex + size / 2) / size) + 1;
-        return Math.min(job.taskCount, windows * size);
-    }
-
     /** Returns a number that spreads searches over the rows. */
     advanceCursor(step: number): number {
         this.placementCount = (this.placementCount + step) % 0x40000000;
@@ -326,35 +315,3 @@
         }
     }
 }
-
-function createTeam(team: TeamId): TeamRow {
-    return {
-        team,
-        weight: 1,
-        limit: undefined,
-        grant: undefined,
-        overLimit: "finish",
-        usedCpu: 0,
-        usedMemory: 0,
-        usedAccelerators: 0,
-        stoppingCpu: 0,
-        stoppingMemory: 0,
-        stoppingAccelerators: 0,
-        waitingCpu: 0,
-        waitingMemory: 0,
-        waitingAccelerators: 0,
-        waitingCount: 0,
-        runningCount: 0,
-        urgentCpu: 0,
-        urgentMemory: 0,
-        urgentAccelerators: 0,
-        weightedShare: 0,
-        urgentWeightedShare: 0,
-        isOverShare: false,
-        isUrgentFirst: true,
-        lanes: new Map(),
-        queues: new Map(),
-        grantBlocked: new Set(),
-        preemptible: [],
-    };
-}
--- /dev/null
+++ b/packages/placement/src/summaries.ts
@@ -0,0 +1,47 @@
+/**
+ * Totals for metrics and for the division of limits.
+ */
+import type { PlacementState } from "./state.js";
+import type { EngineSummary, GrantDemand } from "./types.js";
+
+/** Returns use and demand of every team. */
+export function describeDemands(state: PlacementState): GrantDemand[] {
+    return [...state.teams.values()].map(team => ({
+        team: team.team,
+        used: { cpuMillis: team.usedCpu, memoryMb: team.usedMemory, accelerators: team.usedAccelerators },
+        waiting: {
+            cpuMillis: team.waitingCpu,
+            memoryMb: team.waitingMemory,
+            accelerators: team.waitingAccelerators,
+        },
+    }));
+}
+
+/** Returns totals over all tables. */
+export function computeSummary(state: PlacementState): EngineSummary {
+    const { workers } = state;
+    let waitingCount = 0;
+    let used = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+    for (const team of state.teams.values()) {
+        waitingCount += team.waitingCount;
+        used = {
+            cpuMillis: used.cpuMillis + team.usedCpu,
+            memoryMb: used.memoryMb + team.usedMemory,
+            accelerators: used.accelerators + team.usedAccelerators,
+        };
+    }
+    return {
+        workerCount: workers.size,
+        jobCount: state.jobs.size,
+        taskCount: state.tasks.size,
+        waitingCount,
+        ejectedWorkerCount: state.health.ejected.size,
+        reservationCount: state.reservations.size,
+        capacity: {
+            cpuMillis: workers.totalCpu,
+            memoryMb: workers.totalMemory,
+            accelerators: workers.totalAccelerators,
+        },
+        used,
+    };
+}
