placement: Order lanes by a copy of the share

Cause: each comparison of two lanes followed three references, and moving the lanes of a team took most of the time of a placement at 8,300 workers with 100,000 waiting tasks. Change: the item of a lane holds the share. With objective waiting, urgent lanes of teams above their share are now ordered by the share of their urgent work.

--- a/packages/placement/src/queue-order.ts
+++ b/packages/placement/src/queue-order.ts
@@ -1,7 +1,7 @@
 /**
  * The order in which jobs, queues, and the lanes of all teams are served.
  */
-import type { JobQueue, JobRow, LaneItem, QueueCandidate, TeamRow } from "./rows.js";
+import type { JobQueue, JobRow, LaneItem, QueueCandidate } from "./rows.js";
 import type { Objective } from "./types.js";
 
 /** The order of lanes of one size. */
@@ -36,7 +36,7 @@
     return isPriorQueue(first.queue, second.queue);
 }
 
-/** Teams within their share come first, by the latest start time of their work; others follow by share. */
+/** Teams within their share come first, by the latest start time of their work; others follow by the share of the item. */
 function isWaitingBefore(first: LaneItem, second: LaneItem): boolean {
     const team = first.lane.team;
     const other = second.lane.team;
@@ -49,20 +49,14 @@
 }
 
 function isShareBefore(first: LaneItem, second: LaneItem): boolean {
-    const share = first.lane.team.weightedShare;
-    const other = second.lane.team.weightedShare;
-    return share < other || share === other && isPriorQueue(getFirstQueue(first), getFirstQueue(second));
+    return first.share < second.share
+        || first.share === second.share && isPriorQueue(getFirstQueue(first), getFirstQueue(second));
 }
 
 function isUrgentShareBefore(first: LaneItem, second: LaneItem): boolean {
-    const team: TeamRow = first.lane.team;
-    const other: TeamRow = second.lane.team;
-    if (team.isUrgentFirst !== other.isUrgentFirst) {
-        return team.isUrgentFirst;
-    }
-    return team.urgentWeightedShare < other.urgentWeightedShare
-        || team.urgentWeightedShare === other.urgentWeightedShare
-            && isPriorQueue(getFirstQueue(first), getFirstQueue(second));
+    const team = first.lane.team;
+    const other = second.lane.team;
+    return team.isUrgentFirst === other.isUrgentFirst ? isShareBefore(first, second) : team.isUrgentFirst;
 }
 
 function getFirstQueue(item: LaneItem): JobQueue {
--- a/packages/placement/src/queue-rows.ts
+++ b/packages/placement/src/queue-rows.ts
@@ -16,8 +16,8 @@
     };
     const complete = lane as Lane;
     return Object.assign(lane, {
-        item: { lane: complete, heapIndex: -1 },
-        urgentItem: { lane: complete, heapIndex: -1 },
+        item: { lane: complete, share: team.weightedShare, heapIndex: -1 },
+        urgentItem: { lane: complete, share: team.urgentWeightedShare, heapIndex: -1 },
     });
 }
 
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -260,6 +260,7 @@
             (shape.isOpen ? this.openShapes : this.closedShapes).add(shape);
         }
         if (lane.urgent.size > 0 && lane.urgentItem.heapIndex < 0) {
+            lane.urgentItem.share = team.urgentWeightedShare;
             shape.urgentLanes.push(lane.urgentItem);
         }
         this.sortLane(lane);
@@ -288,8 +289,10 @@
     }
 
     private sortLane(lane: Lane): void {
+        lane.item.share = lane.team.weightedShare;
         lane.shape.lanes.update(lane.item);
         if (lane.urgentItem.heapIndex >= 0) {
+            lane.urgentItem.share = lane.team.urgentWeightedShare;
             lane.shape.urgentLanes.update(lane.urgentItem);
         }
     }
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -33,6 +33,8 @@
 /** A lane in the order of all lanes of its size. */
 export interface LaneItem extends HeapItem {
     readonly lane: Lane;
+    /** Copy of the share by which the team is ordered, so that comparisons read few objects. */
+    share: number;
 }
 
 /**
