placement: Move or release reservations that cannot be used

Cause: a reserved gang waited for ever when a task on one of its workers ran much longer than expected, also while other workers were free, and kept other gangs from reserving. A lowered grant left its team holding capacity. Change: a reservation that is late by as much as it was planned ahead (at least 10 s) is planned again with its own workers first; one that the grant does not allow is released; one for preemption is released 30 s after the decision. Checked: the test of the late gang failed before the change; the test of the grant fails with the release removed. The release after 30 s has no test.

--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -133,6 +133,42 @@
     });
 });
 
+describe("reservations", () => {
+    // Guards against a gang that waits for ever for a task that does not end, while other workers are free.
+    it("move to other workers when a task runs much longer than expected", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        cluster.submit("long", { taskCount: 4, resources: makeSize(2500), estimatedRunMs: 1000 });
+        const long = cluster.tick();
+        const gang = cluster.submit("g", { kind: "gang", taskCount: 3, resources: makeSize(4000) });
+        cluster.tick();
+        cluster.now = 1000;
+        long.filter(start => start.worker !== "w0").forEach(start => cluster.end(start.task));
+        for (let step = 0; step < 120; step++) {
+            cluster.now += 1000;
+            cluster.tick();
+        }
+        expect(cluster.listRunning(gang).length).toEqual(3);
+    });
+
+    // Guards against capacity that is held for a job that its grant does not let start.
+    it("are released when the grant of the team is lowered", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        cluster.engine.setTeam({ team: teams[0]!, limit: makeSize(8000) });
+        cluster.engine.setGrant(teams[0]!, makeSize(8000));
+        cluster.submit("long", { resources: makeSize(2500), team: teams[1]!, estimatedRunMs: 1000 });
+        const [long] = cluster.tick();
+        cluster.submit("head", { resources: makeSize(4000) });
+        cluster.tick();
+        cluster.engine.setGrant(teams[0]!, makeSize(0));
+        const other = cluster.submit("other", { team: teams[1]!, resources: makeSize(3000), estimatedRunMs: 90_000 });
+        cluster.now = 1000;
+        cluster.end(long!.task);
+        cluster.tick();
+        cluster.tick();
+        expect(cluster.listRunning(other).length).toEqual(1);
+    });
+});
+
 describe("the head of the queue", () => {
     // Guards against a large task that waits for ever behind small ones.
     it("starts although small tasks arrive without end", () => {
--- a/packages/placement/src/preemption-system.ts
+++ b/packages/placement/src/preemption-system.ts
@@ -20,6 +20,8 @@
 const borrowersMs = 100;
 /** Urgent queues that one tick visits. */
 const maxVisitedQueues = 64;
+/** Time after which capacity is not held any longer for tasks that were to be preempted and did not end, in milliseconds. */
+const victimWaitMs = 30_000;
 /** Delay before preemption is planned again for a queue for which none was possible, in milliseconds. */
 const preemptDelayMs = 250;
 /** Urgent tasks that one set of preemptions on a worker makes room for. */
@@ -199,6 +201,7 @@
             purpose: "preemption",
             parts: [{ row: plan.row, count: plan.count }],
             readyAt: this.state.now,
+            replanAt: this.state.now + victimWaitMs,
         };
         this.state.addReservation(reservation);
     }
--- a/packages/placement/src/reservation-plan.ts
+++ b/packages/placement/src/reservation-plan.ts
@@ -28,9 +28,17 @@
     return task.expectedEnd > now ? task.expectedEnd : now + Math.max(1000, (now - task.startedAt) / 4);
 }
 
-/** Returns where `count` tasks can be placed together soonest, or `undefined` if that cannot be foreseen. */
-export function planParts(state: PlacementState, shape: Shape, count: number): ReservationPlan | undefined {
-    return count === 1 ? planSingle(state, shape) : planGang(state, shape, count);
+/**
+ * Returns where `count` tasks can be placed together soonest, or `undefined` if that cannot be foreseen. The preferred
+ * rows are compared in any case.
+ */
+export function planParts(
+    state: PlacementState,
+    shape: Shape,
+    count: number,
+    preferredRows: readonly number[],
+): ReservationPlan | undefined {
+    return count === 1 ? planSingle(state, shape) : planGang(state, shape, count, preferredRows);
 }
 
 function planSingle(state: PlacementState, shape: Shape): ReservationPlan | undefined {
@@ -72,13 +80,21 @@
 }
 
 /** Compares workers in proportion to the size of the gang. */
-function planGang(state: PlacementState, shape: Shape, count: number): ReservationPlan | undefined {
+function planGang(
+    state: PlacementState,
+    shape: Shape,
+    count: number,
+    preferredRows: readonly number[],
+): ReservationPlan | undefined {
     const candidates: Candidate[] = [];
+    const rows = new Set(preferredRows);
     const rowCount = state.workers.rowCount;
     const compared = Math.min(rowCount, maxComparedRows + count * comparedRowsPerTask);
     const start = state.advanceCursor(compared);
     for (let offset = 0; offset < compared; offset++) {
-        const row = (start + offset) % rowCount;
+        rows.add((start + offset) % rowCount);
+    }
+    for (const row of rows) {
         if (state.workers.canPlace(row) && !state.workers.hasHolds(row)) {
             addCandidates(state, row, shape, candidates);
         }
--- a/packages/placement/src/reservation-system.ts
+++ b/packages/placement/src/reservation-system.ts
@@ -14,6 +14,8 @@
 
 /** Delay before a job that nothing can be reserved for is considered again, in milliseconds. */
 const candidatePauseMs = 1000;
+/** Shortest time past the expected one after which a reservation looks for other workers, in milliseconds. */
+const minReplanMs = 10_000;
 /** Candidates that one tick considers. */
 const maxCandidates = 8;
 /** Workers with held capacity, and queues for each, that one tick considers for backfill. */
@@ -38,9 +40,15 @@
             if (!this.isNeeded(reservation)) {
                 this.state.removeReservation(reservation);
             }
-            else if (this.isReady(reservation) && fitsGrant(job.team, job.shape, countTasks(reservation))) {
+            else if (!fitsGrant(job.team, job.shape, countTasks(reservation))) {
+                this.state.removeReservation(reservation);
+            }
+            else if (this.isReady(reservation)) {
                 this.start(reservation);
             }
+            else if (this.state.now >= reservation.replanAt) {
+                this.updatePlan(reservation);
+            }
         }
     }
 
@@ -137,12 +145,25 @@
         return fitsGrant(job.team, job.shape, count) && !(teams.size > 1 && shares.isOverShare(job.team));
     }
 
-    private plan(job: JobRow): Reservation | undefined {
+    /** Looks for other workers at once, so that nothing else takes those that are free already. */
+    private updatePlan(reservation: Reservation): void {
+        this.state.removeReservation(reservation);
+        const next = this.plan(reservation.job, reservation.parts.map(part => part.row));
+        if (next !== undefined && reservation.purpose !== "preemption") {
+            this.state.addReservation(next);
+        }
+    }
+
+    private plan(job: JobRow, preferredRows: readonly number[] = []): Reservation | undefined {
         const isGang = job.kind === "gang";
-        const plan = planParts(this.state, job.shape, isGang ? countWaiting(job) : 1);
-        return plan === undefined
-            ? undefined
-            : { job, purpose: isGang ? "gang" : "head", parts: plan.parts, readyAt: plan.readyAt };
+        const plan = planParts(this.state, job.shape, isGang ? countWaiting(job) : 1, preferredRows);
+        if (plan === undefined) {
+            return undefined;
+        }
+        const { now } = this.state;
+        const { parts, readyAt } = plan;
+        const replanAt = readyAt + Math.max(minReplanMs, readyAt - now);
+        return { job, purpose: isGang ? "gang" : "head", parts, readyAt, replanAt };
     }
 
     private fillRow(row: number, reservation: Reservation): void {
--- a/packages/placement/src/rows.ts
+++ b/packages/placement/src/rows.ts
@@ -179,6 +179,8 @@
     readonly parts: readonly ReservationPart[];
     /** When the capacity is expected to be free; other work may use it until then. */
     readonly readyAt: number;
+    /** When other workers are looked for, because the capacity did not become free. */
+    readonly replanAt: number;
 }
 
 /** Returns how many tasks of a size fit into an amount, which may be negative. */
