--- a/packages/placement/src/engine_test.ts
+++ b/packages/placement/src/engine_test.ts
@@ -133,6 +133,42 @@
     });
 });
 
+describe("reservations", () => {
+    // Guards against a gang that waits for ever for a task that does not end, while other workers are free.
+    it("move to other workers when a task runs much longer than expected", () => {
+        const cluster = new Cluster(4, makeSize(4000));
+        cluster.submit("long", { taskCount: 4, resources: makeSize(2500), estimatedRunMs: 1000 });
+        const long = cluster.tick();
+        const gang = cluster.submit("g", { kind: "gang", taskCount: 3, resources: makeSize(4000) });
+        cluster.tick();
+        cluster.now = 1000;
+        long.filter(start => start.worker !== "w0").forEach(start => cluster.end(start.task));
+        for (let step = 0; step < 120; step++) {
+            cluster.now += 1000;
+            cluster.tick();
+        }
+        expect(cluster.listRunning(gang).length).toEqual(3);
+    });
+
+    // Guards against capacity that is held for a job that its grant does not let start.
+    it("are released when the grant of the team is lowered", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        cluster.engine.setTeam({ team: teams[0]!, limit: makeSize(8000) });
+        cluster.engine.setGrant(teams[0]!, makeSize(8000));
+        cluster.submit("long", { resources: makeSize(2500), team: teams[1]!, estimatedRunMs: 1000 });
+        const [long] = cluster.tick();
+        cluster.submit("head", { resources: makeSize(4000) });
+        cluster.tick();
+        cluster.engine.setGrant(teams[0]!, makeSize(0));
+        const other = cluster.submit("other", { team: teams[1]!, resources: makeSize(3000), estimatedRunMs: 90_000 });
+        cluster.now = 1000;
+        cluster.end(long!.task);
+        cluster.tick();
+        cluster.tick();
+        expect(cluster.listRunning(other).length).toEqual(1);
+    });
+});
+
 describe("the head of the queue", () => {
     // Guards against a large task that waits for ever behind small ones.
     it("starts although small tasks arrive without end", () => {
@@ -336,6 +372,60 @@
     });
 });
 
+describe("adoption", () => {
+    // Guards against a task that runs in two places and of which only one is known.
+    it("refuses a task that is known on another worker", () => {
+        const cluster = new Cluster(2, makeSize(4000));
+        cluster.submit("j");
+        const start = cluster.tick()[0]!;
+        const other = toId<WorkerId>(start.worker === "w0" ? "w1" : "w0");
+        const adopted = { task: start.task, team: teams[0]!, resources: makeSize(1000) };
+        const result = cluster.engine.adoptTask(0, { ...adopted, worker: other });
+        expect(result.err && result.val.code).toEqual("task-elsewhere");
+        expect(cluster.engine.adoptTask(0, { ...adopted, worker: start.worker }).ok).toEqual(true);
+    });
+
+    // Guards against a worker that reports a task outside its job and so makes the counts of the job wrong.
+    it("refuses an index that its job does not have", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        const job = cluster.submit("j", { taskCount: 2 });
+        const adopted = { team: teams[0]!, resources: makeSize(1000), worker: toId<WorkerId>("w0") };
+        const result = cluster.engine.adoptTask(0, { ...adopted, task: toId<TaskId>("j/2") });
+        expect(result.err && result.val.code).toEqual("unknown-job");
+        expect(cluster.engine.explain(job)?.waitingCount).toEqual(2);
+    });
+
+    // Guards against adopted tasks that overfill a worker and are then not counted, so that more is placed beside them.
+    it("counts tasks above the capacity of their worker", () => {
+        const cluster = new Cluster(1, makeSize(4000));
+        cluster.submit("j", { taskCount: 8 });
+        for (let index = 0; index < 6; index++) {
+            const task = toId<TaskId>(`j/${index}`);
+            const worker = toId<WorkerId>("w0");
+            cluster.engine.adoptTask(0, { task, team: teams[0]!, worker, resources: makeSize(1000) });
+        }
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/0"), "succeeded");
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/1"), "succeeded");
+        expect(cluster.tick().length).toEqual(0);
+        cluster.engine.recordTaskEnded(1, toId<TaskId>("j/2"), "succeeded");
+        expect(cluster.tick().length).toEqual(1);
+    });
+
+    // Guards against capacity that is given away while a task on a removed or unreachable worker may still run.
+    it("keeps the grant of tasks on workers that left", () => {
+        const cluster = new Cluster(2, makeSize(4000));
+        cluster.engine.setTeam({ team: teams[0]!, limit: makeSize(4000) });
+        cluster.engine.setGrant(teams[0]!, makeSize(4000));
+        cluster.submit("j", { taskCount: 8 });
+        const starts = cluster.tick();
+        expect(starts.length).toEqual(4);
+        cluster.engine.removeWorker(starts[0]!.worker);
+        expect(cluster.tick().length).toEqual(0);
+        starts.forEach(start => cluster.end(start.task, "leaseExpired", true));
+        expect(cluster.tick().length).toEqual(4);
+    });
+});
+
 function endOneByOne(cluster: Cluster, job: JobId): void {
     for (const start of cluster.listRunning(job)) {
         cluster.now += 100;
--- a/packages/placement/src/queues.ts
+++ b/packages/placement/src/queues.ts
@@ -5,10 +5,11 @@
  * blocked work costs nothing and need not be moved.
  */
 import { IndexedHeap } from "./indexed-heap.js";
+import { countStartable } from "./job-indexes.js";
 import type { LaneOrder } from "./queue-order.js";
-import { createLaneOrder, isJobBefore, isQueueBefore, isReservedBefore } from "./queue-order.js";
+import { createLaneOrder, isReservedBefore } from "./queue-order.js";
+import { createLane, createQueue } from "./queue-rows.js";
 import type { JobQueue, JobRow, Lane, LaneItem, QueueCandidate, QueueState, Shape, TeamRow } from "./rows.js";
-import { countStartable } from "./rows.js";
 import type { JobKind, Objective, Priority } from "./types.js";
 import type { WorkerTable } from "./worker-table.js";
 
@@ -259,6 +260,7 @@
             (shape.isOpen ? this.openShapes : this.closedShapes).add(shape);
         }
         if (lane.urgent.size > 0 && lane.urgentItem.heapIndex < 0) {
+            lane.urgentItem.share = team.urgentWeightedShare;
             shape.urgentLanes.push(lane.urgentItem);
         }
         this.sortLane(lane);
@@ -287,45 +289,15 @@
     }
 
     private sortLane(lane: Lane): void {
+        lane.item.share = lane.team.weightedShare;
         lane.shape.lanes.update(lane.item);
         if (lane.urgentItem.heapIndex >= 0) {
+            lane.urgentItem.share = lane.team.urgentWeightedShare;
             lane.shape.urgentLanes.update(lane.urgentItem);
         }
     }
 }
 
-function createLane(team: TeamRow, shape: Shape): Lane {
-    const lane: Omit<Lane, "item" | "urgentItem"> = {
-        team,
-        shape,
-        urgent: new IndexedHeap(isQueueBefore),
-        normal: new IndexedHeap(isQueueBefore),
-    };
-    const complete = lane as Lane;
-    return Object.assign(lane, {
-        item: { lane: complete, heapIndex: -1 },
-        urgentItem: { lane: complete, heapIndex: -1 },
-    });
-}
-
-function createQueue(team: TeamRow, priority: Priority, kind: JobKind, shape: Shape, key: string): JobQueue {
-    const queue: Omit<JobQueue, "candidate"> = {
-        team,
-        kind,
-        priority,
-        shape,
-        jobs: new IndexedHeap<JobRow>(isJobBefore),
-        state: "empty",
-        retryAt: 0,
-        preemptAt: 0,
-        heapIndex: -1,
-        key,
-    };
-    return Object.assign(queue, {
-        candidate: { queue: queue as JobQueue, retryAt: 0, heapIndex: -1 },
-    });
-}
-
 function getLaneHeap(queue: JobQueue): IndexedHeap<JobQueue> {
     const lane = queue.team.lanes.get(queue.shape) as Lane;
     return queue.priority === "urgent" ? lane.urgent : lane.normal;
