Keep free ports of stand-ins below those of outgoing connections

Cause: a stand-in that is down frees its port. In the range of outgoing connections a client could take it, or connect to itself, and the stand-in could not come back. Change: port 0 chooses from 20000 to 31999.

--- a/packages/stand-ins/src/http-front.ts
+++ b/packages/stand-ins/src/http-front.ts
@@ -3,10 +3,10 @@
  * does: refused connections, calls without an answer, connections that end early.
  */
 import type { Clock } from "@waxwingroute/core";
+import { SystemRandom } from "@waxwingroute/core";
 import { wire } from "@waxwingroute/platform";
 import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { FaultGate } from "./fault-gate.js";
 
 /** One call as a handler sees it. */
@@ -38,7 +38,7 @@
     readonly gate: FaultGate;
     /** IP address to listen on. */
     readonly host: string;
-    /** Port to listen on; 0 for any free port. */
+    /** Port to listen on; 0 for any free port below those of outgoing connections. */
     readonly port: number;
     readonly handle: (request: FrontRequest) => FrontReply | Promise<FrontReply>;
     /** Called with the number of open connections each time that one opens. */
@@ -48,6 +48,14 @@
 /** Largest request body, in bytes. */
 const maxBodyBytes = 67_108_864;
 
+/**
+ * Ports to choose from, below the range that Linux gives to outgoing connections: while a stand-in is down, a client could
+ * otherwise take its port, or connect to itself.
+ */
+const firstFreePort = 20_000;
+const freePortCount = 12_000;
+const maxListenAttempts = 100;
+
 /** Serves one stand-in. */
 export class HttpFront {
     private readonly server = createServer((request, response) => {
@@ -81,14 +89,22 @@
 
     /** Begins to listen. Rejects if the port is taken. */
     async listen(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.port, this.options.host, () => {
-                this.server.off("error", reject);
-                resolve();
-            });
-        });
-        this.port = (this.server.address() as AddressInfo).port;
+        if (this.port !== 0) {
+            return this.listenOn(this.port);
+        }
+        const random = new SystemRandom();
+        for (let attempt = 1; this.port === 0; attempt++) {
+            const port = firstFreePort + random.getInteger(freePortCount);
+            try {
+                await this.listenOn(port);
+                this.port = port;
+            }
+            catch (error) {
+                if (attempt === maxListenAttempts) {
+                    throw error;
+                }
+            }
+        }
     }
 
     /** Stops listening and ends all connections. */
@@ -103,6 +119,16 @@
         await this.transition;
     }
 
+    private listenOn(port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, this.options.host, () => {
+                this.server.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
     private async applyDown(isDown: boolean): Promise<void> {
         if (isDown) {
             await this.stopListening();
