--- a/packages/stand-ins/src/worker-state.ts
+++ b/packages/stand-ins/src/worker-state.ts
@@ -55,7 +55,7 @@
     start(start: TaskStart, elapsedMs: number): Result<void, Failure> {
         const { records, address, clock } = this.options;
         const at = clock.getNow();
-        if (elapsedMs > start.expiresInMs) {
+        if (elapsedMs >= start.expiresInMs) {
             const lateByMs = elapsedMs - start.expiresInMs;
             records.lateStarts.push({ worker: address.worker, task: start.task, lateByMs, at });
             const message = `start of task "${start.task}" arrived ${lateByMs} ms after its expiry`;
