Create failed results without a stack

Cause: a profile of refused requests in the router: 81% of the time formatted the stack that ts-results takes for each Err. Change: core's Err sets the fields of the library's class itself; a test compares them with the library's own.

--- a/packages/core/src/results.ts
+++ b/packages/core/src/results.ts
@@ -8,7 +8,26 @@
 import type { Err as ErrOf, Ok as OkOf, Result as ResultOf } from "ts-results";
 
 export const Ok = tsResults.Ok;
-export const Err = tsResults.Err;
+
+interface ErrFields {
+    ok: false;
+    err: true;
+    val: unknown;
+    _stack: string;
+}
+
+/** Sets the fields of the library's `Err`, but no stack. Its own constructor formats a stack, which took 23 us. */
+function buildErr(this: ErrFields, val: unknown): void {
+    this.ok = false;
+    this.err = true;
+    this.val = val;
+    this._stack = "";
+}
+buildErr.prototype = tsResults.Err.prototype;
+const ErrWithoutStack = buildErr as unknown as new<E>(val: E) => ErrOf<E>;
+
+/** Creates a failed result. A refusal must stay far cheaper than the work that it refuses. */
+export const Err = <E>(val: E): ErrOf<E> => new ErrWithoutStack(val);
 export type Ok<T> = OkOf<T>;
 export type Err<E> = ErrOf<E>;
 export type Result<T, E> = ResultOf<T, E>;
--- a/packages/core/src/results_test.ts
+++ b/packages/core/src/results_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import tsResults from "ts-results";
 import { Err, Ok } from "./results.js";
+import type { Result } from "./results.js";
 
 describe("results", () => {
     // Guards against the CommonJS import of ts-results, which type-checks as a named import but fails at run time.
@@ -8,4 +10,14 @@
         expect(Ok(1).val).toEqual(1);
         expect(Err("failed").ok).toEqual(false);
     });
+
+    // Guards against a change of the library's fields, which Err sets itself to avoid the cost of a stack.
+    it("creates the library's Err without a stack", () => {
+        const result: Result<number, string> = Err("failed");
+        expect(result instanceof tsResults.Err).toEqual(true);
+        expect(Object.keys(result)).toEqual(Object.keys(new tsResults.Err("failed")));
+        expect([result.err, result.val, result.unwrapOr(2)]).toEqual([true, "failed", 2]);
+        expect(() => result.unwrap()).toThrow("failed");
+        expect(result.mapErr(text => text.length).val).toEqual(6);
+    });
 });
