Draw system random numbers from a pool

Cause: a profile of served requests spent 20% in the system call for the random part of each key. Change: core's SystemRandom takes 4 KB at a time and clears the bytes that it gave out as hexadecimal digits.

--- a/packages/core/src/random.ts
+++ b/packages/core/src/random.ts
@@ -44,13 +44,36 @@
     }
 }
 
+// One system call gives the bytes for several hundred ids; a call for each took a fifth of the time of a routed request.
+const poolBytes = 4096;
+
 /** A source seeded by the operating system. Its `getHex` is fit for secrets and unique ids. */
 export class SystemRandom extends RandomSource {
+    private pool = Buffer.alloc(0);
+    private position = 0;
+
     getFloat(): number {
-        return randomBytes(4).readUInt32LE() / 2 ** 32;
+        const start = this.take(4);
+        return this.pool.readUInt32LE(start) / 2 ** 32;
     }
 
     override getHex(count: number): string {
-        return randomBytes(Math.ceil(count / 2)).toString("hex").slice(0, count);
+        const length = Math.ceil(count / 2);
+        const start = this.take(length);
+        const text = this.pool.toString("hex", start, start + length).slice(0, count);
+        // The bytes of a secret do not stay in the pool.
+        this.pool.fill(0, start, start + length);
+        return text;
+    }
+
+    /** Returns the position of `count` bytes of the pool that were not used yet. */
+    private take(count: number): number {
+        if (this.position + count > this.pool.byteLength) {
+            this.pool = randomBytes(Math.max(poolBytes, count));
+            this.position = 0;
+        }
+        const start = this.position;
+        this.position += count;
+        return start;
     }
 }
