--- a/packages/routing/src/executor-lister.ts
+++ b/packages/routing/src/executor-lister.ts
@@ -2,11 +2,16 @@
  * Lists executors at intervals: which attempts they run, and whether they are draining.
  */
 import type { ExecutorPool } from "./executor-pool.js";
+import type { ExecutorReports } from "./executor-reports.js";
 import type { ExecutorRow } from "./executor-row.js";
 import type { ResolvedRouterOptions } from "./types.js";
 
 export class ExecutorLister {
-    constructor(private readonly options: ResolvedRouterOptions, private readonly pool: ExecutorPool) {}
+    constructor(
+        private readonly options: ResolvedRouterOptions,
+        private readonly pool: ExecutorPool,
+        private readonly reports: ExecutorReports,
+    ) {}
 
     /** Starts the lists that are due. `onListed` is called after each. */
     poll(now: number, onListed: () => void): void {
@@ -26,7 +31,7 @@
         try {
             const report = await row.definition.access.list();
             if (report.ok) {
-                this.pool.applyReport(row, report.val, requestedAt, this.options.clock.getNow());
+                this.reports.apply(row, report.val, requestedAt, this.options.clock.getNow());
             }
         }
         catch {
--- a/packages/routing/src/executor-pool.ts
+++ b/packages/routing/src/executor-pool.ts
@@ -1,9 +1,8 @@
 /**
  * The executors of a shard: which slots are in use, and which executor gets the next request.
  */
-import type { AttemptId, ExecutorId, QueueId, TeamId } from "@waxwingroute/core";
-import { Table, toId } from "@waxwingroute/core";
-import type { ExecutorReport } from "@waxwingroute/platform";
+import type { ExecutorId, QueueId, TeamId } from "@waxwingroute/core";
+import { Table } from "@waxwingroute/core";
 import { ExecutorHealth, selectOutliers } from "./executor-health.js";
 import { ExecutorRow } from "./executor-row.js";
 import type { SlotUse } from "./executor-row.js";
@@ -18,12 +17,6 @@
     readonly tried: readonly ExecutorId[];
 }
 
-/** Returns the team that an attempt id of any owner names. */
-function parseAttemptTeam(attempt: AttemptId): TeamId | undefined {
-    const parts = attempt.split(".");
-    return parts.length === 6 ? toId<TeamId>(parts[5]!) : undefined;
-}
-
 // Ten lists a second of an executor that refuses everything cost it little, and a restarted one is soon back.
 const relistMs = 100;
 // An estimate of waiting times needs no newer number, and counting costs more than a refusal.
@@ -38,12 +31,11 @@
     private readonly usableSlots = new Map<QueueId, { readonly slots: number; readonly countedAt: number; }>();
     private readonly maxListAgeMs: number;
     /** When no attempt of an earlier owner can run any more. */
-    private readonly earlierOwnerEndsBy: number;
+    readonly earlierOwnerEndsBy: number;
     private unknownSlots = 0;
     private evaluateAt = 0;
 
-    /** `attemptPrefix` begins the id of each attempt of this owner. */
-    constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {
+    constructor(private readonly options: ResolvedRouterOptions) {
         this.maxListAgeMs = maxListAge * options.listIntervalMs;
         const { clock, maxDeadlineMs, startInFlightMs, clockRateBound } = options;
         this.earlierOwnerEndsBy = clock.getNow() + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
@@ -181,44 +173,6 @@
         row.nextListAt = Math.min(row.nextListAt, Math.max(now, row.lastListStartedAt + relistMs));
     }
 
-    /** Counts attempts of an earlier owner against the executor's slots until its list no longer has them. */
-    setRunning(executor: ExecutorId, attempts: readonly AttemptId[], now: number): void {
-        const row = this.rows.get(executor);
-        if (row === undefined) {
-            return;
-        }
-        row.isListed = true;
-        row.listedAt = now;
-        for (const attempt of attempts) {
-            this.addForeign(row, attempt, now);
-        }
-        this.updateUnknownSlots();
-    }
-
-    /** Applies a list that was requested at `requestedAt`, unless a newer one was applied before. */
-    applyReport(row: ExecutorRow, report: ExecutorReport, requestedAt: number, now: number): void {
-        if (requestedAt < row.listedAt) {
-            return;
-        }
-        row.isReportedDraining = report.isDraining;
-        row.reportedSlots = report.slots;
-        this.index.update(row);
-        const isFirst = row.listedAt === Number.NEGATIVE_INFINITY;
-        row.isListed ||= requestedAt >= row.listNeededFrom;
-        row.listedAt = requestedAt;
-        row.markSeen(report, requestedAt);
-        for (const use of row.listEnded(report, requestedAt)) {
-            this.release(row, use);
-        }
-        if (row.uncertainCount > 0) {
-            this.scheduleList(row, now);
-        }
-        this.addListed(row, report, now);
-        if (isFirst) {
-            this.updateUnknownSlots();
-        }
-    }
-
     /** Frees slots whose attempts can no longer run, for executors that cannot be listed. A list is better evidence. */
     expire(now: number): void {
         for (const row of this.rows.values()) {
@@ -250,19 +204,11 @@
         return outliers;
     }
 
-    /** Counts listed attempts that take no slot yet: those of earlier owners, and own ones whose slot expired. */
-    private addListed(row: ExecutorRow, report: ExecutorReport, now: number): void {
-        const expired = new Map(row.expired);
-        row.expired.clear();
-        for (const attempt of report.running) {
-            const earlier = expired.get(attempt);
-            if (earlier !== undefined) {
-                this.take(row, earlier);
-            }
-            // An own attempt that takes no slot was answered after the list was requested.
-            else if (!row.uses.has(attempt) && !attempt.startsWith(this.attemptPrefix)) {
-                this.addForeign(row, attempt, now);
-            }
+    /** Takes a change of an executor's slots into account; `isFirst` tells whether its first list made the change. */
+    refresh(row: ExecutorRow, isFirst: boolean): void {
+        this.index.update(row);
+        if (isFirst) {
+            this.updateUnknownSlots();
         }
     }
 
@@ -282,21 +228,6 @@
             this.index.remove(row);
         }
     }
-
-    private addForeign(row: ExecutorRow, attempt: AttemptId, now: number): void {
-        if (row.uses.has(attempt)) {
-            return;
-        }
-        const endsBy = this.earlierOwnerEndsBy;
-        this.take(row, {
-            attempt,
-            team: parseAttemptTeam(attempt),
-            state: "foreign",
-            listedFrom: now,
-            isSeen: true,
-            endsBy,
-        });
-    }
 }
 
 function hasQueue(row: ExecutorRow, queue: QueueId): boolean {
--- a/packages/routing/src/request-router.ts
+++ b/packages/routing/src/request-router.ts
@@ -11,6 +11,7 @@
 import { Dispatcher } from "./dispatcher.js";
 import { ExecutorLister } from "./executor-lister.js";
 import { ExecutorPool } from "./executor-pool.js";
+import { ExecutorReports } from "./executor-reports.js";
 import { JobTable } from "./job-table.js";
 import { encodeKeyPrefix, encodeRequestKey } from "./request-key.js";
 import { ServiceTimes } from "./service-times.js";
@@ -56,6 +57,7 @@
         ejections: 0,
     };
     private readonly pool: ExecutorPool;
+    private readonly reports: ExecutorReports;
     private readonly queues: TeamQueues;
     private readonly jobs: JobTable;
     private readonly admission: Admission;
@@ -69,11 +71,12 @@
         this.options = resolveRouterOptions(options);
         const attemptPrefix = `${encodeKeyPrefix(options.shard, options.epoch)}${options.random.getHex(8)}.`;
         const serviceTimes = new ServiceTimes();
-        this.pool = new ExecutorPool(this.options, attemptPrefix);
+        this.pool = new ExecutorPool(this.options);
+        this.reports = new ExecutorReports(this.pool, attemptPrefix);
         this.queues = new TeamQueues(this.pool, serviceTimes);
         this.jobs = new JobTable(this.options, this.counters, job => this.queues.removeJob(job));
         this.admission = new Admission(this.options, this.jobs, this.queues, serviceTimes);
-        this.lister = new ExecutorLister(this.options, this.pool);
+        this.lister = new ExecutorLister(this.options, this.pool, this.reports);
         this.dispatcher = new Dispatcher(
             this.options,
             attemptPrefix,
@@ -134,7 +137,7 @@
      */
     setRunning(executor: ExecutorId, attempts: readonly AttemptId[]): void {
         const now = this.options.clock.getNow();
-        this.pool.setRunning(executor, attempts, now);
+        this.reports.setRunning(executor, attempts, now);
         this.dispatcher.dispatch(now);
     }
 
