--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -4,8 +4,10 @@
 import { canRetry, createFailure, Err, mergeVerdicts, Ok, toId } from "@waxwingroute/core";
 import type { AttemptId, Failure, Result } from "@waxwingroute/core";
 import type { ExecutorAnswer } from "@waxwingroute/platform";
+import { checkAnswer, startCall } from "./attempt.js";
+import type { Attempt } from "./attempt.js";
 import type { ExecutorPool } from "./executor-pool.js";
-import type { ExecutorRow, SlotUse } from "./executor-row.js";
+import type { SlotUse } from "./executor-row.js";
 import type { JobTable } from "./job-table.js";
 import type { Job } from "./job.js";
 import type { ServiceTimes } from "./service-times.js";
@@ -15,17 +17,6 @@
 // Long enough for two ticks and one list before the deadline.
 const lastListMs = 100;
 
-/** One attempt at a job. */
-interface Attempt {
-    readonly id: AttemptId;
-    readonly job: Job;
-    readonly row: ExecutorRow;
-    readonly use: SlotUse;
-    readonly sentAt: number;
-    readonly isProbe: boolean;
-    readonly chargedMs: number;
-}
-
 export class Dispatcher {
     private attemptCount = 0;
     private readonly attempts = new Map<AttemptId, Attempt>();
@@ -153,39 +144,15 @@
             executor: row.definition.executor,
             elapsedMs: now - job.arrivedAt,
         });
-        this.startCall(attempt, timeoutMs);
-    }
-
-    private startCall(attempt: Attempt, timeoutMs: number): void {
-        const { id, job, row } = attempt;
-        const { isIdempotent, contentType, body } = job.request;
-        const onError = (error: unknown) => {
-            const message = `the call of executor "${row.definition.executor}" ended with ${String(error)}`;
-            this.handleOutcome(attempt, Err(createFailure("executor-lost", message, "mayHaveRun")));
-        };
-        try {
-            row.definition.access.execute({
-                attempt: id,
-                requestKey: job.key,
-                queue: job.queue,
-                team: job.team,
-                isIdempotent,
-                contentType,
-                body,
-                timeoutMs,
-                epoch: this.options.epoch,
-            }).then(result => this.handleOutcome(attempt, result), onError);
-        }
-        catch (error) {
-            onError(error);
-        }
+        startCall(attempt, timeoutMs, this.options.epoch, result => this.handleOutcome(attempt, result));
     }
 
     private handleOutcome(attempt: Attempt, result: Result<ExecutorAnswer, Failure>): void {
         const now = this.options.clock.getNow();
         const { id, job, row, use } = attempt;
         this.attempts.delete(id);
-        const checked = this.checkAnswer(attempt, result);
+        const checked = checkAnswer(attempt, result);
+        this.counters.mismatchedAnswers += result.ok && checked.err ? 1 : 0;
         if (checked.err && checked.val.verdict === "mayHaveRun") {
             this.pool.markUncertain(row, use, now);
         }
@@ -208,18 +175,6 @@
         this.dispatch(now);
     }
 
-    /** An answer with the id of another attempt belongs to another caller and must not be used. */
-    private checkAnswer(attempt: Attempt, result: Result<ExecutorAnswer, Failure>): Result<ExecutorAnswer, Failure> {
-        if (result.err || result.val.attempt === attempt.id) {
-            return result;
-        }
-        this.counters.mismatchedAnswers++;
-        const message = `executor "${attempt.row.definition.executor}" answered attempt "${attempt.id}" with the id "${
-            String(result.val.attempt)
-        }"`;
-        return Err(createFailure("executor-lost", message, "mayHaveRun"));
-    }
-
     private recordOutcome(attempt: Attempt, result: Result<ExecutorAnswer, Failure>, now: number): void {
         const { job, row, chargedMs, isProbe } = attempt;
         const durationMs = now - attempt.sentAt;
