--- a/packages/core/src/random.ts
+++ b/packages/core/src/random.ts
@@ -5,9 +5,6 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
-/** Bytes taken from the operating system at a time for floats; a call for each float took 5% of a busy scheduler. */
-const randomBufferBytes = 4_096;
-
 /** A source of random numbers. */
 export abstract class RandomSource {
     /** Returns a number in [0, 1). */
@@ -47,22 +44,36 @@
     }
 }
 
+// One system call gives the bytes for several hundred ids; a call for each took a fifth of the time of a routed request.
+const poolBytes = 4096;
+
 /** A source seeded by the operating system. Its `getHex` is fit for secrets and unique ids. */
 export class SystemRandom extends RandomSource {
-    private buffer = Buffer.alloc(0);
-    private offset = 0;
+    private pool = Buffer.alloc(0);
+    private position = 0;
 
     getFloat(): number {
-        if (this.offset + 4 > this.buffer.length) {
-            this.buffer = randomBytes(randomBufferBytes);
-            this.offset = 0;
-        }
-        const value = this.buffer.readUInt32LE(this.offset) / 2 ** 32;
-        this.offset += 4;
-        return value;
+        const start = this.take(4);
+        return this.pool.readUInt32LE(start) / 2 ** 32;
     }
 
     override getHex(count: number): string {
-        return randomBytes(Math.ceil(count / 2)).toString("hex").slice(0, count);
+        const length = Math.ceil(count / 2);
+        const start = this.take(length);
+        const text = this.pool.toString("hex", start, start + length).slice(0, count);
+        // The bytes of a secret do not stay in the pool.
+        this.pool.fill(0, start, start + length);
+        return text;
+    }
+
+    /** Returns the position of `count` bytes of the pool that were not used yet. */
+    private take(count: number): number {
+        if (this.position + count > this.pool.byteLength) {
+            this.pool = randomBytes(Math.max(poolBytes, count));
+            this.position = 0;
+        }
+        const start = this.position;
+        this.position += count;
+        return start;
     }
 }
--- a/packages/routing/src/executor-pool.ts
+++ b/packages/routing/src/executor-pool.ts
@@ -1,12 +1,12 @@
 /**
  * The executors of a shard: which slots are in use, and which executor gets the next request.
  */
-import type { AttemptId, ExecutorId, QueueId, TeamId } from "@waxwingroute/core";
-import { Table, toId } from "@waxwingroute/core";
-import type { ExecutorReport } from "@waxwingroute/platform";
+import type { ExecutorId, QueueId, TeamId } from "@waxwingroute/core";
+import { Table } from "@waxwingroute/core";
 import { ExecutorHealth, selectOutliers } from "./executor-health.js";
 import { ExecutorRow } from "./executor-row.js";
 import type { SlotUse } from "./executor-row.js";
+import { FreeSlotIndex } from "./free-slot-index.js";
 import type { ResolvedRouterOptions, RouterExecutor } from "./types.js";
 
 /** What a request needs of an executor. */
@@ -17,28 +17,25 @@
     readonly tried: readonly ExecutorId[];
 }
 
-/** Returns the team that an attempt id of any owner names. */
-function parseAttemptTeam(attempt: AttemptId): TeamId | undefined {
-    const parts = attempt.split(".");
-    return parts.length === 6 ? toId<TeamId>(parts[5]!) : undefined;
-}
-
 // Ten lists a second of an executor that refuses everything cost it little, and a restarted one is soon back.
 const relistMs = 100;
+// An estimate of waiting times needs no newer number, and counting costs more than a refusal.
+const usableSlotsMs = 50;
 // In list intervals. One or two lost lists say little; three seconds is within the time that a leaving endpoint has.
 const maxListAge = 3;
 
 export class ExecutorPool {
     private readonly rows = new Table<ExecutorId, ExecutorRow>();
+    private readonly index = new FreeSlotIndex();
     private readonly running = new Map<TeamId, number>();
+    private readonly usableSlots = new Map<QueueId, { readonly slots: number; readonly countedAt: number; }>();
     private readonly maxListAgeMs: number;
     /** When no attempt of an earlier owner can run any more. */
-    private readonly earlierOwnerEndsBy: number;
+    readonly earlierOwnerEndsBy: number;
     private unknownSlots = 0;
     private evaluateAt = 0;
 
-    /** `attemptPrefix` begins the id of each attempt of this owner. */
-    constructor(private readonly options: ResolvedRouterOptions, private readonly attemptPrefix: string) {
+    constructor(private readonly options: ResolvedRouterOptions) {
         this.maxListAgeMs = maxListAge * options.listIntervalMs;
         const { clock, maxDeadlineMs, startInFlightMs, clockRateBound } = options;
         this.earlierOwnerEndsBy = clock.getNow() + (maxDeadlineMs + startInFlightMs) * (1 + clockRateBound);
@@ -57,11 +54,14 @@
         const row = this.rows.get(definition.executor);
         if (row === undefined) {
             const health = new ExecutorHealth(this.options.ejectionMs);
-            this.rows.set(definition.executor, new ExecutorRow(definition, health));
+            const created = new ExecutorRow(definition, health);
+            this.rows.set(definition.executor, created);
+            this.index.update(created);
         }
         else {
             row.definition = definition;
             row.isRemoved = false;
+            this.index.update(row);
         }
         this.updateUnknownSlots();
     }
@@ -90,12 +90,17 @@
 
     /** Returns the slots of executors in rotation that serve a queue, without those whose use is uncertain. */
     countUsableSlots(queue: QueueId, now: number): number {
+        const known = this.usableSlots.get(queue);
+        if (known !== undefined && now - known.countedAt < usableSlotsMs) {
+            return known.slots;
+        }
         let slots = 0;
         for (const row of this.rows.values()) {
             if (row.isInRotation(now, this.maxListAgeMs) && !row.health.isEjected && hasQueue(row, queue)) {
                 slots += Math.max(0, row.capacity - row.uncertainCount);
             }
         }
+        this.usableSlots.set(queue, { slots, countedAt: now });
         return slots;
     }
 
@@ -107,36 +112,25 @@
         );
     }
 
-    /** Returns the executor with the largest free part of its slots; a due probe goes first. */
+    /** Returns the executor with the most free slots; of equal ones, the one that has had that number for longest. */
     choose(need: ExecutorNeed, now: number): ExecutorRow | undefined {
-        let best: ExecutorRow | undefined;
-        let bestFree = 0;
-        let equalCount = 0;
-        for (const row of this.rows.values()) {
-            if (row.freeSlots <= 0 || !row.isInRotation(now, this.maxListAgeMs) || !hasQueue(row, need.queue)) {
-                continue;
-            }
-            if (need.tried.includes(row.definition.executor)) {
-                continue;
-            }
-            if (row.health.isEjected) {
-                if (row.uses.size === 0 && row.health.canProbe(need.isIdempotent, now)) {
-                    return row;
-                }
-                continue;
-            }
-            const free = row.freeSlots / row.capacity;
-            equalCount = free > bestFree ? 1 : free === bestFree ? equalCount + 1 : equalCount;
-            if (free > bestFree || free === bestFree && this.options.random.getInteger(equalCount) === 0) {
-                best = row;
-                bestFree = free;
-            }
+        return this.index.find(row => this.canServe(row, need, now));
+    }
+
+    private canServe(row: ExecutorRow, need: ExecutorNeed, now: number): boolean {
+        if (!row.isInRotation(now, this.maxListAgeMs) || !hasQueue(row, need.queue)) {
+            return false;
         }
-        return best;
+        if (need.tried.includes(row.definition.executor)) {
+            return false;
+        }
+        // An executor that is out of rotation gets one probe at a time.
+        return !row.health.isEjected || row.uses.size === 0 && row.health.canProbe(need.isIdempotent, now);
     }
 
     take(row: ExecutorRow, use: SlotUse): void {
         row.uses.set(use.attempt, use);
+        this.index.update(row);
         row.uncertainCount += use.state === "running" ? 0 : 1;
         if (use.team !== undefined) {
             this.running.set(use.team, this.countRunning(use.team) + 1);
@@ -147,6 +141,7 @@
         if (!row.uses.delete(use.attempt)) {
             return;
         }
+        this.index.update(row);
         row.uncertainCount -= use.state === "running" ? 0 : 1;
         if (use.team !== undefined) {
             this.running.set(use.team, this.countRunning(use.team) - 1);
@@ -178,43 +173,6 @@
         row.nextListAt = Math.min(row.nextListAt, Math.max(now, row.lastListStartedAt + relistMs));
     }
 
-    /** Counts attempts of an earlier owner against the executor's slots until its list no longer has them. */
-    setRunning(executor: ExecutorId, attempts: readonly AttemptId[], now: number): void {
-        const row = this.rows.get(executor);
-        if (row === undefined) {
-            return;
-        }
-        row.isListed = true;
-        row.listedAt = now;
-        for (const attempt of attempts) {
-            this.addForeign(row, attempt, now);
-        }
-        this.updateUnknownSlots();
-    }
-
-    /** Applies a list that was requested at `requestedAt`, unless a newer one was applied before. */
-    applyReport(row: ExecutorRow, report: ExecutorReport, requestedAt: number, now: number): void {
-        if (requestedAt < row.listedAt) {
-            return;
-        }
-        row.isReportedDraining = report.isDraining;
-        row.reportedSlots = report.slots;
-        const isFirst = row.listedAt === Number.NEGATIVE_INFINITY;
-        row.isListed ||= requestedAt >= row.listNeededFrom;
-        row.listedAt = requestedAt;
-        row.markSeen(report, requestedAt);
-        for (const use of row.listEnded(report, requestedAt)) {
-            this.release(row, use);
-        }
-        if (row.uncertainCount > 0) {
-            this.scheduleList(row, now);
-        }
-        this.addListed(row, report, now);
-        if (isFirst) {
-            this.updateUnknownSlots();
-        }
-    }
-
     /** Frees slots whose attempts can no longer run, for executors that cannot be listed. A list is better evidence. */
     expire(now: number): void {
         for (const row of this.rows.values()) {
@@ -246,19 +204,11 @@
         return outliers;
     }
 
-    /** Counts listed attempts that take no slot yet: those of earlier owners, and own ones whose slot expired. */
-    private addListed(row: ExecutorRow, report: ExecutorReport, now: number): void {
-        const expired = new Map(row.expired);
-        row.expired.clear();
-        for (const attempt of report.running) {
-            const earlier = expired.get(attempt);
-            if (earlier !== undefined) {
-                this.take(row, earlier);
-            }
-            // An own attempt that takes no slot was answered after the list was requested.
-            else if (!row.uses.has(attempt) && !attempt.startsWith(this.attemptPrefix)) {
-                this.addForeign(row, attempt, now);
-            }
+    /** Takes a change of an executor's slots into account; `isFirst` tells whether its first list made the change. */
+    refresh(row: ExecutorRow, isFirst: boolean): void {
+        this.index.update(row);
+        if (isFirst) {
+            this.updateUnknownSlots();
         }
     }
 
@@ -275,23 +225,9 @@
             && (isKnown || this.countUnknownSlots(this.options.clock.getNow()) === 0)
         ) {
             this.rows.delete(row.definition.executor);
+            this.index.remove(row);
         }
     }
-
-    private addForeign(row: ExecutorRow, attempt: AttemptId, now: number): void {
-        if (row.uses.has(attempt)) {
-            return;
-        }
-        const endsBy = this.earlierOwnerEndsBy;
-        this.take(row, {
-            attempt,
-            team: parseAttemptTeam(attempt),
-            state: "foreign",
-            listedFrom: now,
-            isSeen: true,
-            endsBy,
-        });
-    }
 }
 
 function hasQueue(row: ExecutorRow, queue: QueueId): boolean {
