entry: Refuse requests when the process is too busy

Cause: at twice the peak an entry process took every request, up to 4,000 in progress, and its own work kept the owner's answers from arriving before the deadline: 3,744 answers were 502 mayHaveRun, none was a refusal.

Change: a request is refused with 503 notRun while timers run more than 50 ms late, and at most 1,000 requests are in progress. The signal of a request is not aborted after its response, since each abort records a stack trace.

bench: the section counts only answers within the deadline as useful, takes the cost of the idle system off, and measures refusals by the entry process and by the owner apart.

--- a/packages/bench/src/load-generator.ts
+++ b/packages/bench/src/load-generator.ts
@@ -23,6 +23,8 @@
     readonly concurrency: number;
     /** Requests a second; without it each answer starts the next request at once. */
     readonly ratePerSecond?: number;
+    /** Milliseconds within which an answer is of use. Default: any. */
+    readonly usefulMs?: number;
 }
 
 /** What came back. */
@@ -30,6 +32,8 @@
     readonly sent: number;
     /** Answers with status 200. */
     readonly served: number;
+    /** Answers with status 200 within `usefulMs`. */
+    readonly useful: number;
     /** Refusals with verdict `notRun`. */
     readonly refused: number;
     /** Everything else, by status and verdict. */
@@ -38,7 +42,10 @@
     readonly codes: Readonly<Record<string, number>>;
     /** Requests that were due while `concurrency` requests were in progress. */
     readonly skipped: number;
+    /** Milliseconds in which requests were sent. */
     readonly elapsedMs: number;
+    /** Milliseconds until the last answer. */
+    readonly totalMs: number;
     /** Microseconds from the time at which a request was due to its answer, of served requests. */
     readonly latency: Histogram;
     /** The same, of refused requests. */
@@ -57,6 +64,7 @@
     private readonly codes: Record<string, number> = {};
     private sent = 0;
     private served = 0;
+    private useful = 0;
     private refused = 0;
     private skipped = 0;
     private inProgress = 0;
@@ -74,9 +82,10 @@
         while (this.inProgress > 0 && performance.now() < drainUntil) {
             await wait(5);
         }
+        const totalMs = performance.now() - startedAt;
         this.agent.destroy();
-        const { sent, served, refused, others, codes, skipped, latency, refusalLatency } = this;
-        return { sent, served, refused, others, codes, skipped, elapsedMs, latency, refusalLatency };
+        const { sent, served, useful, refused, others, codes, skipped, latency, refusalLatency } = this;
+        return { sent, served, useful, refused, others, codes, skipped, elapsedMs, totalMs, latency, refusalLatency };
     }
 
     private async runClosed(startedAt: number): Promise<void> {
@@ -144,6 +153,7 @@
         const microseconds = Math.min(maxLatencyMicroseconds, Math.max(1, Math.round(elapsedMs * 1_000)));
         if (status === 200) {
             this.served++;
+            this.useful += Number(elapsedMs <= (this.options.usefulMs ?? Infinity));
             this.latency.recordValue(microseconds);
             return;
         }
--- a/packages/bench/src/process-sections.ts
+++ b/packages/bench/src/process-sections.ts
@@ -1,6 +1,7 @@
 /**
  * The sections that start real processes.
  */
+import { runControlCost } from "./control-cost.js";
 import { runRecovery } from "./recovery.js";
 import type { SectionReport } from "./report.js";
 import { runRequestPath } from "./request-path.js";
@@ -13,8 +14,9 @@
 
 export const processSections: Readonly<Record<string, ProcessSection>> = {
     path: { run: runRequestPath, isDefault: true },
-    // Takes minutes.
+    // These take minutes.
     recovery: { run: runRecovery, isDefault: false },
+    control: { run: runControlCost, isDefault: false },
 };
 
 /** Returns the names of the sections that a run without `--only` includes. */
--- a/packages/bench/src/process-zone.ts
+++ b/packages/bench/src/process-zone.ts
@@ -23,6 +23,8 @@
     readonly workers?: number;
     /** Executors of each zone. Default 33. */
     readonly executors?: number;
+    /** Whether entry processes are started. Default true. */
+    readonly hasEntry?: boolean;
     /** Lag of the host list in milliseconds. Default 500. */
     readonly hostListLagMs?: number;
     /** Fields of the settings file, over the defaults. */
@@ -59,7 +61,7 @@
     private readonly directory = mkdtempSync(join(tmpdir(), "waxwing-bench-"));
 
     constructor(options: ProcessZoneOptions = {}) {
-        const { hosts = defaultHosts, workers = 33, executors = 33, hostListLagMs = 500, settings } = options;
+        const { hosts = defaultHosts, workers = 33, executors = 33, hostListLagMs = 500, hasEntry = true } = options;
         this.hosts = hosts;
         const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
         this.world = new ProcessWorld({
@@ -67,7 +69,7 @@
                 standIn: toMain("stand-ins"),
                 scheduler: toMain("scheduler"),
                 operator: toMain("operator"),
-                entry: toMain("entry"),
+                ...hasEntry ? { entry: toMain("entry") } : {},
             },
             layout: {
                 hostListLagMs,
@@ -78,7 +80,7 @@
                 })),
             },
             hosts,
-            settings,
+            settings: options.settings,
             directory: this.directory,
         });
     }
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -10,6 +10,7 @@
 import { Exchange } from "./exchange.js";
 import { createRefusal } from "./http-failure.js";
 import type { HttpFailure } from "./http-failure.js";
+import { LoopDelay } from "./loop-delay.js";
 import { encodeRawFailure, writeFailure } from "./response-writer.js";
 import { resolveEntryOptions } from "./types.js";
 import type { EntryServerOptions, ResolvedEntryOptions } from "./types.js";
@@ -43,6 +44,7 @@
     private readonly running = new Set<Exchange>();
     /** Requests without a finished response by connection. */
     private readonly open = new WeakMap<Duplex, Set<Exchange>>();
+    private readonly loopDelay: LoopDelay;
     private droppedConnections = 0;
     private badConnections = 0;
     private isStopping = false;
@@ -50,6 +52,7 @@
     constructor(options: EntryServerOptions) {
         this.options = resolveEntryOptions(options);
         this.budget = new ByteBudget(this.options.maxTotalBytes);
+        this.loopDelay = new LoopDelay(this.options.clock);
         const { maxHeaderBytes, headerTimeoutMs, bodyTimeoutMs, keepAliveMs } = this.options;
         this.server = createServer({
             maxHeaderSize: maxHeaderBytes,
@@ -76,6 +79,7 @@
     start(): Promise<number> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
+            this.loopDelay.start();
             this.server.listen(this.options.port, this.options.host, () => {
                 this.server.off("error", reject);
                 resolve((this.server.address() as AddressInfo).port);
@@ -110,6 +114,7 @@
         const timer = clock.schedule(lastWriteMs, () => this.server.closeAllConnections());
         await closed;
         timer.cancel();
+        this.loopDelay.stop();
     }
 
     /** Returns the present numbers. */
@@ -150,6 +155,9 @@
                 `${this.running.size} requests are in progress, the most allowed`,
             );
         }
+        if (this.loopDelay.delayMs > this.options.maxLoopDelayMs) {
+            return createRefusal(503, "overloaded", "the entry server has more requests than it can handle");
+        }
         return undefined;
     }
 
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -233,7 +233,10 @@
 
     /** Runs when the response was sent or the connection ended. */
     private close(): void {
-        this.controller.abort();
+        // Each abort records a stack trace; after a response nothing waits for it.
+        if (!this.isResponded) {
+            this.controller.abort();
+        }
         this.releaseBytes();
     }
 
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -84,8 +84,13 @@
     readonly maxHeaderBytes?: number;
     /** Connections at one time; further ones are closed. Default 2,000. */
     readonly maxConnections?: number;
-    /** Requests in progress at one time; further ones are refused. Default 4,000. */
+    /**
+     * Requests in progress at one time; further ones are refused. Default 1,000, about four times the slots of a zone of 33
+     * executors; with 4,000 the process is so busy with waiting requests that owners cannot answer within the deadline.
+     */
     readonly maxRequests?: number;
+    /** Lateness of this process's timers above which new requests are refused, in milliseconds. Default 50. */
+    readonly maxLoopDelayMs?: number;
     /** Milliseconds for the header of a request to arrive. Default 10,000. */
     readonly headerTimeoutMs?: number;
     /** Milliseconds for the body of a request to arrive after its header. Default 15,000. */
@@ -111,7 +116,8 @@
         maxTotalBytes: 64 * 1024 * 1024,
         maxHeaderBytes: 16_384,
         maxConnections: 2000,
-        maxRequests: 4000,
+        maxRequests: 1000,
+        maxLoopDelayMs: 50,
         headerTimeoutMs: 10_000,
         bodyTimeoutMs: 15_000,
         responseTimeoutMs: 30_000,
