--- a/packages/bench/src/propagation.ts
+++ b/packages/bench/src/propagation.ts
@@ -109,6 +109,11 @@
     }
     await zone.clock.wait(leaveWaitMs);
     const { taskRuns } = await zone.readRecords();
+    const leavingAt = Math.max(...startedAt.values());
+    // Without starts elsewhere, the absence of starts on the leaving workers would show nothing.
+    if (!taskRuns.some(run => run.startedAt > leavingAt + 1_000 && !startedAt.has(run.worker))) {
+        throw new Error("no task started on the workers that stayed");
+    }
     return workers.map(worker => {
         const from = startedAt.get(worker) ?? 0;
         const starts = taskRuns.filter(run => run.worker === worker && run.startedAt > from);
