--- a/packages/operator/src/rpc-job-gateway.ts
+++ b/packages/operator/src/rpc-job-gateway.ts
@@ -11,7 +11,7 @@
 import { listShards, listZoneShards } from "@waxwingroute/settings";
 import type { Settings } from "@waxwingroute/settings";
 import { schedulerService } from "@waxwingroute/transport";
-import type { JobStatus as WireStatus, RpcStream } from "@waxwingroute/transport";
+import type { JobStatus as WireStatus, RpcStream, UnaryMethod } from "@waxwingroute/transport";
 import { createHash } from "node:crypto";
 import { match } from "ts-pattern";
 import { JobGateway } from "./types.js";
@@ -59,19 +59,8 @@
     }
 
     async cancel(name: string): Promise<Result<JobStatus, Failure>> {
-        const found = await this.find(name);
-        if (!found.ok) {
-            return Err(found.val);
-        }
-        const { shard, job } = found.val;
-        const request = { shard, job };
-        const result = await this.options.shards.call(
-            toId<ShardId>(shard),
-            schedulerService.cancelJob,
-            request,
-            callTimeoutMs,
-        );
-        return result.map(toJobStatus).mapErr(toGatewayFailure);
+        const called = await this.callForJob(name, schedulerService.cancelJob);
+        return called.map(({ response }) => toJobStatus(response));
     }
 
     async describe(name: string): Promise<Result<JobStatus, Failure>> {
@@ -96,21 +85,11 @@
     }
 
     async explain(name: string): Promise<Result<JobExplanation, Failure>> {
-        const found = await this.find(name);
-        if (!found.ok) {
-            return Err(found.val);
-        }
-        const { shard, job } = found.val;
-        const request = { shard, job };
-        const result = await this.options.shards.call(
-            toId<ShardId>(shard),
-            schedulerService.explainJob,
-            request,
-            callTimeoutMs,
-        );
-        return result
-            .map(({ reasons }) => ({ job: toJobStatus(found.val), reasons: reasons.map(toReason) }))
-            .mapErr(toGatewayFailure);
+        const called = await this.callForJob(name, schedulerService.explainJob);
+        return called.map(({ found, response }) => ({
+            job: toJobStatus(found),
+            reasons: response.reasons.map(toReason),
+        }));
     }
 
     async watch({ team, from, onEvent, signal }: JobWatch): Promise<Result<void, Failure>> {
@@ -162,6 +141,20 @@
         }
     }
 
+    /** Finds a job and calls a method of its owner that takes the job's id. */
+    private async callForJob<Response>(
+        name: string,
+        method: UnaryMethod<{ shard: string; job: string; }, Response>,
+    ): Promise<Result<{ readonly found: WireStatus; readonly response: Response; }, Failure>> {
+        const found = await this.find(name);
+        if (!found.ok) {
+            return Err(found.val);
+        }
+        const { shard, job } = found.val;
+        const result = await this.options.shards.call(toId<ShardId>(shard), method, { shard, job }, callTimeoutMs);
+        return result.map(response => ({ found: found.val, response })).mapErr(toGatewayFailure);
+    }
+
     /** Finds a job by name: first where a job without a zone lives, then everywhere. */
     private async find(name: string): Promise<Result<WireStatus, Failure>> {
         const { settings } = this.options;
--- a/packages/scenario/src/index.ts
+++ b/packages/scenario/src/index.ts
@@ -4,6 +4,7 @@
 export type { EntryHost, LinkBytes } from "./cluster-plan.js";
 export { InProcessSystem, InProcessWorld } from "./in-process-world.js";
 export type { InProcessWorldOptions } from "./in-process-world.js";
+export { createJobSpec } from "./operator-client.js";
 export { parseScenario } from "./parse-scenario.js";
 export { ProcessWorld } from "./process-world.js";
 export type { ProcessWorldOptions } from "./process-world.js";
--- a/packages/scenario/src/operator-client.ts
+++ b/packages/scenario/src/operator-client.ts
@@ -103,7 +103,8 @@
 
 const toPath = (kind: string) => `/v1/${kind.toLowerCase()}s`;
 
-function createJobSpec(job: JobSubmission): Readonly<Record<string, unknown>> {
+/** Returns the spec of a submitted job, with the defaults of the language. */
+export function createJobSpec(job: JobSubmission): Readonly<Record<string, unknown>> {
     return {
         kind: job.jobKind ?? "batch",
         team: job.team,
--- a/packages/scheduler/src/job-tracker.ts
+++ b/packages/scheduler/src/job-tracker.ts
@@ -4,23 +4,22 @@
  * The journal comes first in each case where a later owner must know: a job is accepted, a task may start and an outcome is
  * forgotten by its worker only after the commit.
  */
-import { createFailure, Err, Ok, parseTaskId, Table, toId, toTaskId } from "@waxwingroute/core";
-import type { Failure, JobId, Result, TaskId, TeamId, WorkerId } from "@waxwingroute/core";
+import { createFailure, Err, Ok, parseTaskId, Table, toTaskId } from "@waxwingroute/core";
+import type { Failure, JobId, Result, TaskId, WorkerId } from "@waxwingroute/core";
 import type { Journal, JournalJob, JournalOutcome } from "@waxwingroute/journal";
 import type { PlacementEngine } from "@waxwingroute/placement";
 import type { TaskOutcome } from "@waxwingroute/platform";
-import { jobSpecSchema, toDeadlineTime } from "@waxwingroute/resources";
+import { jobSpecSchema } from "@waxwingroute/resources";
 import type { JobSpec } from "@waxwingroute/resources";
 import type { JobStatus } from "@waxwingroute/transport";
 import { match } from "ts-pattern";
+import { JobAdmission } from "./job-admission.js";
 import { JobEvents } from "./job-events.js";
 import type { JobStep } from "./job-events.js";
 import { getJobName, JobRow, TaskState } from "./job-row.js";
 import { OutcomeLog } from "./outcome-log.js";
 import type { ShardContext } from "./shard-context.js";
 
-/** Jobs of at least this priority are urgent. */
-const urgentPriority = 900;
 /** How often a repeatable task that failed is started again. */
 const maxFailureRestarts = 3;
 /** Longest wait before a service task is started again, in milliseconds. */
@@ -38,19 +37,25 @@
     readonly events: JobEvents;
     journal: Journal | undefined;
     private readonly outcomes: OutcomeLog;
-    /** Jobs whose acceptance is not committed yet, or not known to be. */
-    private readonly pendingJobs = new Set<JobId>();
+    private readonly admission: JobAdmission;
     private readonly pendingWindows = new Set<JobId>();
     private readonly preempting = new Set<TaskId>();
 
     constructor(private readonly context: ShardContext, private readonly engine: PlacementEngine) {
         this.events = new JobEvents(() => context.clock.getWallTime());
         this.outcomes = new OutcomeLog(context.clock, () => this.journal);
+        this.admission = new JobAdmission({
+            context,
+            engine,
+            jobs: this.jobs,
+            getJournal: () => this.journal,
+            addStep: (row, step) => this.addStep(row, step),
+        });
     }
 
     /** Whether all that must last is committed. */
     get hasUncommitted(): boolean {
-        return this.outcomes.hasPending || this.pendingJobs.size > 0;
+        return this.outcomes.hasPending || this.admission.pendingCount > 0;
     }
 
     /**
@@ -90,34 +95,8 @@
     }
 
     /** Accepts a job; resolves after the commit. A repeated submission with the same content is accepted again. */
-    async submitJob(job: JobId, spec: JobSpec): Promise<Result<JobStatus, Failure>> {
-        const known = this.jobs.get(job);
-        if (known !== undefined && !this.pendingJobs.has(job)) {
-            return JSON.stringify(known.spec) === JSON.stringify(spec)
-                ? Ok(known.toStatus())
-                : Err(createFailure("job-exists", `job "${job}" exists with another content`, "notRun"));
-        }
-        if (known !== undefined) {
-            return Err(createFailure("job-pending", `job "${job}" is being accepted; ask again`, "mayHaveRun", 500));
-        }
-        if (this.journal === undefined) {
-            return Err(
-                createFailure(
-                    "store-unavailable",
-                    "jobs cannot be made durable while the store is down: submit it again later",
-                    "notRun",
-                    1_000,
-                ),
-            );
-        }
-        const submitted = this.addToEngine(job, spec, 0, false);
-        if (!submitted.ok) {
-            return submitted;
-        }
-        const row = new JobRow(job, getJobName(job), spec, this.context.shard);
-        this.jobs.set(job, row);
-        this.pendingJobs.add(job);
-        return this.commitJob(this.journal, row);
+    submitJob(job: JobId, spec: JobSpec): Promise<Result<JobStatus, Failure>> {
+        return this.admission.submitJob(job, spec);
     }
 
     /** Cancels a job; resolves after the commit. */
@@ -154,7 +133,7 @@
     /** Commits collected outcomes and wanted windows, and settles acceptances whose commit came late. */
     tick(): void {
         this.outcomes.flush();
-        this.settlePending();
+        this.admission.settlePending();
         this.requestWindows();
     }
 
@@ -267,7 +246,7 @@
             return;
         }
         const startable = isComplete ? startedThrough : row.isRepeatable ? spec.taskCount : 0;
-        this.addToEngine(job, spec, startable, true);
+        this.admission.addToEngine(job, spec, startable, true);
         const now = this.context.clock.getNow();
         for (let index = 0; index < spec.taskCount; index++) {
             const state = row.getState(index);
@@ -304,83 +283,13 @@
         }
     }
 
-    private addToEngine(job: JobId, spec: JobSpec, startedThrough: number, isRestored: boolean): Result<void, Failure> {
-        const { clock } = this.context;
-        const now = clock.getNow();
-        const deadline = toDeadlineTime(spec);
-        return this.engine.submitJob(now, {
-            job,
-            team: toId<TeamId>(spec.team),
-            kind: spec.kind,
-            priority: spec.priority >= urgentPriority ? "urgent" : "normal",
-            taskCount: spec.taskCount,
-            resources: spec.resources,
-            deadline: deadline === undefined ? undefined : now + deadline - clock.getWallTime(),
-            estimatedRunMs: spec.estimatedRunMs,
-            startedThrough,
-            isRestored,
-        });
-    }
-
-    private async commitJob(journal: Journal, row: JobRow): Promise<Result<JobStatus, Failure>> {
-        const { job, spec } = row;
-        const accepted = journal.append({ kind: "jobAccepted", job, spec, at: this.context.clock.getWallTime() });
-        // Repeatable tasks need no narrow window: after a takeover they may start again in any case.
-        const startedThrough = row.isRepeatable ? spec.taskCount : 0;
-        const windowed = startedThrough > 0
-            ? journal.append({ kind: "windowReserved", job, startedThrough })
-            : Promise.resolve(Ok(undefined));
-        const result = await accepted;
-        if (result.err) {
-            if (result.val.verdict === "notRun") {
-                this.dropPending(job);
-            }
-            return result;
-        }
-        this.acceptPending(row);
-        if ((await windowed).ok) {
-            this.engine.markStartable(job, startedThrough);
-        }
-        return Ok(row.toStatus());
-    }
-
-    private acceptPending(row: JobRow): void {
-        if (this.pendingJobs.delete(row.job)) {
-            this.addStep(row, {
-                event: "accepted",
-                job: row.job,
-                detail: `${row.spec.taskCount} tasks for team ${row.spec.team}`,
-            });
-            this.context.logger.write("info", "job accepted", {
-                job: row.job,
-                team: row.spec.team,
-                tasks: row.spec.taskCount,
-            });
-        }
-    }
-
-    private dropPending(job: JobId): void {
-        this.pendingJobs.delete(job);
-        this.engine.cancelJob(job);
-        this.jobs.delete(job);
-    }
-
-    private settlePending(): void {
-        for (const job of this.pendingJobs) {
-            const row = this.jobs.get(job);
-            if (row !== undefined && this.journal?.getJobs().has(job) === true) {
-                this.acceptPending(row);
-            }
-        }
-    }
-
     private requestWindows(): void {
         const { journal } = this;
         if (journal === undefined) {
             return;
         }
         for (const { job, throughIndex } of this.engine.collectWindowRequests()) {
-            if (!this.pendingJobs.has(job) && !this.pendingWindows.has(job)) {
+            if (!this.admission.isPending(job) && !this.pendingWindows.has(job)) {
                 this.pendingWindows.add(job);
                 void journal.append({ kind: "windowReserved", job, startedThrough: throughIndex }).then(result => {
                     this.pendingWindows.delete(job);
--- a/packages/system-tests/src/in-process-cluster.ts
+++ b/packages/system-tests/src/in-process-cluster.ts
@@ -16,7 +16,7 @@
 import { jobSpecSchema, parseResource } from "@waxwingroute/resources";
 import type { ConfigurationResource } from "@waxwingroute/resources";
 import { parseRequestKey } from "@waxwingroute/routing";
-import { InProcessSystem, InProcessWorld } from "@waxwingroute/scenario";
+import { createJobSpec, InProcessSystem, InProcessWorld } from "@waxwingroute/scenario";
 import type { JobSubmission, OutgoingRequest, ProcessState, RequestReply, ResourceWrite } from "@waxwingroute/scenario";
 import { listHosts, parseSettings } from "@waxwingroute/settings";
 import type { HostPlace, Settings } from "@waxwingroute/settings";
@@ -209,21 +209,7 @@
         if (holder?.team.name !== job.team) {
             return Err(createFailure("unauthorized", `the key is not one of team "${job.team}"`, "notRun"));
         }
-        const spec = jobSpecSchema.parse({
-            kind: job.jobKind ?? "batch",
-            team: job.team,
-            taskCount: job.tasks ?? 1,
-            resources: {
-                cpuMillis: job.cpuMillis ?? 100,
-                memoryMb: job.memoryMb ?? 64,
-                accelerators: job.accelerators ?? 0,
-            },
-            command: job.command ?? "run 200ms",
-            safeToRepeat: job.isSafeToRepeat ?? false,
-            priority: job.priority,
-            estimatedRunMs: job.estimatedRunMs,
-            zone: job.zone,
-        });
+        const spec = jobSpecSchema.parse(createJobSpec(job));
         const result = await operator.jobs.submit({ kind: "Job", name: job.name, version: 0, spec });
         return result.map(() => undefined);
     }
