--- a/packages/operator/src/rpc-cluster-gateway.ts
+++ b/packages/operator/src/rpc-cluster-gateway.ts
@@ -55,7 +55,11 @@
         const { clients, relay } = this.options;
         const result = await clients.call(host, relayService.digest, relay.buildDigest(), callTimeoutMs);
         return result.ok
-            ? { host, zone, revision: result.val.revision, confirmedAgoMs: result.val.confirmedAgoMs }
+            ? { host, zone, revision: result.val.revision, confirmedAgoMs: roundAge(result.val.confirmedAgoMs) }
             : { host, zone, revision: undefined, confirmedAgoMs: undefined, problem: result.val.message };
     }
 }
+
+function roundAge(ageMs: number | undefined): number | undefined {
+    return ageMs === undefined ? undefined : Math.round(ageMs);
+}
--- a/scripts/verbs.js
+++ b/scripts/verbs.js
@@ -158,6 +158,7 @@
     "restore",
     "return",
     "revoke",
+    "round",
     "run",
     "sample",
     "schedule",
