--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -18,7 +18,7 @@
     start: startOperator,
 });
 
-async function startOperator({ settings, place, logger }: DaemonContext): Promise<RunningDaemon> {
+async function startOperator({ settings, place, logger, metrics }: DaemonContext): Promise<RunningDaemon> {
     const store = new HttpStore({ url: settings.store.url, timeoutMs: settings.store.timeoutMs, source: place.host });
     const clients = new SchedulerClients({ settings });
     const { replica, driver } = createRelay({
@@ -38,15 +38,11 @@
         keyStalenessMs: settings.keys.stalenessMs,
         whenStale: settings.keys.whenStale,
         shutdownMs: settings.shutdown.boundMs / 2,
-        onWrite: ({ method, path, client, status, failure }) =>
-            logger.write("info", "operator write", {
-                method,
-                path,
-                client,
-                status,
-                code: failure?.code,
-                verdict: failure?.verdict,
-            }),
+        onWrite: ({ method, path, client, status, failure }) => {
+            const { code, verdict } = failure ?? {};
+            logger.write("info", "operator write", { method, path, client, status, code, verdict });
+            metrics.increment("operator.writes", 1, { status: String(status) });
+        },
         onError: error => logger.write("error", "request failed", { error: String(error) }),
     });
     driver.start();
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -13,6 +13,9 @@
 import { EndpointCache } from "./endpoint-cache.js";
 import { SchedulerProgram } from "./scheduler-program.js";
 
+/** Period of the metrics, in milliseconds. */
+const gaugeIntervalMs = 5_000;
+
 runDaemon({
     program: "waxwing-scheduler",
     description: "Owns shards: places tasks, routes requests to executors and relays the configuration.",
@@ -20,7 +23,7 @@
     start: startScheduler,
 });
 
-async function startScheduler({ settings, place, logger }: DaemonContext): Promise<RunningDaemon> {
+async function startScheduler({ settings, place, logger, metrics }: DaemonContext): Promise<RunningDaemon> {
     const random = new SystemRandom();
     const source = place.host;
     const store = new HttpStore({ url: settings.store.url, timeoutMs: settings.store.timeoutMs, source });
@@ -43,7 +46,12 @@
     // The incarnation is made after the bind, which proves that earlier processes on this address have ended.
     await server.listen();
     scheduler.start(toId<IncarnationId>(random.getHex(16)));
+    const gaugeTimer = setInterval(
+        () => scheduler.reportGauges((name, value, tags) => metrics.setGauge(name, value, tags)),
+        gaugeIntervalMs,
+    );
     const closeConnections = async () => {
+        clearInterval(gaugeTimer);
         await server.shutdown(settings.shutdown.boundMs * 0.1);
         clients.close();
         endpoints.close();
--- a/packages/scheduler/src/scheduler-program.ts
+++ b/packages/scheduler/src/scheduler-program.ts
@@ -123,6 +123,15 @@
         ];
     }
 
+    /** Calls `setGauge` for each number of each shard. */
+    reportGauges(setGauge: (name: string, value: number, tags: Record<string, string>) => void): void {
+        for (const [shard, runner] of this.runners) {
+            for (const [name, value] of Object.entries(runner.collectGauges())) {
+                setGauge(`shard.${name}`, value, { shard });
+            }
+        }
+    }
+
     describeStatus(): Readonly<Record<string, unknown>> {
         return {
             revision: this.relay.replica.revision,
--- a/packages/scheduler/src/shard-runner.ts
+++ b/packages/scheduler/src/shard-runner.ts
@@ -101,6 +101,30 @@
         this.active?.owner.refreshEndpoints();
     }
 
+    /** Returns the numbers of the shard for metrics; only the state of ownership when this host does not serve it. */
+    collectGauges(): Readonly<Record<string, number>> {
+        const { active } = this;
+        if (active === undefined) {
+            return { can_place: 0 };
+        }
+        const { workerCount, jobCount, taskCount, waitingCount, ejectedWorkerCount } = active.owner.engine.getSummary();
+        const { waiting, running, answered, failed, refused, retries } = active.owner.router.getCounters();
+        return {
+            can_place: active.right.canPlace() ? 1 : 0,
+            workers: workerCount,
+            ejected_workers: ejectedWorkerCount,
+            jobs: jobCount,
+            placed_tasks: taskCount,
+            waiting_tasks: waitingCount,
+            waiting_requests: waiting,
+            running_requests: running,
+            answered_requests: answered,
+            failed_requests: failed,
+            refused_requests: refused,
+            retried_requests: retries,
+        };
+    }
+
     describe(): ShardStatus {
         const { record } = this.ownership.getState().known ?? {};
         return {
