Test racing operators on the resource repository

Cause: lost updates and double writes need races and lost answers at the same time, which the directed tests do not combine.

Change: 300 operators increment one weight through compare-and-swap while answers and writes are lost, with three seeds.

A repository that ignores the writer token, or trusts any, turns the test red.

--- a/packages/resources/src/resource-repository_test.ts
+++ b/packages/resources/src/resource-repository_test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from "@waxwingroute/core";
+import { ManualClock, SeededRandom } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { hashSecret } from "./key-secret.js";
@@ -96,6 +96,33 @@
         expect((await settle(repository.create(createTeam()))).val).toHaveSubset({ verdict: "mayHaveRun" });
     });
 
+    // Guards against lost updates and double writes when operators race each other while the store loses messages.
+    for (const seed of [1, 2, 3]) {
+        it(`counts each accepted update of racing operators once, seed ${seed}`, async t => {
+            const { clock, store, repository } = createFixture();
+            const random = new SeededRandom(seed);
+            await repository.create(createTeam());
+            const counts = { accepted: 0, notRun: 0, mayHaveRun: 0 };
+            const increment = async (): Promise<void> => {
+                await clock.wait(random.getInteger(20));
+                const current = (await repository.get("Team", "quotes")).unwrap();
+                await clock.wait(random.getInteger(5));
+                store.lostAnswers = random.getInteger(3);
+                store.lostWrites = random.getInteger(2);
+                const result = await repository.update(createTeam(current.version, current.spec.weight + 1));
+                counts[result.ok ? "accepted" : result.val.verdict as "notRun"]++;
+            };
+            const operators = Array.from({ length: 300 }, increment);
+            await clock.advance(1_000);
+            await Promise.all(operators);
+            const { weight } = (await repository.get("Team", "quotes")).unwrap().spec;
+            expect(weight - 1 >= counts.accepted).toEqual(true);
+            expect(weight - 1 <= counts.accepted + counts.mayHaveRun).toEqual(true);
+            expect(counts.accepted > 5 && counts.notRun > 5 && counts.mayHaveRun > 5).toEqual(true);
+            t.diagnostic(`result: ${weight - 1} increments, ${JSON.stringify(counts)}`);
+        });
+    }
+
     it("returns the secret of a new key once and keeps only its hash", async () => {
         const { repository, store } = createFixture();
         expect((await repository.createKey("quotes-1", "quotes")).val).toHaveSubset({ code: "not-found" });
