Answer late requests with 408 in time, and test pull-only relays

Cause: Node looks for requests that take too long only every 30 s, so a shorter requestTimeoutMs had no effect, and the answer was 400. Relays without a store, as in entry processes, had no test.

Change: the check runs at least every 5 s and answers 408 request-timeout; a test runs a relay that only pulls, first with and then without the relays of its zone.

--- a/packages/operator/src/operator-server.ts
+++ b/packages/operator/src/operator-server.ts
@@ -5,7 +5,7 @@
 import type { Failure } from "@waxwingroute/core";
 import type { ConfigurationReplica } from "@waxwingroute/relay";
 import type { ResourceRepository } from "@waxwingroute/resources";
-import { createServer } from "node:http";
+import { createServer, STATUS_CODES } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { match } from "ts-pattern";
@@ -97,7 +97,10 @@
             watches: this.watches,
         });
         const headersTimeout = Math.min(10_000, requestTimeoutMs);
-        this.server = createServer({ requestTimeout: requestTimeoutMs, headersTimeout }, (request, response) => {
+        // Node looks for late requests every 30 s by default, which would lengthen short timeouts.
+        const connectionsCheckingInterval = Math.min(5_000, requestTimeoutMs);
+        const timeouts = { requestTimeout: requestTimeoutMs, headersTimeout, connectionsCheckingInterval };
+        this.server = createServer(timeouts, (request, response) => {
             void this.handle(request, response);
         });
         this.server.maxConnections = options.maximumConnections ?? 512;
@@ -198,11 +201,14 @@
     }
     const [code, message] = match(error.code)
         .with("HPE_HEADER_OVERFLOW", () => ["too-many-headers", "the headers are over 16 KB: send fewer"] as const)
-        .with("ERR_HTTP_REQUEST_TIMEOUT", () => ["invalid-request", "the request did not arrive in time"] as const)
+        .with(
+            "ERR_HTTP_REQUEST_TIMEOUT",
+            () => ["request-timeout", "the request did not arrive in time: send it again"] as const,
+        )
         .otherwise(() => ["invalid-request", "the bytes are not an HTTP request"] as const);
     const reply = createErrorReply(createFailure(code, message, "notRun"));
     const text = `${JSON.stringify(reply.body)}\n`;
-    const status = reply.status === 431 ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const status = `${reply.status} ${STATUS_CODES[reply.status]}`;
     const headers = `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(text)}\r\nConnection: close`;
     socket.end(`HTTP/1.1 ${status}\r\n${headers}\r\nWaxwing-Verdict: notRun\r\n\r\n${text}`);
 }
--- a/packages/operator/src/operator-server_test.ts
+++ b/packages/operator/src/operator-server_test.ts
@@ -187,8 +187,8 @@
             expect(operator.errors).toEqual([]);
         });
 
-        it("answers bytes that are not a request, and headers over 16 KB", async () => {
-            const operator = await start();
+        it("answers bytes that are not a request, headers over 16 KB, and requests that do not end", async () => {
+            const operator = await start({ requestTimeoutMs: 300 });
             const sendBytes = (bytes: string): Promise<string> =>
                 new Promise((resolve, reject) => {
                     let text = "";
@@ -202,6 +202,9 @@
             const text = await sendBytes(`GET /v1/teams HTTP/1.1\r\nHost: a\r\nX: ${"a".repeat(20_000)}\r\n\r\n`);
             expect(text).toInclude("HTTP/1.1 431");
             expect(text).toInclude("too-many-headers");
+            const late = await sendBytes("POST /v1/teams HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{");
+            expect(late).toInclude("HTTP/1.1 408");
+            expect(late).toInclude("request-timeout");
         });
 
         it("tells by the verdict whether a write may have run while the store fails, and reads from the replica", async () => {
--- a/packages/operator/src/replies.ts
+++ b/packages/operator/src/replies.ts
@@ -28,6 +28,7 @@
     "unknown-kind": 404,
     "unknown-path": 404,
     "method-not-allowed": 405,
+    "request-timeout": 408,
     "already-exists": 409,
     "version-conflict": 409,
     "revision-compacted": 410,
--- a/packages/relay/src/relay-driver_test.ts
+++ b/packages/relay/src/relay-driver_test.ts
@@ -110,6 +110,24 @@
         ]);
     });
 
+    // Guards against entry processes that need the store, or that stop with the hosts of their zone.
+    it("keeps a process that only pulls current, also when the relays of its zone are gone", async t => {
+        const cluster = await startCluster();
+        const puller = cluster.addPuller("z1-entry", "z1");
+        await cluster.clock.advance(5_000);
+        const ordinary = await measureChange(cluster, 2, 2_000);
+        expect(ordinary <= 2_000).toEqual(true);
+        cluster.listZone("z1").filter(node => node !== puller).forEach(node => {
+            node.isDead = true;
+            node.driver.stop();
+        });
+        const alone = await measureChange(cluster, 3);
+        expect(alone <= targetMs).toEqual(true);
+        await cluster.clock.advance(40_000);
+        expect([puller.replica.isFresh(30_000), puller.store.callCount]).toEqual([true, 0]);
+        t.diagnostic(`result: in force after ${ordinary} ms, and ${alone} ms when the relays of the zone were gone`);
+    });
+
     it("starts from its peers while the store is down, and is not ready without them", async () => {
         const cluster = await startCluster({ zoneCount: 2, hostsPerZone: 1 });
         cluster.store.data.isDown = true;
--- a/packages/relay/src/testing/relay-cluster.ts
+++ b/packages/relay/src/testing/relay-cluster.ts
@@ -96,6 +96,14 @@
         return written.val;
     }
 
+    /** Adds a process that only pulls, such as an entry process, and starts it. */
+    addPuller(host: string, zone: string): RelayNode {
+        const node = this.createNode(toId<HostId>(host), toId<ZoneId>(zone), true);
+        this.nodes.push(node);
+        node.driver.start();
+        return node;
+    }
+
     /** Starts a process anew on the host of a node, with nothing loaded. */
     restart(node: RelayNode): void {
         node.driver.stop();
@@ -114,7 +122,7 @@
         return isReached() ? this.clock.getNow() - start : Infinity;
     }
 
-    private createNode(host: HostId, zone: ZoneId): RelayNode {
+    private createNode(host: HostId, zone: ZoneId, onlyPulls = false): RelayNode {
         const { clock } = this;
         const onProblem = (problem: Failure): number => this.problems.push(problem);
         const replica = new ConfigurationReplica({ clock, logLength: this.options.logLength, onProblem });
@@ -123,7 +131,17 @@
         const otherZones = new Map([...this.zones].filter(([other]) => other !== zone));
         const zoneHosts = this.zones.get(zone) ?? [];
         const peers = new ClusterPeers(this, host);
-        const driver = new RelayDriver({ host, zone, zoneHosts, otherZones, store, peers, replica, clock, onProblem });
+        const driver = new RelayDriver({
+            host,
+            zone,
+            zoneHosts,
+            otherZones,
+            store: onlyPulls ? undefined : store,
+            peers,
+            replica,
+            clock,
+            onProblem,
+        });
         return { host, zone, store, replica, driver, isDead: false };
     }
 }
