Give stand-ins of a world the address of its test process

A stopped server gives up its port on 127.0.0.1, and another process of the same run could take it. The test passed three times alone. Change: stand-ins listen on the loopback address of their test process, as the programs do. Result: 7 tests of process worlds pass; that it never fails again under load is not shown.

--- a/packages/scenario/src/stand-in-process.ts
+++ b/packages/scenario/src/stand-in-process.ts
@@ -10,6 +10,7 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
+import { address } from "./cluster-plan.js";
 import type { ClientPool } from "./http-exchange.js";
 import { sendJson } from "./http-exchange.js";
 
@@ -41,7 +42,8 @@
     /** Starts it and waits until its servers listen. */
     async start(): Promise<void> {
         const file = join(this.options.directory, "layout.json");
-        writeFileSync(file, JSON.stringify(this.options.layout));
+        // A server that is down gives up its port; on an address of this test process no other process can take it.
+        writeFileSync(file, JSON.stringify({ ...this.options.layout, host: address }));
         const child = spawn(process.execPath, [this.options.main, "--config", file], {
             stdio: ["ignore", "pipe", "inherit"],
         });
