--- /dev/null
+++ b/packages/cell/src/cell-host.ts
@@ -0,0 +1,407 @@
+/**
+ * One host of a cell: serves callers, follows the configuration and the owner, and owns the cell itself when it holds the
+ * lease.
+ */
+import type { Clock, Failure, JobId, QueueId, RandomSource, Result, TeamId } from "@waxwingroute/core";
+import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import { RpcClient, RpcServer } from "@waxwingroute/transport";
+import type { StreamWriter } from "@waxwingroute/transport";
+import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
+import type { Advisor } from "./advisor.js";
+import { CellOwner } from "./cell-owner.js";
+import { CellPublisher } from "./cell-publisher.js";
+import type { CellUpdate } from "./cell-service.js";
+import { cellService, jobStates, PeerAdvisor, PeerStore } from "./cell-service.js";
+import { ConfigurationTracker } from "./configuration-tracker.js";
+import { FallbackStore } from "./fallback-store.js";
+import type { QueueTarget } from "./job-gateway.js";
+import { gatewayFailures, JobGateway } from "./job-gateway.js";
+import { JobIntake } from "./job-intake.js";
+import { JobReplica } from "./job-replica.js";
+import type { Tenure } from "./lease-ownership.js";
+import { LeaseOwnership } from "./lease-ownership.js";
+import { OwnerLink } from "./owner-link.js";
+import type { PlatformCodec } from "./platform-codec.js";
+import { decodeJobRecord, toCancelKey, toJobKey } from "./store-keys.js";
+import type { OwnerRecord } from "./store-keys.js";
+import type { LeaseStore } from "./store.js";
+import { storeFailures } from "./store.js";
+import type { ExecutorConnector } from "./task-executor.js";
+
+export interface CellHostOptions {
+    readonly host: string;
+    /** `<ip>:<port>` for the other hosts. */
+    readonly address: string;
+    /** Addresses of other hosts that may be up, for the first contact while the store does not serve this one. */
+    readonly seeds: readonly string[];
+    readonly store: LeaseStore;
+    readonly codec: PlatformCodec;
+    readonly connector: ExecutorConnector;
+    readonly advisor: Advisor;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: LogWriter;
+    /** Longest lease that executors give, ms. */
+    readonly maxLeaseMs: number;
+    /** How long finished jobs can be asked for, ms. */
+    readonly retentionMs: number;
+}
+
+/** Most bytes of a body before a configuration is known. */
+const defaultMaxBodyBytes = 262_144;
+/** When a caller should come back to a host that is starting, ms. */
+const startingRetryMs = 500;
+/** Team of work on public queues that came without a key. */
+const publicTeam = toId<TeamId>("public");
+/** Bound of a request that another host passes on, ms. */
+const passedTimeoutMs = 1_000;
+
+interface Peer {
+    readonly address: string;
+    readonly client: RpcClient;
+    readonly store: PeerStore;
+}
+
+export class CellHost extends JobGateway {
+    private readonly store: FallbackStore;
+    private readonly tracker: ConfigurationTracker;
+    private readonly ownership: LeaseOwnership;
+    private readonly replica: JobReplica;
+    private readonly intake: JobIntake;
+    private readonly publisher: CellPublisher;
+    private readonly link: OwnerLink;
+    private readonly server: RpcServer;
+    private readonly peers = new Map<string, Peer>();
+    private readonly subscribers = new Map<string, string>();
+    private owner: CellOwner | undefined;
+    private pendingTenure: Tenure | undefined;
+    private isStopping = false;
+
+    constructor(private readonly options: CellHostOptions) {
+        super();
+        const { address, clock, codec, host, logger, random } = options;
+        this.store = new FallbackStore({
+            direct: options.store,
+            listPeers: () => [...this.peers.values()].map(peer => peer.store),
+            clock,
+            logger,
+        });
+        this.replica = new JobReplica({ clock, retentionMs: options.retentionMs });
+        this.intake = new JobIntake({ store: this.store, clock, logger });
+        this.tracker = new ConfigurationTracker({
+            store: this.store,
+            codec,
+            clock,
+            logger,
+            onChange: () => this.applyConfiguration(),
+        });
+        this.publisher = new CellPublisher({
+            clock,
+            listStates: () => this.replica.listStates(),
+            listHosts: () => [address, ...this.subscribers.values()],
+        });
+        this.link = new OwnerLink({ clock, logger, host, address, onUpdate: update => this.acceptUpdate(update) });
+        this.ownership = new LeaseOwnership({
+            store: this.store,
+            clock,
+            random,
+            logger,
+            host,
+            address,
+            incarnation: random.getHex(16),
+            isOwnerAlive: () => this.link.isOwnerAlive,
+            listener: {
+                onAcquired: (tenure, isContinued) => this.beginTenure(tenure, isContinued),
+                onLost: () => this.endTenure(),
+                onOwnerSeen: owner => this.followOwner(owner),
+            },
+        });
+        this.server = new RpcServer({ address });
+        this.addService();
+        options.seeds.filter(seed => seed !== address).forEach(seed => this.addPeer(seed));
+    }
+
+    /** Starts all loops. */
+    async start(): Promise<void> {
+        await this.server.listen();
+        void this.tracker.run();
+        void this.ownership.run();
+        void this.link.run();
+        void this.pruneReplica();
+    }
+
+    /** Gives the cell up and stops following; requests of callers are still answered. */
+    async resign(): Promise<void> {
+        this.isStopping = true;
+        await this.ownership.stop();
+    }
+
+    async stop(): Promise<void> {
+        this.isStopping = true;
+        this.tracker.stop();
+        this.link.close();
+        this.publisher.close();
+        await this.server.shutdown(100);
+        this.peers.forEach(peer => peer.client.close());
+    }
+
+    /** Returns why callers should use other hosts; empty if there is no reason. */
+    listProblems(): string[] {
+        const problems: string[] = [];
+        if (this.isStopping) {
+            problems.push("stopping");
+        }
+        if (this.tracker.current === undefined) {
+            problems.push("no configuration yet");
+        }
+        if (this.intake.isInOutage) {
+            problems.push("the store cannot be written");
+        }
+        return problems;
+    }
+
+    override resolveQueue(host: string, path: string): Result<QueueTarget, Failure> {
+        const index = this.tracker.current;
+        if (index === undefined) {
+            return Err(createFailure(
+                gatewayFailures.notConfigured,
+                "this host has not read a configuration yet",
+                "notRun",
+                startingRetryMs,
+            ));
+        }
+        const queue = index.findQueue(host, path);
+        return queue === undefined
+            ? Err(createFailure(gatewayFailures.unknownQueue, `no queue serves ${host}${path}`, "notRun"))
+            : Ok({ queue: queue.rules.queue, rest: path.slice(queue.prefix.length), isPublic: queue.isPublic });
+    }
+
+    override authorize(target: QueueTarget, key: string | undefined): Result<TeamId, Failure> {
+        const team = key === undefined ? undefined : this.tracker.current?.findTeam(key);
+        if (team !== undefined) {
+            return Ok(team);
+        }
+        return target.isPublic
+            ? Ok(publicTeam)
+            : Err(createFailure(gatewayFailures.unknownKey, "the key belongs to no team", "notRun"));
+    }
+
+    override getMaxBodyBytes(): number {
+        return this.tracker.current?.configuration.maxBodyBytes ?? defaultMaxBodyBytes;
+    }
+
+    override async submit(
+        target: QueueTarget,
+        team: TeamId,
+        job: JobId,
+        spec: JobSpec,
+    ): Promise<Result<void, Failure>> {
+        const { clock, logger } = this.options;
+        if (this.replica.getState(job) !== undefined) {
+            logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: "known" });
+            return Ok(undefined);
+        }
+        const startedAt = clock.getNow();
+        const stored = await this.intake.submit(job, {
+            kind: "accepted",
+            queue: target.queue,
+            team,
+            acceptedAtWallMs: clock.getWallTime(),
+            spec,
+        });
+        const tookMs = Math.round(clock.getNow() - startedAt);
+        if (!stored.ok) {
+            const { code, verdict } = stored.val;
+            logger.write("info", "job not accepted", { job, queue: target.queue, team, code, verdict, tookMs });
+            return Err(stored.val);
+        }
+        this.replica.record(job, "queued");
+        logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: stored.val, tookMs });
+        return Ok(undefined);
+    }
+
+    override async describe(job: JobId): Promise<Result<JobState, Failure>> {
+        const known = this.replica.getState(job);
+        return known === undefined ? this.readState(job) : Ok(known);
+    }
+
+    override async cancel(job: JobId): Promise<Result<void, Failure>> {
+        const state = await this.describe(job);
+        if (!state.ok) {
+            return Err(state.val);
+        }
+        if (state.val !== "queued" && state.val !== "running") {
+            return Ok(undefined);
+        }
+        const stored = await this.intake.cancel(job);
+        this.options.logger.write("info", "cancellation", {
+            job,
+            outcome: stored.ok ? "stored" : stored.val.code,
+        });
+        return stored.ok ? Ok(undefined) : Err(stored.val);
+    }
+
+    override countPending(queue: QueueId): Result<number, Failure> {
+        const count = this.replica.getPending(queue);
+        return count === undefined
+            ? Err(createFailure(
+                gatewayFailures.unavailable,
+                "the owner of the cell has not reported yet",
+                "notRun",
+                startingRetryMs,
+            ))
+            : Ok(count);
+    }
+
+    private async readState(job: JobId): Promise<Result<JobState, Failure>> {
+        const listed = await this.store.call({ kind: "list", prefix: toJobKey(job) });
+        if (!listed.ok) {
+            return Err(createFailure(gatewayFailures.unavailable, listed.val.message, "notRun", startingRetryMs));
+        }
+        const item = listed.val.items.find(candidate => candidate.key === toJobKey(job));
+        const record = item === undefined ? undefined : decodeJobRecord(item.value);
+        if (record === undefined || !record.ok) {
+            return Err(createFailure(gatewayFailures.unknownJob, `no job has the id ${job}`, "notRun"));
+        }
+        const isCancelled = listed.val.items.some(candidate => candidate.key === toCancelKey(job));
+        const state = record.val.kind === "finished" ? record.val.state : isCancelled ? "cancelled" : "queued";
+        this.replica.record(job, state);
+        return Ok(state);
+    }
+
+    private applyConfiguration(): void {
+        const configuration = this.tracker.current?.configuration;
+        if (configuration === undefined) {
+            return;
+        }
+        this.owner?.applyConfiguration(configuration);
+        if (this.owner === undefined && this.pendingTenure !== undefined) {
+            this.openOwner(this.pendingTenure);
+        }
+    }
+
+    private beginTenure(tenure: Tenure, isContinued: boolean): void {
+        this.link.setOwner(undefined);
+        if (isContinued && this.owner !== undefined) {
+            this.owner.setTenure(tenure);
+            return;
+        }
+        this.pendingTenure = tenure;
+        this.openOwner(tenure);
+    }
+
+    private openOwner(tenure: Tenure): void {
+        const configuration = this.tracker.current?.configuration;
+        if (configuration === undefined) {
+            return;
+        }
+        const { advisor, clock, codec, connector, host, logger, maxLeaseMs, retentionMs } = this.options;
+        const owner = new CellOwner({
+            store: this.store,
+            codec,
+            connector,
+            clock,
+            logger,
+            tenure,
+            configuration,
+            maxLeaseMs,
+            retentionMs,
+            listener: {
+                onChanges: changes => this.publish(changes),
+                onPending: counts => {
+                    this.replica.recordPending(counts);
+                    this.publisher.publishPending(counts);
+                },
+                onFenced: reason => this.ownership.recordFenced(reason),
+                onConflict: () => void this.ownership.verify(),
+            },
+        });
+        owner.addAdviceCaller({ name: host, advisor });
+        this.owner = owner;
+        void owner.run();
+    }
+
+    private endTenure(): void {
+        this.pendingTenure = undefined;
+        this.owner?.close();
+        this.owner = undefined;
+        this.publisher.close();
+        this.subscribers.clear();
+    }
+
+    private publish(changes: readonly JobChange[]): void {
+        changes.forEach(({ job, state }) => this.replica.record(job, state));
+        this.publisher.publishChanges(changes);
+    }
+
+    private followOwner(owner: OwnerRecord | undefined): void {
+        if (owner !== undefined) {
+            this.link.setOwner(owner.address === this.options.address ? undefined : owner.address);
+        }
+    }
+
+    private acceptUpdate(update: CellUpdate): void {
+        update.changes.forEach(([job, state]) => this.replica.record(job, jobStates[state]!));
+        if (update.pending !== undefined) {
+            this.replica.recordPending(new Map(update.pending));
+        }
+        update.hosts.forEach(address => this.addPeer(address));
+    }
+
+    private addPeer(address: string): Peer | undefined {
+        if (address === this.options.address) {
+            return undefined;
+        }
+        const existing = this.peers.get(address);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const client = new RpcClient({ address, connectTimeoutMs: 300 });
+        const peer: Peer = { address, client, store: new PeerStore(client) };
+        this.peers.set(address, peer);
+        return peer;
+    }
+
+    private addService(): void {
+        this.server.addService(cellService, {
+            subscribe: (request, writer) => this.acceptSubscriber(request.host, request.address, writer),
+            ask: async ({ step, executors, timeoutMs }) => {
+                const answered = await this.options.advisor.ask(step, executors, timeoutMs);
+                return answered.map(grants => ({ grants: [...grants] }));
+            },
+            callStore: async ({ request, timeoutMs }) => {
+                if (!this.store.isDirect) {
+                    const message = "the store does not serve this host either";
+                    return Err(createFailure(storeFailures.unavailable, message, "notRun"));
+                }
+                const answered = await this.options.store.call(request, timeoutMs ?? passedTimeoutMs);
+                return answered as Result<Record<string, unknown>, Failure>;
+            },
+        });
+    }
+
+    private acceptSubscriber(host: string, address: string, writer: StreamWriter<CellUpdate>): void {
+        const owner = this.owner;
+        const peer = this.addPeer(address);
+        if (owner === undefined || peer === undefined) {
+            writer.end();
+            return;
+        }
+        this.subscribers.set(host, address);
+        this.publisher.addSubscriber(writer);
+        owner.addAdviceCaller({ name: host, advisor: new PeerAdvisor(peer.client) });
+        this.options.logger.write("info", "host follows this owner", { follower: host, address });
+        writer.onClose(() => {
+            this.subscribers.delete(host);
+            owner.removeAdviceCaller(host);
+        });
+    }
+
+    private async pruneReplica(): Promise<void> {
+        while (!this.isStopping) {
+            await this.options.clock.wait(1_000);
+            this.replica.prune();
+        }
+    }
+}
--- /dev/null
+++ b/packages/cell/src/cell-owner.ts
@@ -0,0 +1,517 @@
+/**
+ * The owner of a cell: recovers what earlier owners stored, follows the jobs that hosts accept, lets the scheduler decide,
+ * and carries the decisions out.
+ *
+ * Tasks of jobs accepted before the take-over start only after every executor of the roster has either listed what it runs
+ * or lost all leases that it can hold; tasks of newer jobs start at once.
+ */
+import type { Clock, ExecutorId, Failure, JobId, QueueId, Result } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type {
+    AdviceGrant,
+    JobChange,
+    JobState,
+    ListedRun,
+    RunEnd,
+    SchedulerRules,
+    StartDecision,
+    StepKey,
+} from "@waxwingroute/workflow";
+import { parseTaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
+import type { AdviceCaller } from "./advice-dispatcher.js";
+import { AdviceDispatcher } from "./advice-dispatcher.js";
+import type { CellConfiguration } from "./configuration.js";
+import { ExecutorRegistry } from "./executor-registry.js";
+import type { SessionListener } from "./executor-session.js";
+import type { Tenure } from "./lease-ownership.js";
+import { OwnerJournal } from "./owner-journal.js";
+import type { JobEvent, StoredCell } from "./owner-recovery.js";
+import { decodeJobItem, readRoster, readStoredCell } from "./owner-recovery.js";
+import type { PlatformCodec } from "./platform-codec.js";
+import { jobPrefix, toCancelKey } from "./store-keys.js";
+import type { JobRecord } from "./store-keys.js";
+import type { LeaseStore } from "./store.js";
+import type { ExecutorConnector } from "./task-executor.js";
+
+export interface CellOwnerOptions {
+    readonly store: LeaseStore;
+    readonly codec: PlatformCodec;
+    readonly connector: ExecutorConnector;
+    readonly clock: Clock;
+    readonly logger: LogWriter;
+    readonly tenure: Tenure;
+    readonly configuration: CellConfiguration;
+    /** Longest lease that executors give, ms. */
+    readonly maxLeaseMs: number;
+    /** How long finished jobs can be asked for, ms. */
+    readonly retentionMs: number;
+    readonly listener: OwnerListener;
+}
+
+export interface OwnerListener {
+    /** States of jobs, to be told to callers. */
+    onChanges(changes: readonly JobChange[]): void;
+    onPending(counts: ReadonlyMap<QueueId, number>): void;
+    /** An executor or the store has seen another owner. */
+    onFenced(reason: string): void;
+    /** The owner key is not the one of the tenure. */
+    onConflict(): void;
+}
+
+/** Longest time from an event to the decisions that it allows, ms. */
+const coalesceMs = 5;
+/** Time between ticks without an event, ms. */
+const idleTickMs = 100;
+/** Time between reports of pending jobs, ms; a tenth of the age that callers accept. */
+const pendingMs = 200;
+/** Longest wait of a watch for jobs, ms. */
+const watchMs = 1_000;
+/** Pause after a failed read or watch, ms. */
+const retryMs = 150;
+
+export class CellOwner implements SessionListener {
+    private readonly scheduler = new WorkflowScheduler();
+    private readonly journal: OwnerJournal;
+    private readonly registry: ExecutorRegistry;
+    private readonly advice: AdviceDispatcher;
+    /** Finished jobs whose end is stored. */
+    private readonly storedStates = new Map<JobId, JobState>();
+    private readonly cancelled = new Set<JobId>();
+    private configuration: CellConfiguration;
+    private isClosed = false;
+    private isRecovered = false;
+    private isTickScheduled = false;
+    private hasReleased = false;
+    private earlyListings: (() => void)[] = [];
+    private readonly startedAt: number;
+
+    constructor(private readonly options: CellOwnerOptions) {
+        const { clock, connector, codec, logger, store, tenure, maxLeaseMs, retentionMs } = options;
+        this.startedAt = clock.getNow();
+        this.configuration = options.configuration;
+        this.scheduler.setEpoch(tenure.epoch);
+        this.scheduler.applyRules(toRules(options.configuration));
+        this.journal = new OwnerJournal({
+            store,
+            clock,
+            logger,
+            tenure,
+            retentionMs,
+            onConflict: () => options.listener.onConflict(),
+        });
+        this.registry = new ExecutorRegistry({
+            store,
+            codec,
+            connector,
+            clock,
+            logger,
+            scheduler: this.scheduler,
+            listener: this,
+            fencingToken: tenure.epoch,
+            maxLeaseMs,
+            storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
+            onChange: () => this.requestTick(),
+        });
+        this.advice = new AdviceDispatcher({
+            clock,
+            logger,
+            onAnswer: (step, named, grants) => this.acceptAdvice(step, named, grants),
+        });
+    }
+
+    /** Whether tasks of all accepted jobs can start. */
+    get isSettled(): boolean {
+        return this.hasReleased;
+    }
+
+    get jobCount(): number {
+        return this.scheduler.jobCount;
+    }
+
+    /** Recovers and then serves until `close`. */
+    async run(): Promise<void> {
+        const { clock, logger, store } = this.options;
+        const roster = await this.retry(() => readRoster(store, logger));
+        if (roster === undefined) {
+            return;
+        }
+        this.registry.adoptRoster(roster);
+        const [stored] = await Promise.all([
+            this.retry(() => readStoredCell(store, logger)),
+            this.registry.refresh(),
+        ]);
+        if (stored === undefined) {
+            return;
+        }
+        const readAt = clock.getNow();
+        this.restore(stored);
+        logger.write("info", "cell recovered", {
+            epoch: this.options.tenure.epoch,
+            jobs: this.scheduler.jobCount,
+            finished: this.storedStates.size,
+            batches: stored.batches.length,
+            executors: roster.length,
+            readMs: Math.round(readAt - this.startedAt),
+        });
+        void this.registry.run();
+        void this.tickWhenIdle();
+        void this.reportPending();
+        await this.followJobs(stored.storeRevision);
+    }
+
+    close(): void {
+        this.isClosed = true;
+        this.journal.close();
+        this.registry.close();
+    }
+
+    /** Continues after the lease was acquired again and nobody else had it. */
+    setTenure(tenure: Tenure): void {
+        this.journal.setTenure(tenure);
+        this.registry.setFencingToken(tenure.epoch);
+    }
+
+    applyConfiguration(configuration: CellConfiguration): void {
+        this.configuration = configuration;
+        this.scheduler.applyRules(toRules(configuration));
+        this.requestTick();
+    }
+
+    addAdviceCaller(caller: AdviceCaller): void {
+        this.advice.addCaller(caller);
+    }
+
+    removeAdviceCaller(name: string): void {
+        this.advice.removeCaller(name);
+    }
+
+    onReachable(executor: ExecutorId): void {
+        this.registry.updateScheduler(executor);
+        this.releaseWhenSettled();
+        this.requestTick();
+    }
+
+    onUnreachable(executor: ExecutorId): void {
+        this.registry.updateScheduler(executor);
+    }
+
+    onRunsLost(executor: ExecutorId, reason: string): void {
+        this.afterRecovery(() => {
+            const lost = this.scheduler.listRuns(executor).length;
+            this.options.logger.write("warn", "runs lost", { executor, reason, runs: lost });
+            this.scheduler.loseRuns(this.options.clock.getNow(), executor);
+            this.releaseWhenSettled();
+            this.requestTick();
+        });
+    }
+
+    onRunning(executor: ExecutorId, run: ListedRun): void {
+        this.afterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
+    }
+
+    onEnded(end: RunEnd, sequence: number): void {
+        this.afterRecovery(() => this.acceptEnd(end, sequence));
+    }
+
+    onForeignRun(executor: ExecutorId, run: ListedRun): boolean {
+        if (!this.isRecovered) {
+            this.afterRecovery(() => this.settleForeignRun(executor, run));
+            return true;
+        }
+        return this.adoptRun(executor, run);
+    }
+
+    onFenced(executor: ExecutorId): void {
+        this.options.listener.onFenced(`executor ${executor} has seen a later owner`);
+    }
+
+    /** Runs the action once the tables hold what earlier owners stored. */
+    private afterRecovery(action: () => void): void {
+        if (this.isRecovered) {
+            action();
+        }
+        else {
+            this.earlyListings.push(action);
+        }
+    }
+
+    private settleForeignRun(executor: ExecutorId, run: ListedRun): void {
+        if (!this.adoptRun(executor, run)) {
+            void this.registry.getSession(executor)?.stop(run.task, run.run);
+        }
+    }
+
+    private adoptRun(executor: ExecutorId, run: ListedRun): boolean {
+        const now = this.options.clock.getNow();
+        const isAdopted = this.scheduler.adoptRun(now, executor, run);
+        if (!isAdopted) {
+            this.scheduler.adoptStrayRun(now, executor, run);
+        }
+        const { task } = run;
+        this.options.logger.write("info", "run taken over", { executor, task, run: run.run, isAdopted });
+        return isAdopted;
+    }
+
+    private acceptEnd(end: RunEnd, sequence: number): void {
+        const now = this.options.clock.getNow();
+        this.scheduler.recordEnd(now, end);
+        this.options.logger.write("info", "run ended", {
+            executor: end.executor,
+            task: end.task,
+            run: end.run,
+            outcome: end.outcome,
+            sequence,
+        });
+        const acknowledge = () => {
+            if (sequence > 0) {
+                this.registry.getSession(end.executor)?.acknowledge(sequence);
+            }
+        };
+        const job = parseTaskKey(end.task)?.job;
+        const isStored = job === undefined || this.storedStates.has(job)
+            || this.scheduler.getJobState(job) === undefined;
+        if (isStored) {
+            acknowledge();
+            this.forgetStored(job);
+        }
+        else if (sequence > 0) {
+            this.journal.recordEnd(end, acknowledge);
+        }
+        this.requestTick();
+    }
+
+    private restore(stored: StoredCell): void {
+        const jobs = [...stored.jobs].sort((first, second) => first.revision - second.revision);
+        jobs.filter(event => event.kind === "record").forEach(event => this.applyJobEvent(event));
+        const now = this.options.clock.getNow();
+        this.scheduler.openDueOccurrences(now, this.options.clock.getWallTime());
+        for (const { key, ends } of stored.batches) {
+            ends.forEach(end => this.scheduler.recordEnd(now, end));
+            this.journal.adoptBatch(key, ends, job => this.scheduler.getJobState(job) !== undefined);
+        }
+        jobs.filter(event => event.kind === "cancel").forEach(event => this.applyJobEvent(event));
+        this.isRecovered = true;
+        const listings = this.earlyListings;
+        this.earlyListings = [];
+        listings.forEach(action => action());
+        this.releaseWhenSettled();
+        this.requestTick();
+    }
+
+    private applyJobEvent(event: JobEvent): void {
+        if (event.kind === "cancel") {
+            this.applyCancel(event.job);
+        }
+        else if (event.record.kind === "finished") {
+            this.restoreFinished(event.job, event.record);
+        }
+        else {
+            this.addJob(event.job, event.record, event.revision);
+        }
+    }
+
+    private restoreFinished(job: JobId, record: Extract<JobRecord, { kind: "finished"; }>): void {
+        if (!this.storedStates.has(job)) {
+            this.storedStates.set(job, record.state);
+            this.journal.adoptFinished(job);
+            this.options.listener.onChanges([{ job, queue: record.queue, state: record.state }]);
+        }
+    }
+
+    private addJob(job: JobId, record: Extract<JobRecord, { kind: "accepted"; }>, revision: number): void {
+        if (this.storedStates.has(job) || this.scheduler.getJobState(job) !== undefined) {
+            return;
+        }
+        const { clock, logger, tenure } = this.options;
+        const now = clock.getNow();
+        const ageMs = Math.max(0, clock.getWallTime() - record.acceptedAtWallMs);
+        this.scheduler.addJob(now, {
+            job,
+            queue: record.queue,
+            team: record.team,
+            spec: record.spec,
+            acceptedAt: now - ageMs,
+            mayHaveStarted: revision < tenure.revision && !this.hasReleased,
+        });
+        logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
+        this.options.listener.onChanges([{ job, queue: record.queue, state: "queued" }]);
+        if (record.spec.schedule !== undefined) {
+            this.scheduler.openDueOccurrences(now, clock.getWallTime());
+        }
+        this.requestTick();
+    }
+
+    private applyCancel(job: JobId): void {
+        const state = this.scheduler.getJobState(job);
+        this.options.logger.write("info", "job cancelled", { job, state });
+        if (state === undefined) {
+            this.journal.removeKeys([toCancelKey(job)]);
+            return;
+        }
+        this.cancelled.add(job);
+        this.scheduler.cancelJob(job);
+        this.requestTick();
+    }
+
+    private async followJobs(storeRevision: number): Promise<void> {
+        const { clock, logger, store } = this.options;
+        let afterRevision = storeRevision;
+        while (!this.isClosed) {
+            const watched = await store.call({ kind: "watch", prefix: jobPrefix, afterRevision, waitMs: watchMs });
+            if (this.isClosed) {
+                return;
+            }
+            if (watched.ok && watched.val.changes.length > 0) {
+                for (const change of watched.val.changes) {
+                    this.applyStoreChange(change.item === undefined ? undefined : decodeJobItem(change.item, logger));
+                }
+                afterRevision = watched.val.storeRevision;
+                continue;
+            }
+            // After an empty answer or a lost one, changes may have been missed: the keys are read again.
+            const isQuiet = watched.ok;
+            if (!isQuiet) {
+                await clock.wait(retryMs);
+            }
+            const stored = await readStoredCell(store, logger);
+            if (stored.ok && !this.isClosed) {
+                stored.val.jobs.forEach(event => this.applyStoreChange(event));
+                afterRevision = stored.val.storeRevision;
+            }
+        }
+    }
+
+    private applyStoreChange(event: JobEvent | undefined): void {
+        if (event === undefined || event.kind === "cancel" && this.cancelled.has(event.job)) {
+            return;
+        }
+        const isOwnWrite = event.kind === "record" && event.record.kind === "finished"
+            && this.scheduler.getJobState(event.job) !== undefined;
+        if (!isOwnWrite) {
+            this.applyJobEvent(event);
+        }
+    }
+
+    private releaseWhenSettled(): void {
+        if (!this.hasReleased && this.isRecovered && this.registry.areAllSettled()) {
+            this.hasReleased = true;
+            this.scheduler.releaseUnknownTasks();
+            this.options.logger.write("info", "all executors settled", {
+                sinceAcquiredMs: Math.round(this.options.clock.getNow() - this.startedAt),
+            });
+        }
+    }
+
+    private requestTick(): void {
+        if (!this.isTickScheduled && this.isRecovered && !this.isClosed) {
+            this.isTickScheduled = true;
+            this.options.clock.schedule(coalesceMs, () => {
+                this.isTickScheduled = false;
+                this.tick();
+            });
+        }
+    }
+
+    private async tickWhenIdle(): Promise<void> {
+        while (!this.isClosed) {
+            await this.options.clock.wait(idleTickMs);
+            this.releaseWhenSettled();
+            this.scheduler.openDueOccurrences(this.options.clock.getNow(), this.options.clock.getWallTime());
+            this.requestTick();
+        }
+    }
+
+    private async reportPending(): Promise<void> {
+        while (!this.isClosed) {
+            this.options.listener.onPending(this.scheduler.countPending());
+            await this.options.clock.wait(pendingMs);
+        }
+    }
+
+    private tick(): void {
+        if (this.isClosed) {
+            return;
+        }
+        const now = this.options.clock.getNow();
+        const { starts, stops, changes } = this.scheduler.tick(now);
+        starts.forEach(start => this.sendStart(start));
+        for (const { executor, task, run, reason } of stops) {
+            this.options.logger.write("info", "stop", { executor, task, run, reason });
+            void this.registry.getSession(executor)?.stop(task, run);
+        }
+        this.applyChanges(changes);
+        this.askAdvice(now);
+    }
+
+    private sendStart(start: StartDecision): void {
+        this.options.logger.write("info", "start", {
+            executor: start.executor,
+            task: start.task,
+            run: start.run,
+            slackMs: Math.round(start.slackMs),
+            resumes: start.checkpoint !== "",
+        });
+        void this.registry.getSession(start.executor)?.start(start);
+    }
+
+    private applyChanges(changes: readonly JobChange[]): void {
+        const running = changes.filter(change => change.state === "running" || change.state === "queued");
+        if (running.length > 0) {
+            this.options.listener.onChanges(running);
+        }
+        for (const change of changes) {
+            if (change.state !== "running" && change.state !== "queued") {
+                this.journal.recordFinished({ ...change, hasCancel: this.cancelled.has(change.job) }, () => {
+                    this.storedStates.set(change.job, change.state);
+                    this.cancelled.delete(change.job);
+                    this.options.logger.write("info", "job finished", { job: change.job, state: change.state });
+                    this.options.listener.onChanges([change]);
+                    this.forgetStored(change.job);
+                });
+            }
+        }
+    }
+
+    private forgetStored(job: JobId | undefined): void {
+        if (job !== undefined && this.storedStates.has(job)) {
+            this.scheduler.forgetJob(job);
+        }
+    }
+
+    private askAdvice(now: number): void {
+        for (const decision of this.scheduler.planAdvice(now, this.advice.countFree())) {
+            const rules = this.configuration.queues.find(queue => queue.rules.queue === decision.queue)?.rules.advice;
+            if (rules === undefined || !this.advice.send(decision, rules)) {
+                this.scheduler.recordAdvice(now, decision.step, decision.executors, undefined);
+            }
+        }
+    }
+
+    private acceptAdvice(
+        step: StepKey,
+        named: readonly ExecutorId[],
+        grants: Result<readonly AdviceGrant[], Failure>,
+    ): void {
+        const now = this.options.clock.getNow();
+        this.scheduler.recordAdvice(now, step, named, grants.ok ? grants.val : undefined);
+        this.requestTick();
+    }
+
+    private async retry<T>(action: () => Promise<Result<T, Failure>>): Promise<T | undefined> {
+        while (!this.isClosed) {
+            const result = await action();
+            if (result.ok) {
+                return result.val;
+            }
+            await this.options.clock.wait(retryMs);
+        }
+        return undefined;
+    }
+}
+
+function toRules(configuration: CellConfiguration): SchedulerRules {
+    return {
+        queues: configuration.queues.map(queue => queue.rules),
+        teams: configuration.teams.map(team => team.rules),
+    };
+}
--- /dev/null
+++ b/packages/cell/src/executor-registry.ts
@@ -0,0 +1,252 @@
+/**
+ * The executors of the cell: reads their entries from the store, keeps a session for each, and tells the scheduler which
+ * ones can take work.
+ *
+ * An executor gets its first work only after the roster in the store names it, so that the next owner knows every executor
+ * that can hold runs, also one whose entry has expired.
+ */
+import { toId, zeroResources } from "@waxwingroute/core";
+import type { Clock, ExecutorId, ZoneId } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type { ExecutorState, PoolId, WorkflowScheduler } from "@waxwingroute/workflow";
+import { ExecutorSession } from "./executor-session.js";
+import type { SessionListener } from "./executor-session.js";
+import type { PlatformCodec } from "./platform-codec.js";
+import { encodeRoster, rosterKey } from "./store-keys.js";
+import type { RosterEntry } from "./store-keys.js";
+import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
+import { listAll } from "./store.js";
+import type { ExecutorConnector, ExecutorEntry } from "./task-executor.js";
+
+export interface ExecutorRegistryOptions {
+    readonly store: LeaseStore;
+    readonly codec: PlatformCodec;
+    readonly connector: ExecutorConnector;
+    readonly clock: Clock;
+    readonly logger: LogWriter;
+    readonly scheduler: WorkflowScheduler;
+    readonly listener: SessionListener;
+    readonly fencingToken: number;
+    readonly maxLeaseMs: number;
+    /** Stores the roster and calls back once it is stored. */
+    readonly storeRoster: (write: StoreWrite, onStored: () => void) => void;
+    /** The set of executors or their states changed. */
+    readonly onChange: () => void;
+}
+
+/** Stands for an executor that only the roster names: it takes no work, but runs can be charged to it. */
+const unknownExecutor = {
+    pool: toId<PoolId>(""),
+    zone: toId<ZoneId>(""),
+    rack: undefined,
+    labels: [],
+    capacity: zeroResources,
+};
+
+interface ExecutorRecord {
+    readonly executor: ExecutorId;
+    readonly address: string;
+    readonly session: ExecutorSession;
+    /** The newest entry; `undefined` if only the roster names the executor. */
+    entry: ExecutorEntry | undefined;
+    isGone: boolean;
+    isEnrolled: boolean;
+}
+
+/** Time between reads of the entries, ms; well below the bound for stopping work on a leaving executor. */
+const pollMs = 600;
+/** Time after an outage of the store before a missing entry counts, ms: entries are back within about two seconds. */
+const returnGraceMs = 2_500;
+/** Reads without an answer for longer than this count as an outage, ms. */
+const outageMs = 1_500;
+
+export class ExecutorRegistry {
+    private readonly records = new Map<ExecutorId, ExecutorRecord>();
+    private readonly malformed = new Set<string>();
+    private isClosed = false;
+    private lastReadAt: number;
+    private trustMissingAt = 0;
+    private fencingToken: number;
+
+    constructor(private readonly options: ExecutorRegistryOptions) {
+        this.lastReadAt = options.clock.getNow();
+        this.fencingToken = options.fencingToken;
+    }
+
+    /** Opens sessions for the executors that an earlier owner may have used. */
+    adoptRoster(roster: readonly RosterEntry[]): void {
+        for (const { executor, address } of roster) {
+            const record = this.openRecord(executor, address);
+            record.isEnrolled = true;
+            record.isGone = true;
+            this.updateScheduler(executor);
+        }
+    }
+
+    /** Reads the entries until `close`. */
+    async run(): Promise<void> {
+        while (!this.isClosed) {
+            await this.refresh();
+            await this.options.clock.wait(pollMs);
+        }
+    }
+
+    close(): void {
+        this.isClosed = true;
+        this.records.forEach(record => record.session.close());
+    }
+
+    getSession(executor: ExecutorId): ExecutorSession | undefined {
+        return this.records.get(executor)?.session;
+    }
+
+    /** Returns whether every executor that can hold runs of an earlier owner has been settled. */
+    areAllSettled(): boolean {
+        return [...this.records.values()].every(record => record.session.isSettled);
+    }
+
+    setFencingToken(token: number): void {
+        this.fencingToken = token;
+        this.records.forEach(record => record.session.setFencingToken(token));
+    }
+
+    /** Brings the scheduler's row of an executor up to date. */
+    updateScheduler(executor: ExecutorId): void {
+        const record = this.records.get(executor);
+        if (record === undefined) {
+            return;
+        }
+        const { pool, zone, rack, labels, capacity } = record.entry ?? unknownExecutor;
+        const state = this.getState(record);
+        this.options.scheduler.updateExecutor({ executor, pool, zone, rack, labels, capacity, state });
+    }
+
+    /** Reads the entries once. */
+    async refresh(): Promise<void> {
+        const { clock, codec, store } = this.options;
+        const listed = await listAll(store, codec.executorPrefix);
+        const now = clock.getNow();
+        if (!listed.ok || this.isClosed) {
+            return;
+        }
+        if (now - this.lastReadAt > outageMs) {
+            this.trustMissingAt = now + returnGraceMs;
+        }
+        this.lastReadAt = now;
+        this.applyEntries(listed.val.items, now >= this.trustMissingAt);
+    }
+
+    private applyEntries(items: readonly StoreItem[], areMissingGone: boolean): void {
+        const seen = new Set<ExecutorId>();
+        for (const item of items) {
+            const decoded = this.options.codec.decodeExecutor(item);
+            if (decoded.ok) {
+                seen.add(decoded.val.executor);
+                this.applyEntry(decoded.val);
+            }
+            else if (!this.malformed.has(item.key)) {
+                this.malformed.add(item.key);
+                const reason = decoded.val.message;
+                this.options.logger.write("warn", "executor entry skipped", { key: item.key, reason });
+            }
+        }
+        if (areMissingGone) {
+            this.markMissing(seen);
+        }
+        this.enroll();
+        this.options.onChange();
+    }
+
+    private applyEntry(entry: ExecutorEntry): void {
+        const record = this.openRecord(entry.executor, entry.address);
+        const wasDraining = record.entry?.isDraining;
+        if (record.entry === undefined || wasDraining !== entry.isDraining) {
+            this.options.logger.write("info", "executor seen", {
+                executor: entry.executor,
+                pool: entry.pool,
+                isDraining: entry.isDraining,
+                remainingMs: entry.remainingMs,
+            });
+        }
+        record.entry = entry;
+        record.isGone = false;
+        this.updateScheduler(entry.executor);
+    }
+
+    private markMissing(seen: ReadonlySet<ExecutorId>): void {
+        for (const record of this.records.values()) {
+            if (seen.has(record.executor)) {
+                continue;
+            }
+            if (!record.isGone) {
+                this.options.logger.write("info", "executor entry gone", { executor: record.executor });
+                record.isGone = true;
+                this.updateScheduler(record.executor);
+            }
+            const { scheduler } = this.options;
+            const isIdle = scheduler.listRuns(record.executor).length === 0;
+            if (isIdle && record.session.isSettled && !record.session.isReachable) {
+                record.session.close();
+                this.records.delete(record.executor);
+                scheduler.removeExecutor(this.options.clock.getNow(), record.executor);
+                this.storeRoster();
+            }
+        }
+    }
+
+    /** Adds new executors to the roster; they can take work once it is stored. */
+    private enroll(): void {
+        const added = [...this.records.values()].filter(record => !record.isEnrolled && !record.isGone);
+        if (added.length > 0) {
+            this.storeRoster(() => {
+                for (const record of added) {
+                    record.isEnrolled = true;
+                    this.updateScheduler(record.executor);
+                }
+                this.options.onChange();
+            });
+            added.forEach(record => this.updateScheduler(record.executor));
+        }
+    }
+
+    private storeRoster(onStored: () => void = () => undefined): void {
+        const roster = [...this.records.values()].map(({ executor, address }) => ({ executor, address }));
+        this.options.storeRoster({ key: rosterKey, value: encodeRoster(roster) }, onStored);
+    }
+
+    private openRecord(executor: ExecutorId, address: string): ExecutorRecord {
+        const existing = this.records.get(executor);
+        if (existing !== undefined && existing.address === address) {
+            return existing;
+        }
+        existing?.session.close();
+        const { clock, connector, listener, logger, maxLeaseMs } = this.options;
+        const session = new ExecutorSession({
+            executor,
+            client: connector.open({ executor, address }),
+            clock,
+            logger,
+            listener,
+            fencingToken: this.fencingToken,
+            maxLeaseMs,
+        });
+        const record: ExecutorRecord = {
+            executor,
+            address,
+            session,
+            entry: undefined,
+            isGone: false,
+            isEnrolled: false,
+        };
+        this.records.set(executor, record);
+        void session.run();
+        return record;
+    }
+
+    private getState(record: ExecutorRecord): ExecutorState {
+        if (!record.session.isReachable) {
+            return "unreachable";
+        }
+        return record.isGone || !record.isEnrolled || record.entry?.isDraining === true ? "leaving" : "ready";
+    }
+}
--- /dev/null
+++ b/packages/cell/src/index.ts
@@ -0,0 +1,19 @@
+/** One cell on a store with leases: ownership, job intake, executor sessions and replication to the hosts. */
+export { Advisor } from "./advisor.js";
+export { CellHost } from "./cell-host.js";
+export type { CellHostOptions } from "./cell-host.js";
+export type { CellConfiguration, QueueConfiguration, TeamConfiguration } from "./configuration.js";
+export { gatewayFailures, JobGateway } from "./job-gateway.js";
+export type { QueueTarget } from "./job-gateway.js";
+export { PlatformCodec } from "./platform-codec.js";
+export { LeaseStore, storeFailures } from "./store.js";
+export type { StoreChange, StoreItem, StoreReplies, StoreReply, StoreRequest, StoreTransaction } from "./store.js";
+export { ExecutorConnector, executorFailures, TaskExecutor } from "./task-executor.js";
+export type {
+    ExecutorEntry,
+    ExecutorListing,
+    LeaseRenewal,
+    ListedEnd,
+    StartOrder,
+    StopOrder,
+} from "./task-executor.js";
--- /dev/null
+++ b/packages/cell/src/job-intake.ts
@@ -0,0 +1,194 @@
+/**
+ * Accepts jobs and cancellations: writes them to the store in groups and answers once they are stored.
+ *
+ * A job is written under the condition that its key does not exist, so the same id can be sent any number of times and
+ * stays one job. A write without an answer is repeated; if no attempt is answered in time, the outcome is reported as
+ * unknown and never as refused, because a late write may still be carried out.
+ */
+import type { Clock, Failure, JobId, Result } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type { JobRecord } from "./store-keys.js";
+import { encodeAcceptedJob, toCancelKey, toJobKey } from "./store-keys.js";
+import type { LeaseStore, StoreWrite } from "./store.js";
+import { maxTransactionEntries } from "./store.js";
+
+export interface JobIntakeOptions {
+    readonly store: LeaseStore;
+    readonly clock: Clock;
+    readonly logger: LogWriter;
+    /** Longest time until a request is answered, ms. Default 1,500. */
+    readonly giveUpMs?: number;
+    /** Most transactions in flight. Default 3. */
+    readonly maxInFlight?: number;
+    /** Bound of one transaction, ms. Default 600. */
+    readonly commitTimeoutMs?: number;
+}
+
+/** Time without any success after which new requests are refused at once, ms. */
+const outageMs = 1_000;
+/** When a caller should come back during an outage, ms. */
+const outageRetryAfterMs = 1_000;
+/** Pause before a refused transaction is repeated, ms. */
+const retryMs = 60;
+
+interface PendingWrite {
+    readonly job: JobId;
+    readonly write: StoreWrite;
+    /** The key must not exist. */
+    readonly isNew: boolean;
+    readonly arrivedAt: number;
+    /** Whether an attempt had no answer. */
+    isUncertain: boolean;
+    readonly resolve: (result: Result<"stored" | "existed", Failure>) => void;
+}
+
+export class JobIntake {
+    private waiting: PendingWrite[] = [];
+    private inFlight = 0;
+    private failingSince: number | undefined;
+    private isProbing = false;
+
+    constructor(private readonly options: JobIntakeOptions) {}
+
+    /** Whether new requests are refused because nothing can be stored. */
+    get isInOutage(): boolean {
+        return this.failingSince !== undefined && this.options.clock.getNow() - this.failingSince > outageMs;
+    }
+
+    /** Stores a job. `existed`: it had been stored before. */
+    submit(
+        job: JobId,
+        record: Extract<JobRecord, { kind: "accepted"; }>,
+    ): Promise<Result<"stored" | "existed", Failure>> {
+        return this.enqueue(job, { key: toJobKey(job), value: encodeAcceptedJob(record) }, true);
+    }
+
+    /** Stores the cancellation of a job. */
+    cancel(job: JobId): Promise<Result<"stored" | "existed", Failure>> {
+        return this.enqueue(job, { key: toCancelKey(job), value: "1" }, false);
+    }
+
+    private enqueue(job: JobId, write: StoreWrite, isNew: boolean): Promise<Result<"stored" | "existed", Failure>> {
+        if (this.isInOutage) {
+            return Promise.resolve(Err(this.createRefusal()));
+        }
+        return new Promise(resolve => {
+            const arrivedAt = this.options.clock.getNow();
+            this.waiting.push({ job, write, isNew, arrivedAt, isUncertain: false, resolve });
+            this.flush();
+        });
+    }
+
+    private flush(): void {
+        while (this.waiting.length > 0 && this.inFlight < (this.options.maxInFlight ?? 3)) {
+            const batch = this.takeBatch();
+            this.inFlight += 1;
+            void this.commit(batch).finally(() => {
+                this.inFlight -= 1;
+                this.flush();
+            });
+        }
+    }
+
+    private takeBatch(): PendingWrite[] {
+        const batch: PendingWrite[] = [];
+        let entries = 0;
+        const keys = new Set<string>();
+        const later: PendingWrite[] = [];
+        for (const pending of this.waiting) {
+            const size = pending.isNew ? 2 : 1;
+            if (entries + size > maxTransactionEntries || keys.has(pending.write.key)) {
+                later.push(pending);
+            }
+            else {
+                entries += size;
+                keys.add(pending.write.key);
+                batch.push(pending);
+            }
+        }
+        this.waiting = later;
+        return batch;
+    }
+
+    private async commit(batch: PendingWrite[]): Promise<void> {
+        const committed = await this.options.store.call({
+            kind: "commit",
+            transaction: {
+                conditions: batch.filter(pending => pending.isNew).map(({ write }) => ({
+                    key: write.key,
+                    revision: 0,
+                })),
+                writes: batch.map(pending => pending.write),
+                removals: [],
+            },
+        }, this.options.commitTimeoutMs ?? 600);
+        if (!committed.ok) {
+            await this.handleFailure(batch, committed.val);
+            return;
+        }
+        this.failingSince = undefined;
+        if (committed.val.kind === "committed") {
+            batch.forEach(pending => pending.resolve(Ok("stored")));
+            return;
+        }
+        const existing = new Set(committed.val.items.map(item => item.key));
+        batch.filter(({ write }) => existing.has(write.key)).forEach(pending => pending.resolve(Ok("existed")));
+        this.waiting.unshift(...batch.filter(({ write }) => !existing.has(write.key)));
+    }
+
+    private async handleFailure(batch: PendingWrite[], failure: Failure): Promise<void> {
+        const now = this.options.clock.getNow();
+        this.failingSince ??= now;
+        const isUncertain = failure.verdict !== "notRun";
+        batch.forEach(pending => {
+            pending.isUncertain ||= isUncertain;
+        });
+        const giveUpMs = this.options.giveUpMs ?? 1_500;
+        const expired = batch.filter(pending => now - pending.arrivedAt + retryMs > giveUpMs || this.isInOutage);
+        expired.forEach(pending => this.giveUp(pending, failure));
+        const remaining = batch.filter(pending => !expired.includes(pending));
+        if (remaining.length > 0) {
+            await this.options.clock.wait(retryMs);
+            this.waiting.unshift(...remaining);
+        }
+        else if (this.waiting.length === 0) {
+            void this.probe();
+        }
+    }
+
+    /** Looks for the end of an outage while no request is tried. */
+    private async probe(): Promise<void> {
+        if (this.isProbing) {
+            return;
+        }
+        this.isProbing = true;
+        while (this.isInOutage) {
+            await this.options.clock.wait(300);
+            const read = await this.options.store.call({ kind: "read", key: toJobKey("probe" as JobId) });
+            if (read.ok) {
+                this.failingSince = undefined;
+            }
+        }
+        this.isProbing = false;
+    }
+
+    private giveUp(pending: PendingWrite, failure: Failure): void {
+        this.options.logger.write("warn", "request not stored", {
+            job: pending.job,
+            isUncertain: pending.isUncertain,
+            waitedMs: Math.round(this.options.clock.getNow() - pending.arrivedAt),
+            code: failure.code,
+            reason: failure.message,
+        });
+        pending.resolve(Err(
+            pending.isUncertain
+                ? createFailure("outcome-unknown", "the store gave no answer; send the same id again", "mayHaveRun")
+                : this.createRefusal(),
+        ));
+    }
+
+    private createRefusal(): Failure {
+        return createFailure("store-outage", "the store cannot be written", "notRun", outageRetryAfterMs);
+    }
+}
--- /dev/null
+++ b/packages/cell/src/lease-ownership.ts
@@ -0,0 +1,289 @@
+/**
+ * Decides which host owns the cell: the one that holds `ownerKey` under a lease of the store.
+ *
+ * Each acquisition raises the epoch in the same transaction; the epoch is the fencing token of all orders, so executors
+ * refuse a deposed owner as soon as they have heard from the new one. While nobody can reach the store nobody can take
+ * over, and the owner goes on. An owner whose lease ran out acquires it again; if the epoch is still its own, nobody else
+ * has owned the cell in between and it keeps its tables.
+ */
+import type { Clock, Failure, RandomSource, Result } from "@waxwingroute/core";
+import { Err, Ok } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import { match } from "ts-pattern";
+import type { OwnerRecord } from "./store-keys.js";
+import { decodeOwner, encodeOwner, epochKey, leadPrefix, ownerKey } from "./store-keys.js";
+import type { LeaseStore, StoreItem } from "./store.js";
+import { storeFailures } from "./store.js";
+
+/** The right to order executors. */
+export interface Tenure {
+    readonly epoch: number;
+    /** Revision of the owner key, the condition of every write of the owner. */
+    readonly revision: number;
+}
+
+export interface OwnershipListener {
+    /** This host owns the cell. `isContinued`: no other host has owned it since this host last did. */
+    onAcquired(tenure: Tenure, isContinued: boolean): void;
+    /** Another host owns the cell, or may. */
+    onLost(reason: string): void;
+    /** The owner record changed; `undefined`: there is no owner. */
+    onOwnerSeen(owner: OwnerRecord | undefined): void;
+}
+
+export interface OwnershipOptions {
+    readonly store: LeaseStore;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: LogWriter;
+    readonly host: string;
+    /** `<ip>:<port>` for the other hosts. */
+    readonly address: string;
+    readonly incarnation: string;
+    readonly listener: OwnershipListener;
+    /** Returns whether the present owner was heard from recently; its lease may have run out in a store outage. */
+    readonly isOwnerAlive: () => boolean;
+    /** Life of the lease, ms. Default 1,500: the time of a takeover begins with it. */
+    readonly leaseMs?: number;
+    /** Time between renewals, ms. Default 400, so that three may be lost. */
+    readonly renewalMs?: number;
+}
+
+/** Time that the last owner has to return when it was heard from recently, ms. */
+const yieldMs = 700;
+/** Longest wait of one watch, ms; a silent connection is noticed after it. */
+const watchMs = 2_000;
+/** Pause after a failed call, ms. */
+const retryMs = 150;
+/** Bound of one call about the lease, ms. */
+const callTimeoutMs = 800;
+
+interface LeadView {
+    readonly owner: OwnerRecord | undefined;
+    readonly ownerRevision: number;
+    readonly epoch: number;
+    readonly epochRevision: number;
+    readonly storeRevision: number;
+}
+
+export class LeaseOwnership {
+    private tenure: Tenure | undefined;
+    private lease = 0;
+    private lastEpoch = 0;
+    private isStopped = false;
+    private isFenced = false;
+
+    constructor(private readonly options: OwnershipOptions) {}
+
+    get current(): Tenure | undefined {
+        return this.tenure;
+    }
+
+    /** Runs until `stop`. */
+    async run(): Promise<void> {
+        while (!this.isStopped) {
+            if (this.tenure === undefined) {
+                await this.follow();
+            }
+            else {
+                await this.renew();
+            }
+        }
+    }
+
+    /** Gives the cell up, so that another host takes over at once. */
+    async stop(): Promise<void> {
+        this.isStopped = true;
+        if (this.tenure !== undefined) {
+            this.lose("stopping");
+            const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
+            this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
+        }
+    }
+
+    /** Reports that an executor or the store has seen a later owner. */
+    recordFenced(reason: string): void {
+        if (this.tenure !== undefined) {
+            this.isFenced = true;
+            this.lose(reason);
+        }
+    }
+
+    /** Reports that a write of the owner met another owner record: the lease may have run out. */
+    async verify(): Promise<void> {
+        const view = await this.readLead();
+        if (view.ok && this.tenure !== undefined && view.val.ownerRevision !== this.tenure.revision) {
+            await this.reacquire(view.val);
+        }
+    }
+
+    private async follow(): Promise<void> {
+        const read = await this.readLead();
+        if (!read.ok) {
+            await this.options.clock.wait(retryMs);
+            return;
+        }
+        let view = read.val;
+        while (!this.isStopped) {
+            this.options.listener.onOwnerSeen(view.owner);
+            if (view.owner === undefined) {
+                await this.tryAcquire(view);
+                return;
+            }
+            if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
+                // The answer to an earlier acquisition was lost.
+                this.take({ epoch: view.owner.epoch, revision: view.ownerRevision }, false);
+                return;
+            }
+            const next = await this.watchLead(view);
+            if (next === undefined) {
+                return;
+            }
+            view = next;
+        }
+    }
+
+    private async watchLead(view: LeadView): Promise<LeadView | undefined> {
+        const watched = await this.options.store.call({
+            kind: "watch",
+            prefix: leadPrefix,
+            afterRevision: view.storeRevision,
+            waitMs: watchMs,
+        });
+        if (!watched.ok || watched.val.changes.length === 0) {
+            // An empty answer can hide a change while the store drops its history, so the keys are read again.
+            return undefined;
+        }
+        const items = new Map(watched.val.changes.map(change => [change.key, change.item]));
+        const owner = items.has(ownerKey) ? items.get(ownerKey) : "unchanged";
+        const epoch = items.get(epochKey);
+        const parsed = owner === "unchanged" ? view.owner : this.parseOwner(owner);
+        return {
+            owner: parsed,
+            ownerRevision: owner === "unchanged" ? view.ownerRevision : owner?.revision ?? 0,
+            epoch: epoch === undefined ? view.epoch : Number(epoch.value),
+            epochRevision: epoch?.revision ?? view.epochRevision,
+            storeRevision: watched.val.storeRevision,
+        };
+    }
+
+    private async tryAcquire(view: LeadView): Promise<void> {
+        const wasOwner = this.lastEpoch !== 0 && view.epoch === this.lastEpoch;
+        const delayMs = !wasOwner && this.options.isOwnerAlive() ? yieldMs : this.options.random.getInteger(20);
+        if (!wasOwner) {
+            await this.options.clock.wait(delayMs);
+            const again = await this.readLead();
+            if (!again.ok || again.val.owner !== undefined || this.isStopped) {
+                return;
+            }
+            await this.acquire(again.val, false);
+            return;
+        }
+        await this.acquire(view, true);
+    }
+
+    private async acquire(view: LeadView, isContinued: boolean): Promise<boolean> {
+        const granted = await this.options.store.call(
+            { kind: "grantLease", ttlMs: this.options.leaseMs ?? 1_500 },
+            callTimeoutMs,
+        );
+        if (!granted.ok || this.isStopped) {
+            await this.options.clock.wait(retryMs);
+            return false;
+        }
+        const epoch = view.epoch + 1;
+        const { host, address, incarnation } = this.options;
+        this.isFenced = false;
+        this.lease = granted.val.lease;
+        const committed = await this.options.store.call({
+            kind: "commit",
+            transaction: {
+                conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.epochRevision }],
+                writes: [
+                    { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch }), lease: this.lease },
+                    { key: epochKey, value: String(epoch) },
+                ],
+                removals: [],
+            },
+        }, callTimeoutMs);
+        if (!committed.ok || committed.val.kind === "conflict") {
+            this.options.logger.write("info", "cell ownership not acquired", {
+                epoch,
+                reason: committed.ok ? "conflict" : committed.val.code,
+            });
+            return false;
+        }
+        this.take({ epoch, revision: committed.val.revision }, isContinued);
+        return true;
+    }
+
+    private take(tenure: Tenure, isContinued: boolean): void {
+        this.tenure = tenure;
+        this.lastEpoch = tenure.epoch;
+        this.options.logger.write("info", "cell ownership acquired", { epoch: tenure.epoch, isContinued });
+        this.options.listener.onAcquired(tenure, isContinued);
+    }
+
+    private lose(reason: string): void {
+        this.options.logger.write("warn", "cell ownership lost", { epoch: this.tenure?.epoch, reason });
+        this.tenure = undefined;
+        this.options.listener.onLost(reason);
+    }
+
+    private async renew(): Promise<void> {
+        await this.options.clock.wait(this.options.renewalMs ?? 400);
+        if (this.tenure === undefined || this.isStopped) {
+            return;
+        }
+        const renewed = await this.options.store.call({ kind: "renewLease", lease: this.lease }, callTimeoutMs);
+        if (!renewed.ok && renewed.val.code === storeFailures.leaseEnded) {
+            const view = await this.readLead();
+            if (view.ok) {
+                await this.reacquire(view.val);
+            }
+        }
+    }
+
+    /** Acquires the cell again after the lease ran out, or gives up when another host has owned it. */
+    private async reacquire(view: LeadView): Promise<void> {
+        const tenure = this.tenure;
+        if (tenure === undefined || view.ownerRevision === tenure.revision) {
+            return;
+        }
+        if (view.epoch !== tenure.epoch) {
+            this.lose("another host acquired the cell");
+            return;
+        }
+        await this.acquire(view, true);
+    }
+
+    private async readLead(): Promise<Result<LeadView, Failure>> {
+        const listed = await this.options.store.call({ kind: "list", prefix: leadPrefix }, callTimeoutMs);
+        if (!listed.ok) {
+            return Err(listed.val);
+        }
+        const owner = listed.val.items.find(item => item.key === ownerKey);
+        const epoch = listed.val.items.find(item => item.key === epochKey);
+        return Ok({
+            owner: this.parseOwner(owner),
+            ownerRevision: owner?.revision ?? 0,
+            epoch: epoch === undefined ? 0 : Number(epoch.value),
+            epochRevision: epoch?.revision ?? 0,
+            storeRevision: listed.val.storeRevision,
+        });
+    }
+
+    private parseOwner(item: StoreItem | undefined): OwnerRecord | undefined {
+        if (item === undefined) {
+            return undefined;
+        }
+        const decoded = decodeOwner(item.value);
+        return match(decoded.ok)
+            .with(true, () => decoded.val as OwnerRecord)
+            .with(false, () => {
+                this.options.logger.write("error", "owner record cannot be read", { revision: item.revision });
+                return undefined;
+            })
+            .exhaustive();
+    }
+}
--- /dev/null
+++ b/packages/cell/src/owner-recovery.ts
@@ -0,0 +1,86 @@
+/** Reads what earlier owners stored: jobs, cancellations, ends and the roster of executors. */
+import type { Failure, JobId, Result } from "@waxwingroute/core";
+import { Err, Ok } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type { RunEnd } from "@waxwingroute/workflow";
+import type { JobRecord, RosterEntry } from "./store-keys.js";
+import {
+    decodeEnds,
+    decodeJobRecord,
+    decodeRoster,
+    endPrefix,
+    jobPrefix,
+    parseJobKey,
+    rosterKey,
+} from "./store-keys.js";
+import type { LeaseStore, StoreItem } from "./store.js";
+import { listAll } from "./store.js";
+
+/** One stored change of a job, in the order of its revision. */
+export type JobEvent =
+    | { readonly kind: "record"; readonly job: JobId; readonly record: JobRecord; readonly revision: number; }
+    | { readonly kind: "cancel"; readonly job: JobId; readonly revision: number; };
+
+export interface StoredCell {
+    readonly jobs: readonly JobEvent[];
+    readonly batches: readonly { readonly key: string; readonly ends: readonly RunEnd[]; }[];
+    /** Revision from which a watch of the jobs misses nothing. */
+    readonly storeRevision: number;
+}
+
+/** Decodes an item below the job prefix; `undefined` after a malformed one, which is logged. */
+export function decodeJobItem(item: StoreItem, logger: LogWriter): JobEvent | undefined {
+    const { job, isCancel } = parseJobKey(item.key);
+    if (isCancel) {
+        return { kind: "cancel", job, revision: item.revision };
+    }
+    const decoded = decodeJobRecord(item.value);
+    if (!decoded.ok) {
+        logger.write("error", "job record cannot be read", {
+            job,
+            revision: item.revision,
+            reason: decoded.val.message,
+        });
+        return undefined;
+    }
+    return { kind: "record", job, record: decoded.val, revision: item.revision };
+}
+
+export async function readRoster(store: LeaseStore, logger: LogWriter): Promise<Result<RosterEntry[], Failure>> {
+    const read = await store.call({ kind: "read", key: rosterKey });
+    if (!read.ok) {
+        return Err(read.val);
+    }
+    if (read.val.item === undefined) {
+        return Ok([]);
+    }
+    const decoded = decodeRoster(read.val.item.value);
+    if (!decoded.ok) {
+        logger.write("error", "executor roster cannot be read", { reason: decoded.val.message });
+    }
+    return decoded;
+}
+
+export async function readStoredCell(store: LeaseStore, logger: LogWriter): Promise<Result<StoredCell, Failure>> {
+    // Ends are read before jobs: a batch is removed only after the records of its jobs were replaced.
+    const ends = await listAll(store, endPrefix);
+    if (!ends.ok) {
+        return Err(ends.val);
+    }
+    const jobs = await listAll(store, jobPrefix);
+    if (!jobs.ok) {
+        return Err(jobs.val);
+    }
+    const batches: { key: string; ends: RunEnd[]; }[] = [];
+    for (const item of ends.val.items) {
+        const decoded = decodeEnds(item.value);
+        if (decoded.ok) {
+            batches.push({ key: item.key, ends: decoded.val });
+        }
+        else {
+            logger.write("error", "stored ends cannot be read", { key: item.key, reason: decoded.val.message });
+        }
+    }
+    const events = jobs.val.items.map(item => decodeJobItem(item, logger)).filter(event => event !== undefined);
+    return Ok({ jobs: events, batches, storeRevision: jobs.val.storeRevision });
+}
--- /dev/null
+++ b/packages/node/src/main.ts
@@ -0,0 +1,4 @@
+/** Entry point of `waxwing-node`. */
+import { runNode } from "./node-program.js";
+
+void runNode();
--- /dev/null
+++ b/packages/node/src/node-program.ts
@@ -0,0 +1,84 @@
+/**
+ * The program of a host without a control machine beside it: entry and scheduler in one process.
+ *
+ * On SIGTERM the host leaves the balancer's rotation and gives the cell up at once; callers with open connections are
+ * served until they leave or the time for the stop is nearly over.
+ */
+import { CellHost } from "@waxwingroute/cell";
+import { SystemClock, SystemRandom } from "@waxwingroute/core";
+import {
+    HttpAdvisor,
+    HttpExecutorConnector,
+    HttpLeaseStore,
+    JobServer,
+    loadPlatformSettings,
+    ReadinessServer,
+    settingsVariable,
+    StoreCodec,
+} from "@waxwingroute/platform-adapter";
+import type { PlatformSettings } from "@waxwingroute/platform-adapter";
+import type { Logger } from "@waxwingroute/telemetry";
+import { createLogger, installGracefulShutdown } from "@waxwingroute/telemetry";
+
+/** Part of the time for a stop in which callers with open connections are served. */
+const servingShare = 0.6;
+/** Time that the balancer needs to notice that the host is leaving, ms: two of its probes. */
+const rotationMs = 2_200;
+
+/** Starts the program; ends the process with status 2 if its settings are wrong. */
+export async function runNode(): Promise<void> {
+    const settings = loadPlatformSettings(process.env[settingsVariable]);
+    if (!settings.ok) {
+        process.stderr.write(`waxwing-node: ${settings.val.message}\n`);
+        process.exitCode = 2;
+        return;
+    }
+    const { host, zone } = settings.val;
+    const logger = await createLogger({ program: "waxwing-node", host, zone });
+    await startNode(settings.val, logger);
+}
+
+async function startNode(settings: PlatformSettings, logger: Logger): Promise<void> {
+    const clock = new SystemClock();
+    const address = `${settings.ip}:${settings.peerPort}`;
+    const cell = new CellHost({
+        host: settings.host,
+        address,
+        seeds: settings.seeds.map(seed => `${seed.split(":")[0]}:${settings.peerPort}`),
+        store: new HttpLeaseStore({ address: settings.storeAddress, clock }),
+        codec: new StoreCodec(),
+        connector: new HttpExecutorConnector(clock),
+        advisor: new HttpAdvisor({ address: settings.advisorAddress ?? settings.storeAddress, clock }),
+        clock,
+        random: new SystemRandom(),
+        logger,
+        maxLeaseMs: settings.maxLeaseMs,
+        retentionMs: settings.retentionSeconds * 1_000,
+    });
+    const callers = new JobServer({ address: settings.callerAddress, gateway: cell });
+    const readiness = new ReadinessServer({
+        address: settings.readinessAddress,
+        listProblems: () => cell.listProblems(),
+    });
+    await cell.start();
+    await callers.listen();
+    await readiness.listen();
+    logger.write("info", "host started", { address, callers: settings.callerAddress, store: settings.storeAddress });
+    process.on("SIGHUP", () => logger.write("info", "settings changed; they take effect at the next start"));
+    installGracefulShutdown({
+        logger,
+        boundMs: settings.graceSeconds * 900,
+        steps: [
+            { name: "give the cell up", run: () => cell.resign() },
+            { name: "leave the rotation", run: () => clock.wait(rotationMs) },
+            {
+                name: "serve open connections",
+                run: () => {
+                    callers.drain();
+                    return callers.close(Math.max(0, settings.graceSeconds * 1_000 * servingShare - rotationMs));
+                },
+            },
+            { name: "stop the cell", run: () => cell.stop() },
+        ],
+    });
+}
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -39,6 +39,8 @@
     readonly idleMs?: number;
     /** Largest response body, in bytes. Default 67,108,864 (64 MB). */
     readonly maxResponseBytes?: number;
+    /** Whether calls carry the headers of `wire` that tell the sender and the time. Default true. */
+    readonly sendsOwnHeaders?: boolean;
     /** Called after each call. */
     readonly onCall?: (call: HttpCall) => void;
     /** Clock for time-outs and durations. Default: the machine's. */
@@ -122,6 +124,14 @@
         return result;
     }
 
+    private buildOwnHeaders(): OutgoingHttpHeaders {
+        if (this.options.sendsOwnHeaders === false) {
+            return {};
+        }
+        const sentAt = { [headerNames.sentAt]: String(this.clock.getWallTime()) };
+        return this.options.source === undefined ? sentAt : { ...sentAt, [headerNames.source]: this.options.source };
+    }
+
     private createOutgoing(request: HttpRequest, body: Buffer | undefined): ClientRequest {
         const basePath = this.base.pathname.replace(/\/$/, "");
         return createRequest({
@@ -132,8 +142,7 @@
             path: basePath + request.path,
             headers: {
                 ...request.headers,
-                ...this.options.source === undefined ? {} : { [headerNames.source]: this.options.source },
-                [headerNames.sentAt]: String(this.clock.getWallTime()),
+                ...this.buildOwnHeaders(),
                 ...body === undefined ? {} : { "content-length": body.length },
             },
         });
--- /dev/null
+++ b/packages/workflow/src/advice-system.ts
@@ -0,0 +1,135 @@
+/**
+ * Decides what to ask the advisors. The executors that may run a step do not change, so every answer is kept: refused
+ * executors are not named again, and granted ones are named again only when their tickets run out while room is there.
+ */
+import type { ExecutorId } from "@waxwingroute/core";
+import { countRoom, hasTicket, isEligible, needsAdvice } from "./candidates.js";
+import type { RankedStep } from "./rank.js";
+import type { ExecutorRow, QueueRow, StepRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+import { countFits, getChargedResources, listWaitingTasks } from "./state.js";
+import type { AdviceDecision, AdviceGrant } from "./types.js";
+
+/** Most executors in one call; bound of the advisor's interface. */
+const maxNamed = 100;
+/** Share of tasks for which room is sought beyond the need, since others may take it first. */
+const surplus = 1.3;
+/** Weight of a new answer in the learned grant rate. */
+const grantWeight = 0.1;
+/** Pause after an answer that granted nothing new, or after a failed call, ms. */
+const retryPauseMs = 100;
+
+interface Option {
+    readonly executor: ExecutorRow;
+    readonly slots: number;
+    readonly chance: number;
+}
+
+/** Returns up to `maxCalls` questions, the most urgent first, and marks their steps as being asked. */
+export function planAdvice(
+    state: SchedulerState,
+    now: number,
+    ranked: readonly RankedStep[],
+    maxCalls: number,
+): AdviceDecision[] {
+    const decisions: AdviceDecision[] = [];
+    for (const { step } of ranked) {
+        if (decisions.length >= maxCalls) {
+            break;
+        }
+        if (needsAdvice(state, step) && !step.advice.isAsking && step.advice.retryAt <= now) {
+            const executors = selectNamedExecutors(state, now, step);
+            if (executors.length > 0) {
+                step.advice.isAsking = true;
+                decisions.push({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
+            }
+        }
+    }
+    return decisions;
+}
+
+/** Records an answer; `undefined` stands for a call without one. */
+export function recordAdvice(
+    state: SchedulerState,
+    now: number,
+    step: StepRow,
+    named: readonly ExecutorId[],
+    grants: readonly AdviceGrant[] | undefined,
+): void {
+    step.advice.isAsking = false;
+    const queue = state.queues.get(step.occurrence.job.submission.queue);
+    const validMs = queue?.rules.advice?.validMs;
+    if (grants === undefined || queue === undefined || validMs === undefined) {
+        step.advice.retryAt = now + retryPauseMs;
+        return;
+    }
+    const unknown = named.filter(executor => !step.advice.tickets.has(executor));
+    const granted = new Set(grants.map(grant => grant.executor));
+    grants.forEach(({ executor, ticket }) => step.advice.tickets.set(executor, { ticket, validUntil: now + validMs }));
+    named.filter(executor => !granted.has(executor)).forEach(executor => {
+        step.advice.refused.add(executor);
+        step.advice.tickets.delete(executor);
+    });
+    recordGrantRate(queue, unknown, granted);
+}
+
+function recordGrantRate(queue: QueueRow, unknown: readonly ExecutorId[], granted: ReadonlySet<ExecutorId>): void {
+    if (unknown.length > 0) {
+        const share = unknown.filter(executor => granted.has(executor)).length / unknown.length;
+        const sample = queue.grantRate + grantWeight * (share - queue.grantRate);
+        queue.grantRate = Math.min(0.95, Math.max(0.1, sample));
+    }
+}
+
+function selectNamedExecutors(state: SchedulerState, now: number, step: StepRow): ExecutorId[] {
+    const needed = listWaitingTasks(step).length;
+    const options: Option[] = [];
+    let covered = 0;
+    for (const executor of state.executors.values()) {
+        if (step.advice.refused.has(executor.id) || !isEligible(state, now, step, executor)) {
+            continue;
+        }
+        const isKnown = step.advice.tickets.has(executor.id);
+        // A gang plans with whole executors that it does not know yet, so that it learns where it can wait for room.
+        const slots = step.spec.isGang && !isKnown
+            ? countFits(getChargedResources(step), executor.capacity)
+            : countRoom(step, executor);
+        if (hasTicket(state, now, step, executor)) {
+            covered += countRoom(step, executor);
+        }
+        else if (slots > 0) {
+            options.push({ executor, slots: Math.min(slots, needed), chance: isKnown ? 1 : getGrantRate(state, step) });
+        }
+    }
+    if (covered >= needed || isBlockedGang(step, options, covered, needed)) {
+        return [];
+    }
+    return pickOptions(step, options, needed * surplus - covered);
+}
+
+/** Returns whether a gang knows all its executors and cannot fit on them now, so that tickets would run out unused. */
+function isBlockedGang(step: StepRow, options: readonly Option[], covered: number, needed: number): boolean {
+    const isAllKnown = options.every(option => option.chance === 1);
+    return step.spec.isGang && isAllKnown && covered + options.reduce((sum, option) => sum + option.slots, 0) < needed;
+}
+
+function pickOptions(step: StepRow, options: Option[], missing: number): ExecutorId[] {
+    options.sort((first, second) =>
+        second.chance - first.chance
+        || countRoom(step, second.executor) - countRoom(step, first.executor)
+    );
+    const named: ExecutorId[] = [];
+    let expected = 0;
+    for (const { executor, slots, chance } of options) {
+        if (expected >= missing || named.length >= maxNamed) {
+            break;
+        }
+        named.push(executor.id);
+        expected += slots * chance;
+    }
+    return named;
+}
+
+function getGrantRate(state: SchedulerState, step: StepRow): number {
+    return state.queues.get(step.occurrence.job.submission.queue)?.grantRate ?? 1;
+}
--- /dev/null
+++ b/packages/workflow/src/end-system.ts
@@ -0,0 +1,131 @@
+/** Applies the ends of runs to tasks, steps and jobs. */
+import { match, P } from "ts-pattern";
+import { recordOutcome } from "./health-system.js";
+import { countOccurrences, isStepDone, openSteps } from "./job-rows.js";
+import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+import type { RunOutcome, StopReason } from "./types.js";
+
+/** The run that ended, or what is known of it where this owner did not start it. */
+export interface EndedRun {
+    readonly task: TaskRow;
+    readonly number: number;
+    readonly row: RunRow | undefined;
+    readonly outcome: RunOutcome;
+    readonly checkpoint: string;
+}
+
+/** Records one end. Ends of runs that were recorded before change nothing. */
+export function applyRunEnd(state: SchedulerState, now: number, ended: EndedRun): void {
+    const { task, number, row, outcome, checkpoint } = ended;
+    if (row !== undefined) {
+        recordOutcome(state, now, row, outcome);
+        state.removeRun(row);
+    }
+    task.lastRun = Math.max(task.lastRun, number);
+    task.step.lastRun = Math.max(task.step.lastRun, number);
+    if (checkpoint !== "") {
+        recordCheckpoint(task, checkpoint);
+    }
+    match(outcome)
+        .with("done", () => completeTask(state, task))
+        .with("failed", () => recordFailure(state, task, number))
+        .with(P.union("stopped", "lapsed", "memberEnded", "incomplete", "lost", "notStarted"), () => undefined)
+        .exhaustive();
+    if (task.step.spec.isGang && outcome !== "done") {
+        stopGangRun(state, task.step, number);
+    }
+    reopenStep(state, task.step);
+}
+
+/** Ends a job early: nothing of it starts any more, and what runs is stopped. */
+export function endJob(state: SchedulerState, job: JobRow, endsAs: "failed" | "cancelled"): void {
+    if (!state.isOpen(job)) {
+        return;
+    }
+    job.endsAs = endsAs;
+    job.phase = endsAs;
+    state.changes.push({ job: job.id, queue: job.submission.queue, state: endsAs });
+    stopJobRuns(state, job, "cancelled");
+}
+
+function stopJobRuns(state: SchedulerState, job: JobRow, reason: StopReason): void {
+    for (const occurrence of job.occurrences.values()) {
+        for (const step of occurrence.steps) {
+            state.openSteps.delete(step);
+            step.tasks.forEach(task => task.runs.forEach(run => state.stopRun(run, reason)));
+        }
+    }
+}
+
+function recordCheckpoint(task: TaskRow, checkpoint: string): void {
+    const holders = task.step.spec.isGang ? task.step.tasks : [task];
+    holders.forEach(holder => {
+        holder.checkpoint = checkpoint;
+    });
+}
+
+function completeTask(state: SchedulerState, task: TaskRow): void {
+    const step = task.step;
+    // The members of a gang end together, so one end stands for all of them.
+    const finished = step.spec.isGang ? step.tasks : [task];
+    for (const member of finished) {
+        if (member.state !== "done" && !step.spec.isLongRunning) {
+            member.state = "done";
+            step.doneCount += 1;
+            if (!step.spec.isGang) {
+                member.runs.forEach(run => state.stopRun(run, "superseded"));
+            }
+        }
+    }
+    if (isStepDone(step)) {
+        state.openSteps.delete(step);
+        finishStep(state, step);
+    }
+}
+
+function finishStep(state: SchedulerState, step: StepRow): void {
+    const occurrence = step.occurrence;
+    const job = occurrence.job;
+    openSteps(state, occurrence);
+    if (!occurrence.isFinished && occurrence.steps.every(isStepDone)) {
+        occurrence.isFinished = true;
+        job.finishedOccurrences += 1;
+        if (job.finishedOccurrences === countOccurrences(job) && state.isOpen(job)) {
+            job.phase = "succeeded";
+            state.changes.push({ job: job.id, queue: job.submission.queue, state: "succeeded" });
+        }
+    }
+}
+
+function recordFailure(state: SchedulerState, task: TaskRow, run: number): void {
+    const step = task.step;
+    if (step.spec.isGang) {
+        // Each member may report the failure of the same run.
+        if (run > step.lastFailedRun) {
+            step.lastFailedRun = run;
+            step.gangFailures += 1;
+        }
+    }
+    else {
+        task.failures += 1;
+    }
+    const failures = step.spec.isGang ? step.gangFailures : task.failures;
+    const job = step.occurrence.job;
+    const attempts = state.queues.get(job.submission.queue)?.rules.maxAttempts ?? Infinity;
+    if (!step.spec.isLongRunning && task.state !== "done" && failures >= attempts) {
+        endJob(state, job, "failed");
+    }
+}
+
+function stopGangRun(state: SchedulerState, step: StepRow, number: number): void {
+    for (const task of step.tasks) {
+        task.runs.filter(run => run.number === number).forEach(run => state.stopRun(run, "gangBroken"));
+    }
+}
+
+function reopenStep(state: SchedulerState, step: StepRow): void {
+    if (!isStepDone(step) && state.isOpen(step.occurrence.job)) {
+        state.openSteps.add(step);
+    }
+}
--- /dev/null
+++ b/packages/workflow/src/health-system.ts
@@ -0,0 +1,58 @@
+/**
+ * Learns from the ends of runs: how long work really takes in each queue, which executors fail what others finish, and
+ * which are slow.
+ */
+import type { ExecutorRow, QueueRow, RunRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+import type { RunOutcome } from "./types.js";
+
+/** Weight of a new sample in the averages of a queue. */
+const queueWeight = 0.05;
+/** Weight of a new sample in the averages of an executor, which has fewer of them. */
+const executorWeight = 0.25;
+/** An executor is avoided when it fails this much more often than its queues do elsewhere. */
+const failureExcess = 0.35;
+/** Time for which a failing executor gets no work, ms. Then single tasks test it again. */
+const avoidMs = 4_000;
+
+export function recordOutcome(state: SchedulerState, now: number, run: RunRow, outcome: RunOutcome): void {
+    if (outcome !== "done" && outcome !== "failed") {
+        return;
+    }
+    const executor = state.executors.get(run.executor);
+    const queue = state.queues.get(run.task.step.occurrence.job.submission.queue);
+    if (executor === undefined || queue === undefined) {
+        return;
+    }
+    const failed = outcome === "failed" ? 1 : 0;
+    executor.failureRate = mix(executor.failureRate, failed, executorWeight);
+    if (failed === 1) {
+        avoidFailingExecutor(state, now, executor);
+    }
+    queue.failureRate = mix(queue.failureRate, failed, queueWeight);
+    if (outcome === "done" && run.task.checkpoint === "") {
+        recordRunTime(now, run, executor, queue);
+    }
+}
+
+function recordRunTime(now: number, run: RunRow, executor: ExecutorRow, queue: QueueRow): void {
+    const estimate = run.task.step.spec.estimateMs;
+    if (estimate <= 0) {
+        return;
+    }
+    const ratio = Math.min(10, (now - run.startedAt) / estimate);
+    executor.slowness = mix(executor.slowness, ratio / queue.estimateRatio, executorWeight);
+    queue.estimateRatio = mix(queue.estimateRatio, ratio, queueWeight);
+}
+
+function avoidFailingExecutor(state: SchedulerState, now: number, executor: ExecutorRow): void {
+    const rates = [...state.executors.values()].map(row => row.failureRate).sort((first, second) => first - second);
+    const median = rates[Math.floor(rates.length / 2)] ?? 0;
+    if (executor.failureRate > median + failureExcess) {
+        executor.avoidUntil = now + avoidMs;
+    }
+}
+
+function mix(average: number, sample: number, weight: number): number {
+    return average + weight * (sample - average);
+}
--- /dev/null
+++ b/packages/workflow/src/index.ts
@@ -0,0 +1,31 @@
+/** Scheduling of jobs of dependent steps on the executors of one cell. */
+export { parseTaskKey, toStepKey, toTaskKey } from "./keys.js";
+export type { TaskKeyParts } from "./keys.js";
+export { WorkflowScheduler } from "./scheduler.js";
+export type {
+    AdviceDecision,
+    AdviceGrant,
+    AdviceRules,
+    ExecutorState,
+    ExecutorUpdate,
+    JobChange,
+    JobSchedule,
+    JobSpec,
+    JobState,
+    JobSubmission,
+    ListedRun,
+    PoolId,
+    QueueRules,
+    RunEnd,
+    RunOutcome,
+    SchedulerOptions,
+    SchedulerRules,
+    StartDecision,
+    StepKey,
+    StepSpec,
+    StopDecision,
+    StopReason,
+    TaskKey,
+    TeamRules,
+    TickDecisions,
+} from "./types.js";
--- /dev/null
+++ b/packages/workflow/src/job-rows.ts
@@ -0,0 +1,124 @@
+/** Builds the rows of a job and opens its steps as earlier ones end. */
+import type { JobId } from "@waxwingroute/core";
+import { match } from "ts-pattern";
+import { toStepKey, toTaskKey } from "./keys.js";
+import type { JobRow, OccurrenceRow, QueueRow, StepRow, TaskRow, TeamRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+import type { JobSubmission, StepSpec } from "./types.js";
+
+/** Jobs that a team may submit at once beyond its rate, in seconds of that rate. */
+const burstSeconds = 2;
+
+export function createJobRow(submission: JobSubmission, team: TeamRow, isExcess: boolean): JobRow {
+    return {
+        id: submission.job,
+        submission,
+        occurrences: new Map(),
+        nextOccurrence: 0,
+        finishedOccurrences: 0,
+        phase: "queued",
+        endsAs: undefined,
+        team,
+        activeRuns: 0,
+        isExcess,
+    };
+}
+
+/** Takes one job from the rate of a team and returns whether it was beyond it. A weight of 0 sets no rate. */
+export function takeTeamCredit(team: TeamRow, now: number): boolean {
+    const rate = team.rules.weight;
+    if (rate <= 0) {
+        return false;
+    }
+    const bound = Math.max(1, rate * burstSeconds);
+    team.credit = team.creditAt === 0
+        ? bound
+        : Math.min(bound, team.credit + rate * (now - team.creditAt) / 1_000);
+    team.creditAt = now;
+    if (team.credit < 1) {
+        return true;
+    }
+    team.credit -= 1;
+    return false;
+}
+
+/** Returns how many times the job runs. */
+export function countOccurrences(job: JobRow): number {
+    return job.submission.spec.schedule?.occurrences ?? 1;
+}
+
+/** Adds an occurrence and opens its first steps. */
+export function addOccurrence(state: SchedulerState, job: JobRow, number: number, dueAt: number): OccurrenceRow {
+    const steps: StepRow[] = [];
+    const occurrence: OccurrenceRow = { job, number, dueAt, steps, objectiveAt: dueAt, isFinished: false };
+    const chains = computeChains(job.submission.spec.steps);
+    job.submission.spec.steps.forEach((spec, step) => {
+        steps.push(createStepRow(occurrence, spec, step, chains[step] ?? 0));
+    });
+    job.occurrences.set(number, occurrence);
+    updateObjective(occurrence, state.queues.get(job.submission.queue));
+    openSteps(state, occurrence);
+    return occurrence;
+}
+
+/** Recomputes when the occurrence should be done. */
+export function updateObjective(occurrence: OccurrenceRow, queue: QueueRow | undefined): void {
+    const chain = Math.max(0, ...occurrence.steps.map(step => step.remainingChainMs)) * (queue?.estimateRatio ?? 1);
+    occurrence.objectiveAt = occurrence.dueAt + (queue?.rules.targetLatencyMs ?? 0)
+        + (queue?.rules.stretchFactor ?? 1) * chain;
+}
+
+/** Opens each step whose earlier steps are all done. */
+export function openSteps(state: SchedulerState, occurrence: OccurrenceRow): void {
+    for (const step of occurrence.steps) {
+        const isReady = step.doneCount < step.tasks.length
+            && step.spec.after.every(number => isStepDone(occurrence.steps[number]));
+        if (isReady) {
+            state.openSteps.add(step);
+        }
+    }
+}
+
+export function isStepDone(step: StepRow | undefined): boolean {
+    return step !== undefined && step.doneCount === step.tasks.length;
+}
+
+function createStepRow(occurrence: OccurrenceRow, spec: StepSpec, number: number, chainMs: number): StepRow {
+    const job: JobId = occurrence.job.id;
+    const state = match(occurrence.job.submission.mayHaveStarted)
+        .with(true, () => "unknown" as const)
+        .with(false, () => "waiting" as const)
+        .exhaustive();
+    const tasks: TaskRow[] = [];
+    const step: StepRow = {
+        key: toStepKey(job, occurrence.number, number),
+        occurrence,
+        number,
+        spec,
+        tasks,
+        advice: { isAsking: false, retryAt: 0, tickets: new Map(), refused: new Set() },
+        lastRun: 0,
+        doneCount: 0,
+        gangFailures: 0,
+        lastFailedRun: 0,
+        remainingChainMs: chainMs,
+        hasStarted: false,
+    };
+    for (let index = 0; index < spec.taskCount; index++) {
+        const key = toTaskKey({ job, occurrence: occurrence.number, step: number, index });
+        tasks.push({ key, step, index, state, runs: [], lastRun: 0, failures: 0, checkpoint: "" });
+    }
+    return step;
+}
+
+/** Returns for each step the longest chain of estimates from its start to the end of the job, ms. */
+function computeChains(steps: readonly StepSpec[]): number[] {
+    const chains = steps.map(step => step.estimateMs);
+    for (let number = steps.length - 1; number >= 0; number--) {
+        for (const earlier of steps[number]!.after) {
+            const own = steps[earlier]?.estimateMs ?? 0;
+            chains[earlier] = Math.max(chains[earlier] ?? 0, own + chains[number]!);
+        }
+    }
+    return chains;
+}
--- /dev/null
+++ b/packages/workflow/src/keys.ts
@@ -0,0 +1,31 @@
+/** Names of steps and tasks. */
+import type { JobId } from "@waxwingroute/core";
+import { toId } from "@waxwingroute/core";
+import type { StepKey, TaskKey } from "./types.js";
+
+export interface TaskKeyParts {
+    readonly job: JobId;
+    readonly occurrence: number;
+    readonly step: number;
+    readonly index: number;
+}
+
+export function toStepKey(job: JobId, occurrence: number, step: number): StepKey {
+    return toId<StepKey>(`${job}.${occurrence}.${step}`);
+}
+
+export function toTaskKey(parts: TaskKeyParts): TaskKey {
+    return toId<TaskKey>(`${parts.job}.${parts.occurrence}.${parts.step}.${parts.index}`);
+}
+
+/** Splits a task key; returns `undefined` if the text is not one. */
+export function parseTaskKey(text: string): TaskKeyParts | undefined {
+    const [job, ...rest] = text.split(".");
+    const numbers = rest.map(Number);
+    const isValid = job !== undefined && job !== "" && numbers.length === 3
+        && numbers.every(number => Number.isSafeInteger(number) && number >= 0);
+    if (!isValid) {
+        return undefined;
+    }
+    return { job: toId<JobId>(job), occurrence: numbers[0]!, step: numbers[1]!, index: numbers[2]! };
+}
--- /dev/null
+++ b/packages/workflow/src/rank.ts
@@ -0,0 +1,48 @@
+/** Decides in which order steps get room and advice. */
+import type { StepRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+
+/** A job that ends later than this many times its objective earns nothing. */
+const worthlessAfter = 3;
+
+/** A step with the values it is ordered by. */
+export interface RankedStep {
+    readonly step: StepRow;
+    /** 0: can meet its objective; 1: late; 2: beyond the rate of its team; 3: too late to be of use. */
+    readonly tier: number;
+    readonly priority: number;
+    /** Time left after the work that is still to do, ms; negative if the objective cannot be met. */
+    readonly slackMs: number;
+}
+
+/** Returns the open steps, the most urgent first. */
+export function selectRankedSteps(state: SchedulerState, now: number): RankedStep[] {
+    const ranked: RankedStep[] = [];
+    for (const step of state.openSteps) {
+        if (step.tasks.some(task => task.state === "waiting")) {
+            ranked.push(computeRank(state, now, step));
+        }
+    }
+    return ranked.sort(compareRanks);
+}
+
+function computeRank(state: SchedulerState, now: number, step: StepRow): RankedStep {
+    const { job, objectiveAt, dueAt } = step.occurrence;
+    const queue = state.queues.get(job.submission.queue);
+    const slackMs = objectiveAt - now - step.remainingChainMs * (queue?.estimateRatio ?? 1);
+    const endsAt = now + step.remainingChainMs * (queue?.estimateRatio ?? 1);
+    const uselessAt = dueAt + worthlessAfter * (objectiveAt - dueAt);
+    const tier = job.isExcess ? 2 : endsAt <= objectiveAt ? 0 : endsAt <= uselessAt ? 1 : 3;
+    const isServing = step.spec.isLongRunning && !step.spec.usesIdleProcessors;
+    return { step, tier: isServing ? 0 : tier, priority: queue?.rules.priority ?? 0, slackMs };
+}
+
+function compareRanks(first: RankedStep, second: RankedStep): number {
+    if (first.tier !== second.tier) {
+        return first.tier - second.tier;
+    }
+    // Work of the first priority is short and urgent; the rest is ordered by what must start first.
+    const firstUrgent = first.priority === 0 ? 0 : 1;
+    const secondUrgent = second.priority === 0 ? 0 : 1;
+    return firstUrgent - secondUrgent || first.slackMs - second.slackMs;
+}
--- /dev/null
+++ b/packages/workflow/src/rows.ts
@@ -0,0 +1,135 @@
+/** Rows of the scheduler's tables. Only the systems of this package change them. */
+import type { ExecutorId, JobId, RackId, ResourceVector, TeamId, ZoneId } from "@waxwingroute/core";
+import type { JobState, JobSubmission, PoolId, QueueRules, StepKey, StepSpec, TaskKey, TeamRules } from "./types.js";
+
+/** `unknown`: an earlier owner may have started it on an executor that has not answered yet. */
+export type TaskState = "waiting" | "unknown" | "active" | "done";
+
+/** `starting`: the order has no answer yet. `stopping`: a stop was decided and the end is not listed yet. */
+export type RunState = "starting" | "running" | "stopping";
+
+/** One run of a task; it holds its room on the executor until its end is recorded. */
+export interface RunRow {
+    readonly task: TaskRow;
+    readonly number: number;
+    readonly executor: ExecutorId;
+    readonly resources: ResourceVector;
+    readonly startedAt: number;
+    state: RunState;
+    percent: number;
+    /** When `percent` last rose. */
+    progressAt: number;
+}
+
+export interface TaskRow {
+    readonly key: TaskKey;
+    readonly step: StepRow;
+    readonly index: number;
+    state: TaskState;
+    /** Active runs: one, or several copies where the step allows them. */
+    readonly runs: RunRow[];
+    /** Highest run number used or seen. */
+    lastRun: number;
+    failures: number;
+    checkpoint: string;
+}
+
+/** Answers of the advisor for one step. */
+export interface AdviceState {
+    isAsking: boolean;
+    /** Not asked again before this time. */
+    retryAt: number;
+    readonly tickets: Map<ExecutorId, { readonly ticket: string; readonly validUntil: number; }>;
+    readonly refused: Set<ExecutorId>;
+}
+
+export interface StepRow {
+    readonly key: StepKey;
+    readonly occurrence: OccurrenceRow;
+    readonly number: number;
+    readonly spec: StepSpec;
+    readonly tasks: readonly TaskRow[];
+    readonly advice: AdviceState;
+    /** Run numbers of a gang are shared by its members. */
+    lastRun: number;
+    doneCount: number;
+    /** Failed runs of a gang, which count once for all members. */
+    gangFailures: number;
+    lastFailedRun: number;
+    /** Longest remaining chain of work from this step on, ms. */
+    remainingChainMs: number;
+    /** Whether a start was decided; the first wait ends there. */
+    hasStarted: boolean;
+}
+
+export interface OccurrenceRow {
+    readonly job: JobRow;
+    readonly number: number;
+    /** Time from which the objective counts. */
+    readonly dueAt: number;
+    readonly steps: readonly StepRow[];
+    objectiveAt: number;
+    isFinished: boolean;
+}
+
+export type JobPhase = JobState;
+
+export interface JobRow {
+    readonly id: JobId;
+    readonly submission: JobSubmission;
+    readonly occurrences: Map<number, OccurrenceRow>;
+    /** Number of occurrences that became due. */
+    nextOccurrence: number;
+    finishedOccurrences: number;
+    phase: JobPhase;
+    /** Set when the job ends early; its runs are being stopped. */
+    endsAs: "failed" | "cancelled" | undefined;
+    /** Shares the room of this team. */
+    readonly team: TeamRow;
+    activeRuns: number;
+    /** Submitted beyond the rate of its team; comes after the work of others. */
+    readonly isExcess: boolean;
+}
+
+export interface TeamRow {
+    readonly id: TeamId;
+    rules: TeamRules;
+    used: ResourceVector;
+    /** Jobs that the team may still submit within its rate. */
+    credit: number;
+    creditAt: number;
+}
+
+export interface ExecutorRow {
+    readonly id: ExecutorId;
+    pool: PoolId;
+    zone: ZoneId;
+    rack: RackId | undefined;
+    labels: ReadonlySet<string>;
+    capacity: ResourceVector;
+    used: ResourceVector;
+    isReady: boolean;
+    isReachable: boolean;
+    readonly runs: Map<string, RunRow>;
+    /** Exponentially weighted share of runs that failed. */
+    failureRate: number;
+    /** Exponentially weighted ratio of measured to expected run time. */
+    slowness: number;
+    /** No new work before this time, because of failures. */
+    avoidUntil: number;
+}
+
+export interface QueueRow {
+    rules: QueueRules;
+    /** Measured run time divided by the estimate, exponentially weighted. */
+    estimateRatio: number;
+    /** Share of named executors that the advisor granted. */
+    grantRate: number;
+    /** Share of runs that failed on any executor. */
+    failureRate: number;
+}
+
+/** Key of a run in `ExecutorRow.runs`. */
+export function toRunKey(task: TaskKey, run: number): string {
+    return `${task}#${run}`;
+}
