Lose the runs of an executor that restarted at another address

One way to it: a new session for an executor at another address forgot the orders of the old one, so its runs stayed charged for ever.

--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -219,7 +219,11 @@
         if (existing !== undefined && existing.address === address) {
             return existing;
         }
-        existing?.session.close();
+        if (existing !== undefined) {
+            // The same id at another address is another life of the executor, which holds nothing of before.
+            existing.session.close();
+            this.options.listener.onRunsLost(executor, "executor restarted at another address");
+        }
         const { clock, connector, listener, logger, maxLeaseMs } = this.options;
         const session = new ExecutorSession({
             executor,
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -323,7 +323,7 @@
         const { executor, listener, logger } = this.options;
         this.failures += 1;
         if (failure.code === executorFailures.replaced) {
-            this.forgetRuns("another executor has its address");
+            this.forgetRunsOnce("another executor has its address");
             return;
         }
         if (this.failures === failuresBeforeUnreachable) {
@@ -331,7 +331,13 @@
             listener.onUnreachable(executor);
         }
         if (this.failures >= failuresBeforeUnreachable && this.hasLeaseRunOut()) {
-            this.forgetRuns("its leases have run out");
+            this.forgetRunsOnce("its leases have run out");
+        }
+    }
+
+    private forgetRunsOnce(reason: string): void {
+        if (this.orders.size > 0 || !this.isListed) {
+            this.forgetRuns(reason);
         }
     }
 
--- a/packages/cell/src/owner-link.ts
+++ b/packages/cell/src/owner-link.ts
@@ -77,6 +77,8 @@
             },
             onEnd: failure => {
                 if (this.client === client) {
+                    // An owner that resigns ends its streams; whoever takes over need not wait for it.
+                    this.heardAt = -Infinity;
                     logger.write("info", "stream of the owner ended", { reason: failure?.message });
                     this.disconnect();
                 }
