Acknowledge ends in order; let the leases of a silent executor run out

Change: ends are acknowledged up to the first that is not stored, for the same life of the executor; a silent executor is asked without a new lease. Ruled out for LOST: advice that never returns, and leaked team limits.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -209,8 +209,8 @@
         this.afterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
     }
 
-    onEnded(end: RunEnd, sequence: number): void {
-        this.afterRecovery(() => this.acceptEnd(end, sequence));
+    onEnded(end: RunEnd, acknowledge?: () => void): void {
+        this.afterRecovery(() => this.acceptEnd(end, acknowledge));
     }
 
     onForeignRun(executor: ExecutorId, run: ListedRun): boolean {
@@ -252,7 +252,7 @@
         return isAdopted;
     }
 
-    private acceptEnd(end: RunEnd, sequence: number): void {
+    private acceptEnd(end: RunEnd, acknowledge: (() => void) | undefined): void {
         const now = this.options.clock.getNow();
         this.scheduler.recordEnd(now, end);
         this.options.logger.write("info", "run ended", {
@@ -260,21 +260,15 @@
             task: end.task,
             run: end.run,
             outcome: end.outcome,
-            sequence,
         });
-        const acknowledge = () => {
-            if (sequence > 0) {
-                this.registry.getSession(end.executor)?.acknowledge(sequence);
-            }
-        };
         const job = parseTaskKey(end.task)?.job;
         const isStored = job === undefined || this.storedStates.has(job)
             || this.scheduler.getJobState(job) === undefined;
         if (isStored) {
-            acknowledge();
+            acknowledge?.();
             this.forgetStored(job);
         }
-        else if (sequence > 0) {
+        else if (acknowledge !== undefined) {
             this.journal.recordEnd(end, acknowledge);
         }
         this.requestTick();
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -20,8 +20,8 @@
     /** All leases that the executor can hold have run out, or it restarted: nothing that was charged to it runs. */
     onRunsLost(executor: ExecutorId, reason: string): void;
     onRunning(executor: ExecutorId, run: ListedRun): void;
-    /** An end; the executor keeps it until `acknowledge(sequence)`. */
-    onEnded(end: RunEnd, sequence: number): void;
+    /** An end. The executor lists it until `acknowledge` is called; absent: the executor does not list it. */
+    onEnded(end: RunEnd, acknowledge?: () => void): void;
     /** A run that the executor lists and that the session did not start. Returns whether it may go on. */
     onForeignRun(executor: ExecutorId, run: ListedRun): boolean;
     /** The executor has seen a higher fencing token. */
@@ -71,8 +71,11 @@
 
 export class ExecutorSession {
     private readonly orders = new Map<string, Order>();
+    /** Counts the lives of the executor, since the numbers of ends start anew in each. */
+    private life = 0;
     private processed = 0;
     private acknowledged = 0;
+    private readonly unstored = new Set<number>();
     private startedAtWallMs: number | undefined;
     private clockMs: number | undefined;
     private clockReadAt = 0;
@@ -115,10 +118,14 @@
         this.options.client.close();
     }
 
-    /** Reports that all ends up to `sequence` are stored. */
-    acknowledge(sequence: number): void {
-        this.acknowledged = Math.max(this.acknowledged, sequence);
-        if (this.acknowledged >= this.processed) {
+    /** Only ends without an earlier one that is not stored yet are acknowledged. */
+    private acknowledge(sequence: number, life: number): void {
+        if (life !== this.life) {
+            return;
+        }
+        this.unstored.delete(sequence);
+        this.acknowledged = this.unstored.size === 0 ? this.processed : Math.min(...this.unstored) - 1;
+        if (this.unstored.size === 0) {
             this.wake?.();
         }
     }
@@ -207,7 +214,10 @@
         const stillPending = this.acknowledged < this.processed;
         const waitMs = this.chooseWait(stillPending);
         const sentAt = clock.getNow();
-        const deadlineMs = this.clockMs === undefined ? undefined : this.extendDeadline();
+        // A renewal without an answer may have extended the lease, so an executor that is silent is only asked, or its
+        // leases would never be known to have run out.
+        const canExtend = this.clockMs !== undefined && this.failures === 0;
+        const deadlineMs = canExtend ? this.extendDeadline() : undefined;
         const renewed = await client.renew(
             { fencingToken: this.fencingToken, acknowledged: this.acknowledged, deadlineMs, waitMs },
             waitMs + answerMs,
@@ -247,6 +257,8 @@
             this.forgetRuns("executor restarted");
             this.processed = 0;
             this.acknowledged = 0;
+            this.unstored.clear();
+            this.life += 1;
             this.lastDeadlineMs = 0;
         }
         this.startedAtWallMs = listing.startedAtWallMs;
@@ -273,10 +285,12 @@
             return;
         }
         this.processed = end.sequence;
+        this.unstored.add(end.sequence);
         this.orders.delete(toOrderKey(end));
         const { executor, listener } = this.options;
         const { task, run, outcome, checkpoint, sequence } = end;
-        listener.onEnded({ executor, task, run, outcome, checkpoint }, sequence);
+        const life = this.life;
+        listener.onEnded({ executor, task, run, outcome, checkpoint }, () => this.acknowledge(sequence, life));
     }
 
     private acceptRunning(run: ListedRun): void {
@@ -364,7 +378,7 @@
         if (outcome === "lost") {
             logger.write("warn", "run disappeared from its executor", { executor, task: order.task, run: order.run });
         }
-        listener.onEnded({ executor, task: order.task, run: order.run, outcome, checkpoint: "" }, 0);
+        listener.onEnded({ executor, task: order.task, run: order.run, outcome, checkpoint: "" });
     }
 
     private checkFence(result: Result<unknown, Failure>): void {
