--- /dev/null
+++ b/packages/cell/src/cell-owner_test.ts
@@ -0,0 +1,144 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { SimulationOptions } from "./testing/cell-simulation.js";
+import { CellSimulation } from "./testing/cell-simulation.js";
+
+async function openCell(options: Partial<SimulationOptions> = {}): Promise<CellSimulation> {
+    const cell = new CellSimulation({ hosts: 2, executors: 3, ...options });
+    const hasOwner = await cell.advanceUntil(() => cell.owner?.owner?.isSettled === true, 5_000);
+    expect(hasOwner).toEqual(true);
+    await cell.advance(1_000);
+    return cell;
+}
+
+describe("CellOwner", () => {
+    describe("without faults", () => {
+        it("runs the steps of a job in order and shows it as succeeded", async () => {
+            const cell = await openCell();
+            void cell.submit(cell.hosts[1]!, "a", [{ taskCount: 3 }, { taskCount: 2, after: [0] }]);
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 5_000)).toEqual(true);
+            expect(cell.judge.startCount).toEqual(5);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("cancels a job that runs, so that nothing of it stays on an executor", async () => {
+            const cell = await openCell({ planRun: () => ({ workMs: 60_000, outcome: "done" }) });
+            void cell.submit(cell.hosts[0]!, "a", [{ taskCount: 3, estimateMs: 60_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 3, 3_000);
+            void cell.hosts[1]!.intake.cancel("a" as never);
+            expect(await cell.advanceUntil(() => cell.getState("a") === "cancelled", 3_000)).toEqual(true);
+            await cell.advance(1_000);
+            expect(cell.executors.map(executor => executor.runningCount)).toEqual([0, 0, 0]);
+            cell.close();
+        });
+
+        it("fails a job after its last attempt and starts no further run", async () => {
+            const cell = await openCell({ planRun: () => ({ workMs: 100, outcome: "failed" }) });
+            void cell.submit(cell.hosts[0]!, "a", [{}]);
+            expect(await cell.advanceUntil(() => cell.getState("a") === "failed", 20_000)).toEqual(true);
+            await cell.advance(3_000);
+            expect(cell.judge.startCount).toEqual(3);
+            cell.close();
+        });
+    });
+
+    describe("a takeover", () => {
+        it("does not run a done task again whose end came after one that was not stored", async () => {
+            // Guards against acknowledging ends out of order: an end that is stored at once, because its job has ended,
+            // followed one that the outage kept from being stored, and both were forgotten by the executor.
+            const cell = await openCell({
+                executors: 1,
+                planRun: task => ({ workMs: task.startsWith("slow") ? 30_000 : 600, outcome: "done" }),
+            });
+            const host = cell.owner!;
+            void cell.submit(host, "long", [{ taskCount: 1 }, { taskCount: 1, after: [0], estimateMs: 30_000 }]);
+            void cell.submit(host, "slow", [{ taskCount: 1, estimateMs: 30_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 2, 2_000);
+            void host.intake.cancel("slow" as never);
+            await cell.advance(150);
+            cell.data.mode = "silent";
+            await cell.advance(3_000);
+            host.kill();
+            cell.data.mode = "up";
+            await cell.advance(15_000);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("starts within 2.5 s of the owner's death", async () => {
+            const cell = await openCell();
+            const dead = cell.owner!;
+            dead.kill();
+            const other = cell.hosts.find(host => host !== dead)!;
+            const before = cell.judge.startCount;
+            void cell.submit(other, "a", [{}]);
+            expect(await cell.advanceUntil(() => cell.judge.startCount > before, 2_500)).toEqual(true);
+            cell.close();
+        });
+
+        it("adopts what runs and starts nothing twice", async () => {
+            const cell = await openCell({ planRun: () => ({ workMs: 4_000, outcome: "done" }) });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 6, estimateMs: 4_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 6, 3_000);
+            cell.owner!.kill();
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 20_000)).toEqual(true);
+            expect(cell.judge.startCount).toEqual(6);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("keeps tasks back that may run on an executor it cannot reach until their leases have run out", async () => {
+            const cell = await openCell({ planRun: () => ({ workMs: 5_000, outcome: "done" }) });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 5_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 9, 3_000);
+            cell.executors[0]!.isCutOff = true;
+            cell.owner!.kill();
+            await cell.advance(4_000);
+            expect(cell.judge.startCount).toEqual(9);
+            await cell.advance(20_000);
+            expect(cell.judge.startCount > 9).toEqual(true);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+    });
+
+    describe("an executor that fails", () => {
+        it("has its runs started elsewhere after it left, although it is tried again and again", async () => {
+            // Guards against moving the end of its lease on with each renewal that it does not answer.
+            const cell = await openCell({ planRun: () => ({ workMs: 4_000, outcome: "done" }) });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 4_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 9, 3_000);
+            cell.executors[1]!.crash(true);
+            cell.removeEntry(1);
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 20_000)).toEqual(true);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("has its runs started again at once when it restarted", async () => {
+            const cell = await openCell({ planRun: () => ({ workMs: 2_000, outcome: "done" }) });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 2_000 }]);
+            await cell.advanceUntil(() => cell.judge.startCount === 9, 3_000);
+            cell.executors[1]!.crash();
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 8_000)).toEqual(true);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("gets no second run of a task whose start has no answer and is carried out late", async () => {
+            const cell = await openCell();
+            cell.executors.forEach(executor => {
+                executor.isLate = true;
+            });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 4 }]);
+            await cell.advance(2_000);
+            cell.executors.forEach(executor => {
+                executor.isLate = false;
+            });
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 20_000)).toEqual(true);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+    });
+});
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -83,6 +83,8 @@
     private failures = 0;
     private isClosed = false;
     private isListed = false;
+    /** Whether the last exchange showed the life of the executor in which the processed ends are numbered. */
+    private isLifeCertain = false;
     private readonly openedAt: number;
     private fencingToken: number;
     private wake: (() => void) | undefined;
@@ -154,6 +156,8 @@
         }
         order.at = clock.getNow();
         if (started.ok) {
+            // A new life begins with a new clock.
+            this.isLifeCertain &&= this.clockMs === undefined || started.val.clockMs >= this.clockMs;
             order.state = "answered";
             listener.onRunning(executor, { task: order.task, run: order.run, checkpoint: "", percent: 0 });
             return;
@@ -172,6 +176,7 @@
             this.checkFence(started);
         }
         else {
+            this.isLifeCertain = false;
             order.state = "unanswered";
             this.wake?.();
         }
@@ -218,8 +223,11 @@
         // leases would never be known to have run out.
         const canExtend = this.clockMs !== undefined && this.failures === 0;
         const deadlineMs = canExtend ? this.extendDeadline() : undefined;
+        // The executor may have restarted, and its ends may be numbered anew: none is acknowledged before it has told which
+        // life it is in.
+        const acknowledged = this.isLifeCertain ? this.acknowledged : 0;
         const renewed = await client.renew(
-            { fencingToken: this.fencingToken, acknowledged: this.acknowledged, deadlineMs, waitMs },
+            { fencingToken: this.fencingToken, acknowledged, deadlineMs, waitMs },
             waitMs + answerMs,
         );
         if (this.isClosed) {
@@ -232,6 +240,7 @@
             }
         }
         else {
+            this.isLifeCertain = false;
             this.handleSilence(renewed.val);
             this.checkFence(renewed);
             await this.waitForWake(retryMs);
@@ -254,7 +263,7 @@
         this.clockReadAt = clock.getNow();
         if (this.startedAtWallMs !== undefined && listing.startedAtWallMs !== this.startedAtWallMs) {
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
-            this.forgetRuns("executor restarted");
+            this.loseRunsOfEarlierLife();
             this.processed = 0;
             this.acknowledged = 0;
             this.unstored.clear();
@@ -262,6 +271,7 @@
             this.lastDeadlineMs = 0;
         }
         this.startedAtWallMs = listing.startedAtWallMs;
+        this.isLifeCertain = true;
         const isRegained = !this.isListed || this.failures >= failuresBeforeUnreachable;
         this.failures = 0;
         const listed = new Set<string>();
@@ -349,6 +359,16 @@
         }
     }
 
+    /** Ends the runs of the earlier life. A start without an answer may still reach the new life, so it stays unsettled. */
+    private loseRunsOfEarlierLife(): void {
+        for (const [key, order] of this.orders) {
+            if (order.state === "answered" || order.state === "stopped") {
+                this.orders.delete(key);
+                this.reportEnd(order, "lost");
+            }
+        }
+    }
+
     private forgetRunsOnce(reason: string): void {
         if (this.orders.size > 0 || !this.isListed) {
             this.forgetRuns(reason);
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -101,6 +101,12 @@
         }
     }
 
+    /** Ends the loop without giving the lease back, as the end of the process would. */
+    abandon(): void {
+        this.isStopped = true;
+        this.tenure = undefined;
+    }
+
     /** Reports that an executor or the store has seen a later owner. */
     recordFenced(reason: string): void {
         if (this.tenure !== undefined) {
--- /dev/null
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -0,0 +1,265 @@
+/** Several hosts of a cell, fake executors and a store in one process and on one manual clock, for tests. */
+import type { JobId, QueueId, RackId, TeamId, ZoneId } from "@waxwingroute/core";
+import { createFailure, Err, ManualClock, Ok, SeededRandom, toId } from "@waxwingroute/core";
+import type { Failure, Result } from "@waxwingroute/core";
+import type { JobState, PoolId, QueueRules, StepSpec } from "@waxwingroute/workflow";
+import { CellOwner } from "../cell-owner.js";
+import type { CellConfiguration } from "../configuration.js";
+import { JobIntake } from "../job-intake.js";
+import type { Tenure } from "../lease-ownership.js";
+import { LeaseOwnership } from "../lease-ownership.js";
+import { PlatformCodec } from "../platform-codec.js";
+import type { StoreItem } from "../store.js";
+import type { ExecutorEntry } from "../task-executor.js";
+import type { RunPlan } from "./fake-executor.js";
+import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./fake-executor.js";
+import { MemoryLeaseStore, MemoryStoreData } from "./memory-lease-store.js";
+import { RunJudge } from "./run-judge.js";
+
+export const testQueue = toId<QueueId>("orders");
+export const testTeam = toId<TeamId>("sales");
+const pool = toId<PoolId>("workers");
+/** Longest lease of the fake executors, ms. */
+const maxLeaseMs = 6_000;
+
+export const testRules: QueueRules = {
+    queue: testQueue,
+    pool,
+    priority: 0,
+    maxAttempts: 3,
+    stretchFactor: 2,
+    targetLatencyMs: 1_000,
+};
+
+const configuration: CellConfiguration = {
+    version: 1,
+    queues: [{ rules: testRules, host: "test", prefix: "/orders/", isPublic: true }],
+    teams: [{
+        rules: { team: testTeam, weight: 0, limit: { cpuMillis: 0, memoryMb: 0, accelerators: 0 } },
+        keys: [],
+    }],
+    maxBodyBytes: 100_000,
+};
+
+class TestCodec extends PlatformCodec {
+    override readonly configurationKey = "config";
+    override readonly executorPrefix = "executors/";
+
+    override decodeConfiguration(): Result<CellConfiguration, Failure> {
+        return Ok(configuration);
+    }
+
+    override decodeExecutor(item: StoreItem): Result<ExecutorEntry, Failure> {
+        const value = JSON.parse(item.value) as { index?: number; isDraining?: boolean; };
+        if (value.index === undefined) {
+            return Err(createFailure("invalid", "no index", "ran"));
+        }
+        return Ok({
+            executor: toFakeExecutorId(value.index),
+            address: toFakeAddress(value.index),
+            pool,
+            zone: toId<ZoneId>("zone"),
+            rack: toId<RackId>("rack"),
+            labels: [],
+            capacity: { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 },
+            isDraining: value.isDraining === true,
+            remainingMs: undefined,
+        });
+    }
+}
+
+export interface SimulationOptions {
+    readonly hosts: number;
+    readonly executors: number;
+    readonly seed?: number;
+    readonly planRun?: FakeExecutor["options"]["planRun"];
+}
+
+const defaultPlan: RunPlan = { workMs: 300, outcome: "done" };
+
+/** One host: its way to the store and to the executors, and the owner while it has the cell. */
+export class SimulatedHost {
+    readonly store: MemoryLeaseStore;
+    readonly connector: FakeConnector;
+    readonly intake: JobIntake;
+    owner: CellOwner | undefined;
+    private ownership: LeaseOwnership;
+
+    constructor(private readonly simulation: CellSimulation, private readonly name: string) {
+        const { clock, data, executors } = simulation;
+        this.store = new MemoryLeaseStore(data);
+        this.connector = new FakeConnector(new Map(executors.map(row => [row.options.address, row])));
+        this.intake = new JobIntake({ store: this.store, clock, logger: simulation });
+        this.ownership = this.start();
+    }
+
+    /** Ends the process without a farewell and starts it again. */
+    restart(): void {
+        this.kill();
+        this.ownership = this.start();
+    }
+
+    /** Gives the cell up in an orderly way, and starts again. */
+    async resign(): Promise<void> {
+        await this.ownership.stop();
+        this.ownership = this.start();
+    }
+
+    kill(): void {
+        this.owner?.close();
+        this.owner = undefined;
+        this.ownership.abandon();
+    }
+
+    private start(): LeaseOwnership {
+        const { clock, random } = this.simulation;
+        const ownership = new LeaseOwnership({
+            store: this.store,
+            clock,
+            random,
+            logger: this.simulation,
+            host: this.name,
+            address: `${this.name}:1`,
+            incarnation: random.getHex(16),
+            isOwnerAlive: () => false,
+            listener: {
+                onAcquired: (tenure, isContinued) => this.beginTenure(ownership, tenure, isContinued),
+                onLost: () => {
+                    this.owner?.close();
+                    this.owner = undefined;
+                },
+                onOwnerSeen: () => undefined,
+            },
+        });
+        void ownership.run();
+        return ownership;
+    }
+
+    private beginTenure(ownership: LeaseOwnership, tenure: Tenure, isContinued: boolean): void {
+        if (isContinued && this.owner !== undefined) {
+            this.owner.setTenure(tenure);
+            return;
+        }
+        this.owner = new CellOwner({
+            store: this.store,
+            codec: new TestCodec(),
+            connector: this.connector,
+            clock: this.simulation.clock,
+            logger: this.simulation,
+            tenure,
+            configuration,
+            maxLeaseMs,
+            retentionMs: 120_000,
+            listener: {
+                onChanges: changes => changes.forEach(({ job, state }) => this.simulation.states.set(job, state)),
+                onPending: () => undefined,
+                onFenced: reason => ownership.recordFenced(reason),
+                onConflict: () => void ownership.verify(),
+            },
+        });
+        void this.owner.run();
+    }
+}
+
+export class CellSimulation {
+    readonly clock = new ManualClock(1_000);
+    readonly random: SeededRandom;
+    readonly data = new MemoryStoreData(this.clock);
+    readonly judge = new RunJudge();
+    readonly executors: FakeExecutor[] = [];
+    readonly hosts: SimulatedHost[] = [];
+    /** States that an owner has shown. */
+    readonly states = new Map<JobId, JobState>();
+    readonly lines: string[] = [];
+
+    constructor(options: SimulationOptions) {
+        this.random = new SeededRandom(options.seed ?? 1);
+        for (let index = 0; index < options.executors; index++) {
+            this.executors.push(
+                new FakeExecutor({
+                    executor: toFakeExecutorId(index),
+                    address: toFakeAddress(index),
+                    clock: this.clock,
+                    judge: this.judge,
+                    planRun: options.planRun ?? (() => defaultPlan),
+                    maxLeaseMs,
+                }),
+            );
+            this.putEntry(index);
+        }
+        for (let index = 0; index < options.hosts; index++) {
+            this.hosts.push(new SimulatedHost(this, `host-${index}`));
+        }
+    }
+
+    /** Takes the log lines of all parts. */
+    write(level: string, message: string, fields: Readonly<Record<string, unknown>> = {}): void {
+        this.lines.push(`${Math.round(this.clock.getNow())} ${level} ${message} ${JSON.stringify(fields)}`);
+    }
+
+    get owner(): SimulatedHost | undefined {
+        return this.hosts.find(host => host.owner !== undefined);
+    }
+
+    putEntry(index: number, isDraining = false): void {
+        const write = { key: `executors/${index}`, value: JSON.stringify({ index, isDraining }) };
+        this.data.execute({ kind: "commit", transaction: { conditions: [], writes: [write], removals: [] } });
+    }
+
+    removeEntry(index: number): void {
+        const removals = [`executors/${index}`];
+        this.data.execute({ kind: "commit", transaction: { conditions: [], writes: [], removals } });
+    }
+
+    /** Hands a job in and returns its id; the result arrives while time advances. */
+    submit(host: SimulatedHost, name: string, steps: readonly Partial<StepSpec>[]): Promise<Result<string, Failure>> {
+        return host.intake.submit(toId<JobId>(name), {
+            kind: "accepted",
+            queue: testQueue,
+            team: testTeam,
+            acceptedAtWallMs: this.clock.getWallTime(),
+            spec: { payload: name, steps: steps.map(createStep) },
+        });
+    }
+
+    /** Advances time in small steps, in which executors end their runs. */
+    async advance(durationMs: number): Promise<void> {
+        for (let elapsed = 0; elapsed < durationMs; elapsed += 50) {
+            await this.clock.advance(Math.min(50, durationMs - elapsed));
+            this.executors.forEach(executor => executor.advance());
+        }
+    }
+
+    /** Advances time until the condition holds; returns whether it does within `longestMs`. */
+    async advanceUntil(condition: () => boolean, longestMs: number): Promise<boolean> {
+        for (let elapsed = 0; elapsed < longestMs && !condition(); elapsed += 50) {
+            await this.advance(50);
+        }
+        return condition();
+    }
+
+    getState(name: string): JobState | undefined {
+        return this.states.get(toId<JobId>(name));
+    }
+
+    /** Stops all loops. */
+    close(): void {
+        this.hosts.forEach(host => host.kill());
+    }
+}
+
+function createStep(step: Partial<StepSpec>): StepSpec {
+    return {
+        taskCount: 1,
+        resources: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 },
+        estimateMs: 300,
+        after: [],
+        isGang: false,
+        prefersOneRack: false,
+        canRunCopies: false,
+        savesCheckpoints: false,
+        isLongRunning: false,
+        usesIdleProcessors: false,
+        ...step,
+    };
+}
--- /dev/null
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -0,0 +1,213 @@
+/**
+ * A store in memory for tests, with the faults of the platform's store: silence, refusals, answers that are lost or whose
+ * work is done late, leases that run out or pause in an outage, and history that is dropped.
+ */
+import type { Clock, Failure, Result } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
+import { match } from "ts-pattern";
+import type { StoreChange, StoreItem, StoreReplies, StoreReply, StoreRequest, StoreTransaction } from "../store.js";
+import { LeaseStore, storeFailures } from "../store.js";
+
+/** `silent`: nothing is done or answered. `refusing`: answered with a refusal. */
+export type StoreMode = "up" | "silent" | "refusing";
+
+interface Lease {
+    readonly ttlMs: number;
+    endsAt: number;
+}
+
+type AnyReply = StoreReplies[keyof StoreReplies];
+
+/** The contents of the store, shared by the views of all hosts. */
+export class MemoryStoreData {
+    readonly items = new Map<string, StoreItem & { readonly lease: number; }>();
+    readonly leases = new Map<number, Lease>();
+    readonly events: StoreChange[] = [];
+    revision = 1;
+    compactedBelow = 0;
+    mode: StoreMode = "up";
+    private nextLease = 1;
+    private readonly waiters = new Set<() => void>();
+
+    constructor(readonly clock: Clock) {}
+
+    execute(request: StoreRequest): Result<AnyReply, Failure> {
+        this.expireLeases();
+        return match(request)
+            .returnType<Result<AnyReply, Failure>>()
+            .with({ kind: "read" }, ({ key }) => Ok({ item: this.items.get(key), storeRevision: this.revision }))
+            .with({ kind: "list" }, ({ prefix, after }) => this.list(prefix, after))
+            .with({ kind: "watch" }, ({ prefix, afterRevision }) => this.collectChanges(prefix, afterRevision))
+            .with({ kind: "commit" }, ({ transaction }) => this.commit(transaction))
+            .with({ kind: "grantLease" }, ({ ttlMs }) => {
+                const lease = this.nextLease++;
+                this.leases.set(lease, { ttlMs, endsAt: this.clock.getNow() + ttlMs });
+                return Ok({ lease, ttlMs });
+            })
+            .with({ kind: "renewLease" }, ({ lease }) => {
+                const row = this.leases.get(lease);
+                if (row === undefined) {
+                    return Err(createFailure(storeFailures.leaseEnded, "no such lease", "notRun"));
+                }
+                row.endsAt = this.clock.getNow() + row.ttlMs;
+                return Ok({ ttlMs: row.ttlMs });
+            })
+            .with({ kind: "endLease" }, ({ lease }) => {
+                this.endLease(lease);
+                return Ok({});
+            })
+            .exhaustive();
+    }
+
+    /** Removes the keys of leases that have run out. */
+    expireLeases(): void {
+        for (const [id, lease] of this.leases) {
+            if (lease.endsAt <= this.clock.getNow()) {
+                this.endLease(id);
+            }
+        }
+    }
+
+    /** Drops the history, so that older watches fail. */
+    compact(): void {
+        this.compactedBelow = this.revision;
+        this.events.length = 0;
+    }
+
+    onChange(callback: () => void): () => void {
+        this.waiters.add(callback);
+        return () => this.waiters.delete(callback);
+    }
+
+    private endLease(id: number): void {
+        this.leases.delete(id);
+        const keys = [...this.items.values()].filter(item => item.lease === id).map(item => item.key);
+        if (keys.length > 0) {
+            this.apply({ conditions: [], writes: [], removals: keys });
+        }
+    }
+
+    private list(prefix: string, after: string | undefined): Result<AnyReply, Failure> {
+        const keys = [...this.items.keys()].filter(key =>
+            key.startsWith(prefix) && (after === undefined || key > after)
+        )
+            .sort();
+        const page = keys.slice(0, 500).map(key => this.items.get(key)!);
+        return Ok({ items: page, hasMore: keys.length > page.length, storeRevision: this.revision });
+    }
+
+    private collectChanges(prefix: string, afterRevision: number): Result<AnyReply, Failure> {
+        if (afterRevision < this.compactedBelow) {
+            return Err(createFailure(storeFailures.compacted, "the history is gone", "ran"));
+        }
+        const changes = this.events.filter(event => event.revision > afterRevision && event.key.startsWith(prefix));
+        return Ok({ changes, storeRevision: this.revision });
+    }
+
+    private commit(transaction: StoreTransaction): Result<AnyReply, Failure> {
+        const keys = transaction.conditions.map(condition => condition.key);
+        const holds = transaction.conditions.every(({ key, revision }) =>
+            (this.items.get(key)?.revision ?? 0) === revision
+        );
+        if (!holds) {
+            const items = keys.map(key => this.items.get(key)).filter(item => item !== undefined);
+            return Ok({ kind: "conflict" as const, items });
+        }
+        if (transaction.writes.some(({ lease }) => lease !== undefined && lease !== 0 && !this.leases.has(lease))) {
+            return Err(createFailure(storeFailures.leaseEnded, "no such lease", "notRun"));
+        }
+        this.apply(transaction);
+        return Ok({ kind: "committed" as const, revision: this.revision });
+    }
+
+    private apply(transaction: StoreTransaction): void {
+        this.revision += 1;
+        const revision = this.revision;
+        for (const { key, value, lease } of transaction.writes) {
+            const createdRevision = this.items.get(key)?.createdRevision ?? revision;
+            const item = { key, value, revision, createdRevision, lease: lease ?? 0 };
+            this.items.set(key, item);
+            this.events.push({ key, revision, item });
+        }
+        for (const key of transaction.removals) {
+            if (this.items.delete(key)) {
+                this.events.push({ key, revision, item: undefined });
+            }
+        }
+        [...this.waiters].forEach(callback => callback());
+    }
+}
+
+/** How the next commits of a host go. */
+export type CommitFault = "none" | "answerLost" | "late";
+
+/** The store as one host reaches it. */
+export class MemoryLeaseStore extends LeaseStore {
+    mode: StoreMode = "up";
+    commitFault: CommitFault = "none";
+    /** Time of an exchange, ms. */
+    latencyMs = 4;
+    /** Delay of the work of commits with the fault `late`, ms. */
+    lateMs = 2_000;
+
+    constructor(readonly data: MemoryStoreData) {
+        super();
+    }
+
+    override async call<Request extends StoreRequest>(
+        request: Request,
+        timeoutMs = 1_000,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
+        const { clock } = this.data;
+        await clock.wait(this.latencyMs);
+        const mode = this.data.mode === "up" ? this.mode : this.data.mode;
+        if (mode === "refusing") {
+            return Err(createFailure(storeFailures.unavailable, "refused", "notRun"));
+        }
+        if (mode === "silent") {
+            return this.loseAnswer(timeoutMs);
+        }
+        if (request.kind === "commit" && this.commitFault !== "none") {
+            if (this.commitFault === "late") {
+                clock.schedule(this.lateMs, () => void this.data.execute(request));
+            }
+            else {
+                this.data.execute(request);
+            }
+            return this.loseAnswer(timeoutMs);
+        }
+        const result = request.kind === "watch" ? await this.watch(request) : this.data.execute(request);
+        return result as Result<StoreReply<Request>, Failure>;
+    }
+
+    private async loseAnswer<T>(timeoutMs: number): Promise<Result<T, Failure>> {
+        await this.data.clock.wait(timeoutMs);
+        return Err(createFailure(storeFailures.unanswered, "no answer", "mayHaveRun"));
+    }
+
+    private async watch(request: Extract<StoreRequest, { kind: "watch"; }>): Promise<Result<AnyReply, Failure>> {
+        const deadline = this.data.clock.getNow() + request.waitMs;
+        for (;;) {
+            const result = this.data.execute(request);
+            const hasChanges = result.ok && "changes" in result.val && result.val.changes.length > 0;
+            const leftMs = deadline - this.data.clock.getNow();
+            if (!result.ok || hasChanges || leftMs <= 0) {
+                return result;
+            }
+            await this.waitForChange(leftMs);
+        }
+    }
+
+    private waitForChange(longestMs: number): Promise<void> {
+        return new Promise(resolve => {
+            // Leases run out without a call; looking every 50 ms stands for the store's own timer.
+            const timer = this.data.clock.schedule(Math.min(longestMs, 50), () => finish());
+            const remove = this.data.onChange(() => finish());
+            const finish = () => {
+                timer.cancel();
+                remove();
+                resolve();
+            };
+        });
+    }
+}
