Do not reserve executors for a gang over its team's limit; spread advice by length

Change: only a gang without room reserves; reserved executors are not eligible for work that lasts; questions that are too long now no longer hold back short ones; a caller that did not answer is avoided for 2 s; occurrences that open after all executors are settled are not held back. Tests: packages/workflow/src/scheduler_test.ts.

--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
-import type { AdviceDecision, AdviceGrant, AdviceRules, StepKey } from "@waxwingroute/workflow";
+import type { AdviceDecision, AdviceGrant, AdviceRules, AdviceSending, StepKey } from "@waxwingroute/workflow";
 import type { Advisor } from "./advisor.js";
 
 /** A host that can ask the advisor. */
@@ -27,6 +27,8 @@
 const maxBacklogMs = 90;
 /** Calls that take longer than this leave some callers free for short ones, ms. */
 const longCallMs = 50;
+/** Time for which a caller that did not answer gets no call, ms. */
+const avoidMs = 2_000;
 /** Time for an answer beyond the work of the advisor, ms. */
 const answerMs = 1_000;
 
@@ -35,6 +37,8 @@
     /** Work that was sent and not answered yet, ms. */
     backlogMs: number;
     longCalls: number;
+    /** Gets no call before this time, because it did not answer. */
+    avoidUntil: number;
 }
 
 export class AdviceDispatcher {
@@ -43,37 +47,37 @@
     constructor(private readonly options: AdviceDispatcherOptions) {}
 
     addCaller(caller: AdviceCaller): void {
-        this.rows.set(caller.name, { caller, backlogMs: 0, longCalls: 0 });
+        this.rows.set(caller.name, { caller, backlogMs: 0, longCalls: 0, avoidUntil: 0 });
     }
 
     removeCaller(name: string): void {
         this.rows.delete(name);
     }
 
-    /** Returns how many questions can be sent now. */
-    countFree(): number {
-        return [...this.rows.values()].filter(row => row.backlogMs < maxBacklogMs).length;
-    }
-
-    /** Sends a question; returns whether a caller was free for it. */
-    send(decision: AdviceDecision, rules: AdviceRules): boolean {
+    /** Sends a question if a caller is free for it. */
+    send(decision: AdviceDecision, rules: AdviceRules): AdviceSending {
         const workMs = rules.callMs + rules.perExecutorMs * decision.executors.length;
-        const row = this.pickCaller(workMs > longCallMs);
+        const free = this.listFree();
+        const row = free.sort((first, second) => first.backlogMs - second.backlogMs)[0];
         if (row === undefined) {
-            return false;
+            return "noCaller";
+        }
+        if (workMs > longCallMs && !this.allowsLongCall()) {
+            return "postponed";
         }
         void this.ask(row, decision, workMs);
-        return true;
+        return "sent";
     }
 
-    private pickCaller(isLong: boolean): CallerRow | undefined {
-        const free = [...this.rows.values()].filter(row => row.backlogMs < maxBacklogMs);
-        const withoutLong = [...this.rows.values()].filter(row => row.longCalls === 0);
-        const reserved = Math.max(1, Math.floor(this.rows.size / 4));
-        if (isLong && this.rows.size > 1 && withoutLong.length <= reserved) {
-            return undefined;
-        }
-        return free.sort((first, second) => first.backlogMs - second.backlogMs)[0];
+    /** Returns whether enough callers stay free of long calls. */
+    private allowsLongCall(): boolean {
+        const withoutLong = [...this.rows.values()].filter(row => row.longCalls === 0).length;
+        return this.rows.size === 1 || withoutLong > Math.max(1, Math.floor(this.rows.size / 4));
+    }
+
+    private listFree(): CallerRow[] {
+        const now = this.options.clock.getNow();
+        return [...this.rows.values()].filter(row => row.backlogMs < maxBacklogMs && row.avoidUntil <= now);
     }
 
     private async ask(row: CallerRow, decision: AdviceDecision, workMs: number): Promise<void> {
@@ -86,6 +90,9 @@
         const answer = await row.caller.advisor.ask(step, executors, row.backlogMs + answerMs);
         row.backlogMs -= workMs;
         row.longCalls -= long;
+        if (!answer.ok) {
+            row.avoidUntil = clock.getNow() + avoidMs;
+        }
         logger.write("info", "advice", {
             step,
             caller: row.caller.name,
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -473,12 +473,10 @@
     }
 
     private askAdvice(now: number): void {
-        for (const decision of this.scheduler.planAdvice(now, this.advice.countFree())) {
+        this.scheduler.sendAdvice(now, decision => {
             const rules = this.configuration.queues.find(queue => queue.rules.queue === decision.queue)?.rules.advice;
-            if (rules === undefined || !this.advice.send(decision, rules)) {
-                this.scheduler.recordAdvice(now, decision.step, decision.executors, undefined);
-            }
-        }
+            return rules === undefined ? "postponed" : this.advice.send(decision, rules);
+        });
     }
 
     private acceptAdvice(
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -8,7 +8,7 @@
 import type { ExecutorRow, QueueRow, StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import { countFits, getChargedResources, listWaitingTasks } from "./state.js";
-import type { AdviceDecision, AdviceGrant } from "./types.js";
+import type { AdviceDecision, AdviceGrant, AdviceSending } from "./types.js";
 
 /** Most executors in one call; bound of the advisor's interface. */
 const maxNamed = 100;
@@ -25,27 +25,27 @@
     readonly chance: number;
 }
 
-/** Returns up to `maxCalls` questions, the most urgent first, and marks their steps as being asked. */
-export function planAdvice(
+/** Offers questions to `send`, the most urgent first, until it says that no caller is free. */
+export function sendAdvice(
     state: SchedulerState,
     now: number,
     ranked: readonly RankedStep[],
-    maxCalls: number,
-): AdviceDecision[] {
-    const decisions: AdviceDecision[] = [];
+    send: (decision: AdviceDecision) => AdviceSending,
+): void {
     for (const { step } of ranked) {
-        if (decisions.length >= maxCalls) {
-            break;
+        if (!needsAdvice(state, step) || step.advice.isAsking || step.advice.retryAt > now) {
+            continue;
+        }
+        const executors = selectNamedExecutors(state, now, step);
+        if (executors.length === 0) {
+            continue;
         }
-        if (needsAdvice(state, step) && !step.advice.isAsking && step.advice.retryAt <= now) {
-            const executors = selectNamedExecutors(state, now, step);
-            if (executors.length > 0) {
-                step.advice.isAsking = true;
-                decisions.push({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
-            }
+        const result = send({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
+        step.advice.isAsking = result === "sent";
+        if (result === "noCaller") {
+            return;
         }
     }
-    return decisions;
 }
 
 /** Records an answer; `undefined` stands for a call without one. */
--- a/packages/workflow/src/candidates.ts
+++ b/packages/workflow/src/candidates.ts
@@ -12,6 +12,9 @@
     readonly fits: number;
 }
 
+/** Tasks expected to end within this time may use executors that a waiting gang has reserved, ms. */
+const backfillMs = 1_500;
+
 /** Returns whether the executor may run the step apart from room and advice. */
 export function isEligible(state: SchedulerState, now: number, step: StepRow, executor: ExecutorRow): boolean {
     const rules = state.queues.get(step.occurrence.job.submission.queue)?.rules;
@@ -20,9 +23,19 @@
         && executor.isReady && executor.isReachable
         && executor.pool === rules.pool
         && executor.avoidUntil <= now
+        && !isReservedForOther(state, step, executor)
         && (label === undefined || executor.labels.has(label));
 }
 
+function isReservedForOther(state: SchedulerState, step: StepRow, executor: ExecutorRow): boolean {
+    const reservation = state.reservation;
+    if (reservation === undefined || reservation.step === step || !reservation.executors.has(executor.id)) {
+        return false;
+    }
+    const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
+    return step.spec.estimateMs * ratio > backfillMs;
+}
+
 /** Returns whether the advisor's grant for the executor can be used for a start now. */
 export function hasTicket(state: SchedulerState, now: number, step: StepRow, executor: ExecutorRow): boolean {
     if (!needsAdvice(state, step)) {
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -6,6 +6,7 @@
     AdviceDecision,
     AdviceGrant,
     AdviceRules,
+    AdviceSending,
     ExecutorState,
     ExecutorUpdate,
     JobChange,
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -1,6 +1,5 @@
 /** Builds the rows of a job and opens its steps as earlier ones end. */
 import type { JobId } from "@waxwingroute/core";
-import { match } from "ts-pattern";
 import { toStepKey, toTaskKey } from "./keys.js";
 import type { JobRow, OccurrenceRow, QueueRow, StepRow, TaskRow, TeamRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
@@ -53,7 +52,8 @@
     const occurrence: OccurrenceRow = { job, number, dueAt, steps, objectiveAt: dueAt, isFinished: false };
     const chains = computeChains(job.submission.spec.steps);
     job.submission.spec.steps.forEach((spec, step) => {
-        steps.push(createStepRow(occurrence, spec, step, chains[step] ?? 0));
+        const mayHaveStarted = job.submission.mayHaveStarted && !state.isSettled;
+        steps.push(createStepRow(occurrence, spec, step, chains[step] ?? 0, mayHaveStarted));
     });
     job.occurrences.set(number, occurrence);
     updateObjective(occurrence, state.queues.get(job.submission.queue));
@@ -83,12 +83,15 @@
     return step !== undefined && step.doneCount === step.tasks.length;
 }
 
-function createStepRow(occurrence: OccurrenceRow, spec: StepSpec, number: number, chainMs: number): StepRow {
+function createStepRow(
+    occurrence: OccurrenceRow,
+    spec: StepSpec,
+    number: number,
+    chainMs: number,
+    mayHaveStarted: boolean,
+): StepRow {
     const job: JobId = occurrence.job.id;
-    const state = match(occurrence.job.submission.mayHaveStarted)
-        .with(true, () => "unknown" as const)
-        .with(false, () => "waiting" as const)
-        .exhaustive();
+    const state = mayHaveStarted ? "unknown" : "waiting";
     const tasks: TaskRow[] = [];
     const step: StepRow = {
         key: toStepKey(job, occurrence.number, number),
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -5,32 +5,26 @@
 import { countRoom, hasTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
-import type { SchedulerState } from "./state.js";
+import type { Reservation, SchedulerState } from "./state.js";
 import { allowsMore, countFits, getChargedResources, listWaitingTasks } from "./state.js";
 
-/** Tasks expected to end within this time may use executors that a waiting gang has reserved, ms. */
-const backfillMs = 1_500;
-
-/** Executors that the first blocked gang waits for. */
-interface Reservation {
-    readonly step: StepRow;
-    readonly executors: ReadonlySet<ExecutorId>;
-}
+/** Whether a gang started; `noRoom`: it could start if executors were free. */
+type GangResult = "placed" | "noRoom" | "overLimit";
 
 /** Decides the starts of one tick. */
 export function placeTasks(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
-    let reservation: Reservation | undefined;
+    state.reservation = undefined;
     for (const { step, slackMs } of ranked) {
         const waiting = listWaitingTasks(step);
         const isWholeGang = step.spec.isGang && waiting.length === step.tasks.length;
         if (waiting.length === 0 || step.spec.isGang && !isWholeGang) {
             continue;
         }
-        const candidates = listCandidates(state, now, step, reservation);
+        const candidates = listCandidates(state, now, step);
         if (step.spec.isGang) {
-            const hasPlaced = placeGang(state, now, step, waiting, candidates, slackMs);
-            if (!hasPlaced) {
-                reservation ??= reserveExecutors(state, now, step);
+            const result = placeGang(state, now, step, waiting, candidates, slackMs);
+            if (result === "noRoom") {
+                state.reservation ??= reserveExecutors(state, now, step);
             }
         }
         else {
@@ -39,18 +33,10 @@
     }
 }
 
-function listCandidates(
-    state: SchedulerState,
-    now: number,
-    step: StepRow,
-    reservation: Reservation | undefined,
-): Candidate[] {
+function listCandidates(state: SchedulerState, now: number, step: StepRow): Candidate[] {
     const candidates: Candidate[] = [];
-    const expectedMs = step.spec.estimateMs
-        * (state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1);
     for (const executor of listTicketHolders(state, step)) {
-        const isReserved = reservation?.executors.has(executor.id) === true && expectedMs > backfillMs;
-        if (!isReserved && isEligible(state, now, step, executor) && hasTicket(state, now, step, executor)) {
+        if (isEligible(state, now, step, executor) && hasTicket(state, now, step, executor)) {
             const fits = countRoom(step, executor);
             if (fits > 0) {
                 candidates.push({ executor, fits });
@@ -101,11 +87,14 @@
     waiting: readonly TaskRow[],
     candidates: readonly Candidate[],
     slackMs: number,
-): boolean {
+): GangResult {
     const total = candidates.reduce((sum, candidate) => sum + candidate.fits, 0);
     const needed = multiplyResources(getChargedResources(step), waiting.length);
-    if (total < waiting.length || !allowsMore(step.occurrence.job.team, needed)) {
-        return false;
+    if (!allowsMore(step.occurrence.job.team, needed)) {
+        return "overLimit";
+    }
+    if (total < waiting.length) {
+        return "noRoom";
     }
     // The emptiest executors first: fewer hosts a gang means fewer orders that can fail.
     const roomiest = preferOneRack(
@@ -120,7 +109,7 @@
             startTask(state, now, remaining.shift()!, executor, run, slackMs);
         }
     }
-    return true;
+    return "placed";
 }
 
 /** Returns a run number above every one that the step has used, also under earlier owners. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -1,6 +1,6 @@
 /**
  * The scheduler of one cell: a pure state machine over tables of executors, jobs, queues and teams. It does no input or
- * output and reads no clock. The caller reports what happens, asks for decisions with `tick` and `planAdvice`, and carries
+ * output and reads no clock. The caller reports what happens, asks for decisions with `tick` and `sendAdvice`, and carries
  * them out.
  *
  * @example
@@ -14,7 +14,7 @@
  */
 import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
 import { toId, zeroResources } from "@waxwingroute/core";
-import { planAdvice, recordAdvice } from "./advice-system.js";
+import { recordAdvice, sendAdvice } from "./advice-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
 import { addOccurrence, countOccurrences, createJobRow, takeTeamCredit } from "./job-rows.js";
@@ -28,6 +28,7 @@
 import type {
     AdviceDecision,
     AdviceGrant,
+    AdviceSending,
     ExecutorUpdate,
     JobState,
     JobSubmission,
@@ -240,11 +241,12 @@
     }
 
     /** Lets tasks start whose whereabouts were unknown after a change of owner; all executors have been settled. */
-    releaseUnknownTasks(canRelease: (task: TaskKey) => boolean = () => true): void {
+    releaseUnknownTasks(): void {
+        this.state.isSettled = true;
         for (const job of this.state.jobs.values()) {
             for (const occurrence of job.occurrences.values()) {
                 for (const step of occurrence.steps) {
-                    step.tasks.filter(task => task.state === "unknown" && canRelease(task.key)).forEach(task => {
+                    step.tasks.filter(task => task.state === "unknown").forEach(task => {
                         task.state = "waiting";
                     });
                 }
@@ -264,9 +266,9 @@
         }
     }
 
-    /** Returns questions to advisors, the most urgent first. */
-    planAdvice(now: number, maxCalls: number): AdviceDecision[] {
-        return maxCalls <= 0 ? [] : planAdvice(this.state, now, selectRankedSteps(this.state, now), maxCalls);
+    /** Offers questions to advisors to `send`, the most urgent first. */
+    sendAdvice(now: number, send: (decision: AdviceDecision) => AdviceSending): void {
+        sendAdvice(this.state, now, selectRankedSteps(this.state, now), send);
     }
 
     /** Opens occurrences whose time has come. `wallNow` is wall-clock milliseconds since 1970. */
--- /dev/null
+++ b/packages/workflow/src/scheduler_test.ts
@@ -0,0 +1,390 @@
+import type { ExecutorId, JobId, QueueId, RackId, ResourceVector, TeamId, ZoneId } from "@waxwingroute/core";
+import { toId } from "@waxwingroute/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { parseTaskKey } from "./keys.js";
+import { WorkflowScheduler } from "./scheduler.js";
+import type { AdviceDecision, PoolId, QueueRules, RunOutcome, StartDecision, StepSpec, TickDecisions } from "./types.js";
+
+const pool = toId<PoolId>("pool");
+const team = toId<TeamId>("team");
+const noLimit: ResourceVector = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+
+function cores(count: number): ResourceVector {
+    return { cpuMillis: count * 1_000, memoryMb: 100, accelerators: 0 };
+}
+
+function createQueue(name: string, rules: Partial<QueueRules> = {}): QueueRules {
+    return {
+        queue: toId<QueueId>(name),
+        pool,
+        priority: 1,
+        maxAttempts: 2,
+        stretchFactor: 2,
+        targetLatencyMs: 1_000,
+        ...rules,
+    };
+}
+
+function createStep(step: Partial<StepSpec> = {}): StepSpec {
+    return {
+        taskCount: 1,
+        resources: cores(1),
+        estimateMs: 1_000,
+        after: [],
+        isGang: false,
+        prefersOneRack: false,
+        canRunCopies: false,
+        savesCheckpoints: false,
+        isLongRunning: false,
+        usesIdleProcessors: false,
+        ...step,
+    };
+}
+
+/** A scheduler with executors of 16 cores, four to a rack, and a clock. */
+class Fixture {
+    readonly scheduler = new WorkflowScheduler();
+    now = 1_000;
+
+    constructor(
+        readonly executors: number,
+        queues: readonly QueueRules[] = [createQueue("queue")],
+        limit: ResourceVector = noLimit,
+    ) {
+        this.scheduler.setEpoch(1);
+        this.scheduler.applyRules({ queues, teams: [{ team, weight: 0, limit }] });
+        for (let index = 0; index < executors; index++) {
+            this.putExecutor(index, "ready");
+        }
+    }
+
+    putExecutor(index: number, state: "ready" | "leaving" | "unreachable", labels: readonly string[] = []): void {
+        this.scheduler.updateExecutor({
+            executor: toId<ExecutorId>(`e${index}`),
+            pool,
+            zone: toId<ZoneId>("zone"),
+            rack: toId<RackId>(`r${Math.floor(index / 4)}`),
+            labels,
+            capacity: { cpuMillis: 16_000, memoryMb: 32_000, accelerators: 0 },
+            state,
+        });
+    }
+
+    submit(job: string, steps: readonly StepSpec[], queue = "queue", mayHaveStarted = false): void {
+        this.scheduler.addJob(this.now, {
+            job: toId<JobId>(job),
+            queue: toId<QueueId>(queue),
+            team,
+            spec: { payload: job, steps },
+            acceptedAt: this.now,
+            mayHaveStarted,
+        });
+    }
+
+    tick(): TickDecisions {
+        return this.scheduler.tick(this.now);
+    }
+
+    /** Ticks and confirms the starts. */
+    start(): readonly StartDecision[] {
+        const { starts } = this.tick();
+        for (const { executor, task, run } of starts) {
+            this.scheduler.recordRunning(this.now, executor, { task, run, checkpoint: "", percent: 0 });
+        }
+        return starts;
+    }
+
+    end(start: StartDecision, outcome: RunOutcome, checkpoint = ""): void {
+        const { executor, task, run } = start;
+        this.scheduler.recordEnd(this.now, { executor, task, run, outcome, checkpoint });
+    }
+
+    getState(job: string): string | undefined {
+        return this.scheduler.getJobState(toId<JobId>(job));
+    }
+
+    /** Answers all questions of advisors: grants the executors that `isGranted` names. */
+    answerAdvice(isGranted: (executor: ExecutorId) => boolean): readonly AdviceDecision[] {
+        const asked: AdviceDecision[] = [];
+        this.scheduler.sendAdvice(this.now, decision => {
+            asked.push(decision);
+            return "sent";
+        });
+        for (const { step, executors } of asked) {
+            const grants = executors.filter(isGranted).map(executor => ({ executor, ticket: `t-${executor}` }));
+            this.scheduler.recordAdvice(this.now, step, executors, grants);
+        }
+        return asked;
+    }
+}
+
+describe("WorkflowScheduler", () => {
+    describe("room", () => {
+        it("gives an executor no more than its capacity", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep({ taskCount: 10, resources: cores(4.5) })]);
+            expect(fixture.start().length).toEqual(3);
+            expect(fixture.start().length).toEqual(0);
+        });
+
+        it("counts a task that is being stopped until its end is recorded", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep({ resources: cores(16) })]);
+            const [first] = fixture.start();
+            fixture.scheduler.cancelJob(toId<JobId>("a"));
+            fixture.submit("b", [createStep({ resources: cores(16) })]);
+            expect(fixture.start()).toEqual([]);
+            fixture.end(first!, "stopped");
+            expect(fixture.start().length).toEqual(1);
+        });
+
+        it("starts nothing on an executor that is leaving or does not answer", () => {
+            const fixture = new Fixture(2);
+            fixture.putExecutor(0, "leaving");
+            fixture.putExecutor(1, "unreachable");
+            fixture.submit("a", [createStep()]);
+            expect(fixture.start()).toEqual([]);
+        });
+
+        it("counts only the memory of tasks that use idle processors", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep({ taskCount: 4, resources: cores(16), usesIdleProcessors: true })]);
+            expect(fixture.start().length).toEqual(4);
+        });
+    });
+
+    describe("steps", () => {
+        it("starts a step only after all tasks of the steps before it are done", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep({ taskCount: 2 }), createStep({ after: [0] })]);
+            const [first, second] = fixture.start();
+            fixture.end(first!, "done");
+            expect(fixture.start()).toEqual([]);
+            fixture.end(second!, "done");
+            const [third] = fixture.start();
+            expect(parseTaskKey(third!.task)?.step).toEqual(1);
+            fixture.end(third!, "done");
+            fixture.tick();
+            expect(fixture.getState("a")).toEqual("succeeded");
+        });
+
+        it("keeps to labels and to the most tasks on one executor", () => {
+            const fixture = new Fixture(3);
+            fixture.putExecutor(0, "ready", ["fast"]);
+            fixture.putExecutor(1, "ready", ["fast"]);
+            fixture.submit("a", [createStep({ taskCount: 6, requiredLabel: "fast", maxPerExecutor: 2 })]);
+            const starts = fixture.start();
+            expect(starts.map(start => start.executor).sort() as string[]).toEqual(["e0", "e0", "e1", "e1"]);
+        });
+
+        it("opens the occurrences of a schedule when they are due, and not before", () => {
+            const fixture = new Fixture(1);
+            fixture.scheduler.addJob(fixture.now, {
+                job: toId<JobId>("a"),
+                queue: toId<QueueId>("queue"),
+                team,
+                spec: {
+                    payload: "",
+                    steps: [createStep()],
+                    schedule: { startAtWallMs: 50_000, intervalMs: 1_000, occurrences: 2 },
+                },
+                acceptedAt: fixture.now,
+                mayHaveStarted: false,
+            });
+            fixture.scheduler.openDueOccurrences(fixture.now, 49_999);
+            expect(fixture.start()).toEqual([]);
+            fixture.scheduler.openDueOccurrences(fixture.now, 51_000);
+            const starts = fixture.start();
+            expect(starts.map(start => start.task) as string[]).toEqual(["a.0.0.0", "a.1.0.0"]);
+            starts.forEach(start => fixture.end(start, "done"));
+            expect(fixture.getState("a")).toEqual("succeeded");
+        });
+    });
+
+    describe("gangs", () => {
+        it("starts all members with one run number, or none", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("big", [createStep({ taskCount: 7, resources: cores(4.5), isGang: true })]);
+            expect(fixture.start()).toEqual([]);
+            fixture.submit("fits", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
+            const starts = fixture.start();
+            expect(starts.length).toEqual(6);
+            expect(new Set(starts.map(start => start.run)).size).toEqual(1);
+        });
+
+        it("counts a failed run once, whichever member reports it", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep({ taskCount: 3, isGang: true })]);
+            fixture.start().forEach(start => fixture.end(start, "failed"));
+            expect(fixture.getState("a")).toEqual("running");
+            fixture.start().forEach(start => fixture.end(start, "failed"));
+            expect(fixture.getState("a")).toEqual("failed");
+        });
+
+        it("stops the other members when one was refused, and starts all again", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep({ taskCount: 3, isGang: true })]);
+            const [first, second, third] = fixture.start();
+            fixture.end(first!, "notStarted");
+            expect(fixture.tick().stops.map(stop => stop.task)).toEqual([second!.task, third!.task]);
+            fixture.end(second!, "stopped");
+            expect(fixture.start()).toEqual([]);
+            fixture.end(third!, "stopped");
+            expect(fixture.start().length).toEqual(3);
+        });
+
+        it("reserves no executors for a gang that the limit of its team forbids", () => {
+            // Guards against a gang beyond its team's limit that kept executors from all other work for ever.
+            const fixture = new Fixture(2, [createQueue("queue")], { ...noLimit, cpuMillis: 8_000 });
+            fixture.submit("gang", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
+            fixture.submit("other", [createStep({ estimateMs: 60_000 })]);
+            expect(fixture.start().length).toEqual(1);
+        });
+    });
+
+    describe("limits and attempts", () => {
+        it("starts nothing that brings a team over its limit", () => {
+            const fixture = new Fixture(4, [createQueue("queue")], { ...noLimit, cpuMillis: 3_000 });
+            fixture.submit("a", [createStep({ taskCount: 5 })]);
+            expect(fixture.start().length).toEqual(3);
+        });
+
+        it("fails the job after the last attempt and stops what else runs", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep({ taskCount: 2 })]);
+            const [first, second] = fixture.start();
+            fixture.end(first!, "failed");
+            const [again] = fixture.start();
+            fixture.end(again!, "failed");
+            expect(fixture.getState("a")).toEqual("failed");
+            expect(fixture.tick().stops.map(stop => stop.task)).toEqual([second!.task]);
+        });
+
+        it("restarts a long-running task however it ends", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep({ isLongRunning: true })]);
+            for (const outcome of ["failed", "done", "failed", "failed", "lapsed"] as const) {
+                const [run] = fixture.start();
+                fixture.end(run!, outcome);
+            }
+            expect(fixture.start().length).toEqual(1);
+            expect(fixture.getState("a")).toEqual("running");
+        });
+
+        it("resumes from the last checkpoint, which any member of a gang can give", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep({ taskCount: 2, isGang: true, savesCheckpoints: true })]);
+            const [first, second] = fixture.start();
+            fixture.end(first!, "memberEnded", "at-40");
+            fixture.end(second!, "memberEnded");
+            expect(fixture.start().map(start => start.checkpoint)).toEqual(["at-40", "at-40"]);
+        });
+    });
+
+    describe("advice", () => {
+        const queue = createQueue("queue", { advice: { callMs: 10, perExecutorMs: 1, validMs: 2_500 } });
+
+        it("starts only on granted executors, with their tickets, and never names a refused one again", () => {
+            const fixture = new Fixture(8, [queue]);
+            fixture.submit("a", [createStep({ taskCount: 20, resources: cores(4.5) })]);
+            expect(fixture.start()).toEqual([]);
+            const isGranted = (executor: ExecutorId) => Number(executor.slice(1)) % 2 === 0;
+            const named = new Map<string, number>();
+            for (let round = 0; round < 6; round++) {
+                for (const { executors } of fixture.answerAdvice(isGranted)) {
+                    executors.forEach(executor => named.set(executor, (named.get(executor) ?? 0) + 1));
+                }
+                fixture.start().forEach(start => {
+                    expect(isGranted(start.executor)).toEqual(true);
+                    expect(start.ticket).toEqual(`t-${start.executor}`);
+                });
+            }
+            [...named].filter(([executor]) => !isGranted(executor as ExecutorId)).forEach(([, count]) =>
+                expect(count).toEqual(1)
+            );
+        });
+
+        it("asks again for an executor whose ticket ran out, before it starts there", () => {
+            const fixture = new Fixture(1, [queue]);
+            fixture.submit("a", [createStep()]);
+            fixture.answerAdvice(() => true);
+            fixture.now += 2_400;
+            expect(fixture.start()).toEqual([]);
+            expect(fixture.answerAdvice(() => true).length).toEqual(1);
+            expect(fixture.start().length).toEqual(1);
+        });
+
+        it("asks for other executors when the granted ones are reserved for a gang", () => {
+            // Guards against work that counted reserved executors as its own and never asked for others.
+            const fixture = new Fixture(8, [queue]);
+            fixture.submit("fill", [createStep({ taskCount: 8, resources: cores(10), estimateMs: 60_000 })]);
+            while (fixture.answerAdvice(() => true).length > 0) {
+                fixture.start();
+            }
+            fixture.submit("gang", [createStep({ taskCount: 3, resources: cores(16), isGang: true, estimateMs: 100 })]);
+            fixture.answerAdvice(() => true);
+            fixture.start();
+            fixture.submit("other", [createStep({ taskCount: 1, resources: cores(4), estimateMs: 60_000 })]);
+            let started = 0;
+            for (let round = 0; round < 10 && started === 0; round++) {
+                fixture.answerAdvice(() => true);
+                started += fixture.start().length;
+            }
+            expect(started).toEqual(1);
+        });
+    });
+
+    describe("after a change of owner", () => {
+        it("keeps tasks back that may run somewhere until all executors are settled", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("old", [createStep()], "queue", true);
+            fixture.submit("new", [createStep()]);
+            expect(fixture.start().map(start => start.task) as string[]).toEqual(["new.0.0.0"]);
+            fixture.scheduler.releaseUnknownTasks();
+            expect(fixture.start().map(start => start.task) as string[]).toEqual(["old.0.0.0"]);
+        });
+
+        it("numbers runs above all of earlier owners", () => {
+            const fixture = new Fixture(1);
+            fixture.scheduler.setEpoch(3);
+            fixture.submit("a", [createStep()]);
+            expect(fixture.start()[0]!.run > 20_000).toEqual(true);
+        });
+
+        it("stops a run whose job has ended", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep()], "queue", true);
+            fixture.scheduler.cancelJob(toId<JobId>("a"));
+            const listed = { task: "a.0.0.0" as never, run: 5, checkpoint: "", percent: 3 };
+            expect(fixture.scheduler.adoptRun(fixture.now, toId<ExecutorId>("e0"), listed)).toEqual(false);
+        });
+    });
+
+    describe("faulty executors", () => {
+        it("moves a run that makes no progress", () => {
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep()]);
+            const [stalled] = fixture.start();
+            fixture.now += 4_000;
+            expect(fixture.tick().stops).toEqual([{
+                executor: stalled!.executor,
+                task: stalled!.task,
+                run: stalled!.run,
+                reason: "stalled",
+            }]);
+            fixture.end(stalled!, "stopped");
+            expect(fixture.start()[0]!.executor === stalled!.executor).toEqual(false);
+        });
+
+        it("avoids an executor that fails what others finish", () => {
+            const fixture = new Fixture(4, [createQueue("queue", { maxAttempts: 20 })]);
+            for (let round = 0; round < 6; round++) {
+                fixture.submit(`j${round}`, [createStep({ taskCount: 40 })]);
+                fixture.start().forEach(start => fixture.end(start, start.executor === "e1" ? "failed" : "done"));
+            }
+            fixture.submit("last", [createStep({ taskCount: 4 })]);
+            expect(fixture.start().some(start => start.executor === "e1")).toEqual(false);
+        });
+    });
+});
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -10,6 +10,12 @@
 
 export type ResolvedOptions = Required<SchedulerOptions>;
 
+/** Executors that the most urgent blocked gang waits for. Tasks after it may use them only if they end soon. */
+export interface Reservation {
+    readonly step: StepRow;
+    readonly executors: ReadonlySet<ExecutorId>;
+}
+
 export class SchedulerState {
     readonly executors = new Table<ExecutorId, ExecutorRow>();
     readonly jobs = new Table<JobId, JobRow>();
@@ -20,6 +26,10 @@
     readonly starts: StartDecision[] = [];
     readonly stops: StopDecision[] = [];
     readonly changes: JobChange[] = [];
+    /** Executors that a blocked gang waits for; decided anew with each tick. */
+    reservation: Reservation | undefined;
+    /** Whether tasks that an earlier owner may have started can start, because all executors have been settled. */
+    isSettled = false;
     /** Run numbers of this owner are above this one. */
     firstRun = 0;
 
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -182,6 +182,9 @@
     readonly executors: readonly ExecutorId[];
 }
 
+/** `postponed`: this question has to wait, though others may be sent. `noCaller`: none can be sent now. */
+export type AdviceSending = "sent" | "postponed" | "noCaller";
+
 export interface AdviceGrant {
     readonly executor: ExecutorId;
     readonly ticket: string;
