Count a failed run once, however often its end is reported

Change: failed runs are kept by number. Test: 'counts an end once' failed before (state failed instead of running).

--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -100,20 +100,11 @@
 
 function recordFailure(state: SchedulerState, task: TaskRow, run: number): void {
     const step = task.step;
-    if (step.spec.isGang) {
-        // Each member may report the failure of the same run.
-        if (run > step.lastFailedRun) {
-            step.lastFailedRun = run;
-            step.gangFailures += 1;
-        }
-    }
-    else {
-        task.failures += 1;
-    }
-    const failures = step.spec.isGang ? step.gangFailures : task.failures;
+    const failed = step.spec.isGang ? step.failedGangRuns : task.failedRuns;
+    failed.add(run);
     const job = step.occurrence.job;
     const attempts = state.queues.get(job.submission.queue)?.rules.maxAttempts ?? Infinity;
-    if (!step.spec.isLongRunning && task.state !== "done" && failures >= attempts) {
+    if (!step.spec.isLongRunning && task.state !== "done" && failed.size >= attempts) {
         endJob(state, job, "failed");
     }
 }
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -102,14 +102,13 @@
         advice: { isAsking: false, retryAt: 0, tickets: new Map(), refused: new Set() },
         lastRun: 0,
         doneCount: 0,
-        gangFailures: 0,
-        lastFailedRun: 0,
+        failedGangRuns: new Set(),
         remainingChainMs: chainMs,
         hasStarted: false,
     };
     for (let index = 0; index < spec.taskCount; index++) {
         const key = toTaskKey({ job, occurrence: occurrence.number, step: number, index });
-        tasks.push({ key, step, index, state, runs: [], lastRun: 0, failures: 0, checkpoint: "" });
+        tasks.push({ key, step, index, state, runs: [], lastRun: 0, failedRuns: new Set(), checkpoint: "" });
     }
     return step;
 }
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -30,7 +30,8 @@
     readonly runs: RunRow[];
     /** Highest run number used or seen. */
     lastRun: number;
-    failures: number;
+    /** Numbers of the runs that failed; the end of a run can be reported more than once. */
+    readonly failedRuns: Set<number>;
     checkpoint: string;
 }
 
@@ -53,9 +54,8 @@
     /** Run numbers of a gang are shared by its members. */
     lastRun: number;
     doneCount: number;
-    /** Failed runs of a gang, which count once for all members. */
-    gangFailures: number;
-    lastFailedRun: number;
+    /** Numbers of the runs of a gang that failed; they count once for all members. */
+    readonly failedGangRuns: Set<number>;
     /** Longest remaining chain of work from this step on, ms. */
     remainingChainMs: number;
     /** Whether a start was decided; the first wait ends there. */
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -261,6 +261,16 @@
             expect(fixture.tick().stops.map(stop => stop.task)).toEqual([second!.task]);
         });
 
+        it("counts an end once, however often it is reported", () => {
+            // Guards against a stored end that its executor lists again to the next owner.
+            const fixture = new Fixture(1);
+            fixture.submit("a", [createStep()]);
+            const [first] = fixture.start();
+            fixture.end(first!, "failed");
+            fixture.end(first!, "failed");
+            expect(fixture.getState("a")).toEqual("running");
+        });
+
         it("restarts a long-running task however it ends", () => {
             const fixture = new Fixture(1);
             fixture.submit("a", [createStep({ isLongRunning: true })]);
