Start nothing beside a run of unknown size

Change: an executor with such a run takes no new work until its end is listed. Test: 'starts nothing beside a run of unknown size' failed before.

--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -111,6 +111,8 @@
     isReady: boolean;
     isReachable: boolean;
     readonly runs: Map<string, RunRow>;
+    /** Runs of unknown size, for example of jobs that ended under an earlier owner. Nothing starts beside them. */
+    readonly unknownRuns: Set<string>;
     /** Exponentially weighted share of runs that failed. */
     failureRate: number;
     /** Exponentially weighted ratio of measured to expected run time. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -101,6 +101,7 @@
 
     /** Ends all runs of an executor as `lost`, for example because it restarted. */
     loseRuns(now: number, executor: ExecutorId): void {
+        this.state.executors.get(executor)?.unknownRuns.clear();
         for (const run of [...this.state.executors.get(executor)?.runs.values() ?? []]) {
             this.endRow(now, run, "lost");
         }
@@ -174,10 +175,16 @@
         return true;
     }
 
-    /** Charges a run that has to be stopped to its executor, if its task is known, until its end is recorded. */
+    /**
+     * Charges a run that has to be stopped to its executor until its end is recorded. If the task is not known, neither is
+     * the room that it takes, and nothing starts on the executor.
+     */
     adoptStrayRun(now: number, executor: ExecutorId, listed: ListedRun): void {
         const task = this.findTask(listed.task);
-        if (task !== undefined && this.findRun(executor, listed.task, listed.run) === undefined) {
+        if (task === undefined) {
+            this.state.executors.get(executor)?.unknownRuns.add(toRunKey(listed.task, listed.run));
+        }
+        else if (this.findRun(executor, listed.task, listed.run) === undefined) {
             this.state.addRun({
                 task,
                 number: listed.run,
@@ -212,6 +219,7 @@
 
     /** Records the end of a run, also of one that this owner did not start. Returns whether its job is known. */
     recordEnd(now: number, end: RunEnd): boolean {
+        this.state.executors.get(end.executor)?.unknownRuns.delete(toRunKey(end.task, end.run));
         const task = this.findTask(end.task);
         if (task === undefined) {
             return false;
@@ -339,6 +347,7 @@
         isReady: false,
         isReachable: false,
         runs: new Map(),
+        unknownRuns: new Set(),
         failureRate: 0,
         slowness: 1,
         avoidUntil: 0,
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -362,6 +362,19 @@
             expect(fixture.start()[0]!.run > 20_000).toEqual(true);
         });
 
+        it("starts nothing beside a run of unknown size until its end is recorded", () => {
+            // Guards against overcommitting an executor that still runs a task of a job that an earlier owner ended.
+            const fixture = new Fixture(1);
+            const stray = { task: "gone.0.0.0" as never, run: 5, checkpoint: "", percent: 3 };
+            const executor = toId<ExecutorId>("e0");
+            expect(fixture.scheduler.adoptRun(fixture.now, executor, stray)).toEqual(false);
+            fixture.scheduler.adoptStrayRun(fixture.now, executor, stray);
+            fixture.submit("a", [createStep()]);
+            expect(fixture.start()).toEqual([]);
+            fixture.end({ executor, ...stray, payload: "", ticket: undefined, slackMs: 0 }, "stopped");
+            expect(fixture.start().length).toEqual(1);
+        });
+
         it("stops a run whose job has ended", () => {
             const fixture = new Fixture(1);
             fixture.submit("a", [createStep()], "queue", true);
