--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -29,6 +29,8 @@
 const longCallMs = 50;
 /** Time for which a caller that did not answer gets no call, ms. */
 const avoidMs = 2_000;
+/** Weight of a new exchange in the average overhead of a caller. */
+const overheadWeight = 0.2;
 /** Time for an answer beyond the work of the advisor, ms. */
 const answerMs = 1_000;
 
@@ -37,6 +39,8 @@
     /** Work that was sent and not answered yet, ms. */
     backlogMs: number;
     longCalls: number;
+    /** Time of an exchange beyond the work of the advisor, exponentially weighted, ms. */
+    overheadMs: number;
     /** Gets no call before this time, because it did not answer. */
     avoidUntil: number;
 }
@@ -47,7 +51,7 @@
     constructor(private readonly options: AdviceDispatcherOptions) {}
 
     addCaller(caller: AdviceCaller): void {
-        this.rows.set(caller.name, { caller, backlogMs: 0, longCalls: 0, avoidUntil: 0 });
+        this.rows.set(caller.name, { caller, backlogMs: 0, longCalls: 0, overheadMs: 0, avoidUntil: 0 });
     }
 
     removeCaller(name: string): void {
@@ -57,14 +61,15 @@
     /** Sends a question if a caller is free for it. */
     send(decision: AdviceDecision, rules: AdviceRules): AdviceSending {
         const workMs = rules.callMs + rules.perExecutorMs * decision.executors.length;
+        const isLong = workMs > longCallMs;
         const free = this.listFree();
-        const row = free.sort((first, second) => first.backlogMs - second.backlogMs)[0];
-        if (row === undefined) {
+        if (free.length === 0) {
             return "noCaller";
         }
-        if (workMs > longCallMs && !this.allowsLongCall()) {
+        if (isLong && !this.allowsLongCall()) {
             return "postponed";
         }
+        const row = isLong ? pickForLongCall(free) : pickForShortCall(free);
         void this.ask(row, decision, workMs);
         return "sent";
     }
@@ -85,11 +90,14 @@
         const { step, executors } = decision;
         const sentAt = clock.getNow();
         const long = workMs > longCallMs ? 1 : 0;
+        const aheadMs = row.backlogMs;
         row.backlogMs += workMs;
         row.longCalls += long;
         const answer = await row.caller.advisor.ask(step, executors, row.backlogMs + answerMs);
         row.backlogMs -= workMs;
         row.longCalls -= long;
+        const overheadMs = Math.max(0, clock.getNow() - sentAt - aheadMs - workMs);
+        row.overheadMs += overheadWeight * (overheadMs - row.overheadMs);
         if (!answer.ok) {
             row.avoidUntil = clock.getNow() + avoidMs;
         }
@@ -104,3 +112,18 @@
         onAnswer(step, executors, answer);
     }
 }
+
+/** Returns the caller that is expected to answer first. */
+function pickForShortCall(free: readonly CallerRow[]): CallerRow {
+    return free.reduce((best, row) => row.backlogMs + row.overheadMs < best.backlogMs + best.overheadMs ? row : best);
+}
+
+/** Returns the most distant of the idlest callers, so that near ones stay free for short calls. */
+function pickForLongCall(free: readonly CallerRow[]): CallerRow {
+    return free.reduce((best, row) => {
+        if (row.longCalls !== best.longCalls) {
+            return row.longCalls < best.longCalls ? row : best;
+        }
+        return row.overheadMs > best.overheadMs ? row : best;
+    });
+}
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -25,7 +25,7 @@
 import type { PlatformCodec } from "./platform-codec.js";
 import { decodeJobRecord, toCancelKey, toJobKey } from "./store-keys.js";
 import type { OwnerRecord } from "./store-keys.js";
-import type { LeaseStore } from "./store.js";
+import type { LeaseStore, StoreItem } from "./store.js";
 import { storeFailures } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
@@ -88,7 +88,12 @@
             logger,
         });
         this.replica = new JobReplica({ clock, retentionMs: options.retentionMs });
-        this.intake = new JobIntake({ store: this.store, clock, logger });
+        this.intake = new JobIntake({
+            store: this.store,
+            clock,
+            logger,
+            onStored: items => this.announce(items),
+        });
         this.tracker = new ConfigurationTracker({
             store: this.store,
             codec,
@@ -335,6 +340,15 @@
         this.publisher.publishChanges(changes);
     }
 
+    private announce(items: readonly StoreItem[]): void {
+        if (this.owner === undefined) {
+            this.link.announce(items);
+        }
+        else {
+            this.owner.acceptAnnounced(items);
+        }
+    }
+
     private followOwner(owner: OwnerRecord | undefined): void {
         if (owner !== undefined) {
             this.link.setOwner(owner.address === this.options.address ? undefined : owner.address);
@@ -366,6 +380,10 @@
     private addService(): void {
         this.server.addService(cellService, {
             subscribe: (request, writer) => this.acceptSubscriber(request.host, request.address, writer),
+            announce: async ({ items }) => {
+                this.owner?.acceptAnnounced(items);
+                return Ok({});
+            },
             ask: async ({ step, executors, timeoutMs }) => {
                 const answered = await this.options.advisor.ask(step, executors, timeoutMs);
                 return answered.map(grants => ({ grants: [...grants] }));
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -30,7 +30,7 @@
 import type { PlatformCodec } from "./platform-codec.js";
 import { jobPrefix, toCancelKey } from "./store-keys.js";
 import type { JobRecord } from "./store-keys.js";
-import type { LeaseStore } from "./store.js";
+import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
 export interface CellOwnerOptions {
@@ -58,6 +58,11 @@
     onConflict(): void;
 }
 
+/**
+ * Lease of the runs on an executor, ms. It lasts through a renewal that is lost and a takeover, and bounds how long the tasks
+ * of an executor that is lost wait.
+ */
+const leaseMs = 4_500;
 /** Longest time from an event to the decisions that it allows, ms. */
 const coalesceMs = 5;
 /** Time between ticks without an event, ms. */
@@ -66,6 +71,10 @@
 const pendingMs = 200;
 /** Longest wait of a watch for jobs, ms. */
 const watchMs = 1_000;
+/** Pause between watches, ms: hosts announce what they store, so the watch only finds what was not announced. */
+const watchPauseMs = 250;
+/** Shortest time between reads of all jobs without a failure, ms. */
+const rereadMs = 3_000;
 /** Pause after a failed read or watch, ms. */
 const retryMs = 150;
 
@@ -82,6 +91,7 @@
     private isRecovered = false;
     private isTickScheduled = false;
     private hasReleased = false;
+    private isSettledWhole = false;
     private earlyListings: (() => void)[] = [];
     private readonly startedAt: number;
 
@@ -108,7 +118,7 @@
             scheduler: this.scheduler,
             listener: this,
             fencingToken: tenure.epoch,
-            maxLeaseMs,
+            maxLeaseMs: Math.min(maxLeaseMs, leaseMs),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
             onChange: () => this.requestTick(),
         });
@@ -121,7 +131,7 @@
 
     /** Whether tasks of all accepted jobs can start. */
     get isSettled(): boolean {
-        return this.hasReleased;
+        return this.isSettledWhole;
     }
 
     get jobCount(): number {
@@ -186,13 +196,13 @@
     }
 
     onReachable(executor: ExecutorId): void {
-        this.registry.updateScheduler(executor);
+        this.registry.refreshExecutor(executor);
         this.releaseWhenSettled();
         this.requestTick();
     }
 
     onUnreachable(executor: ExecutorId): void {
-        this.registry.updateScheduler(executor);
+        this.registry.refreshExecutor(executor);
     }
 
     onRunsLost(executor: ExecutorId, reason: string): void {
@@ -347,9 +357,17 @@
         this.requestTick();
     }
 
+    /** Takes jobs and cancellations that another host has just stored. The watch brings them too, only later. */
+    acceptAnnounced(items: readonly StoreItem[]): void {
+        if (this.isRecovered) {
+            items.forEach(item => this.applyStoreChange(decodeJobItem(item, this.options.logger)));
+        }
+    }
+
     private async followJobs(storeRevision: number): Promise<void> {
         const { clock, logger, store } = this.options;
         let afterRevision = storeRevision;
+        let readAt = clock.getNow();
         while (!this.isClosed) {
             const watched = await store.call({ kind: "watch", prefix: jobPrefix, afterRevision, waitMs: watchMs });
             if (this.isClosed) {
@@ -359,18 +377,23 @@
                 for (const change of watched.val.changes) {
                     this.applyStoreChange(change.item === undefined ? undefined : decodeJobItem(change.item, logger));
                 }
+                afterRevision = watched.val.storeRevision;
+                await clock.wait(watchPauseMs);
+                continue;
+            }
+            if (watched.ok && clock.getNow() - readAt < rereadMs) {
                 afterRevision = watched.val.storeRevision;
                 continue;
             }
-            // After an empty answer or a lost one, changes may have been missed: the keys are read again.
-            const isQuiet = watched.ok;
-            if (!isQuiet) {
+            if (!watched.ok) {
                 await clock.wait(retryMs);
             }
+            // Changes may have been missed, in a quiet watch because the store drops its history: the keys are read again.
             const stored = await readStoredCell(store, logger);
             if (stored.ok && !this.isClosed) {
                 stored.val.jobs.forEach(event => this.applyStoreChange(event));
                 afterRevision = stored.val.storeRevision;
+                readAt = clock.getNow();
             }
         }
     }
@@ -386,14 +409,22 @@
         }
     }
 
+    /** Lets tasks start that no executor can still run under an earlier owner's order. */
     private releaseWhenSettled(): void {
-        if (!this.hasReleased && this.isRecovered && this.registry.areAllSettled()) {
-            this.hasReleased = true;
-            this.scheduler.releaseUnknownTasks();
-            this.options.logger.write("info", "all executors settled", {
-                sinceAcquiredMs: Math.round(this.options.clock.getNow() - this.startedAt),
-            });
+        if (this.isSettledWhole || !this.isRecovered) {
+            return;
         }
+        const unsettled = this.registry.listUnsettledTasks();
+        if (unsettled === undefined) {
+            return;
+        }
+        this.hasReleased = true;
+        this.isSettledWhole = unsettled.length === 0;
+        this.scheduler.releaseUnknownTasks(new Set(unsettled));
+        this.options.logger.write("info", this.isSettledWhole ? "all executors settled" : "executors settled", {
+            sinceAcquiredMs: Math.round(this.options.clock.getNow() - this.startedAt),
+            keptBack: unsettled.length,
+        });
     }
 
     private requestTick(): void {
--- a/packages/cell/src/cell-service.ts
+++ b/packages/cell/src/cell-service.ts
@@ -38,9 +38,20 @@
 
 const storeCallSchema = z.object({ request: z.custom<StoreRequest>(isRecord), timeoutMs: z.number().optional() });
 
+const announceSchema = z.object({
+    items: z.array(z.object({
+        key: z.string(),
+        value: z.string(),
+        revision: z.number(),
+        createdRevision: z.number(),
+    })),
+});
+
 export const cellService = {
     /** Streams the states of jobs. Fails unless the host owns the cell. */
     subscribe: createStreamMethod("Cell/Subscribe", subscribeSchema, updateSchema),
+    /** Tells the owner what a host has just stored. */
+    announce: createUnaryMethod("Cell/Announce", announceSchema, z.object({})),
     /** Asks the advisor from another host. */
     ask: createUnaryMethod("Cell/Ask", adviceSchema, grantsSchema),
     /** Passes a request to the store. */
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -15,7 +15,7 @@
 }
 
 /** Longest wait of one watch, ms. The key is read after each empty watch, so this bounds how long a change can be missed. */
-const watchMs = 800;
+const watchMs = 1_500;
 /** Bound of one read, ms. */
 const readTimeoutMs = 700;
 /** Pause after a failed read, ms. */
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -2,13 +2,14 @@
  * The executors of the cell: reads their entries from the store, keeps a session for each, and tells the scheduler which
  * ones can take work.
  *
- * An executor gets its first work only after the roster in the store names it, so that the next owner knows every executor
- * that can hold runs, also one whose entry has expired.
+ * An executor gets work only while the roster in the store names it as one that can hold any run, so that the next owner
+ * knows where runs may be, also on executors whose entries have expired. One that leaves or does not answer is stored with
+ * the tasks that it may still hold, so that the next owner keeps back only these.
  */
 import { toId, zeroResources } from "@waxwingroute/core";
 import type { Clock, ExecutorId, ZoneId } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
-import type { ExecutorState, PoolId, WorkflowScheduler } from "@waxwingroute/workflow";
+import type { ExecutorState, PoolId, TaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import { ExecutorSession } from "./executor-session.js";
 import type { SessionListener } from "./executor-session.js";
 import type { PlatformCodec } from "./platform-codec.js";
@@ -50,7 +51,16 @@
     /** The newest entry; `undefined` if only the roster names the executor. */
     entry: ExecutorEntry | undefined;
     isGone: boolean;
-    isEnrolled: boolean;
+    /** What the stored roster says of it. */
+    stored: Enrolment;
+}
+
+/** `absent`: not named. `open`: can hold any run. Otherwise the tasks that it can hold. */
+type Enrolment = "absent" | "open" | readonly TaskKey[];
+
+interface Inherited {
+    readonly session: ExecutorSession;
+    readonly tasks: readonly TaskKey[] | undefined;
 }
 
 /** Time between reads of the entries, ms; well below the bound for stopping work on a leaving executor. */
@@ -62,6 +72,8 @@
 
 export class ExecutorRegistry {
     private readonly records = new Map<ExecutorId, ExecutorRecord>();
+    /** Executors that an earlier owner used, with the tasks that they may hold if these are known. */
+    private readonly inherited = new Map<ExecutorId, Inherited>();
     private readonly malformed = new Set<string>();
     private isClosed = false;
     private lastReadAt: number;
@@ -75,10 +87,11 @@
 
     /** Opens sessions for the executors that an earlier owner may have used. */
     adoptRoster(roster: readonly RosterEntry[]): void {
-        for (const { executor, address } of roster) {
+        for (const { executor, address, tasks } of roster) {
             const record = this.openRecord(executor, address);
-            record.isEnrolled = true;
+            record.stored = tasks ?? "open";
             record.isGone = true;
+            this.inherited.set(executor, { session: record.session, tasks });
             this.updateScheduler(executor);
         }
     }
@@ -100,9 +113,24 @@
         return this.records.get(executor)?.session;
     }
 
-    /** Returns whether every executor that can hold runs of an earlier owner has been settled. */
-    areAllSettled(): boolean {
-        return [...this.records.values()].every(record => record.session.isSettled);
+    /**
+     * Returns the tasks that may still run under an earlier owner's order; `undefined` while that can be any task, because
+     * an executor that could hold any has neither answered nor lost its leases.
+     */
+    listUnsettledTasks(): readonly TaskKey[] | undefined {
+        const tasks: TaskKey[] = [];
+        for (const [executor, { session, tasks: held }] of this.inherited) {
+            if (session.isSettled) {
+                this.inherited.delete(executor);
+            }
+            else if (held === undefined) {
+                return undefined;
+            }
+            else {
+                tasks.push(...held);
+            }
+        }
+        return tasks;
     }
 
     setFencingToken(token: number): void {
@@ -110,8 +138,13 @@
         this.records.forEach(record => record.session.setFencingToken(token));
     }
 
-    /** Brings the scheduler's row of an executor up to date. */
-    updateScheduler(executor: ExecutorId): void {
+    /** Brings the scheduler's row of an executor and the roster up to date after its session changed. */
+    refreshExecutor(executor: ExecutorId): void {
+        this.updateScheduler(executor);
+        this.enroll();
+    }
+
+    private updateScheduler(executor: ExecutorId): void {
         const record = this.records.get(executor);
         if (record === undefined) {
             return;
@@ -189,28 +222,64 @@
                 record.session.close();
                 this.records.delete(record.executor);
                 scheduler.removeExecutor(this.options.clock.getNow(), record.executor);
-                this.storeRoster();
             }
         }
     }
 
-    /** Adds new executors to the roster; they can take work once it is stored. */
+    /** Brings the stored roster up to date; executors that become open can take work once it is stored. */
     private enroll(): void {
-        const added = [...this.records.values()].filter(record => !record.isEnrolled && !record.isGone);
-        if (added.length > 0) {
-            this.storeRoster(() => {
-                for (const record of added) {
-                    record.isEnrolled = true;
+        const changed = new Map<ExecutorRecord, Enrolment>();
+        for (const record of this.records.values()) {
+            const wanted = this.computeEnrolment(record);
+            if (!isSameEnrolment(record.stored, wanted)) {
+                changed.set(record, wanted);
+            }
+        }
+        if (changed.size === 0) {
+            return;
+        }
+        for (const [record, wanted] of changed) {
+            // A closed entry takes effect here at once and an open one only when it is stored.
+            if (wanted !== "open") {
+                record.stored = wanted;
+            }
+        }
+        this.storeRoster(changed, () => {
+            for (const [record, wanted] of changed) {
+                if (wanted === "open" && this.computeEnrolment(record) === "open") {
+                    record.stored = "open";
                     this.updateScheduler(record.executor);
                 }
-                this.options.onChange();
-            });
-            added.forEach(record => this.updateScheduler(record.executor));
+            }
+            this.options.onChange();
+        });
+    }
+
+    private computeEnrolment(record: ExecutorRecord): Enrolment {
+        const isUsable = record.entry !== undefined && !record.isGone && !record.entry.isDraining
+            && record.session.isReachable;
+        if (isUsable) {
+            return "open";
+        }
+        if (!record.session.isSettled) {
+            return record.stored;
         }
+        const tasks = this.options.scheduler.listRuns(record.executor).map(run => run.task);
+        return tasks.length === 0 ? "absent" : tasks;
     }
 
-    private storeRoster(onStored: () => void = () => undefined): void {
-        const roster = [...this.records.values()].map(({ executor, address }) => ({ executor, address }));
+    private storeRoster(changed: ReadonlyMap<ExecutorRecord, Enrolment>, onStored: () => void): void {
+        const roster: RosterEntry[] = [];
+        for (const record of this.records.values()) {
+            const { executor, address } = record;
+            const enrolment = changed.get(record) ?? record.stored;
+            if (enrolment === "open") {
+                roster.push({ executor, address });
+            }
+            else if (enrolment !== "absent") {
+                roster.push({ executor, address, tasks: enrolment });
+            }
+        }
         this.options.storeRoster({ key: rosterKey, value: encodeRoster(roster) }, onStored);
     }
 
@@ -222,6 +291,7 @@
         if (existing !== undefined) {
             // The same id at another address is another life of the executor, which holds nothing of before.
             existing.session.close();
+            this.inherited.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
         }
         const { clock, connector, listener, logger, maxLeaseMs } = this.options;
@@ -240,7 +310,7 @@
             session,
             entry: undefined,
             isGone: false,
-            isEnrolled: false,
+            stored: "absent",
         };
         this.records.set(executor, record);
         void session.run();
@@ -251,6 +321,14 @@
         if (!record.session.isReachable) {
             return "unreachable";
         }
-        return record.isGone || !record.isEnrolled || record.entry?.isDraining === true ? "leaving" : "ready";
+        return record.isGone || record.stored !== "open" || record.entry?.isDraining === true ? "leaving" : "ready";
+    }
+}
+
+function isSameEnrolment(first: Enrolment, second: Enrolment): boolean {
+    if (typeof first === "string" || typeof second === "string") {
+        return first === second;
     }
+    // Tasks that have ended since make the stored list longer than needed, which only costs a later owner some time.
+    return second.every(task => first.includes(task));
 }
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -10,13 +10,15 @@
 import type { LogWriter } from "@waxwingroute/telemetry";
 import type { JobRecord } from "./store-keys.js";
 import { encodeAcceptedJob, toCancelKey, toJobKey } from "./store-keys.js";
-import type { LeaseStore, StoreWrite } from "./store.js";
+import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
 import { maxTransactionEntries } from "./store.js";
 
 export interface JobIntakeOptions {
     readonly store: LeaseStore;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    /** Called with what was stored together. */
+    readonly onStored?: (items: readonly StoreItem[]) => void;
     /** Longest time until a request is answered, ms. Default 1,500. */
     readonly giveUpMs?: number;
     /** Most transactions in flight. Default 3. */
@@ -129,6 +131,13 @@
         }
         this.failingSince = undefined;
         if (committed.val.kind === "committed") {
+            const { revision } = committed.val;
+            this.options.onStored?.(batch.map(({ write: { key, value } }) => ({
+                key,
+                value,
+                revision,
+                createdRevision: revision,
+            })));
             batch.forEach(pending => pending.resolve(Ok("stored")));
             return;
         }
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -52,7 +52,7 @@
 /** Time that the last owner has to return when it was heard from recently, ms. */
 const yieldMs = 700;
 /** Longest wait of one watch, ms; a silent connection is noticed after it. */
-const watchMs = 2_000;
+const watchMs = 4_000;
 /** Pause after a failed call, ms. */
 const retryMs = 150;
 /** Bound of one call about the lease, ms. */
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -33,7 +33,7 @@
 }
 
 /** Longest time that records wait for others, ms. */
-const groupMs = 15;
+const groupMs = 30;
 /** Bound of one transaction, ms. */
 const commitTimeoutMs = 600;
 /** Pause after a failed transaction, ms. */
--- a/packages/cell/src/owner-link.ts
+++ b/packages/cell/src/owner-link.ts
@@ -5,6 +5,7 @@
 import type { RpcStream } from "@waxwingroute/transport";
 import type { CellUpdate } from "./cell-service.js";
 import { cellService } from "./cell-service.js";
+import type { StoreItem } from "./store.js";
 
 export interface OwnerLinkOptions {
     readonly clock: Clock;
@@ -17,6 +18,8 @@
 
 /** Silence after which the stream is opened again, ms. The owner sends several times a second. */
 const silenceMs = 1_500;
+/** Bound of an announcement, ms. */
+const announceTimeoutMs = 500;
 /** Pause before the stream is opened again, ms. */
 const reopenMs = 200;
 
@@ -44,6 +47,11 @@
         }
     }
 
+    /** Tells the owner what this host has just stored. If that fails, the owner learns it from the store. */
+    announce(items: readonly StoreItem[]): void {
+        void this.client?.call(cellService.announce, { items: [...items] }, announceTimeoutMs);
+    }
+
     /** Opens the stream again when it is silent, until `close`. */
     async run(): Promise<void> {
         while (!this.isClosed) {
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -40,6 +40,8 @@
 export interface RosterEntry {
     readonly executor: ExecutorId;
     readonly address: string;
+    /** The only tasks that it can still hold, because it gets no work any more. Absent: it can hold any. */
+    readonly tasks?: readonly TaskKey[];
 }
 
 const ownerSchema = z.object({
@@ -48,7 +50,9 @@
     address: z.string(),
     epoch: z.number().int(),
 });
-const rosterSchema = z.array(z.object({ executor: z.string(), address: z.string() }));
+const rosterSchema = z.array(
+    z.object({ executor: z.string(), address: z.string(), tasks: z.array(z.string()).optional() }),
+);
 const jobSchema = z.union([
     z.object({ state: z.enum(["succeeded", "failed", "cancelled"]), queue: z.string() }),
     z.object({ queue: z.string(), team: z.string(), at: z.number(), spec: z.custom<JobSpec>(isJobSpec) }),
@@ -120,7 +124,11 @@
 export function decodeRoster(text: string): Result<RosterEntry[], Failure> {
     const parsed = parseValue(rosterSchema, text);
     return parsed.ok
-        ? Ok(parsed.val.map(entry => ({ executor: toId<ExecutorId>(entry.executor), address: entry.address })))
+        ? Ok(parsed.val.map(entry => ({
+            executor: toId<ExecutorId>(entry.executor),
+            address: entry.address,
+            tasks: entry.tasks?.map(task => toId<TaskKey>(task)),
+        })))
         : parsed;
 }
 
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -12,8 +12,11 @@
 
 /** Most executors in one call; bound of the advisor's interface. */
 const maxNamed = 100;
-/** Share of tasks for which room is sought beyond the need, since others may take it first. */
-const surplus = 1.3;
+/**
+ * Room that is sought, as a multiple of the need. The fixed part of a call is as long as the part for about 100 executors,
+ * so naming more at once costs less than a second call.
+ */
+const surplus = 2;
 /** Weight of a new answer in the learned grant rate. */
 const grantWeight = 0.1;
 /** Pause after an answer that granted nothing new, or after a failed call, ms. */
@@ -104,7 +107,8 @@
     if (covered >= needed || isBlockedGang(step, options, covered, needed)) {
         return [];
     }
-    return pickOptions(step, options, needed * surplus - covered);
+    // A gang needs to know all executors that it can wait for.
+    return pickOptions(step, options, step.spec.isGang ? Infinity : needed * surplus - covered);
 }
 
 /** Returns whether a gang knows all its executors and cannot fit on them now, so that tickets would run out unused. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -248,13 +248,13 @@
         return this.findRun(executor, task, run) !== undefined;
     }
 
-    /** Lets tasks start whose whereabouts were unknown after a change of owner; all executors have been settled. */
-    releaseUnknownTasks(): void {
+    /** Lets tasks start whose whereabouts were unknown after a change of owner, except those that may still run. */
+    releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set()): void {
         this.state.isSettled = true;
         for (const job of this.state.jobs.values()) {
             for (const occurrence of job.occurrences.values()) {
                 for (const step of occurrence.steps) {
-                    step.tasks.filter(task => task.state === "unknown").forEach(task => {
+                    step.tasks.filter(task => task.state === "unknown" && !unsettled.has(task.key)).forEach(task => {
                         task.state = "waiting";
                     });
                 }
