--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -460,8 +460,8 @@
         const now = this.options.clock.getNow();
         const { starts, stops, changes } = this.scheduler.tick(now);
         starts.forEach(start => this.sendStart(start));
-        for (const { executor, task, run, reason } of stops) {
-            this.options.logger.write("info", "stop", { executor, task, run, reason });
+        for (const { executor, task, run, reason, percent } of stops) {
+            this.options.logger.write("info", "stop", { executor, task, run, reason, percent });
             void this.registry.getSession(executor)?.stop(task, run);
         }
         this.applyChanges(changes);
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -395,11 +395,30 @@
                 task: stalled!.task,
                 run: stalled!.run,
                 reason: "stalled",
+                percent: 0,
             }]);
             fixture.end(stalled!, "stopped");
             expect(fixture.start()[0]!.executor === stalled!.executor).toEqual(false);
         });
 
+        it("does not move members of a gang that wait for the slowest, nor runs of a silent executor", () => {
+            // Guards against throwing away the work of a whole gang because one member takes longer.
+            const fixture = new Fixture(2);
+            fixture.submit("a", [createStep({ taskCount: 2, isGang: true, resources: cores(16) })]);
+            const [fast, slow] = fixture.start();
+            fixture.now += 1_000;
+            fixture.scheduler.recordRunning(fixture.now, fast!.executor, { ...fast!, percent: 100 });
+            for (let percent = 1; percent < 10; percent++) {
+                fixture.now += 1_000;
+                fixture.scheduler.recordRunning(fixture.now, slow!.executor, { ...slow!, percent });
+                expect(fixture.tick().stops).toEqual([]);
+            }
+            fixture.putExecutor(0, "unreachable");
+            fixture.putExecutor(1, "unreachable");
+            fixture.now += 10_000;
+            expect(fixture.tick().stops).toEqual([]);
+        });
+
         it("avoids an executor that fails what others finish", () => {
             const fixture = new Fixture(4, [createQueue("queue", { maxAttempts: 20 })]);
             for (let round = 0; round < 6; round++) {
--- a/packages/workflow/src/stall-system.ts
+++ b/packages/workflow/src/stall-system.ts
@@ -6,7 +6,11 @@
 export function stopStalledRuns(state: SchedulerState, now: number): void {
     for (const executor of state.executors.values()) {
         for (const run of executor.runs.values()) {
-            if (run.state === "running" && isStalled(state, now, run)) {
+            if (!executor.isReachable) {
+                // Nothing is heard of its progress.
+                run.progressAt = now;
+            }
+            else if (run.state === "running" && isStalled(state, now, run)) {
                 executor.failureRate = Math.min(1, executor.failureRate + 0.25);
                 executor.avoidUntil = Math.max(executor.avoidUntil, now + state.options.stallFloorMs);
                 state.stopRun(run, "stalled");
@@ -17,7 +21,9 @@
 
 function isStalled(state: SchedulerState, now: number, run: RunRow): boolean {
     const { step } = run.task;
-    if (step.spec.isLongRunning || step.spec.usesIdleProcessors) {
+    // A member of a gang that has done its work waits for the others.
+    const isWaiting = step.spec.isGang && run.percent >= 100;
+    if (isWaiting || step.spec.isLongRunning || step.spec.usesIdleProcessors) {
         return false;
     }
     const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -173,6 +173,8 @@
     readonly task: TaskKey;
     readonly run: number;
     readonly reason: StopReason;
+    /** Work done when the stop was decided, 0 to 100. */
+    readonly percent: number;
 }
 
 /** A question to the advisor of a queue: which of these executors may run the step. */
