--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,9 +3,9 @@
 import { verbPattern } from "./scripts/verbs.js";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/generated/**", "node_modules/**"] },
+    { ignores: ["**/dist/**", "**/generated/**", "node_modules/**", "target/**"] },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         extends: [...tseslint.configs.recommendedTypeChecked],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
@@ -38,7 +38,7 @@
         },
     },
     {
-        files: ["packages/*/src/**/*_test.ts"],
+        files: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
         rules: {
             "@typescript-eslint/no-floating-promises": "off",
             "@typescript-eslint/naming-convention": "off",
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -394,7 +394,7 @@
                     return Err(createFailure(storeFailures.unavailable, message, "notRun"));
                 }
                 const answered = await this.options.store.call(request, timeoutMs ?? passedTimeoutMs);
-                return answered as Result<Record<string, unknown>, Failure>;
+                return answered;
             },
         });
     }
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -206,26 +206,26 @@
     }
 
     onRunsLost(executor: ExecutorId, reason: string): void {
-        this.afterRecovery(() => {
+        this.runAfterRecovery(() => {
             const lost = this.scheduler.listRuns(executor).length;
             this.options.logger.write("warn", "runs lost", { executor, reason, runs: lost });
-            this.scheduler.loseRuns(this.options.clock.getNow(), executor);
+            this.scheduler.recordRunsLost(this.options.clock.getNow(), executor);
             this.releaseWhenSettled();
             this.requestTick();
         });
     }
 
     onRunning(executor: ExecutorId, run: ListedRun): void {
-        this.afterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
+        this.runAfterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
     }
 
     onEnded(end: RunEnd, acknowledge?: () => void): void {
-        this.afterRecovery(() => this.acceptEnd(end, acknowledge));
+        this.runAfterRecovery(() => this.acceptEnd(end, acknowledge));
     }
 
     onForeignRun(executor: ExecutorId, run: ListedRun): boolean {
         if (!this.isRecovered) {
-            this.afterRecovery(() => this.settleForeignRun(executor, run));
+            this.runAfterRecovery(() => this.settleForeignRun(executor, run));
             return true;
         }
         return this.adoptRun(executor, run);
@@ -236,7 +236,7 @@
     }
 
     /** Runs the action once the tables hold what earlier owners stored. */
-    private afterRecovery(action: () => void): void {
+    private runAfterRecovery(action: () => void): void {
         if (this.isRecovered) {
             action();
         }
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -109,7 +109,7 @@
             const cell = await openCell({ planRun: () => ({ workMs: 4_000, outcome: "done" }) });
             void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 4_000 }]);
             await cell.advanceUntil(() => cell.judge.startCount === 9, 3_000);
-            cell.executors[1]!.crash(true);
+            cell.executors[1]!.killRuns(true);
             cell.removeEntry(1);
             expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 20_000)).toEqual(true);
             expect(cell.judge.violations).toEqual([]);
@@ -120,7 +120,7 @@
             const cell = await openCell({ planRun: () => ({ workMs: 2_000, outcome: "done" }) });
             void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 2_000 }]);
             await cell.advanceUntil(() => cell.judge.startCount === 9, 3_000);
-            cell.executors[1]!.crash();
+            cell.executors[1]!.killRuns();
             expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 8_000)).toEqual(true);
             expect(cell.judge.violations).toEqual([]);
             cell.close();
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -141,7 +141,7 @@
     /** Brings the scheduler's row of an executor and the roster up to date after its session changed. */
     refreshExecutor(executor: ExecutorId): void {
         this.updateScheduler(executor);
-        this.enroll();
+        this.updateRoster();
     }
 
     private updateScheduler(executor: ExecutorId): void {
@@ -186,7 +186,7 @@
         if (areMissingGone) {
             this.markMissing(seen);
         }
-        this.enroll();
+        this.updateRoster();
         this.options.onChange();
     }
 
@@ -227,7 +227,7 @@
     }
 
     /** Brings the stored roster up to date; executors that become open can take work once it is stored. */
-    private enroll(): void {
+    private updateRoster(): void {
         const changed = new Map<ExecutorRecord, Enrolment>();
         for (const record of this.records.values()) {
             const wanted = this.computeEnrolment(record);
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -263,7 +263,7 @@
         this.clockReadAt = clock.getNow();
         if (this.startedAtWallMs !== undefined && listing.startedAtWallMs !== this.startedAtWallMs) {
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
-            this.loseRunsOfEarlierLife();
+            this.dropRunsOfEarlierLife();
             this.processed = 0;
             this.acknowledged = 0;
             this.unstored.clear();
@@ -360,7 +360,7 @@
     }
 
     /** Ends the runs of the earlier life. A start without an answer may still reach the new life, so it stays unsettled. */
-    private loseRunsOfEarlierLife(): void {
+    private dropRunsOfEarlierLife(): void {
         for (const [key, order] of this.orders) {
             if (order.state === "answered" || order.state === "stopped") {
                 this.orders.delete(key);
@@ -402,7 +402,7 @@
     }
 
     private checkFence(result: Result<unknown, Failure>): void {
-        if (!result.ok && (result.val as Failure).code === executorFailures.fenced) {
+        if (!result.ok && result.val.code === executorFailures.fenced) {
             this.options.listener.onFenced(this.options.executor);
         }
     }
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -155,7 +155,7 @@
         });
         const giveUpMs = this.options.giveUpMs ?? 1_500;
         const expired = batch.filter(pending => now - pending.arrivedAt + retryMs > giveUpMs || this.isInOutage);
-        expired.forEach(pending => this.giveUp(pending, failure));
+        expired.forEach(pending => this.abort(pending, failure));
         const remaining = batch.filter(pending => !expired.includes(pending));
         if (remaining.length > 0) {
             await this.options.clock.wait(retryMs);
@@ -182,7 +182,7 @@
         this.isProbing = false;
     }
 
-    private giveUp(pending: PendingWrite, failure: Failure): void {
+    private abort(pending: PendingWrite, failure: Failure): void {
         this.options.logger.write("warn", "request not stored", {
             job: pending.job,
             isUncertain: pending.isUncertain,
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -95,14 +95,14 @@
     async stop(): Promise<void> {
         this.isStopped = true;
         if (this.tenure !== undefined) {
-            this.lose("stopping");
+            this.recordLoss("stopping");
             const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
             this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
         }
     }
 
     /** Ends the loop without giving the lease back, as the end of the process would. */
-    abandon(): void {
+    abort(): void {
         this.isStopped = true;
         this.tenure = undefined;
     }
@@ -111,7 +111,7 @@
     recordFenced(reason: string): void {
         if (this.tenure !== undefined) {
             this.isFenced = true;
-            this.lose(reason);
+            this.recordLoss(reason);
         }
     }
 
@@ -119,7 +119,7 @@
     async verify(): Promise<void> {
         const view = await this.readLead();
         if (view.ok && this.tenure !== undefined && view.val.ownerRevision !== this.tenure.revision) {
-            await this.reacquire(view.val);
+            await this.renewTenure(view.val);
         }
     }
 
@@ -230,7 +230,7 @@
         this.options.listener.onAcquired(tenure, isContinued);
     }
 
-    private lose(reason: string): void {
+    private recordLoss(reason: string): void {
         this.options.logger.write("warn", "cell ownership lost", { epoch: this.tenure?.epoch, reason });
         this.tenure = undefined;
         this.options.listener.onLost(reason);
@@ -245,19 +245,19 @@
         if (!renewed.ok && renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readLead();
             if (view.ok) {
-                await this.reacquire(view.val);
+                await this.renewTenure(view.val);
             }
         }
     }
 
     /** Acquires the cell again after the lease ran out, or gives up when another host has owned it. */
-    private async reacquire(view: LeadView): Promise<void> {
+    private async renewTenure(view: LeadView): Promise<void> {
         const tenure = this.tenure;
         if (tenure === undefined || view.ownerRevision === tenure.revision) {
             return;
         }
         if (view.epoch !== tenure.epoch) {
-            this.lose("another host acquired the cell");
+            this.recordLoss("another host acquired the cell");
             return;
         }
         await this.acquire(view, true);
--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { playRandomFaults } from "./testing/random-faults.js";
+import { runRandomFaults } from "./testing/random-faults.js";
 
 /** Seeds of every run of CI; `WAXWING_SEEDS=<first>-<last>` plays others by hand. */
 const seeds = listSeeds(process.env.WAXWING_SEEDS ?? "1-12");
@@ -8,7 +8,7 @@
 describe("a cell under random faults", () => {
     for (const seed of seeds) {
         it(`runs no task in two places, none again after its end, and loses no accepted job (seed ${seed})`, async () => {
-            const result = await playRandomFaults(seed);
+            const result = await runRandomFaults(seed);
             expect(result.violations).toEqual([]);
             expect(result.unfinished).toEqual([]);
             expect(result.starts > 20).toEqual(true);
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -108,7 +108,7 @@
     kill(): void {
         this.owner?.close();
         this.owner = undefined;
-        this.ownership.abandon();
+        this.ownership.abort();
     }
 
     private start(): LeaseOwnership {
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -75,7 +75,7 @@
     }
 
     /** Loses everything and starts again. `isDown`: stays away until `start`. */
-    crash(isDown = false): void {
+    killRuns(isDown = false): void {
         for (const run of this.runs.values()) {
             this.options.judge.recordLost(run.task, run.run);
         }
--- a/packages/cell/src/testing/memory-lease-store.ts
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -165,7 +165,7 @@
             return Err(createFailure(storeFailures.unavailable, "refused", "notRun"));
         }
         if (mode === "silent") {
-            return this.loseAnswer(timeoutMs);
+            return this.dropAnswer(timeoutMs);
         }
         if (request.kind === "commit" && this.commitFault !== "none") {
             if (this.commitFault === "late") {
@@ -174,13 +174,13 @@
             else {
                 this.data.execute(request);
             }
-            return this.loseAnswer(timeoutMs);
+            return this.dropAnswer(timeoutMs);
         }
         const result = request.kind === "watch" ? await this.watch(request) : this.data.execute(request);
         return result as Result<StoreReply<Request>, Failure>;
     }
 
-    private async loseAnswer<T>(timeoutMs: number): Promise<Result<T, Failure>> {
+    private async dropAnswer<T>(timeoutMs: number): Promise<Result<T, Failure>> {
         await this.data.clock.wait(timeoutMs);
         return Err(createFailure(storeFailures.unanswered, "no answer", "mayHaveRun"));
     }
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -19,7 +19,7 @@
 const actionMs = 400;
 
 /** Plays one series: jobs come, faults come and go, then everything is calm. */
-export async function playRandomFaults(seed: number): Promise<SearchResult> {
+export async function runRandomFaults(seed: number): Promise<SearchResult> {
     const random = new SeededRandom(seed);
     const cell = new CellSimulation({
         hosts: 3,
@@ -85,7 +85,7 @@
         () => {
             executor.isLate = !executor.isLate;
         },
-        () => executor.crash(),
+        () => executor.killRuns(),
         () => endFaults(cell),
         () => endFaults(cell),
     ];
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -35,7 +35,7 @@
     if (task.step.spec.isGang && outcome !== "done") {
         stopGangRun(state, task.step, number);
     }
-    reopenStep(state, task.step);
+    openStep(state, task.step);
 }
 
 /** Ends a job early: nothing of it starts any more, and what runs is stopped. */
@@ -115,7 +115,7 @@
     }
 }
 
-function reopenStep(state: SchedulerState, step: StepRow): void {
+function openStep(state: SchedulerState, step: StepRow): void {
     if (!isStepDone(step) && state.isOpen(step.occurrence.job)) {
         state.openSteps.add(step);
     }
--- a/packages/workflow/src/health-system.ts
+++ b/packages/workflow/src/health-system.ts
@@ -25,11 +25,11 @@
         return;
     }
     const failed = outcome === "failed" ? 1 : 0;
-    executor.failureRate = mix(executor.failureRate, failed, executorWeight);
+    executor.failureRate = computeAverage(executor.failureRate, failed, executorWeight);
     if (failed === 1) {
-        avoidFailingExecutor(state, now, executor);
+        markFailingExecutor(state, now, executor);
     }
-    queue.failureRate = mix(queue.failureRate, failed, queueWeight);
+    queue.failureRate = computeAverage(queue.failureRate, failed, queueWeight);
     if (outcome === "done" && run.task.checkpoint === "") {
         recordRunTime(now, run, executor, queue);
     }
@@ -41,11 +41,11 @@
         return;
     }
     const ratio = Math.min(10, (now - run.startedAt) / estimate);
-    executor.slowness = mix(executor.slowness, ratio / queue.estimateRatio, executorWeight);
-    queue.estimateRatio = mix(queue.estimateRatio, ratio, queueWeight);
+    executor.slowness = computeAverage(executor.slowness, ratio / queue.estimateRatio, executorWeight);
+    queue.estimateRatio = computeAverage(queue.estimateRatio, ratio, queueWeight);
 }
 
-function avoidFailingExecutor(state: SchedulerState, now: number, executor: ExecutorRow): void {
+function markFailingExecutor(state: SchedulerState, now: number, executor: ExecutorRow): void {
     const rates = [...state.executors.values()].map(row => row.failureRate).sort((first, second) => first - second);
     const median = rates[Math.floor(rates.length / 2)] ?? 0;
     if (executor.failureRate > median + failureExcess) {
@@ -53,6 +53,6 @@
     }
 }
 
-function mix(average: number, sample: number, weight: number): number {
+function computeAverage(average: number, sample: number, weight: number): number {
     return average + weight * (sample - average);
 }
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -69,7 +69,7 @@
     slackMs: number,
 ): void {
     const remaining = [...waiting];
-    for (const { executor, fits } of preferOneRack(step, candidates, waiting.length)) {
+    for (const { executor, fits } of selectOneRack(step, candidates, waiting.length)) {
         for (let used = 0; used < fits && remaining.length > 0; used++) {
             if (!allowsMore(step.occurrence.job.team, getChargedResources(step))) {
                 return;
@@ -97,7 +97,7 @@
         return "noRoom";
     }
     // The emptiest executors first: fewer hosts a gang means fewer orders that can fail.
-    const roomiest = preferOneRack(
+    const roomiest = selectOneRack(
         step,
         [...candidates].sort((first, second) => second.fits - first.fits),
         waiting.length,
@@ -118,7 +118,7 @@
 }
 
 /** Returns only the executors of one rack if the step prefers that and a rack can hold all its tasks. */
-function preferOneRack(step: StepRow, candidates: readonly Candidate[], count: number): readonly Candidate[] {
+function selectOneRack(step: StepRow, candidates: readonly Candidate[], count: number): readonly Candidate[] {
     if (!step.spec.prefersOneRack) {
         return candidates;
     }
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -95,12 +95,12 @@
 
     /** Removes an executor; its runs end as `lost`. The caller makes sure that they no longer run. */
     removeExecutor(now: number, executor: ExecutorId): void {
-        this.loseRuns(now, executor);
+        this.recordRunsLost(now, executor);
         this.state.executors.delete(executor);
     }
 
     /** Ends all runs of an executor as `lost`, for example because it restarted. */
-    loseRuns(now: number, executor: ExecutorId): void {
+    recordRunsLost(now: number, executor: ExecutorId): void {
         this.state.executors.get(executor)?.unknownRuns.clear();
         for (const run of [...this.state.executors.get(executor)?.runs.values() ?? []]) {
             this.endRow(now, run, "lost");
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -4,7 +4,15 @@
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
 import { WorkflowScheduler } from "./scheduler.js";
-import type { AdviceDecision, PoolId, QueueRules, RunOutcome, StartDecision, StepSpec, TickDecisions } from "./types.js";
+import type {
+    AdviceDecision,
+    PoolId,
+    QueueRules,
+    RunOutcome,
+    StartDecision,
+    StepSpec,
+    TickDecisions,
+} from "./types.js";
 
 const pool = toId<PoolId>("pool");
 const team = toId<TeamId>("team");
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -85,7 +85,13 @@
     stopRun(run: RunRow, reason: StopReason): void {
         if (run.state !== "stopping") {
             run.state = "stopping";
-            this.stops.push({ executor: run.executor, task: run.task.key, run: run.number, reason, percent: run.percent });
+            this.stops.push({
+                executor: run.executor,
+                task: run.task.key,
+                run: run.number,
+                reason,
+                percent: run.percent,
+            });
         }
     }
 
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -5,8 +5,9 @@
 import report from "./test-reporter.js";
 
 const filters = process.argv.slice(2);
-const files = readdirSync("packages")
-    .map(name => join("packages", name, "dist"))
+const directories = ["platform", ...readdirSync("packages").map(name => join("packages", name))];
+const files = directories
+    .map(directory => join(directory, "dist"))
     .filter(directory => existsSync(directory))
     .flatMap(directory =>
         readdirSync(directory, { recursive: true })
