--- /dev/null
+++ b/packages/cell/src/job-intake_test.ts
@@ -0,0 +1,99 @@
+import type { Failure, JobId, QueueId, Result, TeamId } from "@waxwingroute/core";
+import { ManualClock, toId } from "@waxwingroute/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { JobIntake } from "./job-intake.js";
+import { toCancelKey, toJobKey } from "./store-keys.js";
+import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+
+class Fixture {
+    readonly clock = new ManualClock();
+    readonly data = new MemoryStoreData(this.clock);
+    readonly store = new MemoryLeaseStore(this.data);
+    readonly intake = new JobIntake({ store: this.store, clock: this.clock, logger: { write: () => undefined } });
+
+    submit(name: string): { result: Result<string, Failure> | undefined; } {
+        const holder: { result: Result<string, Failure> | undefined; } = { result: undefined };
+        void this.intake.submit(toId<JobId>(name), {
+            kind: "accepted",
+            queue: toId<QueueId>("q"),
+            team: toId<TeamId>("t"),
+            acceptedAtWallMs: 0,
+            spec: { payload: "", steps: [] },
+        }).then(result => {
+            holder.result = result;
+        });
+        return holder;
+    }
+
+    has(name: string): boolean {
+        return this.data.items.has(toJobKey(toId<JobId>(name)));
+    }
+}
+
+describe("JobIntake", () => {
+    it("answers only after the job is stored", async () => {
+        const fixture = new Fixture();
+        const job = fixture.submit("a");
+        expect(job.result).toEqual(undefined);
+        await fixture.clock.advance(10);
+        expect(job.result?.val).toEqual("stored");
+        expect(fixture.has("a")).toEqual(true);
+    });
+
+    it("stores an id once, also when others of its group existed already", async () => {
+        const fixture = new Fixture();
+        fixture.submit("a");
+        await fixture.clock.advance(10);
+        const results = ["a", "b", "c"].map(name => fixture.submit(name));
+        await fixture.clock.advance(50);
+        expect(results.map(holder => holder.result?.val)).toEqual(["existed", "stored", "stored"]);
+    });
+
+    it("takes a write whose answer was lost as done once the store shows it", async () => {
+        const fixture = new Fixture();
+        fixture.store.commitFault = "answerLost";
+        const job = fixture.submit("a");
+        await fixture.clock.advance(100);
+        fixture.store.commitFault = "none";
+        await fixture.clock.advance(1_500);
+        expect(job.result?.ok).toEqual(true);
+    });
+
+    it("never calls a job refused whose write may still be carried out", async () => {
+        // Guards against a refusal of a job that runs later.
+        const fixture = new Fixture();
+        fixture.store.commitFault = "late";
+        fixture.store.lateMs = 5_000;
+        const job = fixture.submit("a");
+        await fixture.clock.advance(100);
+        fixture.store.mode = "refusing";
+        await fixture.clock.advance(3_000);
+        expect((job.result?.val as Failure).verdict).toEqual("mayHaveRun");
+        await fixture.clock.advance(5_000);
+        expect(fixture.has("a")).toEqual(true);
+    });
+
+    it("refuses at once with a time to come back during an outage, and accepts again after it", async () => {
+        const fixture = new Fixture();
+        fixture.data.mode = "refusing";
+        fixture.submit("a");
+        await fixture.clock.advance(2_000);
+        const refused = fixture.submit("b");
+        await fixture.clock.advance(1);
+        expect((refused.result?.val as Failure).verdict).toEqual("notRun");
+        expect((refused.result?.val as Failure).retryAfterMs).toEqual(1_000);
+        fixture.data.mode = "up";
+        await fixture.clock.advance(500);
+        const accepted = fixture.submit("c");
+        await fixture.clock.advance(50);
+        expect(accepted.result?.ok).toEqual(true);
+    });
+
+    it("stores a cancellation beside the job", async () => {
+        const fixture = new Fixture();
+        void fixture.intake.cancel(toId<JobId>("a"));
+        await fixture.clock.advance(10);
+        expect(fixture.data.items.has(toCancelKey(toId<JobId>("a")))).toEqual(true);
+    });
+});
--- /dev/null
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -0,0 +1,117 @@
+import { ManualClock, SeededRandom } from "@waxwingroute/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { Tenure } from "./lease-ownership.js";
+import { LeaseOwnership } from "./lease-ownership.js";
+import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+
+interface Host {
+    readonly store: MemoryLeaseStore;
+    readonly ownership: LeaseOwnership;
+    readonly events: string[];
+}
+
+class Fixture {
+    readonly clock = new ManualClock();
+    readonly data = new MemoryStoreData(this.clock);
+    readonly random = new SeededRandom(1);
+
+    open(name: string): Host {
+        const store = new MemoryLeaseStore(this.data);
+        const events: string[] = [];
+        const ownership = new LeaseOwnership({
+            store,
+            clock: this.clock,
+            random: this.random,
+            logger: { write: () => undefined },
+            host: name,
+            address: `${name}:1`,
+            incarnation: name,
+            isOwnerAlive: () => false,
+            listener: {
+                onAcquired: (tenure: Tenure, isContinued) =>
+                    events.push(`acquired ${tenure.epoch}${isContinued ? " again" : ""}`),
+                onLost: () => events.push("lost"),
+                onOwnerSeen: () => undefined,
+            },
+        });
+        void ownership.run();
+        return { store, ownership, events };
+    }
+}
+
+describe("LeaseOwnership", () => {
+    it("gives the cell to one of several hosts", async () => {
+        const fixture = new Fixture();
+        const hosts = ["a", "b", "c"].map(name => fixture.open(name));
+        await fixture.clock.advance(2_000);
+        expect(hosts.filter(host => host.ownership.current !== undefined).length).toEqual(1);
+        hosts.forEach(host => host.ownership.abort());
+    });
+
+    it("passes it on at once when the owner resigns", async () => {
+        const fixture = new Fixture();
+        const first = fixture.open("a");
+        await fixture.clock.advance(500);
+        const second = fixture.open("b");
+        await fixture.clock.advance(500);
+        void first.ownership.stop();
+        await fixture.clock.advance(150);
+        expect(second.events).toEqual(["acquired 2"]);
+        second.ownership.abort();
+    });
+
+    it("passes it on when the owner is silent for longer than its lease", async () => {
+        const fixture = new Fixture();
+        const first = fixture.open("a");
+        await fixture.clock.advance(500);
+        const second = fixture.open("b");
+        await fixture.clock.advance(500);
+        first.ownership.abort();
+        await fixture.clock.advance(2_000);
+        expect(second.events).toEqual(["acquired 2"]);
+        second.ownership.abort();
+    });
+
+    it("keeps it while nobody reaches the store, and continues when its lease ran out meanwhile", async () => {
+        const fixture = new Fixture();
+        const first = fixture.open("a");
+        await fixture.clock.advance(500);
+        const second = fixture.open("b");
+        await fixture.clock.advance(500);
+        fixture.data.mode = "silent";
+        await fixture.clock.advance(5_000);
+        expect(first.ownership.current?.epoch).toEqual(1);
+        second.ownership.abort();
+        fixture.data.mode = "up";
+        await fixture.clock.advance(2_000);
+        expect(first.events).toEqual(["acquired 1", "acquired 2 again"]);
+        first.ownership.abort();
+    });
+
+    it("loses it when another host acquired it behind its back", async () => {
+        const fixture = new Fixture();
+        const first = fixture.open("a");
+        await fixture.clock.advance(500);
+        const second = fixture.open("b");
+        first.store.mode = "silent";
+        await fixture.clock.advance(4_000);
+        expect(second.ownership.current?.epoch).toEqual(2);
+        first.store.mode = "up";
+        await fixture.clock.advance(2_000);
+        expect(first.events).toEqual(["acquired 1", "lost"]);
+        first.ownership.abort();
+        second.ownership.abort();
+    });
+
+    it("finds out that it owns the cell after the answer to its acquisition was lost", async () => {
+        const fixture = new Fixture();
+        const host = fixture.open("a");
+        host.store.commitFault = "answerLost";
+        await fixture.clock.advance(500);
+        host.store.commitFault = "none";
+        await fixture.clock.advance(2_000);
+        expect(host.ownership.current !== undefined).toEqual(true);
+        host.ownership.abort();
+    });
+});
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -70,14 +70,17 @@
         boundMs: settings.graceSeconds * 900,
         steps: [
             { name: "give the cell up", run: () => cell.resign() },
-            { name: "leave the rotation", run: () => clock.wait(rotationMs) },
             {
-                name: "serve open connections",
+                name: "leave the rotation",
                 run: () => {
                     callers.drain();
-                    return callers.close(Math.max(0, settings.graceSeconds * 1_000 * servingShare - rotationMs));
+                    return clock.wait(rotationMs);
                 },
             },
+            {
+                name: "serve open connections",
+                run: () => callers.close(Math.max(0, settings.graceSeconds * 1_000 * servingShare - rotationMs)),
+            },
             { name: "stop the cell", run: () => cell.stop() },
         ],
     });
