Serve metrics, bound the log volume, explain a job from its id

Cause: on-call engineers have only logs and metrics; hosts on the platform had no metrics and no bound on their logs, and no command told the story of a job.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -25,7 +25,7 @@
 import type { PlatformCodec } from "./platform-codec.js";
 import { decodeJobRecord, toCancelKey, toJobKey } from "./store-keys.js";
 import type { OwnerRecord } from "./store-keys.js";
-import type { LeaseStore, StoreItem } from "./store.js";
+import type { LeaseStore, StoreItem, StoreRequest } from "./store.js";
 import { storeFailures } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
@@ -46,6 +46,8 @@
     readonly maxLeaseMs: number;
     /** How long finished jobs can be asked for, ms. */
     readonly retentionMs: number;
+    /** Called after each call to the store, for the metrics. */
+    readonly onStoreCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
 }
 
 /** Most bytes of a body before a configuration is known. */
@@ -54,6 +56,8 @@
 const startingRetryMs = 500;
 /** Team of work on public queues that came without a key. */
 const publicTeam = toId<TeamId>("public");
+/** Longest silence of the store that the metrics show, ms. */
+const maxShownSilenceMs = 3_600_000;
 /** Bound of a request that another host passes on, ms. */
 const passedTimeoutMs = 1_000;
 
@@ -86,6 +90,7 @@
             listPeers: () => [...this.peers.values()].map(peer => peer.store),
             clock,
             logger,
+            onCall: options.onStoreCall,
         });
         this.replica = new JobReplica({ clock, retentionMs: options.retentionMs });
         this.intake = new JobIntake({
@@ -151,6 +156,19 @@
         this.peers.forEach(peer => peer.client.close());
     }
 
+    /** Returns figures for the metrics of the host. */
+    listGauges(): Readonly<Record<string, number>> {
+        return {
+            is_owner: this.owner === undefined ? 0 : 1,
+            epoch: this.ownership.current?.epoch ?? 0,
+            open_jobs: this.owner?.jobCount ?? 0,
+            commit_backlog: this.owner?.backlog ?? 0,
+            configuration_version: this.tracker.current?.configuration.version ?? 0,
+            store_silence_ms: Math.round(Math.min(this.store.silenceMs, maxShownSilenceMs)),
+            known_jobs: this.replica.size,
+        };
+    }
+
     /** Returns why callers should use other hosts; empty if there is no reason. */
     listProblems(): string[] {
         const problems: string[] = [];
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -134,6 +134,11 @@
         return this.isSettledWhole;
     }
 
+    /** Records that are not stored yet. */
+    get backlog(): number {
+        return this.journal.backlog;
+    }
+
     get jobCount(): number {
         return this.scheduler.jobCount;
     }
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -14,6 +14,8 @@
     readonly listPeers: () => readonly LeaseStore[];
     readonly clock: Clock;
     readonly logger: LogWriter;
+    /** Called after each call by the direct way. */
+    readonly onCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
     /** Time after a failure before the direct way is tried first again, ms. Default 500. */
     readonly avoidMs?: number;
 }
@@ -73,8 +75,11 @@
         request: Request,
         timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
+        const startedAt = this.options.clock.getNow();
         const result = await this.options.direct.call(request, timeoutMs);
-        if (result.ok || !isStoreLost(result.val)) {
+        const isAnswered = result.ok || !isStoreLost(result.val);
+        this.options.onCall?.(request.kind, isAnswered, this.options.clock.getNow() - startedAt);
+        if (isAnswered) {
             if (this.failures >= failuresBeforeAvoid) {
                 this.options.logger.write("info", "store reached again", { failures: this.failures });
             }
--- a/packages/cell/src/job-replica.ts
+++ b/packages/cell/src/job-replica.ts
@@ -20,6 +20,11 @@
 
     constructor(private readonly options: JobReplicaOptions) {}
 
+    /** Number of jobs whose state is known here. */
+    get size(): number {
+        return this.rows.size;
+    }
+
     getState(job: JobId): JobState | undefined {
         return this.rows.get(job)?.state;
     }
--- /dev/null
+++ b/packages/cli/src/commands/explain_test.ts
@@ -0,0 +1,67 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { runProgram } from "../run-program.js";
+
+const line = (time: number, host: string, message: string, fields: Record<string, unknown>) =>
+    JSON.stringify({ context: { program: "waxwing-node", host, zone: "z", logLevel: 30, ...fields }, message, time });
+
+const files: Record<string, string> = {
+    "a.log": [
+        line(1_000, "a", "job accepted", { job: "aa11", outcome: "stored", tookMs: 12 }),
+        line(1_500, "a", "job accepted", { job: "bb22", outcome: "stored", tookMs: 12 }),
+        "not a log line",
+        `{"context":{"program":"waxwing-node","job":"aa11`,
+    ].join("\n"),
+    "b.log": [
+        `12.5 host-b ${line(2_000, "b", "start", { task: "aa11.0.0.0", executor: "e1", run: 1 })}`,
+        line(1_800, "b", "cell ownership acquired", { epoch: 4 }),
+        line(90_000, "b", "cell ownership lost", { epoch: 4 }),
+        line(3_000, "b", "job finished", { job: "aa11", state: "succeeded" }),
+    ].join("\n"),
+};
+
+async function run(line: string): Promise<{ exitCode: number; out: string; error: string; }> {
+    let out = "";
+    let error = "";
+    const exitCode = await runProgram(line.split(" "), {
+        environment: {},
+        writeOut: data => {
+            out += Buffer.from(data).toString("utf8");
+        },
+        writeError: text => {
+            error += text;
+        },
+        readText: async path => {
+            const text = files[path];
+            if (text === undefined) {
+                throw new Error("no such file");
+            }
+            return text;
+        },
+    });
+    return { exitCode, out, error };
+}
+
+describe("waxwing explain", () => {
+    it("prints the lines of one job from several logs in order, with changes of the owner between them", async () => {
+        const { exitCode, out } = await run("explain aa11 --logs a.log,b.log");
+        expect(exitCode).toEqual(0);
+        const messages = out.trimEnd().split("\n").map(text => text.slice(33).split(":")[0]);
+        expect(messages).toEqual(["job accepted", "cell ownership acquired", "start", "job finished"]);
+        expect(out.includes("bb22")).toEqual(false);
+    });
+
+    it("prints JSON on request", async () => {
+        const { out } = await run("explain aa11 --logs a.log,b.log --output json");
+        expect((JSON.parse(out) as unknown[]).length).toEqual(4);
+    });
+
+    it("says what to do when no line names the job, or a file is missing", async () => {
+        const unknown = await run("explain cc33 --logs a.log");
+        expect(unknown.exitCode).toEqual(1);
+        expect(unknown.error.includes("all hosts")).toEqual(true);
+        const missing = await run("explain aa11 --logs c.log");
+        expect(missing.exitCode).toEqual(2);
+        expect(missing.error.includes("--logs")).toEqual(true);
+    });
+});
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -5,6 +5,7 @@
 import type { CommandDef } from "citty";
 import { applicableKinds, applyFile } from "./commands/apply.js";
 import { createDrain, removeDrains } from "./commands/drains.js";
+import { createExplainCommand } from "./commands/explain.js";
 import {
     createConfigurationCommands,
     createJobCommands,
@@ -131,6 +132,7 @@
             config: createConfigurationCommands(io),
             shard: createShardCommands(io),
             request: createRequestCommand(io),
+            explain: createExplainCommand(io),
         },
     });
 }
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -6,6 +6,7 @@
  */
 import { CellHost } from "@waxwingroute/cell";
 import { SystemClock, SystemRandom } from "@waxwingroute/core";
+import type { Clock } from "@waxwingroute/core";
 import {
     HttpAdvisor,
     HttpExecutorConnector,
@@ -18,14 +19,18 @@
 } from "@waxwingroute/platform-adapter";
 import type { PlatformSettings } from "@waxwingroute/platform-adapter";
 import type { Logger } from "@waxwingroute/telemetry";
-import { createLogger, installGracefulShutdown } from "@waxwingroute/telemetry";
+import { createLogger, EventLog, installGracefulShutdown, ServedMetrics } from "@waxwingroute/telemetry";
 
 /** Part of the time for a stop in which callers with open connections are served. */
 const servingShare = 0.6;
+/** Port of the metrics; `deploy/system.toml` names it too. */
+const metricsPort = 9_464;
+/** Time between updates of the gauges, ms. */
+const gaugeMs = 1_000;
 /** Time that the balancer needs to notice that the host is leaving, ms: two of its probes. */
 const rotationMs = 2_200;
 
-/** Starts the program; ends the process with status 2 if its settings are wrong. */
+/** Starts the program, or only checks its settings with `--check`; status 2 if they are wrong. */
 export async function runNode(): Promise<void> {
     const settings = loadPlatformSettings(process.env[settingsVariable]);
     if (!settings.ok) {
@@ -33,13 +38,30 @@
         process.exitCode = 2;
         return;
     }
+    if (process.argv.includes("--check")) {
+        process.stdout.write("waxwing-node: the settings are valid\n");
+        return;
+    }
     const { host, zone } = settings.val;
     const logger = await createLogger({ program: "waxwing-node", host, zone });
     await startNode(settings.val, logger);
 }
 
+/** Sets the gauges once a second, so that a scrape costs no work of the cell. */
+async function updateGauges(cell: CellHost, metrics: ServedMetrics, clock: Clock): Promise<void> {
+    for (;;) {
+        for (const [name, value] of Object.entries(cell.listGauges())) {
+            metrics.setGauge(name, value);
+        }
+        metrics.setGauge("resident_bytes", process.memoryUsage.rss());
+        await clock.wait(gaugeMs);
+    }
+}
+
 async function startNode(settings: PlatformSettings, logger: Logger): Promise<void> {
     const clock = new SystemClock();
+    const metrics = new ServedMetrics("waxwing");
+    const log = new EventLog({ writer: logger, metrics, getNow: () => clock.getNow() });
     const address = `${settings.ip}:${settings.peerPort}`;
     const cell = new CellHost({
         host: settings.host,
@@ -51,9 +73,15 @@
         advisor: new HttpAdvisor({ address: settings.advisorAddress ?? settings.storeAddress, clock }),
         clock,
         random: new SystemRandom(),
-        logger,
+        logger: log,
         maxLeaseMs: settings.maxLeaseMs,
         retentionMs: settings.retentionSeconds * 1_000,
+        onStoreCall: (operation, isAnswered, tookMs) => {
+            // The time of a watch is mostly its wait.
+            if (operation !== "watch") {
+                metrics.recordTiming("store_ms", tookMs, { operation, answered: String(isAnswered) });
+            }
+        },
     });
     const callers = new JobServer({ address: settings.callerAddress, gateway: cell });
     const readiness = new ReadinessServer({
@@ -63,6 +91,8 @@
     await cell.start();
     await callers.listen();
     await readiness.listen();
+    await metrics.listen(settings.ip, metricsPort);
+    void updateGauges(cell, metrics, clock);
     logger.write("info", "host started", { address, callers: settings.callerAddress, store: settings.storeAddress });
     process.on("SIGHUP", () => logger.write("info", "settings changed; they take effect at the next start"));
     installGracefulShutdown({
--- /dev/null
+++ b/packages/telemetry/src/event-log_test.ts
@@ -0,0 +1,51 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { EventLog } from "./event-log.js";
+import type { LogFields } from "./logger.js";
+import { ServedMetrics } from "./served-metrics.js";
+
+class Fixture {
+    now = 0;
+    readonly lines: [string, LogFields | undefined][] = [];
+    readonly metrics = new ServedMetrics("test");
+    readonly log = new EventLog({
+        writer: { write: (_level, message, fields) => this.lines.push([message, fields]) },
+        metrics: this.metrics,
+        getNow: () => this.now,
+        maxLinesPerSecond: 3,
+    });
+}
+
+describe("EventLog", () => {
+    it("bounds the lines of one kind a second and says how many it dropped", () => {
+        // Guards against logs that grow with the load until they slow the process.
+        const fixture = new Fixture();
+        for (let index = 0; index < 10; index++) {
+            fixture.log.write("info", "start", { index });
+        }
+        fixture.log.write("info", "stop");
+        expect(fixture.lines.map(([message]) => message)).toEqual(["start", "start", "start", "stop"]);
+        fixture.now = 1_000;
+        fixture.log.write("info", "start", { index: 10 });
+        expect(fixture.lines.at(-1)).toEqual(["start", { index: 10, droppedBefore: 7 }]);
+    });
+
+    it("writes every warning", () => {
+        const fixture = new Fixture();
+        for (let index = 0; index < 10; index++) {
+            fixture.log.write("warn", "lost");
+        }
+        expect(fixture.lines.length).toEqual(10);
+    });
+
+    it("counts dropped lines like written ones, by outcome, and keeps their times", async () => {
+        const fixture = new Fixture();
+        for (let index = 0; index < 5; index++) {
+            fixture.log.write("info", "job accepted", { outcome: "stored", tookMs: 12 });
+        }
+        const text = await fixture.metrics.render();
+        expect(text.includes(`test_events{event="job accepted",outcome="stored"} 5`)).toEqual(true);
+        expect(text.includes(`test_event_ms_bucket{le="20",event="job accepted"} 5`)).toEqual(true);
+        expect(text.includes(`test_log_lines_dropped{event="job accepted"} 2`)).toEqual(true);
+    });
+});
