Prove that the search finds broken mechanisms; make the fakes faithful

Change: the fake acknowledges when the call arrives; the harness keeps one loop. Three mutants (no fence, acknowledgement before the store, early placement) must be found. Ruled out: a fault of the session, for executors that stay down longer than the gap between two renewals; a restart within that gap (under 1 s) is not proved.

--- /dev/null
+++ b/packages/cell/src/fallback-store_test.ts
@@ -0,0 +1,80 @@
+import { ManualClock } from "@waxwingroute/core";
+import type { Failure, Result } from "@waxwingroute/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { FallbackStore } from "./fallback-store.js";
+import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+
+class Fixture {
+    readonly clock = new ManualClock();
+    readonly data = new MemoryStoreData(this.clock);
+    readonly direct = new MemoryLeaseStore(this.data);
+    readonly peer = new MemoryLeaseStore(this.data);
+    readonly store = new FallbackStore({
+        direct: this.direct,
+        listPeers: () => [this.peer],
+        clock: this.clock,
+        logger: { write: () => undefined },
+    });
+
+    async settle<T>(promise: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
+        let result: Result<T, Failure> | undefined;
+        void promise.then(value => {
+            result = value;
+        });
+        for (let step = 0; step < 100 && result === undefined; step++) {
+            await this.clock.advance(50);
+        }
+        return result!;
+    }
+
+    commit(key: string): Promise<Result<unknown, Failure>> {
+        const transaction = { conditions: [{ key, revision: 0 }], writes: [{ key, value: "1" }], removals: [] };
+        return this.settle(this.store.call({ kind: "commit", transaction }, 500));
+    }
+}
+
+describe("FallbackStore", () => {
+    it("passes a request through another host when the store refuses this one", async () => {
+        const fixture = new Fixture();
+        fixture.direct.mode = "refusing";
+        expect((await fixture.commit("a")).ok).toEqual(true);
+    });
+
+    it("does not send a write without an answer again by another way", async () => {
+        // Guards against a write that is carried out twice, once late.
+        const fixture = new Fixture();
+        fixture.direct.mode = "silent";
+        const result = await fixture.commit("a");
+        expect((result.val as Failure).verdict).toEqual("mayHaveRun");
+        expect(fixture.data.items.has("a")).toEqual(false);
+    });
+
+    it("reads through another host when this one gets no answer", async () => {
+        const fixture = new Fixture();
+        fixture.direct.mode = "silent";
+        const read = await fixture.settle(fixture.store.call({ kind: "read", key: "a" }, 500));
+        expect(read.ok).toEqual(true);
+    });
+
+    it("goes the other way first after repeated failures, and returns once the store serves this host", async () => {
+        const fixture = new Fixture();
+        fixture.direct.mode = "refusing";
+        await fixture.commit("a");
+        await fixture.commit("b");
+        expect(fixture.store.isDirect).toEqual(false);
+        fixture.direct.mode = "up";
+        await fixture.clock.advance(1_000);
+        await fixture.commit("c");
+        expect(fixture.store.isDirect).toEqual(true);
+    });
+
+    it("passes answers of the store itself on without another try", async () => {
+        const fixture = new Fixture();
+        fixture.data.compact();
+        const watched = await fixture.settle(
+            fixture.store.call({ kind: "watch", prefix: "", afterRevision: 0, waitMs: 10 }),
+        );
+        expect((watched.val as Failure).code).toEqual("store-compacted");
+    });
+});
--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -1,9 +1,15 @@
+import type { RunEnd } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { ExecutorSession } from "./executor-session.js";
+import { OwnerJournal } from "./owner-journal.js";
+import { FakeExecutor } from "./testing/fake-executor.js";
 import { runRandomFaults } from "./testing/random-faults.js";
 
 /** Seeds of every run of CI; `WAXWING_SEEDS=<first>-<last>` plays others by hand. */
 const seeds = listSeeds(process.env.WAXWING_SEEDS ?? "1-12");
+/** Seeds in which a mechanism that was taken out has to be missed. */
+const maxMutantSeeds = 30;
 
 describe("a cell under random faults", () => {
     for (const seed of seeds) {
@@ -20,3 +26,48 @@
     const [first = 1, last = first] = range.split("-").map(Number);
     return Array.from({ length: last - first + 1 }, (_, index) => first + index);
 }
+
+describe("the search for faults", () => {
+    // Guards against a search that cannot fail: each mechanism is taken out, and some seed has to show it.
+    const mutants: readonly {
+        name: string;
+        prototype: object;
+        method: string;
+        replacement: (...args: never[]) => unknown;
+    }[] = [
+        {
+            name: "executors that take orders of a deposed owner",
+            prototype: FakeExecutor.prototype,
+            method: "acceptFence",
+            replacement: () => true,
+        },
+        {
+            name: "ends that are acknowledged before they are stored",
+            prototype: OwnerJournal.prototype,
+            method: "recordEnd",
+            replacement: (_end: RunEnd, onStored: () => void) => onStored(),
+        },
+        {
+            name: "tasks that are placed again before the leases of a silent executor have run out",
+            prototype: ExecutorSession.prototype,
+            method: "hasLeaseRunOut",
+            replacement: () => true,
+        },
+    ];
+    for (const { name, prototype, method, replacement } of mutants) {
+        it(`finds ${name}`, async () => {
+            const original = Reflect.get(prototype, method) as unknown;
+            Reflect.set(prototype, method, replacement);
+            let violations = 0;
+            try {
+                for (let seed = 1; seed <= maxMutantSeeds && violations === 0; seed++) {
+                    violations += (await runRandomFaults(seed)).violations.length;
+                }
+            }
+            finally {
+                Reflect.set(prototype, method, original);
+            }
+            expect(violations > 0).toEqual(true);
+        });
+    }
+});
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -101,8 +101,12 @@
 
     /** Gives the cell up in an orderly way, and starts again. */
     async resign(): Promise<void> {
-        await this.ownership.stop();
-        this.ownership = this.start();
+        const resigning = this.ownership;
+        await resigning.stop();
+        // The process may have been ended and started again meanwhile.
+        if (this.ownership === resigning) {
+            this.ownership = this.start();
+        }
     }
 
     kill(): void {
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -232,11 +232,14 @@
         const { clock } = this.executor.options;
         const deadline = clock.getNow() + (renewal.waitMs ?? 0);
         const life = this.executor.startedAtWallMs;
+        let current = renewal;
         for (;;) {
             if (this.executor.startedAtWallMs !== life) {
                 return Err(createFailure(executorFailures.unanswered, "the connection was reset", "mayHaveRun"));
             }
-            const result = await this.send(timeoutMs, false, () => this.executor.acceptRenewal(renewal));
+            const result = await this.send(timeoutMs, false, () => this.executor.acceptRenewal(current));
+            // Ends are acknowledged when the call arrives, not those that come while it waits.
+            current = { ...renewal, acknowledged: 0 };
             if (!result.ok || this.executor.hasEnds || clock.getNow() >= deadline) {
                 return result;
             }
