Take over faster from a slow store; keep late roster writes from undoing newer ones

Change: an acquisition no longer reads the keys a second time; jobs lie in 16 parts that are read at the same time, with roster, ends and entries; three transactions may be in flight. While making that safe: roster writes are conditional on the revision of the roster, since a write that is carried out late could have replaced an open entry by an older closed one.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -28,7 +28,7 @@
 import type { JobEvent, StoredCell } from "./owner-recovery.js";
 import { decodeJobItem, readRoster, readStoredCell } from "./owner-recovery.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { jobPrefix, toCancelKey } from "./store-keys.js";
+import { jobPrefix, rosterKey, toCancelKey } from "./store-keys.js";
 import type { JobRecord } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
@@ -146,16 +146,16 @@
     /** Recovers and then serves until `close`. */
     async run(): Promise<void> {
         const { clock, logger, store } = this.options;
-        const roster = await this.retry(() => readRoster(store, logger));
-        if (roster === undefined) {
-            return;
-        }
-        this.registry.adoptRoster(roster);
-        const [stored] = await Promise.all([
+        const [roster, stored] = await Promise.all([
+            this.retry(() => readRoster(store, logger)).then(read => {
+                this.journal.setRevision(rosterKey, read?.revision ?? 0);
+                this.registry.adoptRoster(read?.entries ?? []);
+                return read;
+            }),
             this.retry(() => readStoredCell(store, logger)),
             this.registry.refresh(),
         ]);
-        if (stored === undefined) {
+        if (roster === undefined || stored === undefined) {
             return;
         }
         const readAt = clock.getNow();
@@ -165,7 +165,7 @@
             jobs: this.scheduler.jobCount,
             finished: this.storedStates.size,
             batches: stored.batches.length,
-            executors: roster.length,
+            executors: roster.entries.length,
             readMs: Math.round(readAt - this.startedAt),
         });
         void this.registry.run();
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -175,17 +175,13 @@
 
     private async tryAcquire(view: LeadView): Promise<void> {
         const wasOwner = this.lastEpoch !== 0 && view.epoch === this.lastEpoch;
-        const delayMs = !wasOwner && this.options.isOwnerAlive() ? yieldMs : this.options.random.getInteger(20);
         if (!wasOwner) {
-            await this.options.clock.wait(delayMs);
-            const again = await this.readLead();
-            if (!again.ok || again.val.owner !== undefined || this.isStopped) {
-                return;
-            }
-            await this.acquire(again.val, false);
-            return;
+            // The conditions of the acquisition show whether another host was faster.
+            await this.options.clock.wait(this.options.isOwnerAlive() ? yieldMs : this.options.random.getInteger(20));
+        }
+        if (!this.isStopped) {
+            await this.acquire(view, wasOwner);
         }
-        await this.acquire(view, true);
     }
 
     private async acquire(view: LeadView, isContinued: boolean): Promise<boolean> {
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -1,5 +1,5 @@
 /**
- * Commits what the owner learned: ends of runs and ends of jobs, in groups, one transaction at a time.
+ * Commits what the owner learned: ends of runs and ends of jobs, in groups, a few transactions at a time.
  *
  * A batch of ends is one key; the end of a job replaces the job's record by its state. A batch whose jobs have all ended is
  * removed. Every transaction is conditional on the owner key, so a deposed owner writes nothing.
@@ -10,7 +10,7 @@
 import { parseTaskKey } from "@waxwingroute/workflow";
 import type { Tenure } from "./lease-ownership.js";
 import { encodeEnds, encodeFinishedJob, ownerKey, toCancelKey, toEndsKey, toJobKey } from "./store-keys.js";
-import type { LeaseStore, StoreWrite } from "./store.js";
+import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
 import { maxTransactionEntries } from "./store.js";
 
 export interface OwnerJournalOptions {
@@ -41,6 +41,9 @@
 /** Most ends in one batch, so that its value stays far below the bound of the store. */
 const maxEndsPerBatch = 400;
 
+/** Most transactions in flight, so that a slow store does not add up the waits of groups. */
+const maxInFlight = 3;
+
 interface PendingEnd {
     readonly end: RunEnd;
     readonly onStored: () => void;
@@ -53,6 +56,7 @@
 
 /** What one transaction carries. */
 interface Batch {
+    readonly number: number;
     readonly ends: readonly PendingEnd[];
     readonly finishes: readonly PendingFinish[];
     readonly others: readonly PendingWrite[];
@@ -69,11 +73,17 @@
     private finishes: PendingFinish[] = [];
     private others: PendingWrite[] = [];
     private removals: string[] = [];
+    /** Revisions of the keys of `recordWrite`. Their writes are conditional, so that a late one cannot undo a newer one. */
+    private readonly revisions = new Map<string, number>();
+    private isWriteInFlight = false;
     private readonly openJobsByBatch = new Map<string, Set<JobId>>();
     private readonly batchesByJob = new Map<JobId, Set<string>>();
     private readonly expiries: { readonly job: JobId; readonly at: number; }[] = [];
     private nextNumber = 1;
-    private isRunning = false;
+    private inFlight = 0;
+    private isScheduled = false;
+    /** Jobs whose end is stored; ends of their runs need no batch. */
+    private readonly finished = new Set<JobId>();
     private isClosed = false;
     private tenure: Tenure;
 
@@ -88,13 +98,17 @@
 
     setTenure(tenure: Tenure): void {
         this.tenure = tenure;
-        this.nextNumber = 1;
     }
 
     close(): void {
         this.isClosed = true;
     }
 
+    /** Sets the present revision of a key before the first `recordWrite` of it. */
+    setRevision(key: string, revision: number): void {
+        this.revisions.set(key, revision);
+    }
+
     /** Takes over a batch that an earlier owner stored. */
     adoptBatch(key: string, ends: readonly RunEnd[], isOpen: (job: JobId) => boolean): void {
         this.trackBatch(key, ends.map(end => end).filter(end => isOpen(getJob(end))));
@@ -103,6 +117,7 @@
 
     /** Takes over the record of a finished job, to remove it after its retention. */
     adoptFinished(job: JobId): void {
+        this.finished.add(job);
         this.expiries.push({ job, at: this.options.clock.getNow() + this.options.retentionMs });
     }
 
@@ -128,29 +143,35 @@
     }
 
     private schedule(): void {
-        if (!this.isRunning) {
-            this.isRunning = true;
-            void this.run();
+        if (!this.isScheduled && this.inFlight < maxInFlight && this.backlog > 0) {
+            this.isScheduled = true;
+            this.options.clock.schedule(groupMs, () => {
+                this.isScheduled = false;
+                if (!this.isClosed) {
+                    void this.store(this.takeBatch());
+                    this.schedule();
+                }
+            });
         }
     }
 
-    private async run(): Promise<void> {
-        while (this.backlog > 0 && !this.isClosed) {
-            await this.options.clock.wait(groupMs);
-            const batch = this.takeBatch();
-            while (!this.isClosed && !await this.commit(batch)) {
-                await this.options.clock.wait(retryMs);
-            }
+    /** Commits a batch, again and again until it is stored or the owner is deposed. */
+    private async store(batch: Batch): Promise<void> {
+        this.inFlight += 1;
+        while (!this.isClosed && !await this.commit(batch)) {
+            await this.options.clock.wait(retryMs);
         }
-        this.isRunning = false;
+        this.inFlight -= 1;
+        this.schedule();
     }
 
     private takeBatch(): Batch {
         this.expireFinished();
-        // One entry is the condition and one the batch of ends.
+        // One entry is the condition and one the batch of ends; a write of `recordWrite` needs two more.
         let entries = 2;
-        const others = this.others.splice(0, 2);
-        entries += others.length;
+        const others = this.isWriteInFlight ? [] : this.others.splice(0, 1);
+        this.isWriteInFlight ||= others.length > 0;
+        entries += 2 * others.length;
         const finishes: PendingFinish[] = [];
         while (this.finishes.length > 0 && entries + 2 <= maxTransactionEntries) {
             const pending = this.finishes.shift()!;
@@ -159,13 +180,15 @@
         }
         const ends = this.ends.splice(0, maxEndsPerBatch);
         const removals = this.removals.splice(0, maxTransactionEntries - entries);
-        return { ends, finishes, others, removals };
+        const number = this.nextNumber;
+        this.nextNumber += 1;
+        return { number, ends, finishes, others, removals };
     }
 
     private async commit(batch: Batch): Promise<boolean> {
         const finished = new Set(batch.finishes.map(pending => pending.finished.job));
         const kept = batch.ends.map(pending => pending.end).filter(end => !finished.has(getJob(end)));
-        const key = toEndsKey(this.tenure.epoch, this.nextNumber);
+        const key = toEndsKey(this.tenure.epoch, batch.number);
         const writes: StoreWrite[] = [
             ...batch.others.map(pending => pending.write),
             ...batch.finishes.map(({ finished: { job, state, queue } }) => ({
@@ -181,33 +204,60 @@
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
-                conditions: [{ key: ownerKey, revision: this.tenure.revision }],
+                conditions: [
+                    { key: ownerKey, revision: this.tenure.revision },
+                    ...batch.others.map(({ write: { key } }) => ({ key, revision: this.revisions.get(key) ?? 0 })),
+                ],
                 writes,
                 removals: [...batch.removals, ...cancels],
             },
         }, commitTimeoutMs);
-        if (!committed.ok || committed.val.kind === "conflict") {
-            const reason = committed.ok ? "the owner key changed" : committed.val.message;
-            this.options.logger.write("warn", "commit failed", {
-                reason,
-                ends: batch.ends.length,
-                finished: batch.finishes.length,
-                backlog: this.backlog,
-            });
-            if (committed.ok) {
-                this.options.onConflict();
-            }
+        if (!committed.ok) {
+            this.logFailure(batch, committed.val.message);
             return false;
         }
-        this.nextNumber += 1;
-        this.trackBatch(key, kept);
+        if (committed.val.kind === "conflict") {
+            this.handleConflict(batch, committed.val.items);
+            return false;
+        }
+        const { revision } = committed.val;
+        batch.others.forEach(({ write: { key: written } }) => this.revisions.set(written, revision));
+        this.isWriteInFlight &&= batch.others.length === 0;
+        this.trackBatch(key, kept.filter(end => !this.finished.has(getJob(end))));
+        if (kept.length > 0) {
+            this.dropEmptyBatch(key);
+        }
         this.complete(batch);
         return true;
     }
 
+    /** Tells a lost lease from an earlier attempt of this owner that was carried out late. */
+    private handleConflict(batch: Batch, items: readonly StoreItem[]): void {
+        const owner = items.find(item => item.key === ownerKey);
+        if (owner?.revision !== this.tenure.revision) {
+            this.logFailure(batch, "the owner key changed");
+            this.options.onConflict();
+            return;
+        }
+        for (const { write: { key } } of batch.others) {
+            this.revisions.set(key, items.find(item => item.key === key)?.revision ?? 0);
+        }
+        this.logFailure(batch, "an earlier attempt was carried out late");
+    }
+
+    private logFailure(batch: Batch, reason: string): void {
+        this.options.logger.write("warn", "commit failed", {
+            reason,
+            ends: batch.ends.length,
+            finished: batch.finishes.length,
+            backlog: this.backlog,
+        });
+    }
+
     private complete(batch: Batch): void {
         for (const { finished: { job } } of batch.finishes) {
             this.expiries.push({ job, at: this.options.clock.getNow() + this.options.retentionMs });
+            this.finished.add(job);
             const keys = this.batchesByJob.get(job) ?? new Set();
             this.batchesByJob.delete(job);
             for (const key of keys) {
@@ -246,7 +296,9 @@
         while (
             this.expiries.length > 0 && this.expiries[0]!.at <= now && this.removals.length < maxTransactionEntries
         ) {
-            this.removals.push(toJobKey(this.expiries.shift()!.job));
+            const { job } = this.expiries.shift()!;
+            this.finished.delete(job);
+            this.removals.push(toJobKey(job));
         }
     }
 }
--- a/packages/cell/src/owner-recovery.ts
+++ b/packages/cell/src/owner-recovery.ts
@@ -9,7 +9,7 @@
     decodeJobRecord,
     decodeRoster,
     endPrefix,
-    jobPrefix,
+    listJobPrefixes,
     parseJobKey,
     rosterKey,
 } from "./store-keys.js";
@@ -46,30 +46,46 @@
     return { kind: "record", job, record: decoded.val, revision: item.revision };
 }
 
-export async function readRoster(store: LeaseStore, logger: LogWriter): Promise<Result<RosterEntry[], Failure>> {
+/** The stored roster and the revision of its key; 0 if there is none. */
+export interface StoredRoster {
+    readonly entries: readonly RosterEntry[];
+    readonly revision: number;
+}
+
+export async function readRoster(store: LeaseStore, logger: LogWriter): Promise<Result<StoredRoster, Failure>> {
     const read = await store.call({ kind: "read", key: rosterKey });
     if (!read.ok) {
         return Err(read.val);
     }
     if (read.val.item === undefined) {
-        return Ok([]);
+        return Ok({ entries: [], revision: 0 });
     }
+    const { revision } = read.val.item;
     const decoded = decodeRoster(read.val.item.value);
     if (!decoded.ok) {
         logger.write("error", "executor roster cannot be read", { reason: decoded.val.message });
+        return Err(decoded.val);
     }
-    return decoded;
+    return Ok({ entries: decoded.val, revision });
 }
 
 export async function readStoredCell(store: LeaseStore, logger: LogWriter): Promise<Result<StoredCell, Failure>> {
-    // Ends are read before jobs: a batch is removed only after the records of its jobs were replaced.
-    const ends = await listAll(store, endPrefix);
+    // Only the owner changes what was accepted, so the parts can be read at the same time.
+    const [ends, ...parts] = await Promise.all([
+        listAll(store, endPrefix),
+        ...listJobPrefixes().map(prefix => listAll(store, prefix)),
+    ]);
     if (!ends.ok) {
         return Err(ends.val);
     }
-    const jobs = await listAll(store, jobPrefix);
-    if (!jobs.ok) {
-        return Err(jobs.val);
+    const items: StoreItem[] = [];
+    let storeRevision = Infinity;
+    for (const part of parts) {
+        if (!part.ok) {
+            return Err(part.val);
+        }
+        items.push(...part.val.items);
+        storeRevision = Math.min(storeRevision, part.val.storeRevision);
     }
     const batches: { key: string; ends: RunEnd[]; }[] = [];
     for (const item of ends.val.items) {
@@ -81,6 +97,6 @@
             logger.write("error", "stored ends cannot be read", { key: item.key, reason: decoded.val.message });
         }
     }
-    const events = jobs.val.items.map(item => decodeJobItem(item, logger)).filter(event => event !== undefined);
-    return Ok({ jobs: events, batches, storeRevision: jobs.val.storeRevision });
+    const events = items.map(item => decodeJobItem(item, logger)).filter(event => event !== undefined);
+    return Ok({ jobs: events, batches, storeRevision });
 }
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -59,19 +59,36 @@
 ]);
 const endsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.string(), z.string()]));
 
+/** Parts of the jobs, so that a new owner reads them at the same time and not page by page. */
+const bucketCount = 16;
+
+/** Returns the prefixes that together hold all jobs. */
+export function listJobPrefixes(): string[] {
+    return Array.from({ length: bucketCount }, (_, bucket) => `${jobPrefix}${bucket.toString(bucketCount)}/`);
+}
+
 export function toJobKey(job: JobId): string {
-    return jobPrefix + job;
+    return `${jobPrefix}${computeBucket(job)}/${job}`;
 }
 
 export function toCancelKey(job: JobId): string {
-    return jobPrefix + job + cancelSuffix;
+    return toJobKey(job) + cancelSuffix;
+}
+
+/** Spreads jobs over the buckets by the sum of their characters, which is even enough for random ids. */
+function computeBucket(job: JobId): string {
+    let sum = 0;
+    for (let index = 0; index < job.length; index++) {
+        sum += job.charCodeAt(index);
+    }
+    return (sum % bucketCount).toString(bucketCount);
 }
 
 /** Splits a key below `jobPrefix`. */
 export function parseJobKey(key: string): { readonly job: JobId; readonly isCancel: boolean; } {
     const isCancel = key.endsWith(cancelSuffix);
     const end = isCancel ? -cancelSuffix.length : undefined;
-    return { job: toId<JobId>(key.slice(jobPrefix.length, end)), isCancel };
+    return { job: toId<JobId>(key.slice(jobPrefix.length + 2, end)), isCancel };
 }
 
 /** Returns the key of a batch of ends; keys sort by epoch and number. */
