--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -44,9 +44,22 @@
     }
     const { host, zone } = settings.val;
     const logger = await createLogger({ program: "waxwing-node", host, zone });
+    reportCrashes(logger);
     await startNode(settings.val, logger);
 }
 
+/** Logs an error that nothing handled, with its stack, and ends the process: its state is not known any more. */
+function reportCrashes(logger: Logger): void {
+    const report = (kind: string, error: unknown) => {
+        const stack = error instanceof Error ? error.stack : String(error);
+        logger.write("error", "unhandled error ends the process", { kind, stack });
+        logger.flush();
+        process.exit(1);
+    };
+    process.on("uncaughtException", error => report("exception", error));
+    process.on("unhandledRejection", reason => report("rejection", reason));
+}
+
 /** Sets the gauges once a second, so that a scrape costs no work of the cell. */
 async function updateGauges(cell: CellHost, metrics: ServedMetrics, clock: Clock): Promise<void> {
     for (;;) {
