Probe a silent way to the store in the background; keep the lease through another host

Change: after one failure other hosts are tried first and the direct way is probed in the background; a renewal waits 350 ms; connections to hosts that have left are closed. Test: 'goes the other way first after a failure' failed before.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -378,7 +378,18 @@
         if (update.pending !== undefined) {
             this.replica.recordPending(new Map(update.pending));
         }
-        update.hosts.forEach(address => this.addPeer(address));
+        this.setPeers(update.hosts);
+    }
+
+    /** Keeps connections to these hosts only. */
+    private setPeers(addresses: readonly string[]): void {
+        addresses.forEach(address => this.addPeer(address));
+        for (const [address, peer] of this.peers) {
+            if (!addresses.includes(address)) {
+                this.peers.delete(address);
+                peer.client.close();
+            }
+        }
     }
 
     private addPeer(address: string): Peer | undefined {
@@ -429,8 +440,11 @@
         owner.addAdviceCaller({ name: host, advisor: new PeerAdvisor(peer.client) });
         this.options.logger.write("info", "host follows this owner", { follower: host, address });
         writer.onClose(() => {
-            this.subscribers.delete(host);
-            owner.removeAdviceCaller(host);
+            // The host may have subscribed again, from another address, before this stream closed.
+            if (this.subscribers.get(host) === address) {
+                this.subscribers.delete(host);
+                owner.removeAdviceCaller(host);
+            }
         });
     }
 
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -1,10 +1,13 @@
 /**
  * Reaches the store directly, or through another host of the cell while the store does not serve this one.
  *
- * A write without an answer is not sent again by another way: the caller decides, since it may have been carried out.
+ * After a failure other hosts are tried first, and the direct way is probed in the background, so that no request waits for
+ * its time-out again. A write without an answer is not sent again by another way: the caller decides, since it may have
+ * been carried out.
  */
 import type { Clock, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
+import { leadPrefix } from "./store-keys.js";
 import type { StoreReply, StoreRequest } from "./store.js";
 import { LeaseStore, storeFailures } from "./store.js";
 
@@ -16,16 +19,15 @@
     readonly logger: LogWriter;
     /** Called after each call by the direct way. */
     readonly onCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
-    /** Time after a failure before the direct way is tried first again, ms. Default 500. */
-    readonly avoidMs?: number;
+    /** Time between probes of the direct way, ms. Default 300. */
+    readonly probeMs?: number;
 }
 
-/** Failures in a row after which the direct way is avoided. */
-const failuresBeforeAvoid = 2;
+/** Bound of a probe, ms: longer than an exchange with a store that is slow but serves this host. */
+const probeTimeoutMs = 600;
 
 export class FallbackStore extends LeaseStore {
-    private failures = 0;
-    private avoidUntil = 0;
+    private isAvoided = false;
     private turn = 0;
     private lastAnswerAt = -Infinity;
 
@@ -40,66 +42,68 @@
 
     /** Whether other hosts may use this host as their way to the store. */
     get isDirect(): boolean {
-        return this.failures === 0;
+        return !this.isAvoided;
     }
 
     override async call<Request extends StoreRequest>(
         request: Request,
         timeoutMs?: number,
     ): Promise<Result<StoreReply<Request>, Failure>> {
-        const peer = this.pickPeer();
-        if (peer !== undefined && this.options.clock.getNow() < this.avoidUntil) {
-            const result = await peer.call(request, timeoutMs);
-            if (result.ok || !isStoreLost(result.val)) {
+        const ways = this.isAvoided ? [this.pickPeer(), this.options.direct] : [this.options.direct, this.pickPeer()];
+        let last: Result<StoreReply<Request>, Failure> | undefined;
+        for (const way of ways) {
+            if (way === undefined) {
+                continue;
+            }
+            last = await this.callBy(way, request, timeoutMs);
+            if (last.ok || !isStoreLost(last.val)) {
                 this.lastAnswerAt = this.options.clock.getNow();
-                return result;
+                return last;
+            }
+            if (!canRepeat(request, last.val)) {
+                return last;
             }
-            return this.canRepeat(request, result.val) ? this.callDirect(request, timeoutMs) : result;
-        }
-        const result = await this.callDirect(request, timeoutMs);
-        if (result.ok || !isStoreLost(result.val) || peer === undefined || !this.canRepeat(request, result.val)) {
-            return result;
-        }
-        const second = await peer.call(request, timeoutMs);
-        if (second.ok || !isStoreLost(second.val)) {
-            this.lastAnswerAt = this.options.clock.getNow();
         }
-        return second;
+        return last!;
     }
 
-    private canRepeat(request: StoreRequest, failure: Failure): boolean {
-        return failure.verdict === "notRun" || request.kind !== "commit";
-    }
-
-    private async callDirect<Request extends StoreRequest>(
+    private async callBy<Request extends StoreRequest>(
+        way: LeaseStore,
         request: Request,
         timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
+        if (way !== this.options.direct) {
+            return way.call(request, timeoutMs);
+        }
         const startedAt = this.options.clock.getNow();
-        const result = await this.options.direct.call(request, timeoutMs);
+        const result = await way.call(request, timeoutMs);
         const isAnswered = result.ok || !isStoreLost(result.val);
         this.options.onCall?.(request.kind, isAnswered, this.options.clock.getNow() - startedAt);
-        if (isAnswered) {
-            if (this.failures >= failuresBeforeAvoid) {
-                this.options.logger.write("info", "store reached again", { failures: this.failures });
-            }
-            this.failures = 0;
-            this.lastAnswerAt = this.options.clock.getNow();
+        if (!isAnswered && !this.isAvoided) {
+            this.isAvoided = true;
+            this.options.logger.write("warn", "store does not serve this host", {
+                operation: request.kind,
+                code: (result.val).code,
+                reason: (result.val).message,
+            });
+            void this.probe();
         }
-        else {
-            this.failures += 1;
-            if (this.failures === failuresBeforeAvoid) {
-                this.options.logger.write("warn", "store does not serve this host", {
-                    operation: request.kind,
-                    code: result.val.code,
-                    reason: result.val.message,
-                });
-            }
-            if (this.failures >= failuresBeforeAvoid) {
-                this.avoidUntil = this.options.clock.getNow() + (this.options.avoidMs ?? 500);
+        return result;
+    }
+
+    /** Tries the direct way until the store answers. */
+    private async probe(): Promise<void> {
+        const { clock, direct, logger } = this.options;
+        const startedAt = clock.getNow();
+        while (this.isAvoided) {
+            await clock.wait(this.options.probeMs ?? 300);
+            const probed = await direct.call({ kind: "list", prefix: leadPrefix }, probeTimeoutMs);
+            if (probed.ok) {
+                this.isAvoided = false;
+                this.lastAnswerAt = clock.getNow();
+                logger.write("info", "store reached again", { afterMs: Math.round(clock.getNow() - startedAt) });
             }
         }
-        return result;
     }
 
     private pickPeer(): LeaseStore | undefined {
@@ -109,6 +113,11 @@
     }
 }
 
+/** Returns whether the request may be sent by another way after this failure. */
+function canRepeat(request: StoreRequest, failure: Failure): boolean {
+    return failure.verdict === "notRun" || request.kind !== "commit";
+}
+
 /** Returns whether the failure says nothing about the request itself. */
 function isStoreLost(failure: Failure): boolean {
     return failure.code !== storeFailures.compacted && failure.code !== storeFailures.leaseEnded;
--- a/packages/cell/src/fallback-store_test.ts
+++ b/packages/cell/src/fallback-store_test.ts
@@ -57,12 +57,17 @@
         expect(read.ok).toEqual(true);
     });
 
-    it("goes the other way first after repeated failures, and returns once the store serves this host", async () => {
+    it("goes the other way first after a failure, and returns once the store serves this host", async () => {
+        // Guards against requests that wait for the time-out of the direct way again and again.
         const fixture = new Fixture();
-        fixture.direct.mode = "refusing";
-        await fixture.commit("a");
-        await fixture.commit("b");
+        fixture.direct.mode = "silent";
+        await fixture.settle(fixture.store.call({ kind: "read", key: "a" }, 500));
         expect(fixture.store.isDirect).toEqual(false);
+        for (let index = 0; index < 20; index++) {
+            const sentAt = fixture.clock.getNow();
+            expect((await fixture.commit(`b${index}`)).ok).toEqual(true);
+            expect(fixture.clock.getNow() - sentAt <= 50).toEqual(true);
+        }
         fixture.direct.mode = "up";
         await fixture.clock.advance(1_000);
         await fixture.commit("c");
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -55,6 +55,11 @@
 const watchMs = 4_000;
 /** Pause after a failed call, ms. */
 const retryMs = 150;
+/**
+ * Bound of a renewal, ms: after it another way to the store is tried while the lease lasts. A renewal that arrives counts
+ * even if its answer comes too late.
+ */
+const renewTimeoutMs = 350;
 /** Bound of one call about the lease, ms. */
 const callTimeoutMs = 800;
 
@@ -237,7 +242,7 @@
         if (this.tenure === undefined || this.isStopped) {
             return;
         }
-        const renewed = await this.options.store.call({ kind: "renewLease", lease: this.lease }, callTimeoutMs);
+        const renewed = await this.options.store.call({ kind: "renewLease", lease: this.lease }, renewTimeoutMs);
         if (!renewed.ok && renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readLead();
             if (view.ok) {
