--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -7,6 +7,7 @@
 import { writeSync } from "node:fs";
 import type { Logger as RoarrLogger } from "roarr";
 import { match } from "ts-pattern";
+import { BoundedOutput } from "./bounded-output.js";
 
 export type LogLevel = "debug" | "info" | "warn" | "error";
 
@@ -50,6 +51,7 @@
     private bytes = 0;
     private timer: NodeJS.Timeout | undefined;
     private readonly minimum: number;
+    private readonly output = new BoundedOutput({ write: bytes => writeSync(1, bytes) });
 
     constructor(private readonly roarr: RoarrLogger, private readonly options: LoggerOptions) {
         this.minimum = levelOrder.indexOf(options.level ?? "info");
@@ -87,7 +89,19 @@
             const batch = `${this.lines.join("\n")}\n`;
             this.lines.length = 0;
             this.bytes = 0;
-            (this.options.write ?? writeStandardOutput)(batch);
+            if (this.options.write === undefined) {
+                this.output.append(batch);
+            }
+            else {
+                this.options.write(batch);
+            }
+        }
+        else if (this.output.hasKept) {
+            this.output.flush();
+        }
+        if (this.output.hasKept) {
+            // The pipe is full: what is left is tried again, without blocking.
+            this.timer ??= setTimeout(() => this.flush(), this.options.flushIntervalMs ?? 50).unref();
         }
     }
 }
@@ -103,12 +117,3 @@
     process.on("exit", () => logger.flush());
     return logger;
 }
-
-function writeStandardOutput(lines: string): void {
-    try {
-        writeSync(1, lines);
-    }
-    catch {
-        // A full pipe or a closed terminal must not end the program.
-    }
-}
