Try several hosts on the way to the store; write logs in whole lines of 8 KiB

Change: up to three hosts are tried before the silent way, the last that answered first; log batches end at 8 KiB. Test: 'tries further hosts' failed before.

--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -23,6 +23,8 @@
     readonly probeMs?: number;
 }
 
+/** Most other hosts that one request tries. */
+const maxPeersTried = 3;
 /** Bound of a probe, ms: longer than an exchange with a store that is slow but serves this host. */
 const probeTimeoutMs = 600;
 
@@ -49,17 +51,17 @@
         request: Request,
         timeoutMs?: number,
     ): Promise<Result<StoreReply<Request>, Failure>> {
-        const ways = this.isAvoided ? [this.pickPeer(), this.options.direct] : [this.options.direct, this.pickPeer()];
         let last: Result<StoreReply<Request>, Failure> | undefined;
-        for (const way of ways) {
-            if (way === undefined) {
-                continue;
-            }
+        for (const way of this.listWays()) {
             last = await this.callBy(way, request, timeoutMs);
             if (last.ok || !isStoreLost(last.val)) {
                 this.lastAnswerAt = this.options.clock.getNow();
                 return last;
             }
+            if (way !== this.options.direct) {
+                // The next request begins with another host.
+                this.turn += 1;
+            }
             if (!canRepeat(request, last.val)) {
                 return last;
             }
@@ -67,6 +69,14 @@
         return last!;
     }
 
+    /** Returns the ways in the order in which they are tried: the host that answered last stays the first of the others. */
+    private listWays(): LeaseStore[] {
+        const peers = this.options.listPeers();
+        const first = peers.length === 0 ? 0 : this.turn % peers.length;
+        const others = [...peers.slice(first), ...peers.slice(0, first)].slice(0, maxPeersTried);
+        return this.isAvoided ? [...others, this.options.direct] : [this.options.direct, ...others];
+    }
+
     private async callBy<Request extends StoreRequest>(
         way: LeaseStore,
         request: Request,
@@ -105,12 +115,6 @@
             }
         }
     }
-
-    private pickPeer(): LeaseStore | undefined {
-        const peers = this.options.listPeers();
-        this.turn += 1;
-        return peers.length === 0 ? undefined : peers[this.turn % peers.length];
-    }
 }
 
 /** Returns whether the request may be sent by another way after this failure. */
--- a/packages/cell/src/fallback-store_test.ts
+++ b/packages/cell/src/fallback-store_test.ts
@@ -10,9 +10,10 @@
     readonly data = new MemoryStoreData(this.clock);
     readonly direct = new MemoryLeaseStore(this.data);
     readonly peer = new MemoryLeaseStore(this.data);
+    readonly otherPeer = new MemoryLeaseStore(this.data);
     readonly store = new FallbackStore({
         direct: this.direct,
-        listPeers: () => [this.peer],
+        listPeers: () => [this.otherPeer, this.peer],
         clock: this.clock,
         logger: { write: () => undefined },
     });
@@ -50,6 +51,16 @@
         expect(fixture.data.items.has("a")).toEqual(false);
     });
 
+    it("tries further hosts when the store does not serve the first one either", async () => {
+        // Guards against commits of the owner that waited for its own silent way because one host could not help.
+        const fixture = new Fixture();
+        fixture.direct.mode = "refusing";
+        fixture.otherPeer.mode = "refusing";
+        for (let index = 0; index < 10; index++) {
+            expect((await fixture.commit(`a${index}`)).ok).toEqual(true);
+        }
+    });
+
     it("reads through another host when this one gets no answer", async () => {
         const fixture = new Fixture();
         fixture.direct.mode = "silent";
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -34,8 +34,8 @@
 
 const levelOrder: readonly LogLevel[] = ["debug", "info", "warn", "error"];
 
-/** Largest batch in bytes; a larger one is written at once. */
-const maxBatchBytes = 64 * 1024;
+/** Largest batch in bytes: collectors that read 8 KiB at a time get whole lines. */
+const maxBatchBytes = 8 * 1024;
 
 /**
  * Writes log lines of one program.
@@ -71,14 +71,12 @@
 
     /** Takes a finished line from the log library. */
     appendLine(line: string): void {
-        this.lines.push(line);
-        this.bytes += line.length;
-        if (this.bytes >= maxBatchBytes) {
+        if (this.bytes + line.length + 1 > maxBatchBytes) {
             this.flush();
         }
-        else {
-            this.timer ??= setTimeout(() => this.flush(), this.options.flushIntervalMs ?? 50).unref();
-        }
+        this.lines.push(line);
+        this.bytes += line.length + 1;
+        this.timer ??= setTimeout(() => this.flush(), this.options.flushIntervalMs ?? 50).unref();
     }
 
     /** Writes the kept lines. */
