--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -93,8 +93,8 @@
             this.isAvoided = true;
             this.options.logger.write("warn", "store does not serve this host", {
                 operation: request.kind,
-                code: (result.val).code,
-                reason: (result.val).message,
+                code: result.val.code,
+                reason: result.val.message,
             });
             void this.probe();
         }
--- a/scripts/format.js
+++ b/scripts/format.js
@@ -26,7 +26,7 @@
 const files = execFileSync("git", ["ls-files", "--cached", "--others", "--exclude-standard"], { encoding: "utf8" })
     .split("\n")
     .filter(file => [...formatters.keys()].some(extension => file.endsWith(extension)))
-    .filter(file => file !== "package-lock.json" && !file.includes("/generated/"));
+    .filter(file => file !== "package-lock.json" && !file.includes("/generated/") && !file.startsWith("journal/"));
 
 let changed = 0;
 for (const file of files) {
