Pace tasks that use idle processors beside serving tasks

Change: pacing-system decides a share for each executor from the reported tails, fast down and slowly up; sessions of such executors renew four times a second. Tests: 'serving tasks beside tasks that use idle processors' (4).

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -12,6 +12,7 @@
     JobChange,
     JobState,
     ListedRun,
+    PaceDecision,
     RunEnd,
     SchedulerRules,
     StartDecision,
@@ -463,12 +464,13 @@
             return;
         }
         const now = this.options.clock.getNow();
-        const { starts, stops, changes } = this.scheduler.tick(now);
+        const { starts, stops, paces, changes } = this.scheduler.tick(now);
         starts.forEach(start => this.sendStart(start));
         for (const { executor, task, run, reason, percent } of stops) {
             this.options.logger.write("info", "stop", { executor, task, run, reason, percent });
             void this.registry.getSession(executor)?.stop(task, run);
         }
+        paces.forEach(pace => void this.sendPace(pace));
         this.applyChanges(changes);
         this.askAdvice(now);
     }
@@ -484,6 +486,14 @@
         void this.registry.getSession(start.executor)?.start(start);
     }
 
+    private async sendPace({ executor, task, run, percent }: PaceDecision): Promise<void> {
+        const isConfirmed = await this.registry.getSession(executor)?.pace(task, run, percent) ?? false;
+        this.options.logger.write("info", "pace", { executor, task, run, percent, isConfirmed });
+        if (!isConfirmed) {
+            this.scheduler.recordPaceUnknown(executor, task, run);
+        }
+    }
+
     private applyChanges(changes: readonly JobChange[]): void {
         const running = changes.filter(change => change.state === "running" || change.state === "queued");
         if (running.length > 0) {
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -303,6 +303,7 @@
             listener,
             fencingToken: this.fencingToken,
             maxLeaseMs,
+            needsCloseWatch: id => this.options.scheduler.needsCloseWatch(id),
         });
         const record: ExecutorRecord = {
             executor,
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -37,6 +37,8 @@
     readonly fencingToken: number;
     /** Longest lease that the executor gives, ms. */
     readonly maxLeaseMs: number;
+    /** Returns whether the load of the executor has to be seen several times a second. */
+    readonly needsCloseWatch: (executor: ExecutorId) => boolean;
 }
 
 /** Executor clocks may run this much slower or faster than ours; figure of the platform's pages. */
@@ -45,6 +47,8 @@
 const leaseMarginMs = 250;
 /** Longest wait of a renewal's answer for an end while tasks run, ms. A lease lasts several of them. */
 const busyWaitMs = 1_000;
+/** Longest wait of a renewal's answer while serving tasks share the executor with others, ms. */
+const closeWaitMs = 250;
 /** Longest wait of a renewal's answer while nothing runs, ms. */
 const idleWaitMs = 2_000;
 /** Time for an answer beyond its wait, ms: two crossings of a region and a slow executor. */
@@ -182,6 +186,13 @@
         }
     }
 
+    /** Sends a pace once; returns whether the executor confirmed it. */
+    async pace(task: TaskKey, run: number, percent: number): Promise<boolean> {
+        const paced = await this.options.client.pace({ task, run, percent, fencingToken: this.fencingToken });
+        this.checkFence(paced);
+        return paced.ok;
+    }
+
     /** Sends a stop until it is answered; the end of the run arrives with a listing. */
     async stop(task: TaskKey, run: number): Promise<void> {
         const { client, clock } = this.options;
@@ -254,6 +265,9 @@
         if (isCommitPending || hasUnsettled || !this.isListed || this.clockMs === undefined) {
             return 0;
         }
+        if (this.options.needsCloseWatch(this.options.executor)) {
+            return closeWaitMs;
+        }
         return this.orders.size > 0 ? busyWaitMs : idleWaitMs;
     }
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -14,6 +14,7 @@
     ExecutorListing,
     LeaseRenewal,
     ListedEnd,
+    PaceOrder,
     StartOrder,
     StopOrder,
 } from "./task-executor.js";
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -34,6 +34,11 @@
     readonly fencingToken: number;
 }
 
+export interface PaceOrder extends StopOrder {
+    /** Share at which the task may work, 0 to 100. */
+    readonly percent: number;
+}
+
 export interface LeaseRenewal {
     readonly fencingToken: number;
     /** Ends up to this number are forgotten by the executor. */
@@ -77,6 +82,7 @@
 export abstract class TaskExecutor {
     abstract start(order: StartOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
     abstract stop(order: StopOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
+    abstract pace(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
     abstract renew(renewal: LeaseRenewal, timeoutMs: number): Promise<Result<ExecutorListing, Failure>>;
     abstract close(): void;
 }
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -5,7 +5,7 @@
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
 import type { RunOutcome, TaskKey } from "@waxwingroute/workflow";
-import type { ExecutorListing, LeaseRenewal, ListedEnd, StartOrder, StopOrder } from "../task-executor.js";
+import type { ExecutorListing, LeaseRenewal, ListedEnd, PaceOrder, StartOrder, StopOrder } from "../task-executor.js";
 import { ExecutorConnector, executorFailures, TaskExecutor } from "../task-executor.js";
 import type { RunJudge } from "./run-judge.js";
 
@@ -159,6 +159,15 @@
         return Ok({ clockMs: this.clockMs });
     }
 
+    acceptPace(order: PaceOrder): Result<{ readonly clockMs: number; }, Failure> {
+        if (!this.acceptFence(order.fencingToken)) {
+            return this.refuse(executorFailures.fenced, "fence");
+        }
+        return this.runs.has(toKey(order))
+            ? Ok({ clockMs: this.clockMs })
+            : this.refuse(executorFailures.refused, "old");
+    }
+
     acceptRenewal(renewal: LeaseRenewal): Result<ExecutorListing, Failure> {
         if (!this.acceptFence(renewal.fencingToken)) {
             return this.refuse(executorFailures.fenced, "fence");
@@ -228,6 +237,10 @@
         return this.send(orderTimeoutMs, true, () => this.executor.acceptStop(order));
     }
 
+    override pace(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        return this.send(orderTimeoutMs, false, () => this.executor.acceptPace(order));
+    }
+
     override async renew(renewal: LeaseRenewal, timeoutMs: number): Promise<Result<ExecutorListing, Failure>> {
         const { clock } = this.executor.options;
         const deadline = clock.getNow() + (renewal.waitMs ?? 0);
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -15,6 +15,7 @@
     JobState,
     JobSubmission,
     ListedRun,
+    PaceDecision,
     PoolId,
     QueueRules,
     RunEnd,
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -152,6 +152,8 @@
         state: "starting",
         percent: 0,
         progressAt: now,
+        tailMs: undefined,
+        pacePercent: 100,
     };
     state.addRun(run);
     step.hasStarted = true;
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -19,6 +19,10 @@
     percent: number;
     /** When `percent` last rose. */
     progressAt: number;
+    /** Tail of the response times of a serving task, ms; `undefined` until it is reported. */
+    tailMs: number | undefined;
+    /** Share at which the executor lets the run work, 0 to 100; `undefined` while that is not known. */
+    pacePercent: number | undefined;
 }
 
 export interface TaskRow {
@@ -119,6 +123,9 @@
     slowness: number;
     /** No new work before this time, because of failures. */
     avoidUntil: number;
+    /** Share at which tasks that use idle processors should work here, 0 to 100. */
+    pacePercent: number;
+    pacedAt: number;
 }
 
 export interface QueueRow {
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -19,6 +19,7 @@
 import { applyRunEnd, endJob } from "./end-system.js";
 import { addOccurrence, countOccurrences, createJobRow, takeTeamCredit } from "./job-rows.js";
 import { parseTaskKey } from "./keys.js";
+import { decidePaces, hasPacedRuns } from "./pacing-system.js";
 import { placeTasks } from "./placement-system.js";
 import { selectRankedSteps } from "./rank.js";
 import type { ExecutorRow, JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
@@ -168,6 +169,8 @@
                 state: "running",
                 percent: listed.percent,
                 progressAt: now,
+                tailMs: listed.tailMs,
+                pacePercent: undefined,
             };
             this.state.addRun(run);
             this.markRunning(task);
@@ -194,6 +197,8 @@
                 state: "stopping",
                 percent: 0,
                 progressAt: now,
+                tailMs: undefined,
+                pacePercent: undefined,
             });
         }
     }
@@ -215,6 +220,7 @@
         if (listed.checkpoint !== "") {
             run.task.checkpoint = listed.checkpoint;
         }
+        run.tailMs = listed.tailMs ?? run.tailMs;
     }
 
     /** Records the end of a run, also of one that this owner did not start. Returns whether its job is known. */
@@ -294,6 +300,20 @@
         }
     }
 
+    /** Records that an executor did not confirm a pace; it is decided again with the next tick. */
+    recordPaceUnknown(executor: ExecutorId, task: TaskKey, run: number): void {
+        const row = this.findRun(executor, task, run);
+        if (row !== undefined) {
+            row.pacePercent = undefined;
+        }
+    }
+
+    /** Returns whether the response times of serving tasks on the executor decide how fast others may work. */
+    needsCloseWatch(executor: ExecutorId): boolean {
+        const row = this.state.executors.get(executor);
+        return row !== undefined && hasPacedRuns(row);
+    }
+
     /** Stops stalled runs, places tasks, and returns everything decided since the last tick. */
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
@@ -301,6 +321,7 @@
         return {
             starts: this.state.starts.splice(0),
             stops: this.state.stops.splice(0),
+            paces: decidePaces(this.state, now),
             changes: this.state.changes.splice(0),
         };
     }
@@ -351,5 +372,7 @@
         failureRate: 0,
         slowness: 1,
         avoidUntil: 0,
+        pacePercent: 100,
+        pacedAt: 0,
     };
 }
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -392,6 +392,66 @@
         });
     });
 
+    describe("serving tasks beside tasks that use idle processors", () => {
+        const serving = createStep({ isLongRunning: true, targetMs: 100, resources: cores(4) });
+        const filling = createStep({ isLongRunning: true, usesIdleProcessors: true, resources: cores(8) });
+
+        function openFixture(): { fixture: Fixture; report: (tailMs: number) => TickDecisions["paces"]; } {
+            const fixture = new Fixture(1);
+            fixture.submit("serve", [serving]);
+            fixture.submit("fill", [filling]);
+            const starts = fixture.start();
+            const served = starts.find(start => start.task.startsWith("serve"))!;
+            const report = (tailMs: number) => {
+                fixture.now += 500;
+                const { executor, task, run } = served;
+                fixture.scheduler.recordRunning(fixture.now, executor, {
+                    task,
+                    run,
+                    checkpoint: "",
+                    percent: 100,
+                    tailMs,
+                });
+                return fixture.tick().paces;
+            };
+            return { fixture, report };
+        }
+
+        it("slows them to a stop within 2 s while the target is missed", () => {
+            // Guards against filling work that goes on while a serving task misses its target for seconds.
+            const { report } = openFixture();
+            const percents = [1, 2, 3, 4].flatMap(() => report(150).map(pace => pace.percent));
+            expect(percents.at(-1)).toEqual(0);
+            expect(percents.length <= 4).toEqual(true);
+        });
+
+        it("lets them work again step by step, and to the full", () => {
+            const { fixture, report } = openFixture();
+            [1, 2, 3, 4].forEach(() => report(150));
+            const percents: number[] = [];
+            for (let round = 0; round < 30; round++) {
+                fixture.now += 1_500;
+                percents.push(...report(20).map(pace => pace.percent));
+            }
+            expect(percents.slice(0, 2)).toEqual([15, 30]);
+            expect(percents.at(-1)).toEqual(100);
+        });
+
+        it("decides a pace again that was not confirmed", () => {
+            const { fixture, report } = openFixture();
+            const [pace] = report(150);
+            fixture.scheduler.recordPaceUnknown(pace!.executor, pace!.task, pace!.run);
+            expect(fixture.tick().paces).toEqual([pace!]);
+        });
+
+        it("leaves them alone where nothing is served", () => {
+            const fixture = new Fixture(1);
+            fixture.submit("fill", [filling]);
+            fixture.start();
+            expect(fixture.tick().paces).toEqual([]);
+        });
+    });
+
     describe("faulty executors", () => {
         it("moves a run that makes no progress", () => {
             const fixture = new Fixture(2);
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -153,6 +153,8 @@
     readonly checkpoint: string;
     /** Work done, 0 to 100. */
     readonly percent: number;
+    /** For a serving task the tail of its response times, ms; rough, over the last half second. */
+    readonly tailMs?: number;
 }
 
 export interface StartDecision {
@@ -200,10 +202,20 @@
     readonly state: JobState;
 }
 
+/** The share at which a task that uses idle processors may work. */
+export interface PaceDecision {
+    readonly executor: ExecutorId;
+    readonly task: TaskKey;
+    readonly run: number;
+    /** 0 to 100. */
+    readonly percent: number;
+}
+
 /** Everything that one tick decided. */
 export interface TickDecisions {
     readonly starts: readonly StartDecision[];
     readonly stops: readonly StopDecision[];
+    readonly paces: readonly PaceDecision[];
     readonly changes: readonly JobChange[];
 }
 
