--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -487,7 +487,7 @@
     }
 
     private async sendPace({ executor, task, run, percent }: PaceDecision): Promise<void> {
-        const isConfirmed = await this.registry.getSession(executor)?.pace(task, run, percent) ?? false;
+        const isConfirmed = await this.registry.getSession(executor)?.throttle(task, run, percent) ?? false;
         this.options.logger.write("info", "pace", { executor, task, run, percent, isConfirmed });
         if (!isConfirmed) {
             this.scheduler.recordPaceUnknown(executor, task, run);
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -187,8 +187,8 @@
     }
 
     /** Sends a pace once; returns whether the executor confirmed it. */
-    async pace(task: TaskKey, run: number, percent: number): Promise<boolean> {
-        const paced = await this.options.client.pace({ task, run, percent, fencingToken: this.fencingToken });
+    async throttle(task: TaskKey, run: number, percent: number): Promise<boolean> {
+        const paced = await this.options.client.throttle({ task, run, percent, fencingToken: this.fencingToken });
         this.checkFence(paced);
         return paced.ok;
     }
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -82,7 +82,7 @@
 export abstract class TaskExecutor {
     abstract start(order: StartOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
     abstract stop(order: StopOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
-    abstract pace(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
+    abstract throttle(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>>;
     abstract renew(renewal: LeaseRenewal, timeoutMs: number): Promise<Result<ExecutorListing, Failure>>;
     abstract close(): void;
 }
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -237,7 +237,7 @@
         return this.send(orderTimeoutMs, true, () => this.executor.acceptStop(order));
     }
 
-    override pace(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+    override throttle(order: PaceOrder): Promise<Result<{ readonly clockMs: number; }, Failure>> {
         return this.send(orderTimeoutMs, false, () => this.executor.acceptPace(order));
     }
 
