Split the owner: job feed and jobs between store and scheduler

Change: JobFeed follows the store, OwnerJobs keeps stored ends; records of finished jobs leave memory when their retention ends (they stayed for ever).

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -5,12 +5,11 @@
  * Tasks of jobs accepted before the take-over start only after every executor of the roster has either listed what it runs
  * or lost all leases that it can hold; tasks of newer jobs start at once.
  */
-import type { Clock, ExecutorId, Failure, JobId, QueueId, Result } from "@waxwingroute/core";
+import type { Clock, ExecutorId, Failure, QueueId, Result } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import type {
     AdviceGrant,
     JobChange,
-    JobState,
     ListedRun,
     PaceDecision,
     RunEnd,
@@ -24,13 +23,14 @@
 import type { CellConfiguration } from "./configuration.js";
 import { ExecutorRegistry } from "./executor-registry.js";
 import type { SessionListener } from "./executor-session.js";
+import { JobFeed } from "./job-feed.js";
 import type { Tenure } from "./lease-ownership.js";
+import { OwnerJobs } from "./owner-jobs.js";
 import { OwnerJournal } from "./owner-journal.js";
-import type { JobEvent, StoredCell } from "./owner-recovery.js";
-import { decodeJobItem, readRoster, readStoredCell } from "./owner-recovery.js";
+import type { StoredCell } from "./owner-recovery.js";
+import { readRoster, readStoredCell } from "./owner-recovery.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { jobPrefix, rosterKey, toCancelKey } from "./store-keys.js";
-import type { JobRecord } from "./store-keys.js";
+import { rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
@@ -70,13 +70,7 @@
 const idleTickMs = 100;
 /** Time between reports of pending jobs, ms; a tenth of the age that callers accept. */
 const pendingMs = 200;
-/** Longest wait of a watch for jobs, ms. */
-const watchMs = 1_000;
-/** Pause between watches, ms: hosts announce what they store, so the watch only finds what was not announced. */
-const watchPauseMs = 250;
-/** Shortest time between reads of all jobs without a failure, ms. */
-const rereadMs = 3_000;
-/** Pause after a failed read or watch, ms. */
+/** Pause after a failed read, ms. */
 const retryMs = 150;
 
 export class CellOwner implements SessionListener {
@@ -84,9 +78,8 @@
     private readonly journal: OwnerJournal;
     private readonly registry: ExecutorRegistry;
     private readonly advice: AdviceDispatcher;
-    /** Finished jobs whose end is stored. */
-    private readonly storedStates = new Map<JobId, JobState>();
-    private readonly cancelled = new Set<JobId>();
+    private readonly jobs: OwnerJobs;
+    private readonly feed: JobFeed;
     private configuration: CellConfiguration;
     private isClosed = false;
     private isRecovered = false;
@@ -109,7 +102,19 @@
             tenure,
             retentionMs,
             onConflict: () => options.listener.onConflict(),
+            onExpired: job => this.jobs.forgetExpired(job),
         });
+        this.jobs = new OwnerJobs({
+            scheduler: this.scheduler,
+            journal: this.journal,
+            clock,
+            logger,
+            acquiredRevision: tenure.revision,
+            hasReleased: () => this.hasReleased,
+            onChanges: changes => options.listener.onChanges(changes),
+            onWork: () => this.requestTick(),
+        });
+        this.feed = new JobFeed({ store, clock, logger, onEvent: event => this.jobs.applyEvent(event) });
         this.registry = new ExecutorRegistry({
             store,
             codec,
@@ -164,7 +169,7 @@
         logger.write("info", "cell recovered", {
             epoch: this.options.tenure.epoch,
             jobs: this.scheduler.jobCount,
-            finished: this.storedStates.size,
+            finished: this.jobs.finishedCount,
             batches: stored.batches.length,
             executors: roster.entries.length,
             readMs: Math.round(readAt - this.startedAt),
@@ -172,11 +177,12 @@
         void this.registry.run();
         void this.tickWhenIdle();
         void this.reportPending();
-        await this.followJobs(stored.storeRevision);
+        await this.feed.run(stored.storeRevision);
     }
 
     close(): void {
         this.isClosed = true;
+        this.feed.close();
         this.journal.close();
         this.registry.close();
     }
@@ -278,11 +284,9 @@
             outcome: end.outcome,
         });
         const job = parseTaskKey(end.task)?.job;
-        const isStored = job === undefined || this.storedStates.has(job)
-            || this.scheduler.getJobState(job) === undefined;
-        if (isStored) {
+        if (this.jobs.isStored(job)) {
             acknowledge?.();
-            this.forgetStored(job);
+            this.jobs.forgetStored(job);
         }
         else if (acknowledge !== undefined) {
             this.journal.recordEnd(end, acknowledge);
@@ -292,14 +296,14 @@
 
     private restore(stored: StoredCell): void {
         const jobs = [...stored.jobs].sort((first, second) => first.revision - second.revision);
-        jobs.filter(event => event.kind === "record").forEach(event => this.applyJobEvent(event));
+        jobs.filter(event => event.kind === "record").forEach(event => this.jobs.applyEvent(event));
         const now = this.options.clock.getNow();
         this.scheduler.openDueOccurrences(now, this.options.clock.getWallTime());
         for (const { key, ends } of stored.batches) {
             ends.forEach(end => this.scheduler.recordEnd(now, end));
             this.journal.adoptBatch(key, ends, job => this.scheduler.getJobState(job) !== undefined);
         }
-        jobs.filter(event => event.kind === "cancel").forEach(event => this.applyJobEvent(event));
+        jobs.filter(event => event.kind === "cancel").forEach(event => this.jobs.applyEvent(event));
         this.isRecovered = true;
         const listings = this.earlyListings;
         this.earlyListings = [];
@@ -308,111 +312,9 @@
         this.requestTick();
     }
 
-    private applyJobEvent(event: JobEvent): void {
-        if (event.kind === "cancel") {
-            this.applyCancel(event.job);
-        }
-        else if (event.record.kind === "finished") {
-            this.restoreFinished(event.job, event.record);
-        }
-        else {
-            this.addJob(event.job, event.record, event.revision);
-        }
-    }
-
-    private restoreFinished(job: JobId, record: Extract<JobRecord, { kind: "finished"; }>): void {
-        if (!this.storedStates.has(job)) {
-            this.storedStates.set(job, record.state);
-            this.journal.adoptFinished(job);
-            this.options.listener.onChanges([{ job, queue: record.queue, state: record.state }]);
-        }
-    }
-
-    private addJob(job: JobId, record: Extract<JobRecord, { kind: "accepted"; }>, revision: number): void {
-        if (this.storedStates.has(job) || this.scheduler.getJobState(job) !== undefined) {
-            return;
-        }
-        const { clock, logger, tenure } = this.options;
-        const now = clock.getNow();
-        const ageMs = Math.max(0, clock.getWallTime() - record.acceptedAtWallMs);
-        this.scheduler.addJob(now, {
-            job,
-            queue: record.queue,
-            team: record.team,
-            spec: record.spec,
-            acceptedAt: now - ageMs,
-            mayHaveStarted: revision < tenure.revision && !this.hasReleased,
-        });
-        logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
-        this.options.listener.onChanges([{ job, queue: record.queue, state: "queued" }]);
-        if (record.spec.schedule !== undefined) {
-            this.scheduler.openDueOccurrences(now, clock.getWallTime());
-        }
-        this.requestTick();
-    }
-
-    private applyCancel(job: JobId): void {
-        const state = this.scheduler.getJobState(job);
-        this.options.logger.write("info", "job cancelled", { job, state });
-        if (state === undefined) {
-            this.journal.removeKeys([toCancelKey(job)]);
-            return;
-        }
-        this.cancelled.add(job);
-        this.scheduler.cancelJob(job);
-        this.requestTick();
-    }
-
     /** Takes jobs and cancellations that another host has just stored. The watch brings them too, only later. */
     acceptAnnounced(items: readonly StoreItem[]): void {
-        if (this.isRecovered) {
-            items.forEach(item => this.applyStoreChange(decodeJobItem(item, this.options.logger)));
-        }
-    }
-
-    private async followJobs(storeRevision: number): Promise<void> {
-        const { clock, logger, store } = this.options;
-        let afterRevision = storeRevision;
-        let readAt = clock.getNow();
-        while (!this.isClosed) {
-            const watched = await store.call({ kind: "watch", prefix: jobPrefix, afterRevision, waitMs: watchMs });
-            if (this.isClosed) {
-                return;
-            }
-            if (watched.ok && watched.val.changes.length > 0) {
-                for (const change of watched.val.changes) {
-                    this.applyStoreChange(change.item === undefined ? undefined : decodeJobItem(change.item, logger));
-                }
-                afterRevision = watched.val.storeRevision;
-                await clock.wait(watchPauseMs);
-                continue;
-            }
-            if (watched.ok && clock.getNow() - readAt < rereadMs) {
-                afterRevision = watched.val.storeRevision;
-                continue;
-            }
-            if (!watched.ok) {
-                await clock.wait(retryMs);
-            }
-            // Changes may have been missed, in a quiet watch because the store drops its history: the keys are read again.
-            const stored = await readStoredCell(store, logger);
-            if (stored.ok && !this.isClosed) {
-                stored.val.jobs.forEach(event => this.applyStoreChange(event));
-                afterRevision = stored.val.storeRevision;
-                readAt = clock.getNow();
-            }
-        }
-    }
-
-    private applyStoreChange(event: JobEvent | undefined): void {
-        if (event === undefined || event.kind === "cancel" && this.cancelled.has(event.job)) {
-            return;
-        }
-        const isOwnWrite = event.kind === "record" && event.record.kind === "finished"
-            && this.scheduler.getJobState(event.job) !== undefined;
-        if (!isOwnWrite) {
-            this.applyJobEvent(event);
-        }
+        this.feed.acceptAnnounced(items);
     }
 
     /** Lets tasks start that no executor can still run under an earlier owner's order. */
@@ -471,7 +373,7 @@
             void this.registry.getSession(executor)?.stop(task, run);
         }
         paces.forEach(pace => void this.sendPace(pace));
-        this.applyChanges(changes);
+        this.jobs.recordChanges(changes);
         this.askAdvice(now);
     }
 
@@ -494,30 +396,6 @@
         }
     }
 
-    private applyChanges(changes: readonly JobChange[]): void {
-        const running = changes.filter(change => change.state === "running" || change.state === "queued");
-        if (running.length > 0) {
-            this.options.listener.onChanges(running);
-        }
-        for (const change of changes) {
-            if (change.state !== "running" && change.state !== "queued") {
-                this.journal.recordFinished({ ...change, hasCancel: this.cancelled.has(change.job) }, () => {
-                    this.storedStates.set(change.job, change.state);
-                    this.cancelled.delete(change.job);
-                    this.options.logger.write("info", "job finished", { job: change.job, state: change.state });
-                    this.options.listener.onChanges([change]);
-                    this.forgetStored(change.job);
-                });
-            }
-        }
-    }
-
-    private forgetStored(job: JobId | undefined): void {
-        if (job !== undefined && this.storedStates.has(job)) {
-            this.scheduler.forgetJob(job);
-        }
-    }
-
     private askAdvice(now: number): void {
         this.scheduler.sendAdvice(now, decision => {
             const rules = this.configuration.queues.find(queue => queue.rules.queue === decision.queue)?.rules.advice;
--- /dev/null
+++ b/packages/cell/src/job-feed.ts
@@ -0,0 +1,96 @@
+/**
+ * Brings the owner the jobs and cancellations that hosts store: what they announce at once, and by a watch what was not
+ * announced.
+ */
+import type { Clock } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type { JobEvent } from "./owner-recovery.js";
+import { decodeJobItem, readStoredCell } from "./owner-recovery.js";
+import { jobPrefix } from "./store-keys.js";
+import type { LeaseStore, StoreItem } from "./store.js";
+
+export interface JobFeedOptions {
+    readonly store: LeaseStore;
+    readonly clock: Clock;
+    readonly logger: LogWriter;
+    /** Called for each event, also more than once. */
+    readonly onEvent: (event: JobEvent) => void;
+}
+
+/** Longest wait of a watch, ms. */
+const watchMs = 1_000;
+/** Pause between watches, ms: hosts announce what they store, so the watch only finds what was not announced. */
+const watchPauseMs = 250;
+/** Shortest time between reads of all jobs without a failure, ms. */
+const rereadMs = 3_000;
+/** Pause after a failed watch, ms. */
+const retryMs = 150;
+
+export class JobFeed {
+    private isOpen = false;
+    private isClosed = false;
+
+    constructor(private readonly options: JobFeedOptions) {}
+
+    /** Follows the store from a revision until `close`. */
+    async run(storeRevision: number): Promise<void> {
+        const { clock, store } = this.options;
+        this.isOpen = true;
+        let afterRevision = storeRevision;
+        let readAt = clock.getNow();
+        while (!this.isClosed) {
+            const watched = await store.call({ kind: "watch", prefix: jobPrefix, afterRevision, waitMs: watchMs });
+            if (this.isClosed) {
+                return;
+            }
+            if (watched.ok && watched.val.changes.length > 0) {
+                this.applyItems(watched.val.changes.flatMap(({ item }) => item === undefined ? [] : [item]));
+                afterRevision = watched.val.storeRevision;
+                await clock.wait(watchPauseMs);
+                continue;
+            }
+            if (watched.ok && clock.getNow() - readAt < rereadMs) {
+                afterRevision = watched.val.storeRevision;
+                continue;
+            }
+            if (!watched.ok) {
+                await clock.wait(retryMs);
+            }
+            const revision = await this.readAll();
+            if (revision !== undefined) {
+                afterRevision = revision;
+                readAt = clock.getNow();
+            }
+        }
+    }
+
+    /** Takes what another host has just stored. */
+    acceptAnnounced(items: readonly StoreItem[]): void {
+        if (this.isOpen && !this.isClosed) {
+            this.applyItems(items);
+        }
+    }
+
+    close(): void {
+        this.isClosed = true;
+    }
+
+    /** Reads all jobs again: a watch may have missed some, also a quiet one, because the store drops its history. */
+    private async readAll(): Promise<number | undefined> {
+        const stored = await readStoredCell(this.options.store, this.options.logger);
+        if (!stored.ok || this.isClosed) {
+            return undefined;
+        }
+        stored.val.jobs.forEach(event => this.options.onEvent(event));
+        return stored.val.storeRevision;
+    }
+
+    private applyItems(items: readonly StoreItem[]): void {
+        for (const item of items) {
+            const event = decodeJobItem(item, this.options.logger);
+            if (event !== undefined) {
+                this.options.onEvent(event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/cell/src/owner-jobs.ts
@@ -0,0 +1,140 @@
+/**
+ * The jobs of the owner between the store and the scheduler: takes accepted, finished and cancelled jobs from the store,
+ * stores how jobs end, and shows their states to callers.
+ */
+import type { Clock, JobId } from "@waxwingroute/core";
+import type { LogWriter } from "@waxwingroute/telemetry";
+import type { JobChange, JobState, WorkflowScheduler } from "@waxwingroute/workflow";
+import type { OwnerJournal } from "./owner-journal.js";
+import type { JobEvent } from "./owner-recovery.js";
+import type { JobRecord } from "./store-keys.js";
+import { toCancelKey } from "./store-keys.js";
+
+export interface OwnerJobsOptions {
+    readonly scheduler: WorkflowScheduler;
+    readonly journal: OwnerJournal;
+    readonly clock: Clock;
+    readonly logger: LogWriter;
+    /** Jobs stored before this revision may have been started by an earlier owner. */
+    readonly acquiredRevision: number;
+    /** Returns whether tasks of such jobs can start, because executors have been settled. */
+    readonly hasReleased: () => boolean;
+    readonly onChanges: (changes: readonly JobChange[]) => void;
+    /** The scheduler has something new to decide. */
+    readonly onWork: () => void;
+}
+
+export class OwnerJobs {
+    /** Finished jobs whose end is stored. */
+    private readonly storedStates = new Map<JobId, JobState>();
+    private readonly cancelled = new Set<JobId>();
+
+    constructor(private readonly options: OwnerJobsOptions) {}
+
+    /** Number of finished jobs that can still be asked for. */
+    get finishedCount(): number {
+        return this.storedStates.size;
+    }
+
+    /** Applies an event of the store; events that are known change nothing. */
+    applyEvent(event: JobEvent): void {
+        if (event.kind === "cancel") {
+            this.cancel(event.job);
+        }
+        else if (event.record.kind === "finished") {
+            this.restoreFinished(event.job, event.record);
+        }
+        else {
+            this.add(event.job, event.record, event.revision);
+        }
+    }
+
+    /** Returns whether the end of the job is stored, so that ends of its runs need not be. */
+    isStored(job: JobId | undefined): boolean {
+        return job === undefined || this.storedStates.has(job)
+            || this.options.scheduler.getJobState(job) === undefined;
+    }
+
+    /** Shows what the scheduler decided; the end of a job is shown once it is stored. */
+    recordChanges(changes: readonly JobChange[]): void {
+        const { journal, logger, onChanges } = this.options;
+        const open = changes.filter(change => !isEnd(change.state));
+        if (open.length > 0) {
+            onChanges(open);
+        }
+        for (const change of changes.filter(({ state }) => isEnd(state))) {
+            const { job, state } = change;
+            journal.recordFinished({ ...change, hasCancel: this.cancelled.has(job) }, () => {
+                this.storedStates.set(job, state);
+                this.cancelled.delete(job);
+                logger.write("info", "job finished", { job, state });
+                onChanges([change]);
+                this.forgetStored(job);
+            });
+        }
+    }
+
+    /** Drops a finished job from the scheduler once its end is stored and nothing of it runs. */
+    forgetStored(job: JobId | undefined): void {
+        if (job !== undefined && this.storedStates.has(job)) {
+            this.options.scheduler.forgetJob(job);
+        }
+    }
+
+    /** Drops a job whose record was removed after its retention. */
+    forgetExpired(job: JobId): void {
+        this.storedStates.delete(job);
+    }
+
+    private restoreFinished(job: JobId, record: Extract<JobRecord, { kind: "finished"; }>): void {
+        // A job that the scheduler knows ended under this owner, and this is its own write.
+        if (!this.storedStates.has(job) && this.options.scheduler.getJobState(job) === undefined) {
+            this.storedStates.set(job, record.state);
+            this.options.journal.adoptFinished(job);
+            this.options.onChanges([{ job, queue: record.queue, state: record.state }]);
+        }
+    }
+
+    private add(job: JobId, record: Extract<JobRecord, { kind: "accepted"; }>, revision: number): void {
+        const { acquiredRevision, clock, hasReleased, logger, onChanges, onWork, scheduler } = this.options;
+        if (this.storedStates.has(job) || scheduler.getJobState(job) !== undefined) {
+            return;
+        }
+        const now = clock.getNow();
+        const ageMs = Math.max(0, clock.getWallTime() - record.acceptedAtWallMs);
+        scheduler.addJob(now, {
+            job,
+            queue: record.queue,
+            team: record.team,
+            spec: record.spec,
+            acceptedAt: now - ageMs,
+            mayHaveStarted: revision < acquiredRevision && !hasReleased(),
+        });
+        logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
+        onChanges([{ job, queue: record.queue, state: "queued" }]);
+        if (record.spec.schedule !== undefined) {
+            scheduler.openDueOccurrences(now, clock.getWallTime());
+        }
+        onWork();
+    }
+
+    private cancel(job: JobId): void {
+        const { journal, logger, onWork, scheduler } = this.options;
+        if (this.cancelled.has(job)) {
+            return;
+        }
+        const state = scheduler.getJobState(job);
+        logger.write("info", "job cancelled", { job, state });
+        if (state === undefined) {
+            journal.removeKeys([toCancelKey(job)]);
+            return;
+        }
+        this.cancelled.add(job);
+        scheduler.cancelJob(job);
+        onWork();
+    }
+}
+
+function isEnd(state: JobState): boolean {
+    return state !== "queued" && state !== "running";
+}
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -22,6 +22,8 @@
     readonly retentionMs: number;
     /** The owner key is not the one of the tenure. */
     readonly onConflict: () => void;
+    /** The record of a finished job is being removed. */
+    readonly onExpired: (job: JobId) => void;
 }
 
 export interface FinishedJob {
@@ -298,6 +300,7 @@
         ) {
             const { job } = this.expiries.shift()!;
             this.finished.delete(job);
+            this.options.onExpired(job);
             this.removals.push(toJobKey(job));
         }
     }
