--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -77,6 +77,7 @@
     private lastEpoch = 0;
     private isStopped = false;
     private isFenced = false;
+    private isAcquiring = false;
 
     constructor(private readonly options: OwnershipOptions) {}
 
@@ -261,7 +262,12 @@
             this.recordLoss("another host acquired the cell");
             return;
         }
-        await this.acquire(view, true);
+        // A renewal and a write can find out at the same time; two acquisitions would leave the lease of one unrenewed.
+        if (!this.isAcquiring) {
+            this.isAcquiring = true;
+            await this.acquire(view, true);
+            this.isAcquiring = false;
+        }
     }
 
     private async readLead(): Promise<Result<LeadView, Failure>> {
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -89,6 +89,22 @@
         first.ownership.abort();
     });
 
+    it("acquires it once when its lease ran out, however many notice", async () => {
+        // Guards against two acquisitions at the same time, of which the second replaced the lease that is renewed.
+        const fixture = new Fixture();
+        const host = fixture.open("a");
+        await fixture.clock.advance(500);
+        fixture.data.mode = "silent";
+        await fixture.clock.advance(4_000);
+        fixture.data.mode = "up";
+        for (let round = 0; round < 40; round++) {
+            [1, 2, 3].forEach(() => void host.ownership.verify());
+            await fixture.clock.advance(100);
+        }
+        expect(host.events).toEqual(["acquired 1", "acquired 2 again"]);
+        host.ownership.abort();
+    });
+
     it("loses it when another host acquired it behind its back", async () => {
         const fixture = new Fixture();
         const first = fixture.open("a");
