Let a watch test take several progress lines at once

The watch did nothing wrong. Change: the first three lines are checked as before, and all further ones must be progress lines; any other line still fails.

--- a/packages/operator/src/operator-server_test.ts
+++ b/packages/operator/src/operator-server_test.ts
@@ -282,7 +282,10 @@
             operator.sync();
             const watch = await open(operator, "GET", "/v1/watch?kind=teams&from=1");
             const first = await readUntil(watch, "progress");
-            expect(first.map(line => line.resource?.name ?? line.type)).toEqual(["cutting", "vans", "progress"]);
+            const names = first.map(line => line.resource?.name ?? line.type);
+            expect(names.slice(0, 3)).toEqual(["cutting", "vans", "progress"]);
+            // On a busy machine further progress lines, one every 20 ms, arrive with the first.
+            expect(names.slice(3).every(name => name === "progress")).toEqual(true);
             await send(operator, "DELETE", "/v1/teams/vans");
             operator.sync();
             const later = await readUntil(watch, "delete");
