Let the demo wait until its keys are in force

Promised is 'within seconds'. Change: it waits until the revision of the last key is in force on every host, and checks that.

--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -32,8 +32,9 @@
             "apply",
             join(root, "packages/demo/work/resources.json"),
         ]);
-        const secret = await this.createKey("quotes");
-        const dispatchSecret = await this.createKey("dispatch");
+        const { secret } = await this.createKey("quotes");
+        const { secret: dispatchSecret, version } = await this.createKey("dispatch");
+        await this.awaitInForce(version);
         await this.awaitServed(secret);
         await this.submitJobs("quotes", secret);
         await this.submitJobs("dispatch", dispatchSecret);
@@ -62,10 +63,23 @@
         }
     }
 
-    private async createKey(team: string): Promise<string> {
+    private async createKey(team: string): Promise<{ readonly secret: string; readonly version: number; }> {
         const created = await this.runCommand(["key", "create", `${team}-key`, "--team", team, "--output", "json"]);
         this.check(created.status === 0, `a key for team "${team}" is created`);
-        return (JSON.parse(created.output) as { secret: string; }).secret;
+        return JSON.parse(created.output) as { secret: string; version: number; };
+    }
+
+    /** Waits until a configuration revision is in force on every host, which takes seconds on a busy machine. */
+    private async awaitInForce(revision: number): Promise<void> {
+        const startedAt = performance.now();
+        let isInForce = false;
+        while (!isInForce && performance.now() - startedAt < 10_000) {
+            const result = await this.runCommand(["config", "where", "--output", "json"]);
+            const { items } = JSON.parse(result.output) as { items: { revision: number; }[]; };
+            isInForce = items.length > 0 && items.every(item => item.revision >= revision);
+            await wait(isInForce ? 0 : 200);
+        }
+        this.check(isInForce, `revision ${revision} is in force on every host`);
     }
 
     private submitJobs(team: string, secret: string): Promise<void> {
