Remove fields and methods of the new packages that nothing reads

Found by reading the whole change: StepRow.hasStarted and QueueRow.failureRate were written and never read; WorkflowScheduler.hasRun, the isStarting of listRuns, ConfigurationIndex.getQueue and two stop reasons had no caller.

--- a/packages/cell/src/configuration.ts
+++ b/packages/cell/src/configuration.ts
@@ -1,5 +1,5 @@
 /** The operators' configuration as the cell uses it. */
-import type { QueueId, TeamId } from "@waxwingroute/core";
+import type { TeamId } from "@waxwingroute/core";
 import type { QueueRules, TeamRules } from "@waxwingroute/workflow";
 
 /** A queue and where callers reach it. */
@@ -28,7 +28,6 @@
 /** Answers questions about one configuration in constant time. */
 export class ConfigurationIndex {
     private readonly queuesByHost = new Map<string, QueueConfiguration[]>();
-    private readonly queuesById = new Map<QueueId, QueueConfiguration>();
     private readonly teamsByKey = new Map<string, TeamId>();
 
     constructor(readonly configuration: CellConfiguration) {
@@ -37,7 +36,6 @@
             const queues = this.queuesByHost.get(host) ?? [];
             queues.push(queue);
             this.queuesByHost.set(host, queues);
-            this.queuesById.set(queue.rules.queue, queue);
         }
         for (const queues of this.queuesByHost.values()) {
             queues.sort((first, second) => second.prefix.length - first.prefix.length);
@@ -52,10 +50,6 @@
         return this.queuesByHost.get(host.toLowerCase())?.find(queue => path.startsWith(queue.prefix));
     }
 
-    getQueue(queue: QueueId): QueueConfiguration | undefined {
-        return this.queuesById.get(queue);
-    }
-
     findTeam(key: string): TeamId | undefined {
         return this.teamsByKey.get(key);
     }
--- a/packages/workflow/src/health-system.ts
+++ b/packages/workflow/src/health-system.ts
@@ -29,7 +29,6 @@
     if (failed === 1) {
         markFailingExecutor(state, now, executor);
     }
-    queue.failureRate = computeAverage(queue.failureRate, failed, queueWeight);
     if (outcome === "done" && run.task.checkpoint === "") {
         recordRunTime(now, run, executor, queue);
     }
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -62,7 +62,7 @@
 }
 
 /** Recomputes when the occurrence should be done. */
-export function updateObjective(occurrence: OccurrenceRow, queue: QueueRow | undefined): void {
+function updateObjective(occurrence: OccurrenceRow, queue: QueueRow | undefined): void {
     const chain = Math.max(0, ...occurrence.steps.map(step => step.remainingChainMs)) * (queue?.estimateRatio ?? 1);
     occurrence.objectiveAt = occurrence.dueAt + (queue?.rules.targetLatencyMs ?? 0)
         + (queue?.rules.stretchFactor ?? 1) * chain;
@@ -104,7 +104,6 @@
         doneCount: 0,
         failedGangRuns: new Set(),
         remainingChainMs: chainMs,
-        hasStarted: false,
     };
     for (let index = 0; index < spec.taskCount; index++) {
         const key = toTaskKey({ job, occurrence: occurrence.number, step: number, index });
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -156,7 +156,6 @@
         pacePercent: 100,
     };
     state.addRun(run);
-    step.hasStarted = true;
     state.starts.push({
         executor: executor.id,
         task: task.key,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -62,8 +62,6 @@
     readonly failedGangRuns: Set<number>;
     /** Longest remaining chain of work from this step on, ms. */
     remainingChainMs: number;
-    /** Whether a start was decided; the first wait ends there. */
-    hasStarted: boolean;
 }
 
 export interface OccurrenceRow {
@@ -134,8 +132,6 @@
     estimateRatio: number;
     /** Share of named executors that the advisor granted. */
     grantRate: number;
-    /** Share of runs that failed on any executor. */
-    failureRate: number;
 }
 
 /** Key of a run in `ExecutorRow.runs`. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -71,7 +71,7 @@
         for (const queue of rules.queues) {
             const row = this.state.queues.get(queue.queue);
             if (row === undefined) {
-                this.state.queues.set(queue.queue, { rules: queue, estimateRatio: 1, grantRate: 0.5, failureRate: 0 });
+                this.state.queues.set(queue.queue, { rules: queue, estimateRatio: 1, grantRate: 0.5 });
             }
             else {
                 row.rules = queue;
@@ -241,19 +241,13 @@
     }
 
     /** Lists the runs charged to an executor. */
-    listRuns(executor: ExecutorId): { readonly task: TaskKey; readonly run: number; readonly isStarting: boolean; }[] {
+    listRuns(executor: ExecutorId): { readonly task: TaskKey; readonly run: number; }[] {
         return [...this.state.executors.get(executor)?.runs.values() ?? []].map(run => ({
             task: run.task.key,
             run: run.number,
-            isStarting: run.state === "starting",
         }));
     }
 
-    /** Returns whether the run is charged to the executor. */
-    hasRun(executor: ExecutorId, task: TaskKey, run: number): boolean {
-        return this.findRun(executor, task, run) !== undefined;
-    }
-
     /** Lets tasks start whose whereabouts were unknown after a change of owner, except those that may still run. */
     releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set()): void {
         this.state.isSettled = true;
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -168,7 +168,7 @@
     readonly slackMs: number;
 }
 
-export type StopReason = "cancelled" | "gangBroken" | "stalled" | "preempted" | "superseded" | "leaving";
+export type StopReason = "cancelled" | "gangBroken" | "stalled" | "superseded";
 
 export interface StopDecision {
     readonly executor: ExecutorId;
