Count tasks of unknown whereabouts toward the limit of their team

Cause: after a change of owner only the runs that executors list were charged to their team. Tasks on an executor that did not answer ran on uncharged for up to the length of a lease, and newer jobs of the team started beside them, up to half over the limit in the test. Change: tasks in the state 'unknown' count toward the limit until they are settled, bounded by the capacity of the executors that are silent. A finished job is kept in the tables while one of its tasks may still run unseen. Test: cell-owner_test 'keeps a team within its limit while an executor that may run its tasks is silent', failed first with 12 of 8 processors.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -329,6 +329,7 @@
         this.hasReleased = true;
         this.isSettledWhole = unsettled.length === 0;
         this.scheduler.releaseUnknownTasks(new Set(unsettled));
+        this.jobs.forgetAllStored();
         this.options.logger.write("info", this.isSettledWhole ? "all executors settled" : "executors settled", {
             sinceAcquiredMs: Math.round(this.options.clock.getNow() - this.startedAt),
             keptBack: unsettled.length,
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { SimulationOptions } from "./testing/cell-simulation.js";
-import { CellSimulation } from "./testing/cell-simulation.js";
+import { CellSimulation, limitedTeam } from "./testing/cell-simulation.js";
 
 async function openCell(options: Partial<SimulationOptions> = {}): Promise<CellSimulation> {
     const cell = new CellSimulation({ hosts: 2, executors: 3, ...options });
@@ -77,6 +77,30 @@
             cell.close();
         });
 
+        it("keeps a team within its limit while an executor that may run its tasks is silent", async () => {
+            // Guards against counting only what reachable executors list: the tasks on the silent one run on, and newer jobs
+            // of the team start elsewhere.
+            const cell = await openCell({
+                executors: 4,
+                planRun: () => ({ workMs: 4_000, outcome: "done" }),
+            });
+            const dead = cell.owner!;
+            void cell.submit(dead, "old", [{ taskCount: 8, estimateMs: 4_000 }], limitedTeam);
+            await cell.advanceUntil(() => cell.judge.startCount === 8, 2_000);
+            cell.executors.find(executor => executor.runningCount === 4)!.isCutOff = true;
+            dead.kill();
+            const other = cell.hosts.find(host => host !== dead)!;
+            await cell.advanceUntil(() => cell.owner === other, 3_000);
+            void cell.submit(other, "new", [{ taskCount: 12, estimateMs: 4_000 }], limitedTeam);
+            await cell.advance(10_000);
+            expect(cell.judge.violations).toEqual([]);
+            cell.executors.forEach(executor => {
+                executor.isCutOff = false;
+            });
+            expect(await cell.advanceUntil(() => cell.getState("new") === "succeeded", 20_000)).toEqual(true);
+            cell.close();
+        });
+
         it("adopts what runs and starts nothing twice", async () => {
             const cell = await openCell({ planRun: () => ({ workMs: 4_000, outcome: "done" }) });
             void cell.submit(cell.owner!, "a", [{ taskCount: 6, estimateMs: 4_000 }]);
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -81,6 +81,11 @@
         }
     }
 
+    /** Drops all finished jobs of which nothing can run any more. */
+    forgetAllStored(): void {
+        [...this.storedStates.keys()].forEach(job => this.forgetStored(job));
+    }
+
     /** Drops a job whose record was removed after its retention. */
     forgetExpired(job: JobId): void {
         this.storedStates.delete(job);
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -18,6 +18,10 @@
 
 export const testQueue = toId<QueueId>("orders");
 export const testTeam = toId<TeamId>("sales");
+/** A team that may use half of four executors. */
+export const limitedTeam = toId<TeamId>("trials");
+const limitedCpuMillis = 8_000;
+const executorCpuMillis = 4_000;
 const pool = toId<PoolId>("workers");
 /** Longest lease of the fake executors, ms. */
 const maxLeaseMs = 6_000;
@@ -37,6 +41,13 @@
     teams: [{
         rules: { team: testTeam, weight: 0, limit: { cpuMillis: 0, memoryMb: 0, accelerators: 0 } },
         keys: [],
+    }, {
+        rules: {
+            team: limitedTeam,
+            weight: 0,
+            limit: { cpuMillis: limitedCpuMillis, memoryMb: 0, accelerators: 0 },
+        },
+        keys: [],
     }],
     maxBodyBytes: 100_000,
 };
@@ -61,7 +72,7 @@
             zone: toId<ZoneId>("zone"),
             rack: toId<RackId>("rack"),
             labels: [],
-            capacity: { cpuMillis: 4_000, memoryMb: 8_000, accelerators: 0 },
+            capacity: { cpuMillis: executorCpuMillis, memoryMb: 8_000, accelerators: 0 },
             isDraining: value.isDraining === true,
             remainingMs: undefined,
         });
@@ -169,7 +180,11 @@
     readonly clock = new ManualClock(1_000);
     readonly random: SeededRandom;
     readonly data = new MemoryStoreData(this.clock);
-    readonly judge = new RunJudge();
+    readonly judge = new RunJudge({
+        executorCpuMillis,
+        teamCpuMillis: new Map([[limitedTeam, limitedCpuMillis]]),
+        maxAttempts: testRules.maxAttempts,
+    });
     readonly executors: FakeExecutor[] = [];
     readonly hosts: SimulatedHost[] = [];
     /** States that an owner has shown. */
@@ -216,13 +231,20 @@
     }
 
     /** Hands a job in and returns its id; the result arrives while time advances. */
-    submit(host: SimulatedHost, name: string, steps: readonly Partial<StepSpec>[]): Promise<Result<string, Failure>> {
+    submit(
+        host: SimulatedHost,
+        name: string,
+        steps: readonly Partial<StepSpec>[],
+        team = testTeam,
+    ): Promise<Result<string, Failure>> {
+        const spec = { payload: name, steps: steps.map(createStep) };
+        this.judge.registerJob(toId<JobId>(name), { team, steps: spec.steps });
         return host.intake.submit(toId<JobId>(name), {
             kind: "accepted",
             queue: testQueue,
-            team: testTeam,
+            team,
             acceptedAtWallMs: this.clock.getWallTime(),
-            spec: { payload: name, steps: steps.map(createStep) },
+            spec,
         });
     }
 
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -1,6 +1,6 @@
 /** Random series of faults against a simulated cell, for searches over many seeds. */
 import { SeededRandom } from "@waxwingroute/core";
-import { CellSimulation } from "./cell-simulation.js";
+import { CellSimulation, limitedTeam, testTeam } from "./cell-simulation.js";
 
 export interface SearchResult {
     readonly seed: number;
@@ -48,11 +48,12 @@
 function submitRandomJob(cell: CellSimulation, random: SeededRandom, name: string, accepted: string[]): void {
     const host = random.pickOne(cell.hosts)!;
     const isGang = random.getInteger(4) === 0;
+    const team = random.getInteger(2) === 0 ? limitedTeam : testTeam;
     const steps = [
         { taskCount: 1 + random.getInteger(4), isGang, estimateMs: 1_000 },
         ...random.getInteger(2) === 0 ? [{ taskCount: 2, after: [0], estimateMs: 1_000 }] : [],
     ];
-    void cell.submit(host, name, steps).then(result => {
+    void cell.submit(host, name, steps, team).then(result => {
         if (result.ok) {
             accepted.push(name);
         }
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -53,6 +53,7 @@
     const chains = computeChains(job.submission.spec.steps);
     job.submission.spec.steps.forEach((spec, step) => {
         const mayHaveStarted = job.submission.mayHaveStarted && !state.isSettled;
+        state.hasUnknownTasks ||= mayHaveStarted;
         steps.push(createStepRow(occurrence, spec, step, chains[step] ?? 0, mayHaveStarted));
     });
     job.occurrences.set(number, occurrence);
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -97,6 +97,8 @@
     readonly id: TeamId;
     rules: TeamRules;
     used: ResourceVector;
+    /** What tasks of the team may use on executors that have not answered since the change of owner. */
+    unknown: ResourceVector;
     /** Jobs that the team may still submit within its rate. */
     credit: number;
     creditAt: number;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -41,6 +41,7 @@
     TaskKey,
     TickDecisions,
 } from "./types.js";
+import { countUnknownTasks, listUnknownTasks } from "./unknown-system.js";
 
 /** Run numbers of one owner; the next owner begins above them. */
 export const runsPerEpoch = 10_000;
@@ -130,10 +131,12 @@
         return row?.phase;
     }
 
-    /** Forgets a finished job whose runs have all ended; returns whether it was forgotten. */
+    /** Forgets a finished job of which nothing can run any more; returns whether it was forgotten. */
     forgetJob(job: JobId): boolean {
         const row = this.state.jobs.get(job);
-        return row !== undefined && !this.state.isOpen(row) && row.activeRuns === 0 && this.state.jobs.delete(job);
+        const canForget = row !== undefined && !this.state.isOpen(row) && row.activeRuns === 0
+            && (!this.state.hasUnknownTasks || listUnknownTasks(row).length === 0);
+        return canForget && this.state.jobs.delete(job);
     }
 
     getJobState(job: JobId): JobState | undefined {
@@ -311,6 +314,7 @@
     /** Stops stalled runs, places tasks, and returns everything decided since the last tick. */
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
+        countUnknownTasks(this.state);
         placeTasks(this.state, now, selectRankedSteps(this.state, now));
         return {
             starts: this.state.starts.splice(0),
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -30,6 +30,8 @@
     reservation: Reservation | undefined;
     /** Whether tasks that an earlier owner may have started can start, because all executors have been settled. */
     isSettled = false;
+    /** Whether some task may be in the state `unknown`. */
+    hasUnknownTasks = false;
     /** Run numbers of this owner are above this one. */
     firstRun = 0;
 
@@ -40,6 +42,7 @@
             id,
             rules: { team: id, weight: 0, limit: zeroResources },
             used: zeroResources,
+            unknown: zeroResources,
             credit: 0,
             creditAt: 0,
         }));
@@ -130,7 +133,7 @@
         memoryMb: limit.memoryMb === 0 ? Infinity : limit.memoryMb,
         accelerators: limit.accelerators === 0 ? Infinity : limit.accelerators,
     };
-    return fitsWithin(addResources(team.used, more), bound);
+    return fitsWithin(addResources(addResources(team.used, team.unknown), more), bound);
 }
 
 /** Returns the tasks of a step that could start now. */
