Empty executors that are leaving

Change: what will not end in time is stopped: tasks with checkpoints at the last moment that still saves their progress, others at once, gangs as a whole, long-running tasks when another executor has room. The longest time of a stop is a setting. Test: evacuation-system_test (5).

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -46,6 +46,8 @@
     readonly maxLeaseMs: number;
     /** How long finished jobs can be asked for, ms. */
     readonly retentionMs: number;
+    /** Longest time from a stop to its end, ms. */
+    readonly stopMs: number;
     /** Called after each call to the store, for the metrics. */
     readonly onStoreCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
 }
@@ -319,7 +321,7 @@
         if (configuration === undefined) {
             return;
         }
-        const { advisor, clock, codec, connector, host, logger, maxLeaseMs, retentionMs } = this.options;
+        const { advisor, clock, codec, connector, host, logger, maxLeaseMs, retentionMs, stopMs } = this.options;
         const owner = new CellOwner({
             store: this.store,
             codec,
@@ -330,6 +332,7 @@
             configuration,
             maxLeaseMs,
             retentionMs,
+            stopMs,
             listener: {
                 onChanges: changes => this.publish(changes),
                 onPending: counts => {
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -46,6 +46,8 @@
     readonly maxLeaseMs: number;
     /** How long finished jobs can be asked for, ms. */
     readonly retentionMs: number;
+    /** Longest time from a stop to its end, ms. */
+    readonly stopMs: number;
     readonly listener: OwnerListener;
 }
 
@@ -74,7 +76,7 @@
 const retryMs = 150;
 
 export class CellOwner implements SessionListener {
-    private readonly scheduler = new WorkflowScheduler();
+    private readonly scheduler: WorkflowScheduler;
     private readonly journal: OwnerJournal;
     private readonly registry: ExecutorRegistry;
     private readonly advice: AdviceDispatcher;
@@ -93,6 +95,7 @@
         const { clock, connector, codec, logger, store, tenure, maxLeaseMs, retentionMs } = options;
         this.startedAt = clock.getNow();
         this.configuration = options.configuration;
+        this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
         this.scheduler.setEpoch(tenure.epoch);
         this.scheduler.applyRules(toRules(options.configuration));
         this.journal = new OwnerJournal({
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -50,6 +50,8 @@
     readonly session: ExecutorSession;
     /** The newest entry; `undefined` if only the roster names the executor. */
     entry: ExecutorEntry | undefined;
+    /** Earliest time at which the executor leaves; `undefined` unless it drains. */
+    leavesAt: number | undefined;
     isGone: boolean;
     /** What the stored roster says of it. */
     stored: Enrolment;
@@ -151,7 +153,8 @@
         }
         const { pool, zone, rack, labels, capacity } = record.entry ?? unknownExecutor;
         const state = this.getState(record);
-        this.options.scheduler.updateExecutor({ executor, pool, zone, rack, labels, capacity, state });
+        const { leavesAt } = record;
+        this.options.scheduler.updateExecutor({ executor, pool, zone, rack, labels, capacity, state, leavesAt });
     }
 
     /** Reads the entries once. */
@@ -202,10 +205,20 @@
             });
         }
         record.entry = entry;
+        record.leavesAt = this.computeLeave(record, entry);
         record.isGone = false;
         this.updateScheduler(entry.executor);
     }
 
+    /** Returns the earliest time of the leave; an entry is read up to `pollMs` late, and again until it changes. */
+    private computeLeave(record: ExecutorRecord, entry: ExecutorEntry): number | undefined {
+        if (!entry.isDraining || entry.remainingMs === undefined) {
+            return undefined;
+        }
+        const leavesAt = this.options.clock.getNow() + entry.remainingMs - pollMs;
+        return Math.min(leavesAt, record.leavesAt ?? Infinity);
+    }
+
     private markMissing(seen: ReadonlySet<ExecutorId>): void {
         for (const record of this.records.values()) {
             if (seen.has(record.executor)) {
@@ -310,6 +323,7 @@
             address,
             session,
             entry: undefined,
+            leavesAt: undefined,
             isGone: false,
             stored: "absent",
         };
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -165,6 +165,7 @@
             configuration,
             maxLeaseMs,
             retentionMs: 120_000,
+            stopMs: 100,
             listener: {
                 onChanges: changes => changes.forEach(({ job, state }) => this.simulation.states.set(job, state)),
                 onPending: () => undefined,
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -89,6 +89,7 @@
         logger: log,
         maxLeaseMs: settings.maxLeaseMs,
         retentionMs: settings.retentionSeconds * 1_000,
+        stopMs: settings.stopMs,
         onStoreCall: (operation, isAnswered, tookMs) => {
             // The time of a watch is mostly its wait.
             if (operation !== "watch") {
--- /dev/null
+++ b/packages/workflow/src/evacuation-system.ts
@@ -0,0 +1,67 @@
+/**
+ * Empties executors that are leaving. What ends in time stays. A task with checkpoints works on until the last moment at which
+ * a stop still saves its progress; one without is moved at once if its work would be lost anyway. A long-running task is moved
+ * as soon as another executor has room for it.
+ */
+import { countRoom, hasTicket, isEligible } from "./candidates.js";
+import type { ExecutorRow, RunRow, StepRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+
+/** Time for a stop to reach the executor and for its end to be listed, ms: two crossings of a region and a renewal. */
+const stopMarginMs = 500;
+/** Executors mostly stay longer than announced; a task that would end within this time beyond it is left alone, ms. */
+const likelyExtraMs = 1_000;
+/** Progress from which on the duration of a run is judged by itself, in percent; below it rounding decides too much. */
+const judgedPercent = 5;
+
+export function stopRunsOfLeavingExecutors(state: SchedulerState, now: number): void {
+    for (const executor of state.executors.values()) {
+        if (executor.leavesAt === undefined || !executor.isReachable) {
+            continue;
+        }
+        for (const run of executor.runs.values()) {
+            if (run.state !== "stopping" && mustMove(state, now, executor.leavesAt - now, run)) {
+                stopWholeRun(state, run);
+            }
+        }
+    }
+}
+
+function mustMove(state: SchedulerState, now: number, leftMs: number, run: RunRow): boolean {
+    const { step } = run.task;
+    if (step.spec.isLongRunning) {
+        return hasRoomElsewhere(state, now, step);
+    }
+    const remainingMs = estimateRemaining(state, now, run);
+    if (remainingMs <= leftMs) {
+        return false;
+    }
+    return step.spec.savesCheckpoints
+        ? leftMs <= state.options.stopMs + stopMarginMs
+        : remainingMs > leftMs + likelyExtraMs;
+}
+
+/** Returns the time that the run still needs, from its own progress or, at its beginning, from what its queue took before. */
+function estimateRemaining(state: SchedulerState, now: number, run: RunRow): number {
+    const { step } = run.task;
+    const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
+    // A run that resumed has its percentage from earlier runs, so its own time says less.
+    const isJudgedByItself = run.percent >= judgedPercent && run.task.checkpoint === "";
+    const wholeMs = isJudgedByItself
+        ? (run.progressAt - run.startedAt) * 100 / run.percent
+        : step.spec.estimateMs * ratio;
+    return wholeMs * (100 - run.percent) / 100 - (now - run.progressAt);
+}
+
+function hasRoomElsewhere(state: SchedulerState, now: number, step: StepRow): boolean {
+    return [...state.executors.values()].some((executor: ExecutorRow) =>
+        isEligible(state, now, step, executor) && hasTicket(state, now, step, executor) && countRoom(step, executor) > 0
+    );
+}
+
+/** Stops a run; of a gang all members, since none can go on without the others. */
+function stopWholeRun(state: SchedulerState, run: RunRow): void {
+    const { step } = run.task;
+    const members = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run];
+    members.filter(member => member.number === run.number).forEach(member => state.stopRun(member, "executorLeaving"));
+}
--- /dev/null
+++ b/packages/workflow/src/evacuation-system_test.ts
@@ -0,0 +1,71 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { cores, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
+import type { StartDecision } from "./types.js";
+
+/** Says that the executor of a run leaves after this time. */
+function announceLeave(fixture: SchedulerFixture, start: StartDecision, afterMs: number): void {
+    fixture.putExecutor(Number(start.executor.slice(1)), "leaving", [], fixture.now + afterMs);
+}
+
+function recordProgress(fixture: SchedulerFixture, start: StartDecision, percent: number): void {
+    const { executor, task, run } = start;
+    fixture.scheduler.recordRunning(fixture.now, executor, { task, run, checkpoint: "", percent });
+}
+
+describe("an executor that leaves", () => {
+    // Guards against work that is lost with the executor although the leave was announced in time.
+    it("keeps a task with checkpoints until a stop is due, and the task resumes elsewhere", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ estimateMs: 20_000, savesCheckpoints: true })]);
+        const [first] = fixture.start();
+        announceLeave(fixture, first!, 3_000);
+        expect(fixture.tick().stops).toEqual([]);
+        fixture.now += 1_600;
+        const { stops } = fixture.tick();
+        expect(stops.map(stop => [stop.task, stop.reason] as const)).toEqual([[first!.task, "executorLeaving"]]);
+        fixture.end(first!, "stopped", "half");
+        const [second] = fixture.start();
+        expect(second!.checkpoint).toEqual("half");
+        expect(second!.executor === first!.executor).toEqual(false);
+    });
+
+    it("gives up a long task without checkpoints at once", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ estimateMs: 20_000 })]);
+        const [first] = fixture.start();
+        announceLeave(fixture, first!, 3_000);
+        expect(fixture.tick().stops.length).toEqual(1);
+    });
+
+    it("lets a task end that will be done in time", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ estimateMs: 20_000 })]);
+        const [first] = fixture.start();
+        fixture.now += 8_000;
+        recordProgress(fixture, first!, 80);
+        announceLeave(fixture, first!, 3_000);
+        fixture.now += 1_900;
+        expect(fixture.tick().stops).toEqual([]);
+    });
+
+    it("stops all members of a gang together", () => {
+        const fixture = new SchedulerFixture(3);
+        fixture.submit("a", [createStep({ taskCount: 2, resources: cores(16), isGang: true, estimateMs: 20_000 })]);
+        const [first] = fixture.start();
+        announceLeave(fixture, first!, 3_000);
+        expect(fixture.tick().stops.length).toEqual(2);
+    });
+
+    it("moves a long-running task only when another executor has room", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("full", [createStep({ resources: cores(16), estimateMs: 60_000 })]);
+        const [full] = fixture.start();
+        fixture.submit("service", [createStep({ resources: cores(8), isLongRunning: true })]);
+        const [service] = fixture.start();
+        announceLeave(fixture, service!, 3_000);
+        expect(fixture.tick().stops).toEqual([]);
+        fixture.end(full!, "done");
+        expect(fixture.tick().stops.map(stop => stop.task)).toEqual([service!.task]);
+    });
+});
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -114,6 +114,8 @@
     used: ResourceVector;
     isReady: boolean;
     isReachable: boolean;
+    /** Earliest time at which the executor leaves; `undefined`: not known or not leaving. */
+    leavesAt: number | undefined;
     readonly runs: Map<string, RunRow>;
     /** Runs of unknown size, for example of jobs that ended under an earlier owner. Nothing starts beside them. */
     readonly unknownRuns: Set<string>;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -17,6 +17,7 @@
 import { recordAdvice, sendAdvice } from "./advice-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
+import { stopRunsOfLeavingExecutors } from "./evacuation-system.js";
 import { addOccurrence, countOccurrences, createJobRow, takeTeamCredit } from "./job-rows.js";
 import { parseTaskKey } from "./keys.js";
 import { decidePaces, hasPacedRuns } from "./pacing-system.js";
@@ -54,6 +55,7 @@
             stallFactor: options.stallFactor ?? 6,
             stallFloorMs: options.stallFloorMs ?? 3_000,
             ticketMarginMs: options.ticketMarginMs ?? 250,
+            stopMs: options.stopMs ?? 1_000,
         });
     }
 
@@ -93,6 +95,7 @@
         row.capacity = update.capacity;
         row.isReady = update.state === "ready";
         row.isReachable = update.state !== "unreachable";
+        row.leavesAt = update.leavesAt;
     }
 
     /** Removes an executor; its runs end as `lost`. The caller makes sure that they no longer run. */
@@ -315,6 +318,7 @@
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
         countUnknownTasks(this.state);
+        stopRunsOfLeavingExecutors(this.state, now);
         placeTasks(this.state, now, selectRankedSteps(this.state, now));
         return {
             starts: this.state.starts.splice(0),
@@ -365,6 +369,7 @@
         used: zeroResources,
         isReady: false,
         isReachable: false,
+        leavesAt: undefined,
         runs: new Map(),
         unknownRuns: new Set(),
         failureRate: 0,
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -1,143 +1,22 @@
-import type { ExecutorId, JobId, QueueId, RackId, ResourceVector, TeamId, ZoneId } from "@waxwingroute/core";
+import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
 import { toId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
-import { WorkflowScheduler } from "./scheduler.js";
-import type {
-    AdviceDecision,
-    PoolId,
-    QueueRules,
-    RunOutcome,
-    StartDecision,
-    StepSpec,
-    TickDecisions,
-} from "./types.js";
-
-const pool = toId<PoolId>("pool");
-const team = toId<TeamId>("team");
-const noLimit: ResourceVector = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-
-function cores(count: number): ResourceVector {
-    return { cpuMillis: count * 1_000, memoryMb: 100, accelerators: 0 };
-}
-
-function createQueue(name: string, rules: Partial<QueueRules> = {}): QueueRules {
-    return {
-        queue: toId<QueueId>(name),
-        pool,
-        priority: 1,
-        maxAttempts: 2,
-        stretchFactor: 2,
-        targetLatencyMs: 1_000,
-        ...rules,
-    };
-}
-
-function createStep(step: Partial<StepSpec> = {}): StepSpec {
-    return {
-        taskCount: 1,
-        resources: cores(1),
-        estimateMs: 1_000,
-        after: [],
-        isGang: false,
-        prefersOneRack: false,
-        canRunCopies: false,
-        savesCheckpoints: false,
-        isLongRunning: false,
-        usesIdleProcessors: false,
-        ...step,
-    };
-}
-
-/** A scheduler with executors of 16 cores, four to a rack, and a clock. */
-class Fixture {
-    readonly scheduler = new WorkflowScheduler();
-    now = 1_000;
-
-    constructor(
-        readonly executors: number,
-        queues: readonly QueueRules[] = [createQueue("queue")],
-        limit: ResourceVector = noLimit,
-    ) {
-        this.scheduler.setEpoch(1);
-        this.scheduler.applyRules({ queues, teams: [{ team, weight: 0, limit }] });
-        for (let index = 0; index < executors; index++) {
-            this.putExecutor(index, "ready");
-        }
-    }
-
-    putExecutor(index: number, state: "ready" | "leaving" | "unreachable", labels: readonly string[] = []): void {
-        this.scheduler.updateExecutor({
-            executor: toId<ExecutorId>(`e${index}`),
-            pool,
-            zone: toId<ZoneId>("zone"),
-            rack: toId<RackId>(`r${Math.floor(index / 4)}`),
-            labels,
-            capacity: { cpuMillis: 16_000, memoryMb: 32_000, accelerators: 0 },
-            state,
-        });
-    }
-
-    submit(job: string, steps: readonly StepSpec[], queue = "queue", mayHaveStarted = false): void {
-        this.scheduler.addJob(this.now, {
-            job: toId<JobId>(job),
-            queue: toId<QueueId>(queue),
-            team,
-            spec: { payload: job, steps },
-            acceptedAt: this.now,
-            mayHaveStarted,
-        });
-    }
-
-    tick(): TickDecisions {
-        return this.scheduler.tick(this.now);
-    }
-
-    /** Ticks and confirms the starts. */
-    start(): readonly StartDecision[] {
-        const { starts } = this.tick();
-        for (const { executor, task, run } of starts) {
-            this.scheduler.recordRunning(this.now, executor, { task, run, checkpoint: "", percent: 0 });
-        }
-        return starts;
-    }
-
-    end(start: StartDecision, outcome: RunOutcome, checkpoint = ""): void {
-        const { executor, task, run } = start;
-        this.scheduler.recordEnd(this.now, { executor, task, run, outcome, checkpoint });
-    }
-
-    getState(job: string): string | undefined {
-        return this.scheduler.getJobState(toId<JobId>(job));
-    }
-
-    /** Answers all questions of advisors: grants the executors that `isGranted` names. */
-    answerAdvice(isGranted: (executor: ExecutorId) => boolean): readonly AdviceDecision[] {
-        const asked: AdviceDecision[] = [];
-        this.scheduler.sendAdvice(this.now, decision => {
-            asked.push(decision);
-            return "sent";
-        });
-        for (const { step, executors } of asked) {
-            const grants = executors.filter(isGranted).map(executor => ({ executor, ticket: `t-${executor}` }));
-            this.scheduler.recordAdvice(this.now, step, executors, grants);
-        }
-        return asked;
-    }
-}
+import { cores, createQueue, createStep, noLimit, SchedulerFixture, team } from "./testing/scheduler-fixture.js";
+import type { TickDecisions } from "./types.js";
 
 describe("WorkflowScheduler", () => {
     describe("room", () => {
         it("gives an executor no more than its capacity", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep({ taskCount: 10, resources: cores(4.5) })]);
             expect(fixture.start().length).toEqual(3);
             expect(fixture.start().length).toEqual(0);
         });
 
         it("counts a task that is being stopped until its end is recorded", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep({ resources: cores(16) })]);
             const [first] = fixture.start();
             fixture.scheduler.cancelJob(toId<JobId>("a"));
@@ -148,7 +27,7 @@
         });
 
         it("starts nothing on an executor that is leaving or does not answer", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.putExecutor(0, "leaving");
             fixture.putExecutor(1, "unreachable");
             fixture.submit("a", [createStep()]);
@@ -156,7 +35,7 @@
         });
 
         it("counts only the memory of tasks that use idle processors", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep({ taskCount: 4, resources: cores(16), usesIdleProcessors: true })]);
             expect(fixture.start().length).toEqual(4);
         });
@@ -164,7 +43,7 @@
 
     describe("steps", () => {
         it("starts a step only after all tasks of the steps before it are done", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep({ taskCount: 2 }), createStep({ after: [0] })]);
             const [first, second] = fixture.start();
             fixture.end(first!, "done");
@@ -178,7 +57,7 @@
         });
 
         it("keeps to labels and to the most tasks on one executor", () => {
-            const fixture = new Fixture(3);
+            const fixture = new SchedulerFixture(3);
             fixture.putExecutor(0, "ready", ["fast"]);
             fixture.putExecutor(1, "ready", ["fast"]);
             fixture.submit("a", [createStep({ taskCount: 6, requiredLabel: "fast", maxPerExecutor: 2 })]);
@@ -187,7 +66,7 @@
         });
 
         it("opens the occurrences of a schedule when they are due, and not before", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.scheduler.addJob(fixture.now, {
                 job: toId<JobId>("a"),
                 queue: toId<QueueId>("queue"),
@@ -212,7 +91,7 @@
 
     describe("gangs", () => {
         it("starts all members with one run number, or none", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("big", [createStep({ taskCount: 7, resources: cores(4.5), isGang: true })]);
             expect(fixture.start()).toEqual([]);
             fixture.submit("fits", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
@@ -222,7 +101,7 @@
         });
 
         it("counts a failed run once, whichever member reports it", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep({ taskCount: 3, isGang: true })]);
             fixture.start().forEach(start => fixture.end(start, "failed"));
             expect(fixture.getState("a")).toEqual("running");
@@ -231,7 +110,7 @@
         });
 
         it("stops the other members when one was refused, and starts all again", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep({ taskCount: 3, isGang: true })]);
             const [first, second, third] = fixture.start();
             fixture.end(first!, "notStarted");
@@ -244,7 +123,7 @@
 
         it("reserves no executors for a gang that the limit of its team forbids", () => {
             // Guards against a gang beyond its team's limit that kept executors from all other work for ever.
-            const fixture = new Fixture(2, [createQueue("queue")], { ...noLimit, cpuMillis: 8_000 });
+            const fixture = new SchedulerFixture(2, [createQueue("queue")], { ...noLimit, cpuMillis: 8_000 });
             fixture.submit("gang", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
             fixture.submit("other", [createStep({ estimateMs: 60_000 })]);
             expect(fixture.start().length).toEqual(1);
@@ -253,13 +132,13 @@
 
     describe("limits and attempts", () => {
         it("starts nothing that brings a team over its limit", () => {
-            const fixture = new Fixture(4, [createQueue("queue")], { ...noLimit, cpuMillis: 3_000 });
+            const fixture = new SchedulerFixture(4, [createQueue("queue")], { ...noLimit, cpuMillis: 3_000 });
             fixture.submit("a", [createStep({ taskCount: 5 })]);
             expect(fixture.start().length).toEqual(3);
         });
 
         it("fails the job after the last attempt and stops what else runs", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep({ taskCount: 2 })]);
             const [first, second] = fixture.start();
             fixture.end(first!, "failed");
@@ -271,7 +150,7 @@
 
         it("counts an end once, however often it is reported", () => {
             // Guards against a stored end that its executor lists again to the next owner.
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep()]);
             const [first] = fixture.start();
             fixture.end(first!, "failed");
@@ -280,7 +159,7 @@
         });
 
         it("restarts a long-running task however it ends", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep({ isLongRunning: true })]);
             for (const outcome of ["failed", "done", "failed", "failed", "lapsed"] as const) {
                 const [run] = fixture.start();
@@ -291,7 +170,7 @@
         });
 
         it("resumes from the last checkpoint, which any member of a gang can give", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep({ taskCount: 2, isGang: true, savesCheckpoints: true })]);
             const [first, second] = fixture.start();
             fixture.end(first!, "memberEnded", "at-40");
@@ -304,7 +183,7 @@
         const queue = createQueue("queue", { advice: { callMs: 10, perExecutorMs: 1, validMs: 2_500 } });
 
         it("starts only on granted executors, with their tickets, and never names a refused one again", () => {
-            const fixture = new Fixture(8, [queue]);
+            const fixture = new SchedulerFixture(8, [queue]);
             fixture.submit("a", [createStep({ taskCount: 20, resources: cores(4.5) })]);
             expect(fixture.start()).toEqual([]);
             const isGranted = (executor: ExecutorId) => Number(executor.slice(1)) % 2 === 0;
@@ -324,7 +203,7 @@
         });
 
         it("asks again for an executor whose ticket ran out, before it starts there", () => {
-            const fixture = new Fixture(1, [queue]);
+            const fixture = new SchedulerFixture(1, [queue]);
             fixture.submit("a", [createStep()]);
             fixture.answerAdvice(() => true);
             fixture.now += 2_400;
@@ -335,7 +214,7 @@
 
         it("asks for other executors when the granted ones are reserved for a gang", () => {
             // Guards against work that counted reserved executors as its own and never asked for others.
-            const fixture = new Fixture(8, [queue]);
+            const fixture = new SchedulerFixture(8, [queue]);
             fixture.submit("fill", [createStep({ taskCount: 8, resources: cores(10), estimateMs: 60_000 })]);
             while (fixture.answerAdvice(() => true).length > 0) {
                 fixture.start();
@@ -355,7 +234,7 @@
 
     describe("after a change of owner", () => {
         it("keeps tasks back that may run somewhere until all executors are settled", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("old", [createStep()], "queue", true);
             fixture.submit("new", [createStep()]);
             expect(fixture.start().map(start => start.task) as string[]).toEqual(["new.0.0.0"]);
@@ -364,7 +243,7 @@
         });
 
         it("numbers runs above all of earlier owners", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.scheduler.setEpoch(3);
             fixture.submit("a", [createStep()]);
             expect(fixture.start()[0]!.run > 20_000).toEqual(true);
@@ -372,7 +251,7 @@
 
         it("starts nothing beside a run of unknown size until its end is recorded", () => {
             // Guards against overcommitting an executor that still runs a task of a job that an earlier owner ended.
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             const stray = { task: "gone.0.0.0" as never, run: 5, checkpoint: "", percent: 3 };
             const executor = toId<ExecutorId>("e0");
             expect(fixture.scheduler.adoptRun(fixture.now, executor, stray)).toEqual(false);
@@ -384,7 +263,7 @@
         });
 
         it("stops a run whose job has ended", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("a", [createStep()], "queue", true);
             fixture.scheduler.cancelJob(toId<JobId>("a"));
             const listed = { task: "a.0.0.0" as never, run: 5, checkpoint: "", percent: 3 };
@@ -396,8 +275,11 @@
         const serving = createStep({ isLongRunning: true, targetMs: 100, resources: cores(4) });
         const filling = createStep({ isLongRunning: true, usesIdleProcessors: true, resources: cores(8) });
 
-        function openFixture(): { fixture: Fixture; report: (tailMs: number) => TickDecisions["paces"]; } {
-            const fixture = new Fixture(1);
+        function openSchedulerFixture(): {
+            fixture: SchedulerFixture;
+            report: (tailMs: number) => TickDecisions["paces"];
+        } {
+            const fixture = new SchedulerFixture(1);
             fixture.submit("serve", [serving]);
             fixture.submit("fill", [filling]);
             const starts = fixture.start();
@@ -419,14 +301,14 @@
 
         it("slows them to a stop within 2 s while the target is missed", () => {
             // Guards against filling work that goes on while a serving task misses its target for seconds.
-            const { report } = openFixture();
+            const { report } = openSchedulerFixture();
             const percents = [1, 2, 3, 4].flatMap(() => report(150).map(pace => pace.percent));
             expect(percents.at(-1)).toEqual(0);
             expect(percents.length <= 4).toEqual(true);
         });
 
         it("lets them work again step by step, and to the full", () => {
-            const { fixture, report } = openFixture();
+            const { fixture, report } = openSchedulerFixture();
             [1, 2, 3, 4].forEach(() => report(150));
             const percents: number[] = [];
             for (let round = 0; round < 30; round++) {
@@ -438,14 +320,14 @@
         });
 
         it("decides a pace again that was not confirmed", () => {
-            const { fixture, report } = openFixture();
+            const { fixture, report } = openSchedulerFixture();
             const [pace] = report(150);
             fixture.scheduler.recordPaceUnknown(pace!.executor, pace!.task, pace!.run);
             expect(fixture.tick().paces).toEqual([pace!]);
         });
 
         it("leaves them alone where nothing is served", () => {
-            const fixture = new Fixture(1);
+            const fixture = new SchedulerFixture(1);
             fixture.submit("fill", [filling]);
             fixture.start();
             expect(fixture.tick().paces).toEqual([]);
@@ -454,7 +336,7 @@
 
     describe("faulty executors", () => {
         it("moves a run that makes no progress", () => {
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep()]);
             const [stalled] = fixture.start();
             fixture.now += 4_000;
@@ -471,7 +353,7 @@
 
         it("does not move members of a gang that wait for the slowest, nor runs of a silent executor", () => {
             // Guards against throwing away the work of a whole gang because one member takes longer.
-            const fixture = new Fixture(2);
+            const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep({ taskCount: 2, isGang: true, resources: cores(16) })]);
             const [fast, slow] = fixture.start();
             fixture.now += 1_000;
@@ -488,7 +370,7 @@
         });
 
         it("avoids an executor that fails what others finish", () => {
-            const fixture = new Fixture(4, [createQueue("queue", { maxAttempts: 20 })]);
+            const fixture = new SchedulerFixture(4, [createQueue("queue", { maxAttempts: 20 })]);
             for (let round = 0; round < 6; round++) {
                 fixture.submit(`j${round}`, [createStep({ taskCount: 40 })]);
                 fixture.start().forEach(start => fixture.end(start, start.executor === "e1" ? "failed" : "done"));
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -121,6 +121,8 @@
     readonly labels: readonly string[];
     readonly capacity: ResourceVector;
     readonly state: ExecutorState;
+    /** Earliest time at which the executor leaves with everything that runs on it; absent: not known or not leaving. */
+    readonly leavesAt?: number;
 }
 
 /**
@@ -168,7 +170,7 @@
     readonly slackMs: number;
 }
 
-export type StopReason = "cancelled" | "gangBroken" | "stalled" | "superseded";
+export type StopReason = "cancelled" | "gangBroken" | "stalled" | "superseded" | "executorLeaving";
 
 export interface StopDecision {
     readonly executor: ExecutorId;
@@ -226,4 +228,6 @@
     readonly stallFloorMs?: number;
     /** Time that an answer of an advisor must still be valid when a start is sent, ms. Default 250. */
     readonly ticketMarginMs?: number;
+    /** Longest time from a stop to its end, ms. Default 1,000. */
+    readonly stopMs?: number;
 }
