--- a/packages/workflow/src/evacuation-system.ts
+++ b/packages/workflow/src/evacuation-system.ts
@@ -20,14 +20,14 @@
             continue;
         }
         for (const run of executor.runs.values()) {
-            if (run.state !== "stopping" && mustMove(state, now, executor.leavesAt - now, run)) {
+            if (run.state !== "stopping" && needsMove(state, now, executor.leavesAt - now, run)) {
                 stopWholeRun(state, run);
             }
         }
     }
 }
 
-function mustMove(state: SchedulerState, now: number, leftMs: number, run: RunRow): boolean {
+function needsMove(state: SchedulerState, now: number, leftMs: number, run: RunRow): boolean {
     const { step } = run.task;
     if (step.spec.isLongRunning) {
         return hasRoomElsewhere(state, now, step);
--- a/packages/workflow/src/evacuation-system_test.ts
+++ b/packages/workflow/src/evacuation-system_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { cores, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
+import { toCores, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
 import type { StartDecision } from "./types.js";
 
 /** Says that the executor of a run leaves after this time. */
@@ -51,7 +51,7 @@
 
     it("stops all members of a gang together", () => {
         const fixture = new SchedulerFixture(3);
-        fixture.submit("a", [createStep({ taskCount: 2, resources: cores(16), isGang: true, estimateMs: 20_000 })]);
+        fixture.submit("a", [createStep({ taskCount: 2, resources: toCores(16), isGang: true, estimateMs: 20_000 })]);
         const [first] = fixture.start();
         announceLeave(fixture, first!, 3_000);
         expect(fixture.tick().stops.length).toEqual(2);
@@ -59,9 +59,9 @@
 
     it("moves a long-running task only when another executor has room", () => {
         const fixture = new SchedulerFixture(2);
-        fixture.submit("full", [createStep({ resources: cores(16), estimateMs: 60_000 })]);
+        fixture.submit("full", [createStep({ resources: toCores(16), estimateMs: 60_000 })]);
         const [full] = fixture.start();
-        fixture.submit("service", [createStep({ resources: cores(8), isLongRunning: true })]);
+        fixture.submit("service", [createStep({ resources: toCores(8), isLongRunning: true })]);
         const [service] = fixture.start();
         announceLeave(fixture, service!, 3_000);
         expect(fixture.tick().stops).toEqual([]);
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -3,24 +3,24 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
-import { cores, createQueue, createStep, noLimit, SchedulerFixture, team } from "./testing/scheduler-fixture.js";
+import { toCores, createQueue, createStep, noLimit, SchedulerFixture, team } from "./testing/scheduler-fixture.js";
 import type { TickDecisions } from "./types.js";
 
 describe("WorkflowScheduler", () => {
     describe("room", () => {
         it("gives an executor no more than its capacity", () => {
             const fixture = new SchedulerFixture(1);
-            fixture.submit("a", [createStep({ taskCount: 10, resources: cores(4.5) })]);
+            fixture.submit("a", [createStep({ taskCount: 10, resources: toCores(4.5) })]);
             expect(fixture.start().length).toEqual(3);
             expect(fixture.start().length).toEqual(0);
         });
 
         it("counts a task that is being stopped until its end is recorded", () => {
             const fixture = new SchedulerFixture(1);
-            fixture.submit("a", [createStep({ resources: cores(16) })]);
+            fixture.submit("a", [createStep({ resources: toCores(16) })]);
             const [first] = fixture.start();
             fixture.scheduler.cancelJob(toId<JobId>("a"));
-            fixture.submit("b", [createStep({ resources: cores(16) })]);
+            fixture.submit("b", [createStep({ resources: toCores(16) })]);
             expect(fixture.start()).toEqual([]);
             fixture.end(first!, "stopped");
             expect(fixture.start().length).toEqual(1);
@@ -36,7 +36,7 @@
 
         it("counts only the memory of tasks that use idle processors", () => {
             const fixture = new SchedulerFixture(1);
-            fixture.submit("a", [createStep({ taskCount: 4, resources: cores(16), usesIdleProcessors: true })]);
+            fixture.submit("a", [createStep({ taskCount: 4, resources: toCores(16), usesIdleProcessors: true })]);
             expect(fixture.start().length).toEqual(4);
         });
     });
@@ -92,9 +92,9 @@
     describe("gangs", () => {
         it("starts all members with one run number, or none", () => {
             const fixture = new SchedulerFixture(2);
-            fixture.submit("big", [createStep({ taskCount: 7, resources: cores(4.5), isGang: true })]);
+            fixture.submit("big", [createStep({ taskCount: 7, resources: toCores(4.5), isGang: true })]);
             expect(fixture.start()).toEqual([]);
-            fixture.submit("fits", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
+            fixture.submit("fits", [createStep({ taskCount: 6, resources: toCores(4.5), isGang: true })]);
             const starts = fixture.start();
             expect(starts.length).toEqual(6);
             expect(new Set(starts.map(start => start.run)).size).toEqual(1);
@@ -124,7 +124,7 @@
         it("reserves no executors for a gang that the limit of its team forbids", () => {
             // Guards against a gang beyond its team's limit that kept executors from all other work for ever.
             const fixture = new SchedulerFixture(2, [createQueue("queue")], { ...noLimit, cpuMillis: 8_000 });
-            fixture.submit("gang", [createStep({ taskCount: 6, resources: cores(4.5), isGang: true })]);
+            fixture.submit("gang", [createStep({ taskCount: 6, resources: toCores(4.5), isGang: true })]);
             fixture.submit("other", [createStep({ estimateMs: 60_000 })]);
             expect(fixture.start().length).toEqual(1);
         });
@@ -184,12 +184,12 @@
 
         it("starts only on granted executors, with their tickets, and never names a refused one again", () => {
             const fixture = new SchedulerFixture(8, [queue]);
-            fixture.submit("a", [createStep({ taskCount: 20, resources: cores(4.5) })]);
+            fixture.submit("a", [createStep({ taskCount: 20, resources: toCores(4.5) })]);
             expect(fixture.start()).toEqual([]);
             const isGranted = (executor: ExecutorId) => Number(executor.slice(1)) % 2 === 0;
             const named = new Map<string, number>();
             for (let round = 0; round < 6; round++) {
-                for (const { executors } of fixture.answerAdvice(isGranted)) {
+                for (const { executors } of fixture.grantAdvice(isGranted)) {
                     executors.forEach(executor => named.set(executor, (named.get(executor) ?? 0) + 1));
                 }
                 fixture.start().forEach(start => {
@@ -205,27 +205,27 @@
         it("asks again for an executor whose ticket ran out, before it starts there", () => {
             const fixture = new SchedulerFixture(1, [queue]);
             fixture.submit("a", [createStep()]);
-            fixture.answerAdvice(() => true);
+            fixture.grantAdvice(() => true);
             fixture.now += 2_400;
             expect(fixture.start()).toEqual([]);
-            expect(fixture.answerAdvice(() => true).length).toEqual(1);
+            expect(fixture.grantAdvice(() => true).length).toEqual(1);
             expect(fixture.start().length).toEqual(1);
         });
 
         it("asks for other executors when the granted ones are reserved for a gang", () => {
             // Guards against work that counted reserved executors as its own and never asked for others.
             const fixture = new SchedulerFixture(8, [queue]);
-            fixture.submit("fill", [createStep({ taskCount: 8, resources: cores(10), estimateMs: 60_000 })]);
-            while (fixture.answerAdvice(() => true).length > 0) {
+            fixture.submit("fill", [createStep({ taskCount: 8, resources: toCores(10), estimateMs: 60_000 })]);
+            while (fixture.grantAdvice(() => true).length > 0) {
                 fixture.start();
             }
-            fixture.submit("gang", [createStep({ taskCount: 3, resources: cores(16), isGang: true, estimateMs: 100 })]);
-            fixture.answerAdvice(() => true);
+            fixture.submit("gang", [createStep({ taskCount: 3, resources: toCores(16), isGang: true, estimateMs: 100 })]);
+            fixture.grantAdvice(() => true);
             fixture.start();
-            fixture.submit("other", [createStep({ taskCount: 1, resources: cores(4), estimateMs: 60_000 })]);
+            fixture.submit("other", [createStep({ taskCount: 1, resources: toCores(4), estimateMs: 60_000 })]);
             let started = 0;
             for (let round = 0; round < 10 && started === 0; round++) {
-                fixture.answerAdvice(() => true);
+                fixture.grantAdvice(() => true);
                 started += fixture.start().length;
             }
             expect(started).toEqual(1);
@@ -272,8 +272,8 @@
     });
 
     describe("serving tasks beside tasks that use idle processors", () => {
-        const serving = createStep({ isLongRunning: true, targetMs: 100, resources: cores(4) });
-        const filling = createStep({ isLongRunning: true, usesIdleProcessors: true, resources: cores(8) });
+        const serving = createStep({ isLongRunning: true, targetMs: 100, resources: toCores(4) });
+        const filling = createStep({ isLongRunning: true, usesIdleProcessors: true, resources: toCores(8) });
 
         function openSchedulerFixture(): {
             fixture: SchedulerFixture;
@@ -354,7 +354,7 @@
         it("does not move members of a gang that wait for the slowest, nor runs of a silent executor", () => {
             // Guards against throwing away the work of a whole gang because one member takes longer.
             const fixture = new SchedulerFixture(2);
-            fixture.submit("a", [createStep({ taskCount: 2, isGang: true, resources: cores(16) })]);
+            fixture.submit("a", [createStep({ taskCount: 2, isGang: true, resources: toCores(16) })]);
             const [fast, slow] = fixture.start();
             fixture.now += 1_000;
             fixture.scheduler.recordRunning(fixture.now, fast!.executor, { ...fast!, percent: 100 });
--- a/packages/workflow/src/testing/scheduler-fixture.ts
+++ b/packages/workflow/src/testing/scheduler-fixture.ts
@@ -17,7 +17,7 @@
 export const team = toId<TeamId>("team");
 export const noLimit: ResourceVector = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
-export function cores(count: number): ResourceVector {
+export function toCores(count: number): ResourceVector {
     return { cpuMillis: count * 1_000, memoryMb: 100, accelerators: 0 };
 }
 
@@ -36,7 +36,7 @@
 export function createStep(step: Partial<StepSpec> = {}): StepSpec {
     return {
         taskCount: 1,
-        resources: cores(1),
+        resources: toCores(1),
         estimateMs: 1_000,
         after: [],
         isGang: false,
@@ -118,7 +118,7 @@
     }
 
     /** Answers all questions of advisors: grants the executors that `isGranted` names. */
-    answerAdvice(isGranted: (executor: ExecutorId) => boolean): readonly AdviceDecision[] {
+    grantAdvice(isGranted: (executor: ExecutorId) => boolean): readonly AdviceDecision[] {
         const asked: AdviceDecision[] = [];
         this.scheduler.sendAdvice(this.now, decision => {
             asked.push(decision);
