Store each job with the epoch in which it was accepted

Cause: the owner lost its lease while answers of the store were lost, and did not know it. A job accepted after the next acquisition was announced to it by a host that still followed it; executors that had not heard from the new owner yet took its order, while the new owner starts newer jobs at once, since no earlier owner could know of them. That was wrong. Change: jobs are stored on condition that the epoch key is the one in their record. An owner leaves jobs of a later epoch alone and looks up whether it still owns the cell; jobs of an earlier epoch may have been started by an earlier owner. An owner that finds its own record after an acquisition without an answer continues and no longer starts over. Tests: cell-owner_test 'leaves jobs accepted after it to itself' (failed first: three tasks in two places), job-intake_test (2), lease-ownership_test (1). The random search now announces jobs to every owner.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -24,7 +24,7 @@
 import { OwnerLink } from "./owner-link.js";
 import type { PlatformCodec } from "./platform-codec.js";
 import { decodeJobRecord, toCancelKey, toJobKey } from "./store-keys.js";
-import type { OwnerRecord } from "./store-keys.js";
+import type { EpochMark, OwnerRecord } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreRequest } from "./store.js";
 import { storeFailures } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
@@ -126,7 +126,7 @@
             listener: {
                 onAcquired: (tenure, isContinued) => this.beginTenure(tenure, isContinued),
                 onLost: () => this.endTenure(),
-                onOwnerSeen: owner => this.followOwner(owner),
+                onOwnerSeen: (owner, mark) => this.followOwner(owner, mark),
             },
         });
         this.server = new RpcServer({ address });
@@ -308,6 +308,7 @@
 
     private beginTenure(tenure: Tenure, isContinued: boolean): void {
         this.link.setOwner(undefined);
+        this.intake.recordEpoch(tenure);
         if (isContinued && this.owner !== undefined) {
             this.owner.setTenure(tenure);
             return;
@@ -370,7 +371,8 @@
         }
     }
 
-    private followOwner(owner: OwnerRecord | undefined): void {
+    private followOwner(owner: OwnerRecord | undefined, mark: EpochMark): void {
+        this.intake.recordEpoch(mark);
         if (owner !== undefined) {
             this.link.setOwner(owner.address === this.options.address ? undefined : owner.address);
         }
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -112,7 +112,8 @@
             journal: this.journal,
             clock,
             logger,
-            acquiredRevision: tenure.revision,
+            firstEpoch: tenure.epoch,
+            onLaterEpoch: () => options.listener.onConflict(),
             hasReleased: () => this.hasReleased,
             onChanges: changes => options.listener.onChanges(changes),
             onWork: () => this.requestTick(),
@@ -193,6 +194,7 @@
     /** Continues after the lease was acquired again and nobody else had it. */
     setTenure(tenure: Tenure): void {
         this.journal.setTenure(tenure);
+        this.jobs.setEpoch(tenure.epoch);
         this.registry.setFencingToken(tenure.epoch);
     }
 
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import type { SimulationOptions } from "./testing/cell-simulation.js";
 import { CellSimulation, limitedTeam } from "./testing/cell-simulation.js";
+import { toFakeAddress } from "./testing/fake-executor.js";
 
 async function openCell(options: Partial<SimulationOptions> = {}): Promise<CellSimulation> {
     const cell = new CellSimulation({ hosts: 2, executors: 3, ...options });
@@ -77,6 +78,23 @@
             cell.close();
         });
 
+        it("leaves jobs accepted after it to itself, though the deposed owner hears of them", async () => {
+            // Guards against an owner that lost its lease in an outage of its own way to the store and goes on: executors that
+            // have not heard from the next owner take its orders, and the next owner starts newer jobs at once.
+            const cell = await openCell({ planRun: () => ({ workMs: 3_000, outcome: "done" }) });
+            const deposed = cell.owner!;
+            const next = cell.hosts.find(host => host !== deposed)!;
+            deposed.store.mode = "silent";
+            next.connector.unreachable.add(toFakeAddress(0));
+            expect(await cell.advanceUntil(() => next.owner !== undefined, 4_000)).toEqual(true);
+            void cell.submit(next, "newer", [{ taskCount: 3 }]);
+            await cell.advance(500);
+            next.connector.unreachable.clear();
+            expect(await cell.advanceUntil(() => cell.getState("newer") === "succeeded", 15_000)).toEqual(true);
+            expect(cell.judge.violations).toEqual([]);
+            cell.close();
+        });
+
         it("keeps a team within its limit while an executor that may run its tasks is silent", async () => {
             // Guards against counting only what reachable executors list: the tasks on the silent one run on, and newer jobs
             // of the team start elsewhere.
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -2,14 +2,16 @@
  * Accepts jobs and cancellations: writes them to the store in groups and answers once they are stored.
  *
  * A job is written under the condition that its key does not exist, so the same id can be sent any number of times and
- * stays one job. A write without an answer is repeated; if no attempt is answered in time, the outcome is reported as
- * unknown and never as refused, because a late write may still be carried out.
+ * stays one job. It is also written under the condition that the epoch of the cell is the one in its record, so that an owner
+ * that was deposed and does not know it yet can tell that the job is not its to start. A write without an answer is repeated;
+ * if no attempt is answered in time, the outcome is reported as unknown and never as refused, because a late write may still
+ * be carried out.
  */
 import type { Clock, Failure, JobId, Result } from "@waxwingroute/core";
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
-import type { JobRecord } from "./store-keys.js";
-import { encodeAcceptedJob, toCancelKey, toJobKey } from "./store-keys.js";
+import type { EpochMark, JobRecord } from "./store-keys.js";
+import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
 import { maxTransactionEntries } from "./store.js";
 
@@ -34,11 +36,14 @@
 /** Pause before a refused transaction is repeated, ms. */
 const retryMs = 60;
 
+/** A job to accept, without the epoch, which is that of the attempt. */
+export type NewJob = Omit<Extract<JobRecord, { kind: "accepted"; }>, "epoch">;
+
 interface PendingWrite {
     readonly job: JobId;
-    readonly write: StoreWrite;
-    /** The key must not exist. */
-    readonly isNew: boolean;
+    readonly key: string;
+    /** The job to store; `undefined`: its cancellation. */
+    readonly record: NewJob | undefined;
     readonly arrivedAt: number;
     /** Whether an attempt had no answer. */
     isUncertain: boolean;
@@ -50,6 +55,7 @@
     private inFlight = 0;
     private failingSince: number | undefined;
     private isProbing = false;
+    private mark: EpochMark = { epoch: 0, revision: 0 };
 
     constructor(private readonly options: JobIntakeOptions) {}
 
@@ -58,26 +64,34 @@
         return this.failingSince !== undefined && this.options.clock.getNow() - this.failingSince > outageMs;
     }
 
+    /** Takes over a newer epoch of the cell. */
+    recordEpoch(mark: EpochMark): void {
+        if (mark.revision > this.mark.revision) {
+            this.mark = mark;
+        }
+    }
+
     /** Stores a job. `existed`: it had been stored before. */
-    submit(
-        job: JobId,
-        record: Extract<JobRecord, { kind: "accepted"; }>,
-    ): Promise<Result<"stored" | "existed", Failure>> {
-        return this.enqueue(job, { key: toJobKey(job), value: encodeAcceptedJob(record) }, true);
+    submit(job: JobId, record: NewJob): Promise<Result<"stored" | "existed", Failure>> {
+        return this.enqueue(job, toJobKey(job), record);
     }
 
     /** Stores the cancellation of a job. */
     cancel(job: JobId): Promise<Result<"stored" | "existed", Failure>> {
-        return this.enqueue(job, { key: toCancelKey(job), value: "1" }, false);
+        return this.enqueue(job, toCancelKey(job), undefined);
     }
 
-    private enqueue(job: JobId, write: StoreWrite, isNew: boolean): Promise<Result<"stored" | "existed", Failure>> {
+    private enqueue(
+        job: JobId,
+        key: string,
+        record: NewJob | undefined,
+    ): Promise<Result<"stored" | "existed", Failure>> {
         if (this.isInOutage) {
             return Promise.resolve(Err(this.createRefusal()));
         }
         return new Promise(resolve => {
             const arrivedAt = this.options.clock.getNow();
-            this.waiting.push({ job, write, isNew, arrivedAt, isUncertain: false, resolve });
+            this.waiting.push({ job, key, record, arrivedAt, isUncertain: false, resolve });
             this.flush();
         });
     }
@@ -95,17 +109,18 @@
 
     private takeBatch(): PendingWrite[] {
         const batch: PendingWrite[] = [];
-        let entries = 0;
+        // One entry is the condition on the epoch.
+        let entries = 1;
         const keys = new Set<string>();
         const later: PendingWrite[] = [];
         for (const pending of this.waiting) {
-            const size = pending.isNew ? 2 : 1;
-            if (entries + size > maxTransactionEntries || keys.has(pending.write.key)) {
+            const size = pending.record === undefined ? 1 : 2;
+            if (entries + size > maxTransactionEntries || keys.has(pending.key)) {
                 later.push(pending);
             }
             else {
                 entries += size;
-                keys.add(pending.write.key);
+                keys.add(pending.key);
                 batch.push(pending);
             }
         }
@@ -114,14 +129,17 @@
     }
 
     private async commit(batch: PendingWrite[]): Promise<void> {
+        const { mark } = this;
+        const writes = batch.map(pending => toWrite(pending, mark));
+        const jobs = batch.filter(pending => pending.record !== undefined);
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
-                conditions: batch.filter(pending => pending.isNew).map(({ write }) => ({
-                    key: write.key,
-                    revision: 0,
-                })),
-                writes: batch.map(pending => pending.write),
+                conditions: [
+                    ...jobs.map(({ key }) => ({ key, revision: 0 })),
+                    ...jobs.length === 0 ? [] : [{ key: epochKey, revision: mark.revision }],
+                ],
+                writes,
                 removals: [],
             },
         }, this.options.commitTimeoutMs ?? 600);
@@ -132,7 +150,7 @@
         this.failingSince = undefined;
         if (committed.val.kind === "committed") {
             const { revision } = committed.val;
-            this.options.onStored?.(batch.map(({ write: { key, value } }) => ({
+            this.options.onStored?.(writes.map(({ key, value }) => ({
                 key,
                 value,
                 revision,
@@ -141,9 +159,10 @@
             batch.forEach(pending => pending.resolve(Ok("stored")));
             return;
         }
+        this.recordEpoch(decodeEpoch(committed.val.items.find(item => item.key === epochKey)));
         const existing = new Set(committed.val.items.map(item => item.key));
-        batch.filter(({ write }) => existing.has(write.key)).forEach(pending => pending.resolve(Ok("existed")));
-        this.waiting.unshift(...batch.filter(({ write }) => !existing.has(write.key)));
+        batch.filter(({ key }) => existing.has(key)).forEach(pending => pending.resolve(Ok("existed")));
+        this.waiting.unshift(...batch.filter(({ key }) => !existing.has(key)));
     }
 
     private async handleFailure(batch: PendingWrite[], failure: Failure): Promise<void> {
@@ -201,3 +220,7 @@
         return createFailure("store-outage", "the store cannot be written", "notRun", outageRetryAfterMs);
     }
 }
+
+function toWrite({ key, record }: PendingWrite, { epoch }: EpochMark): StoreWrite {
+    return { key, value: record === undefined ? "1" : encodeAcceptedJob({ ...record, epoch }) };
+}
--- a/packages/cell/src/job-intake_test.ts
+++ b/packages/cell/src/job-intake_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { JobIntake } from "./job-intake.js";
-import { toCancelKey, toJobKey } from "./store-keys.js";
+import { decodeJobRecord, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
 
 class Fixture {
@@ -26,6 +26,11 @@
         return holder;
     }
 
+    getEpoch(name: string): number | undefined {
+        const record = decodeJobRecord(this.data.items.get(toJobKey(toId<JobId>(name)))?.value ?? "");
+        return record.ok && record.val.kind === "accepted" ? record.val.epoch : undefined;
+    }
+
     has(name: string): boolean {
         return this.data.items.has(toJobKey(toId<JobId>(name)));
     }
@@ -90,6 +95,30 @@
         expect(accepted.result?.ok).toEqual(true);
     });
 
+    it("stores a job in the epoch of the cell at that time, also when it has not heard of it", async () => {
+        // Guards against a job that a deposed owner takes for its own: the record must not be older than the last acquisition.
+        const fixture = new Fixture();
+        const write = { key: epochKey, value: "7" };
+        fixture.data.execute({ kind: "commit", transaction: { conditions: [], writes: [write], removals: [] } });
+        const job = fixture.submit("a");
+        await fixture.clock.advance(100);
+        expect(job.result?.val).toEqual("stored");
+        expect(fixture.getEpoch("a")).toEqual(7);
+    });
+
+    it("does not store a job late in an epoch that is over", async () => {
+        const fixture = new Fixture();
+        fixture.store.commitFault = "late";
+        fixture.store.lateMs = 2_000;
+        fixture.submit("a");
+        await fixture.clock.advance(50);
+        fixture.store.commitFault = "none";
+        const write = { key: epochKey, value: "1" };
+        fixture.data.execute({ kind: "commit", transaction: { conditions: [], writes: [write], removals: [] } });
+        await fixture.clock.advance(3_000);
+        expect(fixture.getEpoch("a")).toEqual(1);
+    });
+
     it("stores a cancellation beside the job", async () => {
         const fixture = new Fixture();
         void fixture.intake.cancel(toId<JobId>("a"));
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -10,8 +10,8 @@
 import { Err, Ok } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import { match } from "ts-pattern";
-import type { OwnerRecord } from "./store-keys.js";
-import { decodeOwner, encodeOwner, epochKey, leadPrefix, ownerKey } from "./store-keys.js";
+import type { EpochMark, OwnerRecord } from "./store-keys.js";
+import { decodeEpoch, decodeOwner, encodeOwner, epochKey, leadPrefix, ownerKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import { storeFailures } from "./store.js";
 
@@ -27,8 +27,8 @@
     onAcquired(tenure: Tenure, isContinued: boolean): void;
     /** Another host owns the cell, or may. */
     onLost(reason: string): void;
-    /** The owner record changed; `undefined`: there is no owner. */
-    onOwnerSeen(owner: OwnerRecord | undefined): void;
+    /** The owner record or the epoch changed; `undefined`: there is no owner. */
+    onOwnerSeen(owner: OwnerRecord | undefined, mark: EpochMark): void;
 }
 
 export interface OwnershipOptions {
@@ -66,8 +66,7 @@
 interface LeadView {
     readonly owner: OwnerRecord | undefined;
     readonly ownerRevision: number;
-    readonly epoch: number;
-    readonly epochRevision: number;
+    readonly mark: EpochMark;
     readonly storeRevision: number;
 }
 
@@ -137,7 +136,7 @@
         }
         let view = read.val;
         while (!this.isStopped) {
-            this.options.listener.onOwnerSeen(view.owner);
+            this.options.listener.onOwnerSeen(view.owner, view.mark);
             if (view.owner === undefined) {
                 await this.tryAcquire(view);
                 return;
@@ -173,14 +172,13 @@
         return {
             owner: parsed,
             ownerRevision: owner === "unchanged" ? view.ownerRevision : owner?.revision ?? 0,
-            epoch: epoch === undefined ? view.epoch : Number(epoch.value),
-            epochRevision: epoch?.revision ?? view.epochRevision,
+            mark: epoch === undefined ? view.mark : decodeEpoch(epoch),
             storeRevision: watched.val.storeRevision,
         };
     }
 
     private async tryAcquire(view: LeadView): Promise<void> {
-        const wasOwner = this.lastEpoch !== 0 && view.epoch === this.lastEpoch;
+        const wasOwner = this.lastEpoch !== 0 && view.mark.epoch === this.lastEpoch;
         if (!wasOwner) {
             // The conditions of the acquisition show whether another host was faster.
             await this.options.clock.wait(this.options.isOwnerAlive() ? yieldMs : this.options.random.getInteger(20));
@@ -199,14 +197,14 @@
             await this.options.clock.wait(retryMs);
             return false;
         }
-        const epoch = view.epoch + 1;
+        const epoch = view.mark.epoch + 1;
         const { host, address, incarnation } = this.options;
         this.isFenced = false;
         this.lease = granted.val.lease;
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
-                conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.epochRevision }],
+                conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.mark.revision }],
                 writes: [
                     { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch }), lease: this.lease },
                     { key: epochKey, value: String(epoch) },
@@ -258,7 +256,12 @@
         if (tenure === undefined || view.ownerRevision === tenure.revision) {
             return;
         }
-        if (view.epoch !== tenure.epoch) {
+        if (view.owner?.incarnation === this.options.incarnation) {
+            // The answer to an earlier acquisition was lost.
+            this.take({ epoch: view.owner.epoch, revision: view.ownerRevision }, true);
+            return;
+        }
+        if (view.mark.epoch !== tenure.epoch) {
             this.recordLoss("another host acquired the cell");
             return;
         }
@@ -280,8 +283,7 @@
         return Ok({
             owner: this.parseOwner(owner),
             ownerRevision: owner?.revision ?? 0,
-            epoch: epoch === undefined ? 0 : Number(epoch.value),
-            epochRevision: epoch?.revision ?? 0,
+            mark: decodeEpoch(epoch),
             storeRevision: listed.val.storeRevision,
         });
     }
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -120,6 +120,23 @@
         second.ownership.abort();
     });
 
+    it("continues after the answer to its second acquisition was lost", async () => {
+        // Guards against an owner that takes its own acquisition for that of another host and starts over.
+        const fixture = new Fixture();
+        const host = fixture.open("a");
+        await fixture.clock.advance(500);
+        fixture.data.mode = "silent";
+        await fixture.clock.advance(4_000);
+        host.store.commitFault = "answerLost";
+        fixture.data.mode = "up";
+        await fixture.clock.advance(1_500);
+        host.store.commitFault = "none";
+        void host.ownership.verify();
+        await fixture.clock.advance(100);
+        expect(host.events).toEqual(["acquired 1", "acquired 2 again"]);
+        host.ownership.abort();
+    });
+
     it("finds out that it owns the cell after the answer to its acquisition was lost", async () => {
         const fixture = new Fixture();
         const host = fixture.open("a");
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -15,8 +15,10 @@
     readonly journal: OwnerJournal;
     readonly clock: Clock;
     readonly logger: LogWriter;
-    /** Jobs stored before this revision may have been started by an earlier owner. */
-    readonly acquiredRevision: number;
+    /** Jobs accepted in an epoch before this one may have been started by an earlier owner. */
+    readonly firstEpoch: number;
+    /** A job was accepted in an epoch that is not this owner's: another host may own the cell. */
+    readonly onLaterEpoch: () => void;
     /** Returns whether tasks of such jobs can start, because executors have been settled. */
     readonly hasReleased: () => boolean;
     readonly onChanges: (changes: readonly JobChange[]) => void;
@@ -28,14 +30,25 @@
     /** Finished jobs whose end is stored. */
     private readonly storedStates = new Map<JobId, JobState>();
     private readonly cancelled = new Set<JobId>();
+    /** Jobs of a later epoch, kept until it turns out whether this owner has acquired that epoch. */
+    private deferred: JobEvent[] = [];
+    private epoch: number;
 
-    constructor(private readonly options: OwnerJobsOptions) {}
+    constructor(private readonly options: OwnerJobsOptions) {
+        this.epoch = options.firstEpoch;
+    }
 
     /** Number of finished jobs that can still be asked for. */
     get finishedCount(): number {
         return this.storedStates.size;
     }
 
+    /** Continues in a later epoch, which this owner has acquired itself. */
+    setEpoch(epoch: number): void {
+        this.epoch = epoch;
+        this.deferred.splice(0).forEach(event => this.applyEvent(event));
+    }
+
     /** Applies an event of the store; events that are known change nothing. */
     applyEvent(event: JobEvent): void {
         if (event.kind === "cancel") {
@@ -44,6 +57,10 @@
         else if (event.record.kind === "finished") {
             this.restoreFinished(event.job, event.record);
         }
+        else if (event.record.epoch > this.epoch) {
+            this.deferred.push(event);
+            this.options.onLaterEpoch();
+        }
         else {
             this.add(event.job, event.record, event.revision);
         }
@@ -101,7 +118,7 @@
     }
 
     private add(job: JobId, record: Extract<JobRecord, { kind: "accepted"; }>, revision: number): void {
-        const { acquiredRevision, clock, hasReleased, logger, onChanges, onWork, scheduler } = this.options;
+        const { clock, firstEpoch, hasReleased, logger, onChanges, onWork, scheduler } = this.options;
         if (this.storedStates.has(job) || scheduler.getJobState(job) !== undefined) {
             return;
         }
@@ -113,7 +130,7 @@
             team: record.team,
             spec: record.spec,
             acceptedAt: now - ageMs,
-            mayHaveStarted: revision < acquiredRevision && !hasReleased(),
+            mayHaveStarted: record.epoch < firstEpoch && !hasReleased(),
         });
         logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
         onChanges([{ job, queue: record.queue, state: "queued" }]);
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -4,6 +4,7 @@
 import type { Failure, Result } from "@waxwingroute/core";
 import type { JobSpec, JobState, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
 import { z } from "zod";
+import type { StoreItem } from "./store.js";
 
 /** Prefix of the keys that say who owns the cell. */
 export const leadPrefix = "waxwing/lead/";
@@ -24,6 +25,8 @@
         readonly queue: QueueId;
         readonly team: TeamId;
         readonly acceptedAtWallMs: number;
+        /** Epoch of the cell in which the job was accepted: no owner of an earlier epoch may start it. */
+        readonly epoch: number;
         readonly spec: JobSpec;
     }
     | { readonly kind: "finished"; readonly state: JobState; readonly queue: QueueId; };
@@ -37,6 +40,12 @@
     readonly epoch: number;
 }
 
+/** The epoch of the cell as its key holds it; both are 0 before the first owner. */
+export interface EpochMark {
+    readonly epoch: number;
+    readonly revision: number;
+}
+
 export interface RosterEntry {
     readonly executor: ExecutorId;
     readonly address: string;
@@ -55,7 +64,13 @@
 );
 const jobSchema = z.union([
     z.object({ state: z.enum(["succeeded", "failed", "cancelled"]), queue: z.string() }),
-    z.object({ queue: z.string(), team: z.string(), at: z.number(), spec: z.custom<JobSpec>(isJobSpec) }),
+    z.object({
+        queue: z.string(),
+        team: z.string(),
+        at: z.number(),
+        epoch: z.number().default(0),
+        spec: z.custom<JobSpec>(isJobSpec),
+    }),
 ]);
 const endsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.string(), z.string()]));
 
@@ -101,6 +116,7 @@
         queue: record.queue,
         team: record.team,
         at: record.acceptedAtWallMs,
+        epoch: record.epoch,
         spec: record.spec,
     });
 }
@@ -122,6 +138,7 @@
             queue: toId<QueueId>(value.queue),
             team: toId<TeamId>(value.team),
             acceptedAtWallMs: value.at,
+            epoch: value.epoch,
             spec: value.spec,
         });
 }
@@ -130,6 +147,11 @@
     return JSON.stringify(record);
 }
 
+/** Reads the epoch from the item of `epochKey`; `undefined` stands for a key that does not exist. */
+export function decodeEpoch(item: StoreItem | undefined): EpochMark {
+    return { epoch: item === undefined ? 0 : Number(item.value), revision: item?.revision ?? 0 };
+}
+
 export function decodeOwner(text: string): Result<OwnerRecord, Failure> {
     return parseValue(ownerSchema, text);
 }
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -100,7 +100,13 @@
         const { clock, data, executors } = simulation;
         this.store = new MemoryLeaseStore(data);
         this.connector = new FakeConnector(new Map(executors.map(row => [row.options.address, row])));
-        this.intake = new JobIntake({ store: this.store, clock, logger: simulation });
+        this.intake = new JobIntake({
+            store: this.store,
+            clock,
+            logger: simulation,
+            // Also to an owner that was deposed and does not know it yet, as hosts do that have not heard of the next one.
+            onStored: items => simulation.hosts.forEach(host => host.owner?.acceptAnnounced(items)),
+        });
         this.ownership = this.start();
     }
 
@@ -143,7 +149,7 @@
                     this.owner?.close();
                     this.owner = undefined;
                 },
-                onOwnerSeen: () => undefined,
+                onOwnerSeen: (_owner, mark) => this.intake.recordEpoch(mark),
             },
         });
         void ownership.run();
@@ -151,6 +157,7 @@
     }
 
     private beginTenure(ownership: LeaseOwnership, tenure: Tenure, isContinued: boolean): void {
+        this.intake.recordEpoch(tenure);
         if (isContinued && this.owner !== undefined) {
             this.owner.setTenure(tenure);
             return;
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -281,6 +281,8 @@
 export class FakeConnector extends ExecutorConnector {
     /** Whether the host of this connector reaches the executors. */
     isConnected = true;
+    /** Addresses that this host alone does not reach. */
+    readonly unreachable = new Set<string>();
 
     constructor(private readonly executors: ReadonlyMap<string, FakeExecutor>) {
         super();
@@ -291,7 +293,7 @@
         if (found === undefined) {
             throw new Error(`no fake executor ${executor} at ${address}`);
         }
-        return new FakeTaskExecutor(found, () => this.isConnected);
+        return new FakeTaskExecutor(found, () => this.isConnected && !this.unreachable.has(address));
     }
 }
 
--- a/packages/workflow/src/evacuation-system_test.ts
+++ b/packages/workflow/src/evacuation-system_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { toCores, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
+import { createStep, SchedulerFixture, toCores } from "./testing/scheduler-fixture.js";
 import type { StartDecision } from "./types.js";
 
 /** Says that the executor of a run leaves after this time. */
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
-import { toCores, createQueue, createStep, noLimit, SchedulerFixture, team } from "./testing/scheduler-fixture.js";
+import { createQueue, createStep, noLimit, SchedulerFixture, team, toCores } from "./testing/scheduler-fixture.js";
 import type { TickDecisions } from "./types.js";
 
 describe("WorkflowScheduler", () => {
@@ -219,7 +219,9 @@
             while (fixture.grantAdvice(() => true).length > 0) {
                 fixture.start();
             }
-            fixture.submit("gang", [createStep({ taskCount: 3, resources: toCores(16), isGang: true, estimateMs: 100 })]);
+            fixture.submit("gang", [
+                createStep({ taskCount: 3, resources: toCores(16), isGang: true, estimateMs: 100 }),
+            ]);
             fixture.grantAdvice(() => true);
             fixture.start();
             fixture.submit("other", [createStep({ taskCount: 1, resources: toCores(4), estimateMs: 60_000 })]);
