Move long-running tasks that are not at work

Cause: a long-running task on an executor where everything stands still was never moved, because runs of such tasks were not judged by progress. Its percentage says whether it is at work, and it can fall again. Change: one that is below 100 for the stall time is stopped and started elsewhere; one at work is left alone. Test: scheduler_test 'moves a long-running task that is not at work', failed first.

--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -219,10 +219,12 @@
             run.state = "running";
             run.progressAt = now;
         }
-        if (listed.percent > run.percent) {
-            run.percent = listed.percent;
+        const isLongRunning = run.task.step.spec.isLongRunning;
+        if (listed.percent > run.percent || isLongRunning && listed.percent >= 100) {
             run.progressAt = now;
         }
+        // The share of a long-running task falls again when it is no longer at work.
+        run.percent = isLongRunning ? listed.percent : Math.max(run.percent, listed.percent);
         if (listed.checkpoint !== "") {
             run.task.checkpoint = listed.checkpoint;
         }
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -4,7 +4,7 @@
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
 import { createQueue, createStep, noLimit, SchedulerFixture, team, toCores } from "./testing/scheduler-fixture.js";
-import type { TickDecisions } from "./types.js";
+import type { StartDecision, TickDecisions } from "./types.js";
 
 describe("WorkflowScheduler", () => {
     describe("room", () => {
@@ -353,6 +353,23 @@
             expect(fixture.start()[0]!.executor === stalled!.executor).toEqual(false);
         });
 
+        it("moves a long-running task that is not at work, and leaves one alone that is", () => {
+            const fixture = new SchedulerFixture(2);
+            fixture.submit("a", [createStep({ isLongRunning: true })]);
+            const [{ executor, task, run }] = fixture.start() as [StartDecision];
+            const report = (percent: number) =>
+                fixture.scheduler.recordRunning(fixture.now, executor, { task, run, checkpoint: "", percent });
+            report(100);
+            fixture.now += 60_000;
+            report(100);
+            expect(fixture.tick().stops).toEqual([]);
+            for (let elapsed = 0; elapsed < 3_500; elapsed += 500) {
+                fixture.now += 500;
+                report(40);
+            }
+            expect(fixture.tick().stops.map(stop => stop.reason)).toEqual(["stalled"]);
+        });
+
         it("does not move members of a gang that wait for the slowest, nor runs of a silent executor", () => {
             // Guards against throwing away the work of a whole gang because one member takes longer.
             const fixture = new SchedulerFixture(2);
--- a/packages/workflow/src/stall-system.ts
+++ b/packages/workflow/src/stall-system.ts
@@ -23,9 +23,13 @@
     const { step } = run.task;
     // A member of a gang that has done its work waits for the others.
     const isWaiting = step.spec.isGang && run.percent >= 100;
-    if (isWaiting || step.spec.isLongRunning || step.spec.usesIdleProcessors) {
+    if (isWaiting || step.spec.usesIdleProcessors) {
         return false;
     }
+    if (step.spec.isLongRunning) {
+        // Whole percents say whether it is at work; one that is must not be stopped for this.
+        return run.percent < 100 && now - run.progressAt > state.options.stallFloorMs;
+    }
     const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
     // Progress is reported in whole percents, so a long task stands still for a hundredth of its time.
     const bound = Math.max(state.options.stallFloorMs, step.spec.estimateMs * ratio * state.options.stallFactor / 100);
