Carry out maintenance waves of the operators

The owner reads the waves, empties one executor after another (tasks without checkpoints may end, long-running tasks leave within the bound of their step), orders the machine with its fencing token and only while its lease certainly holds, and says when every machine has begun and is back. What has begun is stored for the next owner; an order without an answer is repeated and holds its place among those that may be away. It runs only where the settings give the cell a duty with machines, since looking for waves costs calls.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -9,6 +9,7 @@
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
 import type { Advisor } from "./advisor.js";
+import type { MaintenanceDuty } from "./cell-owner.js";
 import { CellOwner } from "./cell-owner.js";
 import { CellPublisher } from "./cell-publisher.js";
 import type { CellUpdate } from "./cell-service.js";
@@ -48,6 +49,8 @@
     readonly retentionMs: number;
     /** Longest time from a stop to its end, ms. */
     readonly stopMs: number;
+    /** How machines are serviced; absent where that is not the cell's duty. */
+    readonly maintenance?: Omit<MaintenanceDuty, "holder">;
     /** Called after each call to the store, for the metrics. */
     readonly onStoreCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
 }
@@ -322,7 +325,8 @@
         if (configuration === undefined) {
             return;
         }
-        const { advisor, clock, codec, connector, host, logger, maxLeaseMs, retentionMs, stopMs } = this.options;
+        const { advisor, clock, codec, connector, host, logger, maintenance, maxLeaseMs, retentionMs, stopMs } =
+            this.options;
         const owner = new CellOwner({
             store: this.store,
             codec,
@@ -334,6 +338,8 @@
             maxLeaseMs,
             retentionMs,
             stopMs,
+            isCertain: () => this.ownership.isCertain,
+            maintenance: maintenance === undefined ? undefined : { ...maintenance, holder: host },
             listener: {
                 onChanges: changes => this.publish(changes),
                 onPending: counts => {
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -25,6 +25,8 @@
 import type { SessionListener } from "./executor-session.js";
 import { JobFeed } from "./job-feed.js";
 import type { Tenure } from "./lease-ownership.js";
+import type { MachineManager } from "./machine-manager.js";
+import { MaintenanceDriver } from "./maintenance-driver.js";
 import { OwnerJobs } from "./owner-jobs.js";
 import { OwnerJournal } from "./owner-journal.js";
 import type { StoredCell } from "./owner-recovery.js";
@@ -48,9 +50,21 @@
     readonly retentionMs: number;
     /** Longest time from a stop to its end, ms. */
     readonly stopMs: number;
+    /** Returns whether no other host can own the cell now. */
+    readonly isCertain: () => boolean;
+    /** How machines are serviced; absent where that is not the cell's duty. */
+    readonly maintenance?: MaintenanceDuty;
     readonly listener: OwnerListener;
 }
 
+export interface MaintenanceDuty {
+    readonly machines: MachineManager;
+    /** Name of this host. */
+    readonly holder: string;
+    /** Least time between orders of two owners to one machine, ms. */
+    readonly ownerChangeMs: number;
+}
+
 export interface OwnerListener {
     /** States of jobs, to be told to callers. */
     onChanges(changes: readonly JobChange[]): void;
@@ -82,6 +96,7 @@
     private readonly advice: AdviceDispatcher;
     private readonly jobs: OwnerJobs;
     private readonly feed: JobFeed;
+    private readonly maintenance: MaintenanceDriver | undefined;
     private configuration: CellConfiguration;
     private isClosed = false;
     private isRecovered = false;
@@ -90,10 +105,12 @@
     private isSettledWhole = false;
     private earlyListings: (() => void)[] = [];
     private readonly startedAt: number;
+    private epoch: number;
 
     constructor(private readonly options: CellOwnerOptions) {
         const { clock, connector, codec, logger, store, tenure, maxLeaseMs, retentionMs } = options;
         this.startedAt = clock.getNow();
+        this.epoch = tenure.epoch;
         this.configuration = options.configuration;
         this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
         this.scheduler.setEpoch(tenure.epoch);
@@ -137,6 +154,29 @@
             logger,
             onAnswer: (step, named, grants) => this.acceptAdvice(step, named, grants),
         });
+        this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
+    }
+
+    private createMaintenance(duty: MaintenanceDuty): MaintenanceDriver {
+        const { clock, codec, isCertain, listener, logger, store } = this.options;
+        return new MaintenanceDriver({
+            ...duty,
+            store,
+            codec,
+            clock,
+            logger,
+            getFencingToken: () => this.epoch,
+            isOwnerCertain: isCertain,
+            countRuns: executor => this.scheduler.listRuns(executor).length,
+            planEmpty: (executor, emptyBy) => this.registry.planEmpty(executor, emptyBy),
+            storeValue: (write, revision, onStored) => {
+                if (revision !== undefined) {
+                    this.journal.setRevision(write.key, revision);
+                }
+                this.journal.recordWrite(write, onStored);
+            },
+            onFenced: reason => listener.onFenced(reason),
+        });
     }
 
     /** Whether tasks of all accepted jobs can start. */
@@ -181,18 +221,21 @@
         void this.registry.run();
         void this.tickWhenIdle();
         void this.reportPending();
+        void this.maintenance?.run();
         await this.feed.run(stored.storeRevision);
     }
 
     close(): void {
         this.isClosed = true;
         this.feed.close();
+        this.maintenance?.close();
         this.journal.close();
         this.registry.close();
     }
 
     /** Continues after the lease was acquired again and nobody else had it. */
     setTenure(tenure: Tenure): void {
+        this.epoch = tenure.epoch;
         this.journal.setTenure(tenure);
         this.jobs.setEpoch(tenure.epoch);
         this.registry.setFencingToken(tenure.epoch);
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -52,6 +52,8 @@
     entry: ExecutorEntry | undefined;
     /** Earliest time at which the executor leaves; `undefined` unless it drains. */
     leavesAt: number | undefined;
+    /** Time by which it should run nothing, because its machine is to be serviced. */
+    emptyBy: number | undefined;
     isGone: boolean;
     /** What the stored roster says of it. */
     stored: Enrolment;
@@ -140,6 +142,16 @@
         this.records.forEach(record => record.session.setFencingToken(token));
     }
 
+    /** Sets by when an executor should run nothing; `undefined`: it can take work again. */
+    planEmpty(executor: ExecutorId, emptyBy: number | undefined): void {
+        const record = this.records.get(executor);
+        if (record !== undefined) {
+            record.emptyBy = emptyBy;
+            this.updateScheduler(executor);
+            this.options.onChange();
+        }
+    }
+
     /** Brings the scheduler's row of an executor and the roster up to date after its session changed. */
     refreshExecutor(executor: ExecutorId): void {
         this.updateScheduler(executor);
@@ -153,8 +165,18 @@
         }
         const { pool, zone, rack, labels, capacity } = record.entry ?? unknownExecutor;
         const state = this.getState(record);
-        const { leavesAt } = record;
-        this.options.scheduler.updateExecutor({ executor, pool, zone, rack, labels, capacity, state, leavesAt });
+        const { leavesAt, emptyBy } = record;
+        this.options.scheduler.updateExecutor({
+            executor,
+            pool,
+            zone,
+            rack,
+            labels,
+            capacity,
+            state,
+            leavesAt,
+            emptyBy,
+        });
     }
 
     /** Reads the entries once. */
@@ -324,6 +346,7 @@
             session,
             entry: undefined,
             leavesAt: undefined,
+            emptyBy: undefined,
             isGone: false,
             stored: "absent",
         };
@@ -336,7 +359,9 @@
         if (!record.session.isReachable) {
             return "unreachable";
         }
-        return record.isGone || record.stored !== "open" || record.entry?.isDraining === true ? "leaving" : "ready";
+        const isLeaving = record.isGone || record.stored !== "open" || record.entry?.isDraining === true
+            || record.emptyBy !== undefined;
+        return isLeaving ? "leaving" : "ready";
     }
 }
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -5,6 +5,8 @@
 export type { CellConfiguration, QueueConfiguration, TeamConfiguration } from "./configuration.js";
 export { gatewayFailures, JobGateway } from "./job-gateway.js";
 export type { QueueTarget } from "./job-gateway.js";
+export { machineFailures, MachineManager } from "./machine-manager.js";
+export type { Machine, MachineId, MachineOrder, MachineState, MaintenanceWave, WaveState } from "./machine-manager.js";
 export { PlatformCodec } from "./platform-codec.js";
 export { LeaseStore, storeFailures } from "./store.js";
 export type { StoreChange, StoreItem, StoreReplies, StoreReply, StoreRequest, StoreTransaction } from "./store.js";
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -49,6 +49,10 @@
     readonly renewalMs?: number;
 }
 
+/** Life of the lease, ms. */
+const defaultLeaseMs = 1_500;
+/** Clocks may run this much slower or faster than the store's; figure of the platform's pages. */
+const clockRateBound = 0.02;
 /** Time that the last owner has to return when it was heard from recently, ms. */
 const yieldMs = 700;
 /** Longest wait of one watch, ms; a silent connection is noticed after it. */
@@ -77,6 +81,8 @@
     private isStopped = false;
     private isFenced = false;
     private isAcquiring = false;
+    /** When the last renewal or grant that was answered was sent. */
+    private renewedAt = -Infinity;
 
     constructor(private readonly options: OwnershipOptions) {}
 
@@ -84,6 +90,12 @@
         return this.tenure;
     }
 
+    /** Whether the lease cannot have run out yet, so that no other host can own the cell. */
+    get isCertain(): boolean {
+        const validMs = (this.options.leaseMs ?? defaultLeaseMs) * (1 - clockRateBound);
+        return this.tenure !== undefined && this.options.clock.getNow() - this.renewedAt < validMs;
+    }
+
     /** Runs until `stop`. */
     async run(): Promise<void> {
         while (!this.isStopped) {
@@ -189,8 +201,9 @@
     }
 
     private async acquire(view: LeadView, isContinued: boolean): Promise<boolean> {
+        const sentAt = this.options.clock.getNow();
         const granted = await this.options.store.call(
-            { kind: "grantLease", ttlMs: this.options.leaseMs ?? 1_500 },
+            { kind: "grantLease", ttlMs: this.options.leaseMs ?? defaultLeaseMs },
             callTimeoutMs,
         );
         if (!granted.ok || this.isStopped) {
@@ -219,6 +232,7 @@
             });
             return false;
         }
+        this.renewedAt = sentAt;
         this.take({ epoch, revision: committed.val.revision }, isContinued);
         return true;
     }
@@ -241,8 +255,12 @@
         if (this.tenure === undefined || this.isStopped) {
             return;
         }
+        const sentAt = this.options.clock.getNow();
         const renewed = await this.options.store.call({ kind: "renewLease", lease: this.lease }, renewTimeoutMs);
-        if (!renewed.ok && renewed.val.code === storeFailures.leaseEnded) {
+        if (renewed.ok) {
+            this.renewedAt = sentAt;
+        }
+        else if (renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readLead();
             if (view.ok) {
                 await this.renewTenure(view.val);
--- /dev/null
+++ b/packages/cell/src/maintenance-driver_test.ts
@@ -0,0 +1,116 @@
+import { ManualClock } from "@waxwingroute/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CellSimulation } from "./testing/cell-simulation.js";
+import { FakeMachineManager, toMachineId } from "./testing/fake-machine-manager.js";
+
+interface WaveOptions {
+    readonly machines: number;
+    readonly maxAtOnce: number;
+    readonly durationMs?: number;
+}
+
+class Fixture {
+    readonly clock = new ManualClock(1_000);
+    readonly machines: FakeMachineManager;
+    readonly cell: CellSimulation;
+
+    constructor(private readonly options: WaveOptions, workMs = 300) {
+        this.machines = new FakeMachineManager({
+            clock: this.clock,
+            maxAtOnce: options.maxAtOnce,
+            serviceMs: 2_000,
+        });
+        this.cell = new CellSimulation({
+            hosts: 2,
+            executors: 4,
+            clock: this.clock,
+            machines: this.machines,
+            planRun: () => ({ workMs, outcome: "done" }),
+        });
+        this.machines.connect(this.cell.executors);
+    }
+
+    async open(): Promise<void> {
+        await this.cell.advanceUntil(() => this.cell.owner?.owner?.isSettled === true, 5_000);
+        await this.cell.advance(1_000);
+    }
+
+    requestWave(): void {
+        const { durationMs = 60_000, machines, maxAtOnce } = this.options;
+        const value = JSON.stringify({
+            wave: 1,
+            machines: this.cell.executors.slice(0, machines).map(toMachineId),
+            durationMs,
+            maxAtOnce,
+        });
+        const writes = [{ key: "waves/1", value }];
+        this.cell.data.execute({ kind: "commit", transaction: { conditions: [], writes, removals: [] } });
+    }
+
+    get state(): string | undefined {
+        return this.cell.data.items.get("wave-states/1")?.value;
+    }
+
+    /** Advances until the wave is done, also the service of machines. */
+    async finishWave(longestMs = 60_000): Promise<boolean> {
+        return this.cell.advanceUntil(() => {
+            this.machines.advance();
+            return this.state === "succeeded";
+        }, longestMs);
+    }
+}
+
+describe("a maintenance wave", () => {
+    it("services every machine, no more at once than allowed, and says when it is done", async () => {
+        const fixture = new Fixture({ machines: 4, maxAtOnce: 2 });
+        await fixture.open();
+        fixture.requestWave();
+        await fixture.cell.advance(3_000);
+        expect(fixture.state).toEqual("running");
+        expect(await fixture.finishWave()).toEqual(true);
+        expect(fixture.machines.serviced.size).toEqual(4);
+        expect(fixture.machines.violations).toEqual([]);
+        fixture.cell.close();
+    });
+
+    it("empties an executor before its machine is ordered, and loses no work", async () => {
+        const fixture = new Fixture({ machines: 4, maxAtOnce: 1 }, 3_000);
+        await fixture.open();
+        void fixture.cell.submit(fixture.cell.hosts[0]!, "a", [{ taskCount: 40, estimateMs: 3_000 }]);
+        await fixture.cell.advance(500);
+        fixture.requestWave();
+        expect(await fixture.finishWave()).toEqual(true);
+        expect(fixture.machines.endedRuns).toEqual(0);
+        expect(fixture.cell.getState("a")).toEqual("succeeded");
+        expect(fixture.cell.judge.violations).toEqual([]);
+        fixture.cell.close();
+    });
+
+    it("goes on under the next owner and services no machine twice at a time", async () => {
+        const fixture = new Fixture({ machines: 4, maxAtOnce: 1 });
+        await fixture.open();
+        fixture.requestWave();
+        await fixture.cell.advanceUntil(() => {
+            fixture.machines.advance();
+            return fixture.machines.serviced.size === 2;
+        }, 30_000);
+        fixture.cell.owner!.kill();
+        expect(await fixture.finishWave()).toEqual(true);
+        expect(fixture.machines.serviced.size).toEqual(4);
+        expect(fixture.machines.violations).toEqual([]);
+        fixture.cell.close();
+    });
+
+    it("does not call a wave done whose orders have no answer", async () => {
+        // Guards against a wave that succeeds while a machine of it may not have begun.
+        const fixture = new Fixture({ machines: 1, maxAtOnce: 1 });
+        await fixture.open();
+        fixture.machines.losesAnswers = true;
+        fixture.requestWave();
+        expect(await fixture.finishWave(10_000)).toEqual(false);
+        fixture.machines.losesAnswers = false;
+        expect(await fixture.finishWave(10_000)).toEqual(true);
+        fixture.cell.close();
+    });
+});
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -4,6 +4,7 @@
 import type { Failure, Result } from "@waxwingroute/core";
 import type { JobSpec, JobState, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
 import { z } from "zod";
+import type { MachineId } from "./machine-manager.js";
 import type { StoreItem } from "./store.js";
 
 /** Prefix of the keys that say who owns the cell. */
@@ -16,6 +17,8 @@
 export const rosterKey = "waxwing/roster";
 export const jobPrefix = "waxwing/jobs/";
 export const endPrefix = "waxwing/ends/";
+/** For each maintenance wave the machines whose service has begun. */
+export const wavePrefix = "waxwing/waves/";
 const cancelSuffix = "/cancel";
 
 /** An accepted job, or how a finished one ended. */
@@ -72,6 +75,7 @@
         spec: z.custom<JobSpec>(isJobSpec),
     }),
 ]);
+const machinesSchema = z.array(z.string().transform(name => toId<MachineId>(name)));
 const endsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.string(), z.string()]));
 
 /** Parts of the jobs, so that a new owner reads them at the same time and not page by page. */
@@ -188,13 +192,25 @@
         : parsed;
 }
 
+export function toWaveKey(wave: number): string {
+    return `${wavePrefix}${wave}`;
+}
+
+export function encodeBegun(machines: readonly MachineId[]): string {
+    return JSON.stringify(machines);
+}
+
+export function decodeBegun(text: string): Result<readonly MachineId[], Failure> {
+    return parseValue(machinesSchema, text);
+}
+
 /** Job specifications were checked before they were stored; this only tells them from other values. */
 function isJobSpec(value: unknown): boolean {
     return typeof value === "object" && value !== null && "payload" in value && "steps" in value
         && Array.isArray(value.steps);
 }
 
-function parseValue<T>(schema: z.ZodType<T>, text: string): Result<T, Failure> {
+function parseValue<T>(schema: z.ZodType<T, unknown>, text: string): Result<T, Failure> {
     try {
         const checked = schema.safeParse(JSON.parse(text));
         return checked.success ? Ok(checked.data) : Err(createInvalid(z.prettifyError(checked.error)));
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -8,6 +8,7 @@
 import { JobIntake } from "../job-intake.js";
 import type { Tenure } from "../lease-ownership.js";
 import { LeaseOwnership } from "../lease-ownership.js";
+import type { MachineManager, MaintenanceWave, WaveState } from "../machine-manager.js";
 import { PlatformCodec } from "../platform-codec.js";
 import type { StoreItem } from "../store.js";
 import type { ExecutorEntry } from "../task-executor.js";
@@ -56,6 +57,25 @@
     override readonly configurationKey = "config";
     override readonly executorPrefix = "executors/";
 
+    override readonly wavePrefix = "waves/";
+    override readonly waveStatePrefix = "wave-states/";
+
+    override decodeWave(item: StoreItem): Result<MaintenanceWave, Failure> {
+        return Ok(JSON.parse(item.value) as MaintenanceWave);
+    }
+
+    override toWaveStateKey(wave: number): string {
+        return `${this.waveStatePrefix}${wave}`;
+    }
+
+    override encodeWaveState(state: WaveState): string {
+        return state;
+    }
+
+    override decodeWaveState(item: StoreItem): WaveState {
+        return item.value as WaveState;
+    }
+
     override decodeConfiguration(): Result<CellConfiguration, Failure> {
         return Ok(configuration);
     }
@@ -84,6 +104,8 @@
     readonly executors: number;
     readonly seed?: number;
     readonly planRun?: FakeExecutor["options"]["planRun"];
+    readonly machines?: MachineManager;
+    readonly clock?: ManualClock;
 }
 
 const defaultPlan: RunPlan = { workMs: 300, outcome: "done" };
@@ -173,6 +195,12 @@
             maxLeaseMs,
             retentionMs: 120_000,
             stopMs: 100,
+            isCertain: () => ownership.isCertain,
+            maintenance: this.simulation.machines === undefined ? undefined : {
+                machines: this.simulation.machines,
+                holder: this.name,
+                ownerChangeMs: 1_000,
+            },
             listener: {
                 onChanges: changes => changes.forEach(({ job, state }) => this.simulation.states.set(job, state)),
                 onPending: () => undefined,
@@ -185,9 +213,9 @@
 }
 
 export class CellSimulation {
-    readonly clock = new ManualClock(1_000);
+    readonly clock: ManualClock;
     readonly random: SeededRandom;
-    readonly data = new MemoryStoreData(this.clock);
+    readonly data: MemoryStoreData;
     readonly judge = new RunJudge({
         executorCpuMillis,
         teamCpuMillis: new Map([[limitedTeam, limitedCpuMillis]]),
@@ -198,8 +226,12 @@
     /** States that an owner has shown. */
     readonly states = new Map<JobId, JobState>();
     readonly lines: string[] = [];
+    readonly machines: MachineManager | undefined;
 
     constructor(options: SimulationOptions) {
+        this.clock = options.clock ?? new ManualClock(1_000);
+        this.data = new MemoryStoreData(this.clock);
+        this.machines = options.machines;
         this.random = new SeededRandom(options.seed ?? 1);
         for (let index = 0; index < options.executors; index++) {
             this.executors.push(
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -5,12 +5,14 @@
  * served until they leave or the time for the stop is nearly over.
  */
 import { CellHost } from "@waxwingroute/cell";
+import type { CellHostOptions } from "@waxwingroute/cell";
 import { SystemClock, SystemRandom } from "@waxwingroute/core";
 import type { Clock } from "@waxwingroute/core";
 import {
     HttpAdvisor,
     HttpExecutorConnector,
     HttpLeaseStore,
+    HttpMachineManager,
     JobServer,
     loadPlatformSettings,
     ReadinessServer,
@@ -71,6 +73,14 @@
     }
 }
 
+/** Machines are serviced only where the deployment asks for it, since looking for waves costs calls to the store. */
+function createMaintenance(settings: PlatformSettings, clock: Clock): CellHostOptions["maintenance"] {
+    const { machineAddress, machineDuties, machineLeaseMs } = settings;
+    return machineAddress === undefined || machineDuties.length === 0
+        ? undefined
+        : { machines: new HttpMachineManager({ address: machineAddress, clock }), ownerChangeMs: machineLeaseMs };
+}
+
 async function startNode(settings: PlatformSettings, logger: Logger): Promise<void> {
     const clock = new SystemClock();
     const metrics = new ServedMetrics("waxwing");
@@ -90,6 +100,7 @@
         maxLeaseMs: settings.maxLeaseMs,
         retentionMs: settings.retentionSeconds * 1_000,
         stopMs: settings.stopMs,
+        maintenance: createMaintenance(settings, clock),
         onStoreCall: (operation, isAnswered, tookMs) => {
             // The time of a watch is mostly its wait.
             if (operation !== "watch") {
--- a/packages/workflow/src/evacuation-system.ts
+++ b/packages/workflow/src/evacuation-system.ts
@@ -2,9 +2,12 @@
  * Empties executors that are leaving. What ends in time stays. A task with checkpoints works on until the last moment at which
  * a stop still saves its progress; one without is moved at once if its work would be lost anyway. A long-running task is moved
  * as soon as another executor has room for it.
+ *
+ * An executor whose machine is to be serviced is emptied too, but in the scheduler's own time: tasks without checkpoints may
+ * end, and a step has no more long-running tasks away than it allows.
  */
 import { countRoom, hasTicket, isEligible } from "./candidates.js";
-import type { ExecutorRow, RunRow, StepRow } from "./rows.js";
+import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 
 /** Time for a stop to reach the executor and for its end to be listed, ms: two crossings of a region and a renewal. */
@@ -16,11 +19,14 @@
 
 export function stopRunsOfLeavingExecutors(state: SchedulerState, now: number): void {
     for (const executor of state.executors.values()) {
-        if (executor.leavesAt === undefined || !executor.isReachable) {
+        if (!executor.isReachable) {
             continue;
         }
+        const { leavesAt, emptyBy } = executor;
         for (const run of executor.runs.values()) {
-            if (run.state !== "stopping" && needsMove(state, now, executor.leavesAt - now, run)) {
+            const mustLeave = leavesAt !== undefined && needsMove(state, now, leavesAt - now, run);
+            const canLeave = emptyBy !== undefined && allowsPlannedMove(state, now, emptyBy, run);
+            if (run.state !== "stopping" && (mustLeave || canLeave)) {
                 stopWholeRun(state, run);
             }
         }
@@ -41,6 +47,20 @@
         : remainingMs > leftMs + likelyExtraMs;
 }
 
+function allowsPlannedMove(state: SchedulerState, now: number, emptyBy: number, run: RunRow): boolean {
+    const { spec, tasks } = run.task.step;
+    if (!spec.isLongRunning) {
+        return spec.savesCheckpoints || now >= emptyBy;
+    }
+    const away = tasks.filter(task => !isAtWork(task)).length;
+    const isAllowed = !isAtWork(run.task) || spec.maxUnavailable === undefined || away < spec.maxUnavailable;
+    return isAllowed && hasRoomElsewhere(state, now, run.task.step);
+}
+
+function isAtWork(task: TaskRow): boolean {
+    return task.runs.some(run => run.state === "running" && run.percent >= 100);
+}
+
 /** Returns the time that the run still needs, from its own progress or, at its beginning, from what its queue took before. */
 function estimateRemaining(state: SchedulerState, now: number, run: RunRow): number {
     const { step } = run.task;
--- a/packages/workflow/src/evacuation-system_test.ts
+++ b/packages/workflow/src/evacuation-system_test.ts
@@ -69,3 +69,47 @@
         expect(fixture.tick().stops.map(stop => stop.task)).toEqual([service!.task]);
     });
 });
+
+describe("an executor whose machine is to be serviced", () => {
+    function planService(fixture: SchedulerFixture, start: StartDecision, afterMs: number): void {
+        fixture.putExecutor(Number(start.executor.slice(1)), "leaving", [], undefined, fixture.now + afterMs);
+    }
+
+    it("lets tasks without checkpoints end, and stops them when their time is over", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ estimateMs: 20_000 })]);
+        const [first] = fixture.start();
+        planService(fixture, first!, 5_000);
+        fixture.now += 4_900;
+        recordProgress(fixture, first!, 30);
+        expect(fixture.tick().stops).toEqual([]);
+        fixture.now += 200;
+        expect(fixture.tick().stops.length).toEqual(1);
+    });
+
+    it("moves tasks with checkpoints at once", () => {
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ estimateMs: 20_000, savesCheckpoints: true })]);
+        const [first] = fixture.start();
+        planService(fixture, first!, 5_000);
+        expect(fixture.tick().stops.length).toEqual(1);
+    });
+
+    it("has no more long-running tasks of a step away than it allows", () => {
+        // Guards against a service that loses all its tasks on one executor at the same time.
+        const fixture = new SchedulerFixture(2);
+        fixture.submit("a", [createStep({ taskCount: 3, isLongRunning: true, maxUnavailable: 1 })]);
+        const starts = fixture.start();
+        starts.forEach(start => recordProgress(fixture, start, 100));
+        planService(fixture, starts[0]!, 60_000);
+        const { stops } = fixture.tick();
+        expect(stops.length).toEqual(1);
+        expect(fixture.tick().stops).toEqual([]);
+        const moved = starts.find(start => start.task === stops[0]!.task)!;
+        fixture.end(moved, "stopped");
+        const [again] = fixture.start();
+        expect(fixture.tick().stops).toEqual([]);
+        recordProgress(fixture, again!, 100);
+        expect(fixture.tick().stops.length).toEqual(1);
+    });
+});
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -116,6 +116,8 @@
     isReachable: boolean;
     /** Earliest time at which the executor leaves; `undefined`: not known or not leaving. */
     leavesAt: number | undefined;
+    /** Time by which the executor should run nothing, because its machine is to be serviced. */
+    emptyBy: number | undefined;
     readonly runs: Map<string, RunRow>;
     /** Runs of unknown size, for example of jobs that ended under an earlier owner. Nothing starts beside them. */
     readonly unknownRuns: Set<string>;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -96,6 +96,7 @@
         row.isReady = update.state === "ready";
         row.isReachable = update.state !== "unreachable";
         row.leavesAt = update.leavesAt;
+        row.emptyBy = update.emptyBy;
     }
 
     /** Removes an executor; its runs end as `lost`. The caller makes sure that they no longer run. */
@@ -372,6 +373,7 @@
         isReady: false,
         isReachable: false,
         leavesAt: undefined,
+        emptyBy: undefined,
         runs: new Map(),
         unknownRuns: new Set(),
         failureRate: 0,
--- a/packages/workflow/src/testing/scheduler-fixture.ts
+++ b/packages/workflow/src/testing/scheduler-fixture.ts
@@ -71,6 +71,7 @@
         state: ExecutorState,
         labels: readonly string[] = [],
         leavesAt: number | undefined = undefined,
+        emptyBy: number | undefined = undefined,
     ): void {
         this.scheduler.updateExecutor({
             executor: toId<ExecutorId>(`e${index}`),
@@ -81,6 +82,7 @@
             capacity: { cpuMillis: 16_000, memoryMb: 32_000, accelerators: 0 },
             state,
             leavesAt,
+            emptyBy,
         });
     }
 
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -123,6 +123,11 @@
     readonly state: ExecutorState;
     /** Earliest time at which the executor leaves with everything that runs on it; absent: not known or not leaving. */
     readonly leavesAt?: number;
+    /**
+     * Time by which the executor should run nothing, because its machine is to be serviced; absent: not planned. Until then
+     * tasks without checkpoints may end.
+     */
+    readonly emptyBy?: number;
 }
 
 /**
