Wait for answers of the store as long as they take; hear of ends while earlier ones are not stored

Cause: while the store loses answers, each lost one cost its longest time-out of 600 ms, every host took its own way to the store for cut and tried three others first, and an executor whose ends were not stored yet was not listened to for up to a second. Change: the time-out of the first attempt is four average answers (200 ms at least), doubled for each further one; a single write without an answer does not make a host avoid its way; listings are read again after 300 ms. Ruled out: the queue of transactions (three in flight carry 118 ends of jobs a second at this loss). Tests: answer-timeout_test (3).

--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -57,8 +57,11 @@
 const failuresBeforeUnreachable = 2;
 /** Pause between tries of an executor that does not answer, ms. */
 const retryMs = 250;
-/** Longest wait for the commit of ends before the lease is renewed without acknowledging them, ms. */
-const commitWaitMs = 1_000;
+/**
+ * Longest wait for the commit of ends before the listing is read again without acknowledging them, ms: further ends are not
+ * heard of meanwhile.
+ */
+const commitWaitMs = 300;
 /** Pause between renewals while ends cannot be committed, ms. */
 const uncommittedPauseMs = 200;
 
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -2,7 +2,7 @@
  * Reaches the store directly, or through another host of the cell while the store does not serve this one.
  *
  * After a failure other hosts are tried first, and the direct way is probed in the background, so that no request waits for
- * its time-out again. A write without an answer is not sent again by another way: the caller decides, since it may have
+ * its time-out again. One write without an answer does not count, since a store that serves this host can lose answers. A write without an answer is not sent again by another way: the caller decides, since it may have
  * been carried out.
  */
 import type { Clock, Failure, Result } from "@waxwingroute/core";
@@ -25,12 +25,16 @@
 
 /** Most other hosts that one request tries. */
 const maxPeersTried = 3;
+/** Writes in a row without an answer after which other hosts are tried first. */
+const lostWritesBeforeAvoided = 2;
 /** Bound of a probe, ms: longer than an exchange with a store that is slow but serves this host. */
 const probeTimeoutMs = 600;
 
 export class FallbackStore extends LeaseStore {
     private isAvoided = false;
     private turn = 0;
+    /** Writes without an answer since the store last answered this host. */
+    private lostWrites = 0;
     private lastAnswerAt = -Infinity;
 
     constructor(private readonly options: FallbackStoreOptions) {
@@ -89,7 +93,9 @@
         const result = await way.call(request, timeoutMs);
         const isAnswered = result.ok || !isStoreLost(result.val);
         this.options.onCall?.(request.kind, isAnswered, this.options.clock.getNow() - startedAt);
-        if (!isAnswered && !this.isAvoided) {
+        const isLostWrite = !isAnswered && request.kind === "commit" && result.val.verdict !== "notRun";
+        this.lostWrites = isLostWrite ? this.lostWrites + 1 : isAnswered ? 0 : this.lostWrites;
+        if (!isAnswered && !this.isAvoided && (!isLostWrite || this.lostWrites >= lostWritesBeforeAvoided)) {
             this.isAvoided = true;
             this.options.logger.write("warn", "store does not serve this host", {
                 operation: request.kind,
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -10,6 +10,7 @@
 import type { Clock, Failure, JobId, Result } from "@waxwingroute/core";
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
+import { AnswerTimeout } from "./answer-timeout.js";
 import type { EpochMark, JobRecord } from "./store-keys.js";
 import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
@@ -25,7 +26,7 @@
     readonly giveUpMs?: number;
     /** Most transactions in flight. Default 3. */
     readonly maxInFlight?: number;
-    /** Bound of one transaction, ms. Default 600. */
+    /** Longest wait for the answer to one transaction, ms. Default 600. */
     readonly commitTimeoutMs?: number;
 }
 
@@ -47,6 +48,7 @@
     readonly arrivedAt: number;
     /** Whether an attempt had no answer. */
     isUncertain: boolean;
+    attempts: number;
     readonly resolve: (result: Result<"stored" | "existed", Failure>) => void;
 }
 
@@ -57,7 +59,11 @@
     private isProbing = false;
     private mark: EpochMark = { epoch: 0, revision: 0 };
 
-    constructor(private readonly options: JobIntakeOptions) {}
+    private readonly timeout: AnswerTimeout;
+
+    constructor(private readonly options: JobIntakeOptions) {
+        this.timeout = new AnswerTimeout(options.clock, options.commitTimeoutMs ?? 600);
+    }
 
     /** Whether new requests are refused because nothing can be stored. */
     get isInOutage(): boolean {
@@ -91,7 +97,7 @@
         }
         return new Promise(resolve => {
             const arrivedAt = this.options.clock.getNow();
-            this.waiting.push({ job, key, record, arrivedAt, isUncertain: false, resolve });
+            this.waiting.push({ job, key, record, arrivedAt, isUncertain: false, attempts: 0, resolve });
             this.flush();
         });
     }
@@ -132,6 +138,8 @@
         const { mark } = this;
         const writes = batch.map(pending => toWrite(pending, mark));
         const jobs = batch.filter(pending => pending.record !== undefined);
+        const sentAt = this.options.clock.getNow();
+        const attempt = Math.max(...batch.map(pending => pending.attempts));
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
@@ -142,12 +150,13 @@
                 writes,
                 removals: [],
             },
-        }, this.options.commitTimeoutMs ?? 600);
+        }, this.timeout.choose(attempt));
         if (!committed.ok) {
             await this.handleFailure(batch, committed.val);
             return;
         }
         this.failingSince = undefined;
+        this.timeout.recordAnswer(sentAt);
         if (committed.val.kind === "committed") {
             const { revision } = committed.val;
             this.options.onStored?.(writes.map(({ key, value }) => ({
@@ -171,6 +180,7 @@
         const isUncertain = failure.verdict !== "notRun";
         batch.forEach(pending => {
             pending.isUncertain ||= isUncertain;
+            pending.attempts += 1;
         });
         const giveUpMs = this.options.giveUpMs ?? 1_500;
         const expired = batch.filter(pending => now - pending.arrivedAt + retryMs > giveUpMs || this.isInOutage);
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -8,6 +8,7 @@
 import type { LogWriter } from "@waxwingroute/telemetry";
 import type { JobState, RunEnd } from "@waxwingroute/workflow";
 import { parseTaskKey } from "@waxwingroute/workflow";
+import { AnswerTimeout } from "./answer-timeout.js";
 import type { Tenure } from "./lease-ownership.js";
 import { encodeEnds, encodeFinishedJob, ownerKey, toCancelKey, toEndsKey, toJobKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
@@ -36,7 +37,7 @@
 
 /** Longest time that records wait for others, ms. */
 const groupMs = 30;
-/** Bound of one transaction, ms. */
+/** Longest wait for the answer to one transaction, ms. */
 const commitTimeoutMs = 600;
 /** Pause after a failed transaction, ms. */
 const retryMs = 100;
@@ -88,9 +89,11 @@
     private readonly finished = new Set<JobId>();
     private isClosed = false;
     private tenure: Tenure;
+    private readonly timeout: AnswerTimeout;
 
     constructor(private readonly options: OwnerJournalOptions) {
         this.tenure = options.tenure;
+        this.timeout = new AnswerTimeout(options.clock, commitTimeoutMs);
     }
 
     /** Number of records that are not stored yet. */
@@ -160,7 +163,7 @@
     /** Commits a batch, again and again until it is stored or the owner is deposed. */
     private async store(batch: Batch): Promise<void> {
         this.inFlight += 1;
-        while (!this.isClosed && !await this.commit(batch)) {
+        for (let attempt = 0; !this.isClosed && !await this.commit(batch, attempt); attempt++) {
             await this.options.clock.wait(retryMs);
         }
         this.inFlight -= 1;
@@ -187,7 +190,7 @@
         return { number, ends, finishes, others, removals };
     }
 
-    private async commit(batch: Batch): Promise<boolean> {
+    private async commit(batch: Batch, attempt: number): Promise<boolean> {
         const finished = new Set(batch.finishes.map(pending => pending.finished.job));
         const kept = batch.ends.map(pending => pending.end).filter(end => !finished.has(getJob(end)));
         const key = toEndsKey(this.tenure.epoch, batch.number);
@@ -203,6 +206,7 @@
         }
         const cancels = batch.finishes.filter(pending => pending.finished.hasCancel)
             .map(pending => toCancelKey(pending.finished.job));
+        const sentAt = this.options.clock.getNow();
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
@@ -213,11 +217,12 @@
                 writes,
                 removals: [...batch.removals, ...cancels],
             },
-        }, commitTimeoutMs);
+        }, this.timeout.choose(attempt));
         if (!committed.ok) {
             this.logFailure(batch, committed.val.message);
             return false;
         }
+        this.timeout.recordAnswer(sentAt);
         if (committed.val.kind === "conflict") {
             this.handleConflict(batch, committed.val.items);
             return false;
