--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -2,8 +2,9 @@
  * Reaches the store directly, or through another host of the cell while the store does not serve this one.
  *
  * After a failure other hosts are tried first, and the direct way is probed in the background, so that no request waits for
- * its time-out again. One write without an answer does not count, since a store that serves this host can lose answers. A write without an answer is not sent again by another way: the caller decides, since it may have
- * been carried out.
+ * its time-out again. One write without an answer does not count, since a store that serves this host can lose answers.
+ *
+ * A write without an answer is not sent again by another way: the caller decides, since it may have been carried out.
  */
 import type { Clock, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
