--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -47,6 +47,8 @@
     readonly maxLeaseMs: number;
     /** How long finished jobs can be asked for, ms. */
     readonly retentionMs: number;
+    /** Time for which this host lets others acquire the cell first, ms. Default 0. */
+    readonly acquireDelayMs?: number;
     /** Longest time from a stop to its end, ms. */
     readonly stopMs: number;
     /** How machines are serviced; absent where that is not the cell's duty. */
@@ -126,6 +128,7 @@
             address,
             incarnation: random.getHex(16),
             isOwnerAlive: () => this.link.isOwnerAlive,
+            acquireDelayMs: options.acquireDelayMs,
             listener: {
                 onAcquired: (tenure, isContinued) => this.beginTenure(tenure, isContinued),
                 onLost: () => this.endTenure(),
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -45,6 +45,8 @@
     readonly isOwnerAlive: () => boolean;
     /** Life of the lease, ms. Default 1,500: the time of a takeover begins with it. */
     readonly leaseMs?: number;
+    /** Time for which this host lets others acquire the cell first, ms. Default 0. */
+    readonly acquireDelayMs?: number;
     /** Time between renewals, ms. Default 400, so that three may be lost. */
     readonly renewalMs?: number;
 }
@@ -55,6 +57,10 @@
 const clockRateBound = 0.02;
 /** Time that the last owner has to return when it was heard from recently, ms. */
 const yieldMs = 700;
+/** Time between looks whether the last owner is still heard from, ms: an owner that resigns ends its streams. */
+const yieldStepMs = 20;
+/** Time over which hosts spread their acquisitions, ms. */
+const spreadMs = 20;
 /** Longest wait of one watch, ms; a silent connection is noticed after it. */
 const watchMs = 4_000;
 /** Pause after a failed call, ms. */
@@ -192,11 +198,24 @@
     private async tryAcquire(view: LeadView): Promise<void> {
         const wasOwner = this.lastEpoch !== 0 && view.mark.epoch === this.lastEpoch;
         if (!wasOwner) {
-            // The conditions of the acquisition show whether another host was faster.
-            await this.options.clock.wait(this.options.isOwnerAlive() ? yieldMs : this.options.random.getInteger(20));
+            await this.waitForOthers();
+            const read = await this.readLead();
+            if (!read.ok || read.val.owner !== undefined || this.isStopped) {
+                return;
+            }
+            await this.acquire(read.val, false);
+        }
+        else if (!this.isStopped) {
+            await this.acquire(view, true);
         }
-        if (!this.isStopped) {
-            await this.acquire(view, wasOwner);
+    }
+
+    /** Waits while the last owner may return, and lets hosts that suit better go first. */
+    private async waitForOthers(): Promise<void> {
+        const { acquireDelayMs = 0, clock, isOwnerAlive, random } = this.options;
+        await clock.wait(acquireDelayMs + random.getInteger(spreadMs));
+        for (let waitedMs = 0; isOwnerAlive() && waitedMs < yieldMs; waitedMs += yieldStepMs) {
+            await clock.wait(yieldStepMs);
         }
     }
 
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -27,6 +27,10 @@
 const servingShare = 0.6;
 /** Port of the metrics; `deploy/system.toml` names it too. */
 const metricsPort = 9_464;
+/** A host with fewer cores cannot recover a cell of 250 executors in time; `fleetbench run tavan-trays-grown trouble-2`. */
+const weakHostCores = 0.5;
+/** Time for which such a host lets others acquire the cell first, ms: they start within 300 ms of each other. */
+const weakHostDelayMs = 500;
 /** Time between updates of the gauges, ms. */
 const gaugeMs = 1_000;
 /** Time that the balancer needs to notice that the host is leaving, ms: two of its probes. */
@@ -100,6 +104,7 @@
         maxLeaseMs: settings.maxLeaseMs,
         retentionMs: settings.retentionSeconds * 1_000,
         stopMs: settings.stopMs,
+        acquireDelayMs: settings.cpuShare * settings.coreSpeed < weakHostCores ? weakHostDelayMs : 0,
         maintenance: createMaintenance(settings, clock),
         onStoreCall: (operation, isAnswered, tookMs) => {
             // The time of a watch is mostly its wait.
