Send the states of jobs only to the hosts that follow them

Cause: the owner sent each change of a job, with the addresses of all hosts, to every host up to 100 times a second.

Change: a host follows the jobs that it accepted or was asked about. A host that hears its own version from the owner leaves out most reads of the configuration; watches of the ownership last 12 s and end early when the owner is no longer heard from.

--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -58,8 +58,11 @@
         this.rows.set(host.name, { host, backlogMs: 0, longCalls: 0, overheadMs: 0, backoffUntil: 0 });
     }
 
-    removeHost(name: string): void {
-        this.rows.delete(name);
+    /** Removes a host, unless another one was added under its name since. */
+    removeHost(host: AdviceHost): void {
+        if (this.rows.get(host.name)?.host === host) {
+            this.rows.delete(host.name);
+        }
     }
 
     /**
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -12,8 +12,9 @@
 import type { CellMaintenanceOptions } from "./cell-owner.js";
 import { CellOwner } from "./cell-owner.js";
 import { CellPublisher } from "./cell-publisher.js";
+import type { Subscriber } from "./cell-publisher.js";
 import type { CellUpdate } from "./cell-service.js";
-import { cellService, jobStates, PeerAdvisor } from "./cell-service.js";
+import { cellService, encodeStates, PeerAdvisor } from "./cell-service.js";
 import { ConfigurationTracker } from "./configuration-tracker.js";
 import { FallbackStore } from "./fallback-store.js";
 import type { QueueTarget } from "./job-gateway.js";
@@ -25,7 +26,7 @@
 import { OwnerClient } from "./owner-client.js";
 import { PeerDirectory } from "./peer-directory.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { decodeJobRecord, toCancelKey, toJobKey } from "./store-keys.js";
+import { decodeJobRecord, parseJobKey, toCancelKey, toJobKey } from "./store-keys.js";
 import type { OwnerRecord, StoredEpoch } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreRequest } from "./store.js";
 import { storeFailures } from "./store.js";
@@ -82,8 +83,6 @@
     private readonly ownerClient: OwnerClient;
     private readonly server: RpcServer;
     private readonly peers: PeerDirectory;
-    /** Addresses of the hosts that receive this owner's updates, by the name of the host. */
-    private readonly subscribers = new Map<string, string>();
     private owner: CellOwner | undefined;
     private pendingTerm: OwnershipTerm | undefined;
     private isStopping = false;
@@ -112,18 +111,24 @@
             clock,
             logger,
             onChange: () => this.applyConfiguration(),
+            getOwnerVersion: () => this.ownerClient.configurationVersion,
         });
         this.publisher = new CellPublisher({
             clock,
-            listStates: () => this.replica.listStates(),
-            listHosts: () => [address, ...this.subscribers.values()],
+            address,
+            getState: job => this.replica.getState(job),
+            getConfigurationVersion: () => this.tracker.current?.configuration.version,
         });
         this.ownerClient = new OwnerClient({
             clock,
             logger,
             host,
             address,
+            listOpenJobs: () => this.replica.listOpenJobs(),
             onUpdate: update => this.acceptUpdate(update),
+            onStates: states => states.forEach(([job, state]) => this.replica.record(job, state, true)),
+            onFollowed: jobs => this.replica.markFollowed(jobs),
+            onSilent: () => this.ownership.refresh(),
         });
         this.ownership = new LeaseOwnership({
             store: this.store,
@@ -264,7 +269,13 @@
     }
 
     override async describe(job: JobId): Promise<Result<JobState, Failure>> {
-        const known = this.replica.getState(job);
+        const current = this.owner === undefined ? this.replica.getCurrentState(job) : this.replica.getState(job);
+        if (current !== undefined) {
+            return Ok(current);
+        }
+        const reported = await this.ownerClient.follow(job);
+        // Without an answer of the owner, the last known state is used, though it may be out of date.
+        const known = reported ?? this.replica.getState(job);
         return known === undefined ? this.readState(job) : Ok(known);
     }
 
@@ -374,7 +385,6 @@
         this.owner?.close();
         this.owner = undefined;
         this.publisher.close();
-        this.subscribers.clear();
     }
 
     private publish(changes: readonly JobChange[]): void {
@@ -384,7 +394,7 @@
 
     private announce(items: readonly StoreItem[]): void {
         if (this.owner === undefined) {
-            this.ownerClient.announce(items);
+            void this.ownerClient.announce(items);
         }
         else {
             this.owner.acceptAnnounced(items);
@@ -399,20 +409,30 @@
     }
 
     private acceptUpdate(update: CellUpdate): void {
-        update.changes.forEach(([job, state]) => this.replica.record(job, jobStates[state]!));
         if (update.pending !== undefined) {
             this.replica.recordPending(new Map(update.pending));
         }
-        this.peers.replace(update.hosts);
+        if (update.peers !== undefined) {
+            this.peers.replace(update.peers);
+        }
+        void this.tracker.refresh();
     }
 
     private addService(): void {
         this.server.addService(cellService, {
-            subscribe: (request, writer) => this.acceptSubscriber(request.host, request.address, writer),
-            announce: async ({ items }) => {
-                this.owner?.acceptAnnounced(items);
-                return Ok({});
+            subscribe: (subscriber, writer) => this.acceptSubscriber(subscriber, writer),
+            announce: async ({ host, items }) => {
+                if (this.owner === undefined) {
+                    return createNotOwnerResult();
+                }
+                this.owner.acceptAnnounced(items);
+                const jobs = items.map(item => parseJobKey(item.key).job);
+                return Ok({ states: encodeStates(this.publisher.follow(host, jobs)) });
             },
+            follow: async ({ host, jobs }) =>
+                this.owner === undefined
+                    ? createNotOwnerResult()
+                    : Ok({ states: encodeStates(this.publisher.follow(host, jobs)) }),
             ask: async ({ step, executors, timeoutMs }) => {
                 const answered = await this.options.advisor.ask(step, executors, timeoutMs);
                 return answered.map(grants => ({ grants: [...grants] }));
@@ -428,24 +448,20 @@
         });
     }
 
-    private acceptSubscriber(host: string, address: string, writer: StreamWriter<CellUpdate>): void {
+    private acceptSubscriber(subscriber: Subscriber, writer: StreamWriter<CellUpdate>): void {
+        const { address, host, jobs } = subscriber;
         const owner = this.owner;
         const client = this.peers.add(address);
         if (owner === undefined || client === undefined) {
             writer.end();
             return;
         }
-        this.subscribers.set(host, address);
-        this.publisher.addSubscriber(writer);
-        owner.addAdviceHost({ name: host, advisor: new PeerAdvisor(client) });
-        this.options.logger.write("info", "host follows this owner", { follower: host, address });
-        writer.onClose(() => {
-            // The host may have subscribed again from another address before this stream closed.
-            if (this.subscribers.get(host) === address) {
-                this.subscribers.delete(host);
-                owner.removeAdviceHost(host);
-            }
-        });
+        const adviceHost = { name: host, advisor: new PeerAdvisor(client) };
+        this.publisher.addSubscriber(subscriber, writer);
+        owner.addAdviceHost(adviceHost);
+        this.options.logger.write("info", "host follows this owner", { follower: host, address, jobs: jobs.length });
+        // The host may subscribe again before this stream closes.
+        writer.onClose(() => owner.removeAdviceHost(adviceHost));
     }
 
     private async pruneReplica(): Promise<void> {
@@ -455,3 +471,7 @@
         }
     }
 }
+
+function createNotOwnerResult(): Result<never, Failure> {
+    return Err(createFailure("not-owner", "this host does not own the cell", "notRun"));
+}
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -81,8 +81,8 @@
 const tickDelayMs = 5;
 /** Interval of ticks without an event, ms. */
 const idleTickMs = 100;
-/** Interval of reports of pending jobs, ms; a tenth of the age that callers accept. */
-const pendingReportMs = 200;
+/** Interval of reports of pending jobs, ms; with the interval of heartbeats, half of the age that callers accept. */
+const pendingReportMs = 500;
 /** Pause after a failed read, ms. */
 const retryMs = 150;
 
@@ -262,9 +262,9 @@
         this.advice.addHost(host);
     }
 
-    /** Removes a host through which the advisor could be asked. */
-    removeAdviceHost(name: string): void {
-        this.advice.removeHost(name);
+    /** Removes a host through which the advisor could be asked, unless it was added again since. */
+    removeAdviceHost(host: AdviceHost): void {
+        this.advice.removeHost(host);
     }
 
     onReachable(executor: ExecutorId): void {
--- a/packages/cell/src/cell-service.ts
+++ b/packages/cell/src/cell-service.ts
@@ -12,19 +12,46 @@
 /** Job states by the numbers that stand for them in `CellUpdate`. */
 export const jobStates: readonly JobState[] = ["queued", "running", "succeeded", "failed", "cancelled"];
 
+/** Job ids with the numbers of their states in `jobStates`. */
+const statesSchema = z.array(
+    z.tuple([z.custom<JobId>(isText), z.number().int().min(0).max(jobStates.length - 1)]),
+);
+
 const updateSchema = z.object({
-    /** Job ids with the numbers of their states in `jobStates`. */
-    changes: z.array(z.tuple([z.custom<JobId>(isText), z.number().int().min(0).max(jobStates.length - 1)])),
-    /** Number of jobs without a started task, by queue; absent before the first count. */
+    /** New states of the jobs that the subscriber follows. */
+    changes: statesSchema,
+    /** Number of jobs without a started task, by queue; only in heartbeats, and absent before the first count. */
     pending: z.array(z.tuple([z.custom<QueueId>(isText), z.number().int()])).optional(),
-    /** Addresses of the hosts of the cell. */
-    hosts: z.array(z.string()),
+    /** Addresses of other hosts through which the subscriber can reach the store; absent if they are unchanged. */
+    peers: z.array(z.string()).optional(),
+    /** Version of the owner's configuration; only in heartbeats, and absent before the owner has one. */
+    configurationVersion: z.number().optional(),
 });
 
 /** Message of the owner to the other hosts. */
 export type CellUpdate = z.infer<typeof updateSchema>;
 
-const subscribeSchema = z.object({ host: z.string(), address: z.string() });
+/** Job ids with the numbers of their states in `jobStates`, as messages hold them. */
+export type EncodedStates = z.infer<typeof statesSchema>;
+
+/** Returns the form of job states in messages. */
+export function encodeStates(states: readonly (readonly [JobId, JobState])[]): EncodedStates {
+    return states.map(([job, state]) => [job, jobStates.indexOf(state)]);
+}
+
+/** Returns the job states of a message. */
+export function decodeStates(states: EncodedStates): (readonly [JobId, JobState])[] {
+    return states.map(([job, state]) => [job, jobStates[state]!]);
+}
+
+const subscribeSchema = z.object({
+    host: z.string(),
+    address: z.string(),
+    /** Open jobs that the subscriber follows. */
+    jobs: z.array(z.custom<JobId>(isText)),
+});
+
+const followSchema = z.object({ host: z.string(), jobs: z.array(z.custom<JobId>(isText)) });
 
 const adviceSchema = z.object({
     step: z.custom<StepKey>(isText),
@@ -39,6 +66,7 @@
 const storeCallSchema = z.object({ request: z.custom<StoreRequest>(isRecord), timeoutMs: z.number().optional() });
 
 const announceSchema = z.object({
+    host: z.string(),
     items: z.array(z.object({
         key: z.string(),
         value: z.string(),
@@ -49,10 +77,15 @@
 
 /** Methods that the hosts of a cell call on one another. */
 export const cellService = {
-    /** Streams the states of jobs. Ends at once if the host does not own the cell. */
+    /** Streams the states of the followed jobs, and heartbeats. Ends at once if the host does not own the cell. */
     subscribe: createStreamMethod("Cell/Subscribe", subscribeSchema, updateSchema),
-    /** Sends the owner what a host has just stored. */
-    announce: createUnaryMethod("Cell/Announce", announceSchema, z.object({})),
+    /** Sends the owner what a host has just stored, and then has the effect and the answer of `follow`. */
+    announce: createUnaryMethod("Cell/Announce", announceSchema, z.object({ states: statesSchema })),
+    /**
+     * Returns the states of those of the jobs that the owner knows. The host follows the open ones. Fails if the asked
+     * host does not own the cell.
+     */
+    follow: createUnaryMethod("Cell/Follow", followSchema, z.object({ states: statesSchema })),
     /** Asks the advisor through another host. */
     ask: createUnaryMethod("Cell/Ask", adviceSchema, grantsSchema),
     /** Forwards a request to the store through another host. */
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -1,4 +1,9 @@
-/** Tracks the operators' configuration in the store. A version is never replaced by an older one. */
+/**
+ * Tracks the operators' configuration in the store. A version is never replaced by an older one.
+ *
+ * A change arrives by a watch, or by the heartbeats of the owner of the cell, which name its version. A host that hears
+ * the owner name its own version can therefore leave out most reads.
+ */
 import type { Clock } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import type { CellConfiguration } from "./configuration.js";
@@ -14,10 +19,14 @@
     readonly logger: LogWriter;
     /** Called for each newer version. */
     readonly onChange: (configuration: CellConfiguration) => void;
+    /** Returns the version that the owner named recently; `undefined` without a recent heartbeat. Default: none. */
+    readonly getOwnerVersion?: () => number | undefined;
 }
 
 /** Longest wait of one watch, ms. An empty watch is followed by a read, so this bounds how long a change is missed. */
 const watchMs = 1_500;
+/** Used instead of `watchMs` while the owner of the cell confirms the version, ms. */
+const confirmedWatchMs = 5_000;
 /** Timeout of one read, ms. */
 const readTimeoutMs = 700;
 /** Pause after a failed read, ms. */
@@ -27,6 +36,7 @@
 export class ConfigurationTracker {
     private index: ConfigurationIndex | undefined;
     private isStopped = false;
+    private isRefreshing = false;
 
     constructor(private readonly options: ConfigurationTrackerOptions) {}
 
@@ -37,17 +47,25 @@
 
     /** Follows the configuration until `stop`. */
     async run(): Promise<void> {
-        const { store, codec, clock } = this.options;
         while (!this.isStopped) {
-            const read = await store.call({ kind: "read", key: codec.configurationKey }, readTimeoutMs);
-            if (!read.ok) {
-                await clock.wait(retryMs);
-                continue;
+            const revision = await this.read();
+            if (revision === undefined) {
+                await this.options.clock.wait(retryMs);
             }
-            if (read.val.item !== undefined) {
-                this.accept(read.val.item);
+            else {
+                await this.watch(revision);
             }
-            await this.watch(read.val.storeRevision);
+        }
+    }
+
+    /** Reads the configuration if the owner named a newer version than the present one. */
+    async refresh(): Promise<void> {
+        const ownerVersion = this.options.getOwnerVersion?.();
+        const version = this.index?.configuration.version ?? -1;
+        if (ownerVersion !== undefined && ownerVersion > version && !this.isRefreshing) {
+            this.isRefreshing = true;
+            await this.read();
+            this.isRefreshing = false;
         }
     }
 
@@ -56,6 +74,25 @@
         this.isStopped = true;
     }
 
+    /** Returns the revision of the store at the read, or `undefined` if the read failed. */
+    private async read(): Promise<number | undefined> {
+        const { store, codec } = this.options;
+        const read = await store.call({ kind: "read", key: codec.configurationKey }, readTimeoutMs);
+        if (!read.ok) {
+            return undefined;
+        }
+        if (read.val.item !== undefined) {
+            this.accept(read.val.item);
+        }
+        return read.val.storeRevision;
+    }
+
+    /** Whether the owner of the cell named the present version recently. */
+    private get isConfirmed(): boolean {
+        return this.index !== undefined && this.options.getOwnerVersion?.() === this.index.configuration.version;
+    }
+
+    /** Watches until a watch fails, or ends without a change while the version is not confirmed. */
     private async watch(revision: number): Promise<void> {
         const { store, codec } = this.options;
         let afterRevision = revision;
@@ -64,9 +101,9 @@
                 kind: "watch",
                 prefix: codec.configurationKey,
                 afterRevision,
-                waitMs: watchMs,
+                waitMs: this.isConfirmed ? confirmedWatchMs : watchMs,
             });
-            if (!watched.ok || watched.val.changes.length === 0) {
+            if (!watched.ok || watched.val.changes.length === 0 && !this.isConfirmed) {
                 return;
             }
             watched.val.changes.forEach(change => {
--- a/packages/cell/src/job-replica.ts
+++ b/packages/cell/src/job-replica.ts
@@ -1,10 +1,16 @@
-/** The states of jobs as this host knows them, from the jobs it accepted itself and from the owner of the cell. */
+/**
+ * The states of jobs as this host knows them: on the owner all jobs, on other hosts those that callers submitted to
+ * them or asked them about.
+ */
 import type { Clock, JobId, QueueId } from "@waxwingroute/core";
+import { isOpenState } from "@waxwingroute/workflow";
 import type { JobState } from "@waxwingroute/workflow";
 
 interface ReplicaRow {
     readonly state: JobState;
     readonly changedAt: number;
+    /** Whether the owner reports changes of the job to this host. */
+    isFollowed: boolean;
 }
 
 /** The clock and the retention of a replica. */
@@ -27,20 +33,48 @@
         return this.rows.size;
     }
 
-    /** Returns the state of a job, or `undefined` if it is not known to this host. */
+    /** Returns the last known state of a job, or `undefined` if it is not known to this host. */
     getState(job: JobId): JobState | undefined {
         return this.rows.get(job)?.state;
     }
 
+    /** Returns the state of a job if it is final or this host is told of its changes. */
+    getCurrentState(job: JobId): JobState | undefined {
+        const row = this.rows.get(job);
+        return row !== undefined && (row.isFollowed || !isOpenState(row.state)) ? row.state : undefined;
+    }
+
     /** Records a state. A job that has ended keeps its state, and a running job does not become queued again. */
-    record(job: JobId, state: JobState): void {
-        const existing = this.rows.get(job)?.state;
-        const isEnded = existing !== undefined && existing !== "queued" && existing !== "running";
-        if (!isEnded && !(existing === "running" && state === "queued")) {
-            this.rows.set(job, { state, changedAt: this.options.clock.getNow() });
+    record(job: JobId, state: JobState, isFollowed = false): void {
+        const existing = this.rows.get(job);
+        if (existing !== undefined && isFollowed) {
+            existing.isFollowed = true;
+        }
+        const hasEnded = existing !== undefined && !isOpenState(existing.state);
+        if (!hasEnded && !(existing?.state === "running" && state === "queued")) {
+            this.rows.set(job, {
+                state,
+                changedAt: this.options.clock.getNow(),
+                isFollowed: isFollowed || existing?.isFollowed === true,
+            });
         }
     }
 
+    /** Records that the owner reports changes of these jobs to this host. */
+    markFollowed(jobs: readonly JobId[]): void {
+        jobs.forEach(job => {
+            const row = this.rows.get(job);
+            if (row !== undefined) {
+                row.isFollowed = true;
+            }
+        });
+    }
+
+    /** Returns the jobs that had not ended when this host last heard of them. */
+    listOpenJobs(): JobId[] {
+        return [...this.rows].filter(([, row]) => isOpenState(row.state)).map(([job]) => job);
+    }
+
     /** Replaces the numbers of jobs without a started task. */
     recordPending(counts: ReadonlyMap<QueueId, number>): void {
         this.pending = counts;
@@ -51,11 +85,6 @@
         return this.pending === undefined ? undefined : this.pending.get(queue) ?? 0;
     }
 
-    /** Returns all known states. */
-    listStates(): [JobId, JobState][] {
-        return [...this.rows].map(([job, row]) => [job, row.state]);
-    }
-
     /** Removes finished jobs after their retention; does nothing within a second of the previous removal. */
     prune(): void {
         const now = this.options.clock.getNow();
@@ -64,7 +93,7 @@
         }
         this.prunedAt = now;
         for (const [job, row] of this.rows) {
-            if (row.state !== "queued" && row.state !== "running" && now - row.changedAt > this.options.retentionMs) {
+            if (!isOpenState(row.state) && now - row.changedAt > this.options.retentionMs) {
                 this.rows.delete(job);
             }
         }
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -14,7 +14,7 @@
 import { match } from "ts-pattern";
 import type { OwnerRecord, StoredEpoch } from "./store-keys.js";
 import { decodeEpoch, decodeOwner, encodeOwner, epochKey, ownerKey, ownershipPrefix } from "./store-keys.js";
-import type { LeaseStore, StoreItem } from "./store.js";
+import type { LeaseStore, StoreItem, StoreReplies } from "./store.js";
 import { storeFailures } from "./store.js";
 
 /** One acquisition of the cell, which gives the right to send orders to executors. */
@@ -68,8 +68,8 @@
 const ownerPollMs = 20;
 /** Longest random delay of an acquisition, ms, which keeps hosts from trying at the same time. */
 const maxAcquireJitterMs = 20;
-/** Longest wait of one watch, ms; a connection that has gone silent is noticed after it. */
-const watchMs = 4_000;
+/** Longest wait of one watch, ms. `refresh` ends it earlier when the owner is no longer heard from. */
+const watchMs = 12_000;
 /** Pause after a failed call, ms. */
 const retryMs = 150;
 /**
@@ -99,6 +99,7 @@
     private isAcquiring = false;
     /** Send time of the last answered grant or renewal of the lease. */
     private renewedAt = -Infinity;
+    private endWatch: (() => void) | undefined;
 
     constructor(private readonly options: OwnershipOptions) {}
 
@@ -149,6 +150,11 @@
         }
     }
 
+    /** Reads the owner record again if it is being watched, because the owner is no longer heard from. */
+    refresh(): void {
+        this.endWatch?.();
+    }
+
     /** Checks the owner record after a sign that it is not that of the term; the lease may have expired. */
     async verify(): Promise<void> {
         const view = await this.readOwnership();
@@ -184,13 +190,8 @@
     }
 
     private async watchOwnership(view: OwnershipView): Promise<OwnershipView | undefined> {
-        const watched = await this.options.store.call({
-            kind: "watch",
-            prefix: ownershipPrefix,
-            afterRevision: view.storeRevision,
-            waitMs: watchMs,
-        });
-        if (!watched.ok || watched.val.changes.length === 0) {
+        const watched = await this.watchUntilRefresh(view.storeRevision);
+        if (watched === undefined || !watched.ok || watched.val.changes.length === 0) {
             // A watch can end without a change that the store has dropped from its history, so the keys are read again.
             return undefined;
         }
@@ -206,6 +207,23 @@
         };
     }
 
+    private async watchUntilRefresh(
+        afterRevision: number,
+    ): Promise<Result<StoreReplies["watch"], Failure> | undefined> {
+        const interrupted = new Promise<undefined>(resolve => {
+            this.endWatch = () => resolve(undefined);
+        });
+        const watched = this.options.store.call({
+            kind: "watch",
+            prefix: ownershipPrefix,
+            afterRevision,
+            waitMs: watchMs,
+        });
+        const result = await Promise.race([watched, interrupted]);
+        this.endWatch = undefined;
+        return result;
+    }
+
     private async tryAcquire(view: OwnershipView): Promise<void> {
         // The last owner acquires without a delay: hosts that still hear from it leave the cell to it in `waitForOthers`.
         const wasLastOwner = this.lastEpoch !== 0 && view.storedEpoch.epoch === this.lastEpoch;
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -1,13 +1,16 @@
-/** RPC client of a host for the owner of the cell: follows its updates and announces stored items to it. */
-import type { Clock } from "@waxwingroute/core";
+/**
+ * RPC client of a host for the owner of the cell: follows jobs and heartbeats, and announces stored items to it.
+ */
+import type { Clock, JobId } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import { RpcClient } from "@waxwingroute/transport";
 import type { RpcStream } from "@waxwingroute/transport";
+import type { JobState } from "@waxwingroute/workflow";
 import type { CellUpdate } from "./cell-service.js";
-import { cellService } from "./cell-service.js";
+import { cellService, decodeStates } from "./cell-service.js";
 import type { StoreItem } from "./store.js";
 
-/** Dependencies and identity of `OwnerClient`. */
+/** Dependencies, identity and callbacks of `OwnerClient`. */
 export interface OwnerClientOptions {
     readonly clock: Clock;
     readonly logger: LogWriter;
@@ -15,15 +18,30 @@
     readonly host: string;
     /** `<ip>:<port>` at which the other hosts reach this one. */
     readonly address: string;
+    /** Returns the open jobs that this host knows. */
+    readonly listOpenJobs: () => readonly JobId[];
+    /** Called with each message of the owner, after `onStates` with the states in it. */
     readonly onUpdate: (update: CellUpdate) => void;
+    /** Called with states of jobs that the owner reports. It also reports their later changes. */
+    readonly onStates: (states: readonly (readonly [JobId, JobState])[]) => void;
+    /** Called with jobs that the owner may not know yet and whose states it will report. */
+    readonly onFollowed: (jobs: readonly JobId[]) => void;
+    /** Called, at most once a second, while the owner is not heard from; another host may own the cell. */
+    readonly onSilent: () => void;
 }
 
-/** Silence after which the stream is reopened, ms. The owner sends several messages a second. */
+/** Silence after which the stream is reopened, ms: three heartbeats. */
 const maxSilenceMs = 1_500;
+/** Silence up to which the owner counts as alive, ms: two heartbeats. */
+const maxAliveSilenceMs = 1_000;
 /** Timeout of an announcement, ms. */
 const announceTimeoutMs = 500;
+/** Timeout of a question about a job, ms: a round trip across regions and a busy owner. */
+const followTimeoutMs = 400;
 /** Interval of checks whether the stream must be reopened, ms. */
 const checkIntervalMs = 200;
+/** Least time between two calls of `onSilent`, ms. */
+const silentIntervalMs = 1_000;
 
 /** Keeps a stream of updates open to the owner of the cell. */
 export class OwnerClient {
@@ -32,13 +50,21 @@
     private stream: RpcStream | undefined;
     private heardAt = -Infinity;
     private openedAt = -Infinity;
+    private reportedSilentAt = -Infinity;
     private isClosed = false;
+    private ownerVersion: number | undefined;
+    private readonly questions = new Map<JobId, Promise<JobState | undefined>>();
 
     constructor(private readonly options: OwnerClientOptions) {}
 
     /** Whether the owner was heard from within the last second. */
     get isOwnerAlive(): boolean {
-        return this.options.clock.getNow() - this.heardAt < 1_000;
+        return this.options.clock.getNow() - this.heardAt < maxAliveSilenceMs;
+    }
+
+    /** Version of the configuration that the owner named last; `undefined` if it was not heard from recently. */
+    get configurationVersion(): number | undefined {
+        return this.isOwnerAlive ? this.ownerVersion : undefined;
     }
 
     /** Follows the owner at this address; `undefined` if there is none or it is this host. */
@@ -51,20 +77,45 @@
     }
 
     /** Sends the owner what this host has just stored. If that fails, the owner reads it from the store later. */
-    announce(items: readonly StoreItem[]): void {
-        void this.client?.call(cellService.announce, { items: [...items] }, announceTimeoutMs);
+    async announce(items: readonly StoreItem[]): Promise<void> {
+        const { host, onStates } = this.options;
+        const announced = await this.client?.call(
+            cellService.announce,
+            { host, items: [...items] },
+            announceTimeoutMs,
+        );
+        if (announced?.ok === true) {
+            onStates(decodeStates(announced.val.states));
+        }
+    }
+
+    /** Asks the owner for the state of a job and follows the job. `undefined`: not known to the owner, or no answer. */
+    follow(job: JobId): Promise<JobState | undefined> {
+        const asked = this.questions.get(job);
+        if (asked !== undefined) {
+            return asked;
+        }
+        const question = this.ask(job).finally(() => this.questions.delete(job));
+        this.questions.set(job, question);
+        return question;
     }
 
     /** Reopens the stream when it has ended or is silent, until `close`. */
     async run(): Promise<void> {
+        const { clock, onSilent } = this.options;
         while (!this.isClosed) {
-            await this.options.clock.wait(checkIntervalMs);
-            const now = this.options.clock.getNow();
+            await clock.wait(checkIntervalMs);
+            const now = clock.getNow();
             const isSilent = now - Math.max(this.heardAt, this.openedAt) > maxSilenceMs;
             if (this.ownerAddress !== undefined && (this.stream === undefined || isSilent)) {
                 this.disconnect();
                 this.connect();
             }
+            const isSuspect = this.ownerAddress !== undefined && !this.isOwnerAlive;
+            if (isSuspect && now - this.reportedSilentAt >= silentIntervalMs) {
+                this.reportedSilentAt = now;
+                onSilent();
+            }
         }
     }
 
@@ -74,17 +125,33 @@
         this.disconnect();
     }
 
+    private async ask(job: JobId): Promise<JobState | undefined> {
+        const { host, onStates } = this.options;
+        const answered = await this.client?.call(cellService.follow, { host, jobs: [job] }, followTimeoutMs);
+        const states = answered?.ok === true ? decodeStates(answered.val.states) : [];
+        onStates(states);
+        return states[0]?.[1];
+    }
+
     private connect(): void {
         if (this.ownerAddress === undefined || this.isClosed) {
             return;
         }
-        const { clock, host, address, logger, onUpdate } = this.options;
+        const { clock, host, address, listOpenJobs, logger, onFollowed, onStates, onUpdate } = this.options;
         this.openedAt = clock.getNow();
         const client = new RpcClient({ address: this.ownerAddress });
         this.client = client;
-        this.stream = client.openStream(cellService.subscribe, { host, address }, {
+        const jobs = [...listOpenJobs()];
+        let isAccepted = false;
+        this.stream = client.openStream(cellService.subscribe, { host, address, jobs }, {
             onMessage: update => {
                 this.heardAt = clock.getNow();
+                this.ownerVersion = update.configurationVersion ?? this.ownerVersion;
+                if (!isAccepted) {
+                    isAccepted = true;
+                    onFollowed(jobs);
+                }
+                onStates(decodeStates(update.changes));
                 onUpdate(update);
             },
             onEnd: failure => {
@@ -102,6 +169,7 @@
         const { client, stream } = this;
         this.client = undefined;
         this.stream = undefined;
+        this.ownerVersion = undefined;
         stream?.cancel();
         client?.close();
     }
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, JobId } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
+import { isOpenState } from "@waxwingroute/workflow";
 import type { JobChange, JobState, WorkflowScheduler } from "@waxwingroute/workflow";
 import type { OwnerJournal } from "./owner-journal.js";
 import type { JobEvent } from "./owner-recovery.js";
@@ -78,11 +79,11 @@
     /** Reports the scheduler's changes for callers. The end of a job is reported once it is stored. */
     recordChanges(changes: readonly JobChange[]): void {
         const { journal, logger, onChanges } = this.options;
-        const open = changes.filter(change => !isFinalState(change.state));
+        const open = changes.filter(change => isOpenState(change.state));
         if (open.length > 0) {
             onChanges(open);
         }
-        for (const change of changes.filter(({ state }) => isFinalState(state))) {
+        for (const change of changes.filter(({ state }) => !isOpenState(state))) {
             const { job, state } = change;
             journal.recordFinished({ ...change, hasStoredCancellation: this.cancelled.has(job) }, () => {
                 this.finishedStates.set(job, state);
@@ -169,7 +170,3 @@
         onSchedulingNeeded();
     }
 }
-
-function isFinalState(state: JobState): boolean {
-    return state !== "queued" && state !== "running";
-}
--- a/packages/cell/src/peer-directory.ts
+++ b/packages/cell/src/peer-directory.ts
@@ -1,4 +1,4 @@
-/** The other hosts of the cell that this host knows, with an open connection to each. */
+/** The other hosts of the cell that this host can call; a connection is opened at the first call. */
 import { RpcClient } from "@waxwingroute/transport";
 import { PeerStore } from "./cell-service.js";
 import type { LeaseStore } from "./store.js";
@@ -22,7 +22,7 @@
         return [...this.peers.values()].map(peer => peer.store);
     }
 
-    /** Returns the connection to a host, opened if necessary; `undefined` for this host itself. */
+    /** Returns the client of a host, created if necessary; `undefined` for this host itself. */
     add(address: string): RpcClient | undefined {
         if (address === this.ownAddress) {
             return undefined;
@@ -36,11 +36,12 @@
         return client;
     }
 
-    /** Opens connections to these hosts and closes all others. */
+    /** Keeps connections to these hosts only. */
     replace(addresses: readonly string[]): void {
         addresses.forEach(address => this.add(address));
+        const kept = new Set(addresses);
         for (const [address, peer] of this.peers) {
-            if (!addresses.includes(address)) {
+            if (!kept.has(address)) {
                 this.peers.delete(address);
                 peer.client.close();
             }
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -2,6 +2,7 @@
  * Scheduling of jobs of dependent steps on the executors of one cell. The program `waxwing-node` uses it, through the
  * package `cell`; `waxwing-scheduler` places the tasks of its jobs with the package `placement` instead.
  */
+export { isOpenState } from "./job-state.js";
 export { parseTaskKey, toStepKey, toTaskKey } from "./keys.js";
 export type { TaskKeyParts } from "./keys.js";
 export { WorkflowScheduler } from "./scheduler.js";
