Read answers that have arrived before a call times out

Cause: timers run before sockets are read, so a process that was busy for longer than a time-out took services for silent that had answered in time.

Change: the time-out of an HTTP call takes effect after one more round of reading. The new test fails without it.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -112,7 +112,9 @@
         const body = request.body === undefined ? undefined : Buffer.from(request.body);
         const exchange = new Exchange(this.options.maxResponseBytes ?? 67_108_864);
         const timeoutMs = request.timeoutMs ?? this.timeoutMs;
-        const timer = this.clock.schedule(timeoutMs, () => exchange.expire(timeoutMs));
+        // Timers run before sockets are read. In a process that was busy, an answer may have arrived in time, so it is
+        // read before the call is given up.
+        const timer = this.clock.schedule(timeoutMs, () => setImmediate(() => exchange.expire(timeoutMs)));
         const result = await exchange.run(() => this.createClientRequest(request, body), body);
         timer.cancel();
         this.options.onCall?.({
--- a/packages/platform/src/http-client_test.ts
+++ b/packages/platform/src/http-client_test.ts
@@ -1,5 +1,5 @@
 import type { Result } from "@waxwingroute/core";
-import { ManualClock } from "@waxwingroute/core";
+import { ManualClock, SystemClock } from "@waxwingroute/core";
 import { expect } from "earl";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
@@ -109,6 +109,19 @@
             expect(describeFailure(await first)).toEqual(["timedOut", true]);
         });
 
+        // Guards against a busy process that takes services for silent, since timers run before sockets are read.
+        it("accepts a response that arrived in time while the process was busy", async () => {
+            const url = await listen(socket => {
+                socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+                const startedAt = performance.now();
+                while (performance.now() - startedAt < 120) {
+                    // Keeps the process busy beyond the time-out.
+                }
+            });
+            const result = await createClient(url, { clock: new SystemClock(), timeoutMs: 60 }).send(request);
+            expect(describeFailure(result)).toEqual("answered");
+        });
+
         // Guards against a crash on a header value that HTTP does not allow.
         it("reports that nothing was sent when a header value is invalid", async () => {
             const url = await listen(() => undefined);
