Decide each tick only what may have changed, and measure it under a large load

Cause: each tick counted the waiting tasks of all open steps, looked at all runs, and sorted candidates anew for every step.

Change: waiting tasks are counted as they change. A step that found no room is looked at again only for executors that gained room or were granted since. Runs are checked for progress every 100 ms; executors that neither leave nor mix best-effort with serving tasks are passed over. A step that needs no advice is evaluated for it again after 40 ms.

New section 'workflow' of the bench.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -11,12 +11,14 @@
 import { compareReports, formatSection } from "./report.js";
 import { runShareError } from "./share-error.js";
 import { runWaitingTime } from "./waiting-time.js";
+import { runWorkflowCost } from "./workflow-cost.js";
 
 const sections: Readonly<Record<string, (seed: number) => SectionReport>> = {
     decisions: runDecisionCost,
     waiting: runWaitingTime,
     packing: runPacking,
     shares: runShareError,
+    workflow: runWorkflowCost,
 };
 
 const allNames = [...Object.keys(sections), ...Object.keys(processSections)];
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -8,7 +8,7 @@
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, QueueRow, StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
-import { countFits, getChargedResources, listWaitingTasks } from "./state.js";
+import { countFits, getChargedResources } from "./state.js";
 import type { AdviceGrant, AdviceRequest, AdviceSendResult } from "./types.js";
 
 /** Largest number of executors in one request; a limit of the advisor's interface. */
@@ -23,6 +23,9 @@
 /** Time from a failed call to the next request for the step, ms. */
 const retryDelayMs = 100;
 
+/** Time from an evaluation that found no request necessary to the next one, ms; short beside the time of a call. */
+const evaluationIntervalMs = 40;
+
 /** An executor that a request can include. */
 interface AskOption {
     readonly executor: ExecutorRow;
@@ -39,15 +42,18 @@
     send: (request: AdviceRequest) => AdviceSendResult,
 ): void {
     for (const { step } of ranked) {
-        if (!needsAdvice(state, step) || step.advice.isRequestPending || step.advice.retryAt > now) {
+        const { advice } = step;
+        const isDue = !advice.isRequestPending && advice.retryAt <= now && advice.evaluateAt <= now;
+        if (!isDue || !needsAdvice(state, step)) {
             continue;
         }
         const executors = selectExecutorsToAsk(state, now, step);
         if (executors.length === 0) {
+            advice.evaluateAt = now + evaluationIntervalMs;
             continue;
         }
         const result = send({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
-        step.advice.isRequestPending = result === "sent";
+        advice.isRequestPending = result === "sent";
         if (result === "noHost") {
             return;
         }
@@ -71,7 +77,11 @@
     }
     const newlyAsked = asked.filter(executor => !step.advice.tickets.has(executor));
     const granted = new Set(grants.map(grant => grant.executor));
-    grants.forEach(({ executor, ticket }) => step.advice.tickets.set(executor, { ticket, validUntil: now + validMs }));
+    grants.forEach(({ executor, ticket }) => {
+        step.advice.tickets.set(executor, { ticket, validUntil: now + validMs });
+        step.advice.newlyGranted.push(executor);
+    });
+    step.advice.evaluateAt = 0;
     asked.filter(executor => !granted.has(executor)).forEach(executor => {
         step.advice.refused.add(executor);
         step.advice.tickets.delete(executor);
@@ -89,7 +99,7 @@
 }
 
 function selectExecutorsToAsk(state: SchedulerState, now: number, step: StepRow): ExecutorId[] {
-    const neededSlots = listWaitingTasks(step).length;
+    const neededSlots = step.waitingCount;
     const options: AskOption[] = [];
     let coveredSlots = 0;
     for (const executor of state.executors.values()) {
--- a/packages/workflow/src/candidates.ts
+++ b/packages/workflow/src/candidates.ts
@@ -34,8 +34,13 @@
     if (reservation === undefined || reservation.step === step || !reservation.executors.has(executor.id)) {
         return false;
     }
+    return !canBackfill(state, step);
+}
+
+/** Returns whether the tasks of the step are short enough to use executors that are reserved for a gang. */
+export function canBackfill(state: SchedulerState, step: StepRow): boolean {
     const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
-    return step.spec.estimateMs * ratio > maxBackfillMs;
+    return step.spec.estimateMs * ratio <= maxBackfillMs;
 }
 
 /** Returns whether the queue has no advisor or its ticket for the executor is valid long enough for a start now. */
@@ -56,7 +61,7 @@
 export function countFreeSlots(step: StepRow, executor: ExecutorRow): number {
     const byResources = countFits(getChargedResources(step), getFreeResources(executor));
     const maxPerExecutor = step.spec.maxPerExecutor;
-    if (maxPerExecutor === undefined) {
+    if (maxPerExecutor === undefined || byResources === 0) {
         return byResources;
     }
     let running = 0;
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -3,6 +3,7 @@
 import { recordRunOutcome } from "./health-system.js";
 import { countOccurrences, isStepDone, openReadySteps } from "./job-rows.js";
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import { setTaskState } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import type { RunOutcome, StopReason } from "./types.js";
 
@@ -71,7 +72,7 @@
     const members = step.spec.isGang ? step.tasks : [task];
     for (const member of members) {
         if (member.state !== "done" && !step.spec.isLongRunning) {
-            member.state = "done";
+            setTaskState(member, "done");
             step.doneCount += 1;
             if (!step.spec.isGang) {
                 member.runs.forEach(run => state.stopRun(run, "superseded"));
--- a/packages/workflow/src/evacuation-system.ts
+++ b/packages/workflow/src/evacuation-system.ts
@@ -25,10 +25,10 @@
 /** Stops the runs that have to leave their executor now. */
 export function stopRunsOfLeavingExecutors(state: SchedulerState, now: number): void {
     for (const executor of state.executors.values()) {
-        if (!executor.isReachable) {
+        const { leavesAt, emptyBy } = executor;
+        if (!executor.isReachable || leavesAt === undefined && emptyBy === undefined) {
             continue;
         }
-        const { leavesAt, emptyBy } = executor;
         for (const run of executor.runs.values()) {
             const isStoppedForLeave = leavesAt !== undefined && needsStopBeforeLeave(state, now, leavesAt - now, run);
             const isStoppedForMaintenance = emptyBy !== undefined && allowsMaintenanceStop(state, now, emptyBy, run);
--- a/packages/workflow/src/health-system.ts
+++ b/packages/workflow/src/health-system.ts
@@ -49,7 +49,7 @@
     const rates = [...state.executors.values()].map(row => row.failureRate).sort((first, second) => first - second);
     const medianRate = rates[Math.floor(rates.length / 2)] ?? 0;
     if (executor.failureRate > medianRate + failureRateMargin) {
-        executor.avoidUntil = now + avoidMs;
+        state.recordAvoidance(executor, now + avoidMs);
     }
 }
 
--- a/packages/workflow/src/pacing-system.ts
+++ b/packages/workflow/src/pacing-system.ts
@@ -52,13 +52,7 @@
 
 /** Returns whether best-effort tasks and serving tasks with a latency target share the executor. */
 export function needsThrottling(executor: ExecutorRow): boolean {
-    let hasBestEffort = false;
-    let hasServing = false;
-    for (const run of executor.runs.values()) {
-        hasBestEffort ||= isBestEffort(run);
-        hasServing ||= run.task.step.spec.targetMs !== undefined;
-    }
-    return hasBestEffort && hasServing;
+    return executor.bestEffortRuns > 0 && executor.servingRuns > 0;
 }
 
 function updateBestEffortSpeed(executor: ExecutorRow, now: number): void {
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -2,37 +2,76 @@
 import type { ExecutorId, RackId } from "@waxwingroute/core";
 import { multiplyResources } from "@waxwingroute/core";
 import type { Candidate } from "./candidates.js";
-import { countFreeSlots, hasValidTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
+import { canBackfill, countFreeSlots, hasValidTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { Reservation, SchedulerState } from "./state.js";
 import { allowsMore, countFits, getChargedResources, listWaitingTasks } from "./state.js";
 
-/** `noFreeSlots`: the gang needs more free executors. `overLimit`: the limit of its team does not allow it. */
-type GangResult = "placed" | "noFreeSlots" | "overLimit";
-
 /** Decides the starts of one tick, and the executors that are reserved for a blocked gang. */
 export function placeTasks(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
+    state.releaseAvoidedExecutors(now);
+    const previous = state.reservation;
     state.reservation = undefined;
     for (const { step, slackMs } of ranked) {
-        const waiting = listWaitingTasks(step);
-        const isWholeGang = step.spec.isGang && waiting.length === step.tasks.length;
-        if (waiting.length === 0 || step.spec.isGang && !isWholeGang) {
+        const isPartOfGang = step.spec.isGang && step.waitingCount < step.tasks.length;
+        if (step.waitingCount === 0 || isPartOfGang) {
             continue;
         }
-        const candidates = listCandidates(state, now, step);
-        if (step.spec.isGang) {
-            const result = placeGang(state, now, step, waiting, candidates, slackMs);
-            if (result === "noFreeSlots") {
-                state.reservation ??= reserveExecutors(state, now, step);
-            }
+        const neededCount = step.spec.isGang ? step.waitingCount : 1;
+        if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
+            continue;
         }
-        else {
-            placeIndependentTasks(state, now, step, waiting, candidates, slackMs);
+        const isBlocked = isStillBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
+        if (isBlocked && step.spec.isGang && state.reservation === undefined) {
+            state.setReservation(reserveExecutors(state, now, step), previous);
         }
     }
 }
 
+/** Places what it can of a step. Returns `false` if tasks remain that wait for free slots. */
+function placeStep(state: SchedulerState, now: number, step: StepRow, slackMs: number): boolean {
+    const waiting = listWaitingTasks(step);
+    const candidates = listCandidates(state, now, step);
+    const isPlaced = step.spec.isGang
+        ? placeGang(state, now, step, waiting, candidates, slackMs)
+        : placeIndependentTasks(state, now, step, waiting, candidates, slackMs);
+    step.advice.newlyGranted = [];
+    step.blocked = isPlaced ? undefined : {
+        gainPosition: state.gainPosition,
+        freeSlots: step.spec.isGang ? countSlots(candidates) : 0,
+        reservedFor: state.reservation?.step,
+        canBackfill: canBackfill(state, step),
+    };
+    return isPlaced;
+}
+
+/**
+ * Returns whether the step was blocked and cannot have found `neededCount` free slots since. Only executors that gained
+ * room or were newly granted are counted, and those that gained room twice are counted twice.
+ */
+function isStillBlocked(state: SchedulerState, now: number, step: StepRow, neededCount: number): boolean {
+    const { blocked } = step;
+    const isComparable = blocked !== undefined && blocked.reservedFor === state.reservation?.step
+        && blocked.canBackfill === canBackfill(state, step);
+    const gains = isComparable ? state.listRoomGains(blocked.gainPosition) : undefined;
+    if (blocked === undefined || gains === undefined) {
+        return false;
+    }
+    const addSlots = (executor: ExecutorRow | undefined) => {
+        if (
+            executor !== undefined && isEligible(state, now, step, executor)
+            && hasValidTicket(state, now, step, executor)
+        ) {
+            blocked.freeSlots += countFreeSlots(step, executor);
+        }
+    };
+    gains.forEach(addSlots);
+    step.advice.newlyGranted.splice(0).forEach(executor => addSlots(state.executors.get(executor)));
+    blocked.gainPosition = state.gainPosition;
+    return blocked.freeSlots < neededCount;
+}
+
 function listCandidates(state: SchedulerState, now: number, step: StepRow): Candidate[] {
     const candidates: Candidate[] = [];
     for (const executor of listAdvisedExecutors(state, step)) {
@@ -60,6 +99,7 @@
     }
 }
 
+/** Returns `false` if tasks remain because no candidate has a free slot left. */
 function placeIndependentTasks(
     state: SchedulerState,
     now: number,
@@ -67,19 +107,20 @@
     waiting: readonly TaskRow[],
     candidates: readonly Candidate[],
     slackMs: number,
-): void {
+): boolean {
     const remaining = [...waiting];
     for (const { executor, freeSlots } of selectOneRack(step, candidates, waiting.length)) {
         for (let placed = 0; placed < freeSlots && remaining.length > 0; placed++) {
             if (!allowsMore(step.occurrence.job.team, getChargedResources(step))) {
-                return;
+                return true;
             }
             startTask(state, now, remaining.shift()!, executor, getNextRunNumber(state, step), slackMs);
         }
     }
+    return remaining.length === 0;
 }
 
-/** Places all members of a gang with one run number, or none of them. */
+/** Places all members of a gang with one run number, or none of them. Returns whether it placed them. */
 function placeGang(
     state: SchedulerState,
     now: number,
@@ -87,14 +128,9 @@
     waiting: readonly TaskRow[],
     candidates: readonly Candidate[],
     slackMs: number,
-): GangResult {
-    const totalSlots = candidates.reduce((sum, candidate) => sum + candidate.freeSlots, 0);
-    const needed = multiplyResources(getChargedResources(step), waiting.length);
-    if (!allowsMore(step.occurrence.job.team, needed)) {
-        return "overLimit";
-    }
-    if (totalSlots < waiting.length) {
-        return "noFreeSlots";
+): boolean {
+    if (countSlots(candidates) < waiting.length) {
+        return false;
     }
     // The executors with the most free slots first: the fewer executors a gang uses, the fewer start orders can fail.
     const emptiestFirst = selectOneRack(
@@ -109,7 +145,11 @@
             startTask(state, now, remaining.shift()!, executor, run, slackMs);
         }
     }
-    return "placed";
+    return true;
+}
+
+function countSlots(candidates: readonly Candidate[]): number {
+    return candidates.reduce((sum, candidate) => sum + candidate.freeSlots, 0);
 }
 
 /** Returns a run number above all that the step has used, also under earlier owners. */
--- a/packages/workflow/src/rank.ts
+++ b/packages/workflow/src/rank.ts
@@ -22,7 +22,7 @@
 export function selectRankedSteps(state: SchedulerState, now: number): RankedStep[] {
     const ranked: RankedStep[] = [];
     for (const step of state.openSteps) {
-        if (step.tasks.some(task => task.state === "waiting")) {
+        if (step.waitingCount > 0) {
             ranked.push(computeRank(state, now, step));
         }
     }
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -34,6 +34,7 @@
     readonly key: TaskKey;
     readonly step: StepRow;
     readonly index: number;
+    /** Set only by `setTaskState`, which keeps `StepRow.waitingCount` up to date. */
     state: TaskState;
     /** Runs whose end is not recorded yet: at most one, unless several are adopted after a change of owner. */
     readonly runs: RunRow[];
@@ -53,6 +54,22 @@
     /** Executors that the advisor granted, also those whose ticket has expired. */
     readonly tickets: Map<ExecutorId, { readonly ticket: string; readonly validUntil: number; }>;
     readonly refused: Set<ExecutorId>;
+    /** Executors granted since the step was last placed. */
+    newlyGranted: ExecutorId[];
+    /** The step is not evaluated for a request before this time, because the last evaluation found none necessary. */
+    evaluateAt: number;
+}
+
+/** Why a step could not be placed entirely, so that it is evaluated again only if that may have changed. */
+export interface BlockedPlacement {
+    /** Position in the list of room gains up to which this evaluation holds. */
+    gainPosition: number;
+    /** Upper bound of the free slots for the step. */
+    freeSlots: number;
+    /** The gang for which executors were reserved at the evaluation. */
+    readonly reservedFor: StepRow | undefined;
+    /** Whether the tasks were short enough to use reserved executors. */
+    readonly canBackfill: boolean;
 }
 
 /** One step of an occurrence. */
@@ -63,6 +80,10 @@
     readonly spec: StepSpec;
     readonly tasks: readonly TaskRow[];
     readonly advice: AdviceState;
+    /** Number of tasks in the state `waiting`. */
+    waitingCount: number;
+    /** Set while tasks wait for free slots. */
+    blocked: BlockedPlacement | undefined;
     /** Highest run number of any task. The members of a gang share their run numbers. */
     lastRunNumber: number;
     doneCount: number;
@@ -136,6 +157,9 @@
     emptyBy: number | undefined;
     /** Runs by `toRunKey`. */
     readonly runs: Map<string, RunRow>;
+    /** Number of runs of best-effort steps, and of steps with a latency target. */
+    bestEffortRuns: number;
+    servingRuns: number;
     /**
      * Keys of listed runs whose task is not known, and so neither their resources, for example of jobs that ended under
      * an earlier owner. Nothing starts on the executor while there is one.
@@ -161,6 +185,12 @@
     grantRate: number;
 }
 
+/** Changes the state of a task. */
+export function setTaskState(task: TaskRow, state: TaskState): void {
+    task.step.waitingCount += (state === "waiting" ? 1 : 0) - (task.state === "waiting" ? 1 : 0);
+    task.state = state;
+}
+
 /** Returns the key of a run in `ExecutorRow.runs` and `ExecutorRow.unknownRuns`. */
 export function toRunKey(task: TaskKey, run: number): string {
     return `${task}#${run}`;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -13,7 +13,7 @@
  * ```
  */
 import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
-import { toId, zeroResources } from "@waxwingroute/core";
+import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
@@ -24,7 +24,7 @@
 import { placeTasks } from "./placement-system.js";
 import { selectRankedSteps } from "./rank.js";
 import type { ExecutorRow, JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
-import { toRunKey } from "./rows.js";
+import { setTaskState, toRunKey } from "./rows.js";
 import { stopStalledRuns } from "./stall-system.js";
 import { getChargedResources, SchedulerState } from "./state.js";
 import type {
@@ -87,11 +87,18 @@
         rules.teams.forEach(team => {
             this.state.getTeam(team.team).rules = team;
         });
+        // A queue may have got another pool.
+        for (const executor of this.state.executors.values()) {
+            this.state.recordRoomGain(executor);
+        }
     }
 
     /** Adds or changes an executor. Its runs are kept. */
     updateExecutor(update: ExecutorUpdate): void {
         const row = this.state.executors.ensure(update.executor, () => createExecutorRow(update));
+        const isChanged = row.isReady !== (update.state === "ready")
+            || row.isReachable !== (update.state !== "unreachable") || row.pool !== update.pool
+            || !fitsWithin(update.capacity, row.capacity) || !update.labels.every(label => row.labels.has(label));
         row.pool = update.pool;
         row.zone = update.zone;
         row.rack = update.rack;
@@ -101,6 +108,9 @@
         row.isReachable = update.state !== "unreachable";
         row.leavesAt = update.leavesAt;
         row.emptyBy = update.emptyBy;
+        if (isChanged) {
+            this.state.recordRoomGain(row);
+        }
     }
 
     /** Removes an executor and ends its runs as `lost`. The caller makes sure that they no longer run. */
@@ -111,7 +121,11 @@
 
     /** Ends all runs of an executor as `lost`, for example because it restarted. */
     recordRunsLost(now: number, executor: ExecutorId): void {
-        this.state.executors.get(executor)?.runsOfUnknownTasks.clear();
+        const row = this.state.executors.get(executor);
+        if (row !== undefined) {
+            row.runsOfUnknownTasks.clear();
+            this.state.recordRoomGain(row);
+        }
         for (const run of [...this.state.executors.get(executor)?.runs.values() ?? []]) {
             this.endRun(now, run, "lost");
         }
@@ -240,7 +254,10 @@
 
     /** Records the end of a run, also of one that this owner did not start. Returns whether its task is known. */
     recordEnd(now: number, end: RunEnd): boolean {
-        this.state.executors.get(end.executor)?.runsOfUnknownTasks.delete(toRunKey(end.task, end.run));
+        const executor = this.state.executors.get(end.executor);
+        if (executor?.runsOfUnknownTasks.delete(toRunKey(end.task, end.run)) === true) {
+            this.state.recordRoomGain(executor);
+        }
         const task = this.findTask(end.task);
         if (task === undefined) {
             return false;
@@ -271,9 +288,9 @@
         for (const job of this.state.jobs.values()) {
             for (const occurrence of job.occurrences.values()) {
                 for (const step of occurrence.steps) {
-                    step.tasks.filter(task => task.state === "unknown" && !unsettled.has(task.key)).forEach(task => {
-                        task.state = "waiting";
-                    });
+                    step.tasks.filter(task => task.state === "unknown" && !unsettled.has(task.key)).forEach(task =>
+                        setTaskState(task, "waiting")
+                    );
                 }
             }
         }
@@ -384,6 +401,8 @@
         leavesAt: undefined,
         emptyBy: undefined,
         runs: new Map(),
+        bestEffortRuns: 0,
+        servingRuns: 0,
         runsOfUnknownTasks: new Set(),
         failureRate: 0,
         slowdown: 1,
--- a/packages/workflow/src/stall-system.ts
+++ b/packages/workflow/src/stall-system.ts
@@ -2,8 +2,15 @@
 import type { RunRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 
+/** Interval of checks of all runs, ms; a small part of the shortest time after which a run counts as stalled. */
+const checkIntervalMs = 100;
+
 /** Stops each stalled run. Its executor gets no work for a while and its failure rate rises. */
 export function stopStalledRuns(state: SchedulerState, now: number): void {
+    if (now < state.nextStallCheckAt) {
+        return;
+    }
+    state.nextStallCheckAt = now + checkIntervalMs;
     for (const executor of state.executors.values()) {
         for (const run of executor.runs.values()) {
             if (!executor.isReachable) {
@@ -13,7 +20,7 @@
             else if (run.state === "running" && isStalled(state, now, run)) {
                 executor.failureRate = Math.min(1, executor.failureRate + 0.25);
                 // Avoided for the shortest time in which another stall there could be detected.
-                executor.avoidUntil = Math.max(executor.avoidUntil, now + state.options.stallFloorMs);
+                state.recordAvoidance(executor, now + state.options.stallFloorMs);
                 state.stopRun(run, "stalled");
             }
         }
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -3,9 +3,9 @@
  * to its executor and its team exactly once.
  */
 import type { ExecutorId, JobId, QueueId, ResourceVector, TeamId } from "@waxwingroute/core";
-import { addResources, fitsWithin, resourceNames, subtractResources, Table, zeroResources } from "@waxwingroute/core";
+import { addResources, fitsWithin, subtractResources, Table, zeroResources } from "@waxwingroute/core";
 import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow, TeamRow } from "./rows.js";
-import { toRunKey } from "./rows.js";
+import { setTaskState, toRunKey } from "./rows.js";
 import type { JobChange, SchedulerOptions, StartDecision, StopDecision, StopReason } from "./types.js";
 
 export type ResolvedOptions = Required<SchedulerOptions>;
@@ -16,6 +16,9 @@
     readonly executors: ReadonlySet<ExecutorId>;
 }
 
+/** Most room gains that are kept; a step that was evaluated before the oldest is evaluated anew. */
+const maxRoomGains = 4_096;
+
 /** Tables, decisions not yet returned, and the state of the recovery after a change of owner. */
 export class SchedulerState {
     readonly executors = new Table<ExecutorId, ExecutorRow>();
@@ -27,6 +30,11 @@
     readonly starts: StartDecision[] = [];
     readonly stops: StopDecision[] = [];
     readonly changes: JobChange[] = [];
+    private readonly roomGains: ExecutorRow[] = [];
+    private firstGain = 0;
+    private readonly avoidedExecutors = new Set<ExecutorRow>();
+    /** Runs are checked for progress again at this time. */
+    nextStallCheckAt = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
     reservation: Reservation | undefined;
     /** Whether `releaseUnknownTasks` was called, which may keep some; tasks added later begin as `waiting`. */
@@ -57,6 +65,7 @@
         if (row !== undefined) {
             row.runs.set(toRunKey(task.key, run.number), run);
             row.used = addResources(row.used, run.resources);
+            updateRunCounts(row, run, 1);
         }
         const job = task.step.occurrence.job;
         job.team.used = addResources(job.team.used, run.resources);
@@ -65,7 +74,7 @@
         task.lastRunNumber = Math.max(task.lastRunNumber, run.number);
         task.step.lastRunNumber = Math.max(task.step.lastRunNumber, run.number);
         if (task.state !== "done") {
-            task.state = "active";
+            setTaskState(task, "active");
         }
     }
 
@@ -80,12 +89,63 @@
         const row = this.executors.get(executor);
         if (row?.runs.delete(toRunKey(task.key, run.number)) === true) {
             row.used = subtractResources(row.used, run.resources);
+            updateRunCounts(row, run, -1);
+            this.recordRoomGain(row);
         }
         const job = task.step.occurrence.job;
         job.team.used = subtractResources(job.team.used, run.resources);
         job.activeRuns -= 1;
         if (task.state === "active" && task.runs.length === 0) {
-            task.state = "waiting";
+            setTaskState(task, "waiting");
+        }
+    }
+
+    /** Number of room gains so far; the position of the next one. */
+    get gainPosition(): number {
+        return this.firstGain + this.roomGains.length;
+    }
+
+    /** Records that a step may find room on the executor that it did not find before. */
+    recordRoomGain(executor: ExecutorRow): void {
+        if (this.roomGains.length >= maxRoomGains) {
+            this.firstGain += this.roomGains.length;
+            this.roomGains.length = 0;
+        }
+        this.roomGains.push(executor);
+    }
+
+    /** Returns the executors that gained room since a position, or `undefined` if they are no longer known. */
+    listRoomGains(position: number): readonly ExecutorRow[] | undefined {
+        if (position < this.firstGain) {
+            return undefined;
+        }
+        return position === this.gainPosition ? [] : this.roomGains.slice(position - this.firstGain);
+    }
+
+    /** Lets an executor get no work before `until`. */
+    recordAvoidance(executor: ExecutorRow, until: number): void {
+        executor.avoidUntil = Math.max(executor.avoidUntil, until);
+        this.avoidedExecutors.add(executor);
+    }
+
+    /** Records a room gain for each executor that may be used again. */
+    releaseAvoidedExecutors(now: number): void {
+        for (const executor of this.avoidedExecutors) {
+            if (executor.avoidUntil <= now) {
+                this.avoidedExecutors.delete(executor);
+                this.recordRoomGain(executor);
+            }
+        }
+    }
+
+    /** Sets the reservation of this tick. Executors that only the previous one held gain room. */
+    setReservation(reservation: Reservation | undefined, previous: Reservation | undefined): void {
+        this.reservation = reservation;
+        for (const id of previous?.executors ?? []) {
+            const executor = this.executors.get(id);
+            if (executor !== undefined && reservation?.executors.has(id) !== true) {
+                this.recordRoomGain(executor);
+            }
         }
     }
 
@@ -109,6 +169,12 @@
     }
 }
 
+function updateRunCounts(executor: ExecutorRow, run: RunRow, change: 1 | -1): void {
+    const { spec } = run.task.step;
+    executor.bestEffortRuns += spec.usesIdleProcessors ? change : 0;
+    executor.servingRuns += spec.targetMs !== undefined ? change : 0;
+}
+
 /** Returns the resources of an executor that no run is charged for. */
 export function getFreeResources(row: ExecutorRow): ResourceVector {
     return subtractResources(row.capacity, row.used);
@@ -121,13 +187,15 @@
 
 /** Returns how many tasks that each need `needed` fit into `available`. */
 export function countFits(needed: ResourceVector, available: ResourceVector): number {
-    let count = Number.MAX_SAFE_INTEGER;
-    for (const name of resourceNames) {
-        if (needed[name] > 0) {
-            count = Math.min(count, Math.floor(available[name] / needed[name]));
-        }
-    }
-    return count;
+    return Math.min(
+        countAmounts(needed.cpuMillis, available.cpuMillis),
+        countAmounts(needed.memoryMb, available.memoryMb),
+        countAmounts(needed.accelerators, available.accelerators),
+    );
+}
+
+function countAmounts(needed: number, available: number): number {
+    return needed > 0 ? Math.floor(available / needed) : Number.MAX_SAFE_INTEGER;
 }
 
 /** Returns whether the team stays within its limit if `more` is charged. A limit of 0 in a resource means no limit. */
@@ -143,5 +211,5 @@
 
 /** Returns the tasks of a step that have no run and may start. */
 export function listWaitingTasks(step: StepRow): TaskRow[] {
-    return step.tasks.filter(task => task.state === "waiting");
+    return step.waitingCount === 0 ? [] : step.tasks.filter(task => task.state === "waiting");
 }
