Renew the ownership whether or not earlier renewals have been answered

Cause: the owner sent a renewal only after the answer to the previous one or its time-out. An owner that processed answers 1.1 s late lost a lease of 1.5 s, and the takeover added to the load that had delayed it.

Change: a renewal is sent every 400 ms, with up to four without an answer. The new test fails without it.

--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -54,7 +54,7 @@
     readonly leaseMs?: number;
     /** Delay of this host's acquisitions, ms, so that other hosts can acquire the cell first. Default 0. */
     readonly acquireDelayMs?: number;
-    /** Time between renewals, ms. Default 400, so that three renewals may be lost. */
+    /** Time between renewals, ms. Default 400, so that two renewals in a row may be lost. */
     readonly renewIntervalMs?: number;
 }
 
@@ -77,6 +77,11 @@
  * reaches the store extends the lease even if its answer comes too late.
  */
 const renewTimeoutMs = 350;
+/**
+ * Most renewals without an answer. Several, so that an owner that processes answers late, or whose store answers
+ * slowly, still renews in time.
+ */
+const maxRenewalsInFlight = 4;
 /** Timeout of other calls about the ownership, ms. */
 const callTimeoutMs = 800;
 
@@ -99,6 +104,7 @@
     private isAcquiring = false;
     /** Send time of the last answered grant or renewal of the lease. */
     private renewedAt = -Infinity;
+    private renewalsInFlight = 0;
     private endWatch: (() => void) | undefined;
 
     constructor(private readonly options: OwnershipOptions) {}
@@ -299,15 +305,25 @@
         this.options.listener.onLost(reason);
     }
 
+    /** Sends a renewal after the interval, whether or not the earlier ones have been answered. */
     private async renew(): Promise<void> {
         await this.options.clock.wait(this.options.renewIntervalMs ?? 400);
-        if (this.term === undefined || this.isStopped) {
-            return;
+        if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
+            this.renewalsInFlight += 1;
+            void this.sendRenewal(this.lease).finally(() => {
+                this.renewalsInFlight -= 1;
+            });
         }
+    }
+
+    private async sendRenewal(lease: number): Promise<void> {
         const sentAt = this.options.clock.getNow();
-        const renewed = await this.options.store.call({ kind: "renewLease", lease: this.lease }, renewTimeoutMs);
+        const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
+        if (lease !== this.lease || this.isStopped) {
+            return;
+        }
         if (renewed.ok) {
-            this.renewedAt = sentAt;
+            this.renewedAt = Math.max(this.renewedAt, sentAt);
         }
         else if (renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readOwnership();
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -1,8 +1,11 @@
 import { ManualClock, SeededRandom } from "@waxwingroute/core";
+import type { Failure, Result } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { OwnershipOptions, OwnershipTerm } from "./lease-ownership.js";
 import { LeaseOwnership } from "./lease-ownership.js";
+import type { StoreReply, StoreRequest } from "./store.js";
+import { LeaseStore } from "./store.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
 
 interface Host {
@@ -41,6 +44,23 @@
     }
 }
 
+/** Carries out each request at once and returns its answer late. */
+class LateAnswerStore extends LeaseStore {
+    lateMs = 0;
+
+    constructor(private readonly store: LeaseStore, private readonly clock: ManualClock) {
+        super();
+    }
+
+    override async call<Request extends StoreRequest>(
+        request: Request,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
+        const answer = await this.store.call(request);
+        await this.clock.wait(this.lateMs);
+        return answer;
+    }
+}
+
 describe("LeaseOwnership", () => {
     it("gives the cell to exactly one of several hosts", async () => {
         const fixture = new Fixture();
@@ -139,6 +159,20 @@
         host.ownership.abort();
     });
 
+    it("keeps the cell while it processes answers of the store more than a second late", async () => {
+        // Guards against a busy owner that loses the cell: it sent a renewal only after the answer to the previous one.
+        const fixture = new Fixture();
+        const data = new MemoryLeaseStore(fixture.data);
+        const late = new LateAnswerStore(data, fixture.clock);
+        const host = fixture.open("a", { store: late });
+        await fixture.clock.advance(1_000);
+        late.lateMs = 1_200;
+        await fixture.clock.advance(10_000);
+        expect(host.events).toEqual(["acquired 1"]);
+        expect(host.ownership.current?.epoch).toEqual(1);
+        host.ownership.abort();
+    });
+
     it("loses the cell when another host acquired it while this host could not reach the store", async () => {
         // Guards against a deposed owner that continues once it reaches the store again.
         const fixture = new Fixture();
