Name at least 30 executors in each request for advice, and ask less often

Cause: on a full fleet a step named the few executors with room at the moment, 4 as the median.

Change: a request is filled up to 30 executors, also with those that have no room yet, and a step asks again 150 ms after an answer at the earliest.

--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -13,6 +13,11 @@
 
 /** Largest number of executors in one request; a limit of the advisor's interface. */
 const maxExecutorsPerRequest = 100;
+/**
+ * Executors in a request if there are as many, whether or not they have free slots now. On a full fleet, room is taken
+ * before the answer arrives, so a step needs to know many executors on which it may use the next free slot.
+ */
+const minExecutorsPerRequest = 30;
 /**
  * Slots that are requested, as a multiple of those that are needed. The fixed time of a call equals the time for about
  * 100 executors, so a request for more executors costs less than a second call.
@@ -23,6 +28,8 @@
 /** Time from a failed call to the next request for the step, ms. */
 const retryDelayMs = 100;
 
+/** Time from an answer to the next request for the step, ms. On a full fleet, room for a few of its tasks appears often. */
+const minRequestIntervalMs = 150;
 /** Time from an evaluation that found no request necessary to the next one, ms; short beside the time of a call. */
 const evaluationIntervalMs = 40;
 
@@ -81,7 +88,7 @@
         step.advice.tickets.set(executor, { ticket, validUntil: now + validMs });
         step.advice.newlyGranted.push(executor);
     });
-    step.advice.evaluateAt = 0;
+    step.advice.evaluateAt = now + minRequestIntervalMs;
     asked.filter(executor => !granted.has(executor)).forEach(executor => {
         step.advice.refused.add(executor);
         step.advice.tickets.delete(executor);
@@ -101,6 +108,7 @@
 function selectExecutorsToAsk(state: SchedulerState, now: number, step: StepRow): ExecutorId[] {
     const neededSlots = step.waitingCount;
     const options: AskOption[] = [];
+    const withoutSlots: ExecutorRow[] = [];
     let coveredSlots = 0;
     for (const executor of state.executors.values()) {
         if (step.advice.refused.has(executor.id) || !isEligible(state, now, step, executor)) {
@@ -122,16 +130,40 @@
                 grantProbability: wasGranted ? 1 : getGrantRate(state, step),
             });
         }
+        else if (!wasGranted) {
+            withoutSlots.push(executor);
+        }
     }
     if (coveredSlots >= neededSlots || isBlockedGang(step, options, coveredSlots, neededSlots)) {
         return [];
     }
+    const wasAsked = step.advice.tickets.size + step.advice.refused.size > 0;
+    if (options.length === 0 && wasAsked) {
+        return [];
+    }
     // A gang has to know all executors for which it can wait, so its requests are not limited by the slots they offer.
-    return selectOptions(
+    const selected = selectOptions(
         step,
         options,
         step.spec.isGang ? Infinity : neededSlots * requestedSlotsFactor - coveredSlots,
     );
+    return addExecutorsWithoutSlots(state, selected, withoutSlots);
+}
+
+/** Adds executors up to `minExecutorsPerRequest`, others for each request, so that steps do not all wait for the same. */
+function addExecutorsWithoutSlots(
+    state: SchedulerState,
+    selected: readonly ExecutorId[],
+    withoutSlots: readonly ExecutorRow[],
+): ExecutorId[] {
+    const missing = Math.min(withoutSlots.length, minExecutorsPerRequest - selected.length);
+    if (missing <= 0) {
+        return [...selected];
+    }
+    const first = state.nextExecutorToAsk % withoutSlots.length;
+    state.nextExecutorToAsk += missing;
+    const rotated = [...withoutSlots.slice(first), ...withoutSlots.slice(0, first)];
+    return [...selected, ...rotated.slice(0, missing).map(executor => executor.id)];
 }
 
 /** Returns whether the advisor has granted all `options` of a gang but too few slots are free to use new tickets. */
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -33,6 +33,8 @@
     private readonly roomGains: ExecutorRow[] = [];
     private firstGain = 0;
     private readonly avoidedExecutors = new Set<ExecutorRow>();
+    /** Where the next advice request begins to take executors without free slots. */
+    nextExecutorToAsk = 0;
     /** Runs are checked for progress again at this time. */
     nextStallCheckAt = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
