End a stream whose message cannot be processed, instead of the process

Cause: an error that a listener of stream messages throws, for example for a peer address that gRPC rejects, is not caught and ends the process.

Change: the error ends the stream, which is opened again later. The test fails without it (the process ends, the test times out). Gauges for the operators: tick_ms, renewal_age_ms and timer_delay_ms.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -197,6 +197,11 @@
         return this.journal.backlog;
     }
 
+    /** Moving average of the time that a tick takes, ms. */
+    get tickMs(): number {
+        return this.tickPace.tickMs;
+    }
+
     /** Number of jobs in the scheduler. */
     get jobCount(): number {
         return this.scheduler.jobCount;
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -114,6 +114,11 @@
         return this.term;
     }
 
+    /** Time since the last answered renewal of the lease was sent, ms; 0 while this host does not own the cell. */
+    get renewalAgeMs(): number {
+        return this.term === undefined ? 0 : this.options.clock.getNow() - this.renewedAt;
+    }
+
     /** Whether the lease cannot have expired yet, so that no other host can own the cell. */
     get isLeaseValid(): boolean {
         const validMs = (this.options.leaseMs ?? defaultLeaseMs) * (1 - clockRateBound);
--- a/packages/cell/src/tick-pace.ts
+++ b/packages/cell/src/tick-pace.ts
@@ -24,6 +24,11 @@
         return Math.min(maxDelayMs, Math.max(minDelayMs, pauseFactor * this.averageMs));
     }
 
+    /** Moving average of the time that a tick takes, ms. */
+    get tickMs(): number {
+        return this.averageMs;
+    }
+
     /** Runs one tick. */
     measure(tick: () => void): void {
         const startedAt = this.clock.getNow();
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -80,7 +80,9 @@
             metrics.setGauge(name, value);
         }
         metrics.setGauge("resident_bytes", process.memoryUsage.rss());
+        const startedAt = clock.getNow();
         await clock.wait(gaugeIntervalMs);
+        metrics.setGauge("timer_delay_ms", Math.round(clock.getNow() - startedAt - gaugeIntervalMs));
     }
 }
 
--- a/packages/transport/src/rpc-client.ts
+++ b/packages/transport/src/rpc-client.ts
@@ -33,7 +33,10 @@
 /** Receives the messages and the end of a stream. */
 export interface StreamHandlers<Response> {
     onMessage(message: Response): void;
-    /** Called once when the stream has ended; `failure` is `undefined` after a normal end. */
+    /**
+     * Called once when the stream has ended; `failure` is `undefined` after a normal end. A message for which `onMessage`
+     * throws ends the stream.
+     */
     onEnd(failure: Failure | undefined): void;
 }
 
@@ -116,7 +119,16 @@
                 handlers.onEnd(failure);
             }
         };
-        stream.on("data", (message: Response) => handlers.onMessage(message));
+        stream.on("data", (message: Response) => {
+            try {
+                handlers.onMessage(message);
+            }
+            catch (error) {
+                // An error that leaves this listener would end the process.
+                finish(createFailure("peer-incompatible", `message cannot be processed: ${String(error)}`, "ran"));
+                stream.cancel();
+            }
+        });
         stream.on("error", (error: ServiceError) => finish(this.convertError(error)));
         stream.on("end", () => finish(undefined));
         return { cancel: () => stream.cancel() };
--- a/packages/transport/src/rpc_test.ts
+++ b/packages/transport/src/rpc_test.ts
@@ -42,6 +42,24 @@
 }
 
 describe("RpcClient with RpcServer", () => {
+    describe("streams", () => {
+        // Guards against one message that cannot be processed and ends the whole process.
+        it("ends the stream when a message cannot be processed, and serves further calls", () =>
+            withServer(async client => {
+                const failure = await new Promise<unknown>(resolve => {
+                    client.openStream(methods.count, { to: 3 }, {
+                        onMessage: () => {
+                            throw new Error("invalid address");
+                        },
+                        onEnd: resolve,
+                    });
+                });
+                expect((failure as { code: string; }).code).toEqual("peer-incompatible");
+                const reply = await client.call(methods.echo, { body: new Uint8Array([1]) }, 2_000);
+                expect(reply.ok).toEqual(true);
+            }));
+    });
+
     describe("unary calls", () => {
         it("returns the bytes of a message unchanged", () =>
             withServer(async client => {
