Test the hosts of a cell together over their own protocol

Three hosts over loopback, with the store and the executors in the process: a job is followed on hosts that accepted it or were asked about it, also across a planned change of owner, and read from the store where there is no owner. With followers that are not recorded, the first test fails.

--- /dev/null
+++ b/packages/cell/src/cell-host_test.ts
@@ -0,0 +1,180 @@
+import type { Failure, JobId, Result } from "@waxwingroute/core";
+import { createFailure, Err, SeededRandom, SystemClock, toId } from "@waxwingroute/core";
+import type { AdviceGrant, JobState, StepSpec } from "@waxwingroute/workflow";
+import { expect } from "earl";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { Advisor } from "./advisor.js";
+import { CellHost } from "./cell-host.js";
+import { TestCodec, testQueue, testTeam } from "./testing/cell-simulation.js";
+import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
+import { InvariantChecker } from "./testing/invariant-checker.js";
+import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+
+class NoAdvisor extends Advisor {
+    override async ask(): Promise<Result<readonly AdviceGrant[], Failure>> {
+        return Err(createFailure("none", "no queue of this test has an advisor", "notRun"));
+    }
+}
+
+const step: StepSpec = {
+    taskCount: 2,
+    resources: { cpuMillis: 1_000, memoryMb: 100, accelerators: 0 },
+    estimateMs: 100,
+    after: [],
+    isGang: false,
+    prefersOneRack: false,
+    canRunCopies: false,
+    savesCheckpoints: false,
+    isLongRunning: false,
+    usesIdleProcessors: false,
+};
+const target = { queue: testQueue, subpath: "job", isPublic: true };
+
+/** Hosts that talk over loopback, with a store and executors in this process. */
+class Fixture {
+    readonly clock = new SystemClock();
+    readonly data = new MemoryStoreData(this.clock);
+    readonly stores = new Map<CellHost, MemoryLeaseStore>();
+    readonly lines: string[] = [];
+    workMs = 150;
+    private readonly checker = new InvariantChecker({
+        executorCpuMillis: 4_000,
+        teamCpuMillis: new Map(),
+        maxAttempts: 3,
+    });
+    private readonly executors = [0, 1].map(index =>
+        new FakeExecutor({
+            executor: toFakeExecutorId(index),
+            address: toFakeAddress(index),
+            clock: this.clock,
+            checker: this.checker,
+            planRun: () => ({ workMs: this.workMs, outcome: "done" }),
+            maxLeaseMs: 6_000,
+        })
+    );
+    private readonly timer = setInterval(() => this.executors.forEach(executor => executor.advance()), 20);
+    private readonly hosts: CellHost[] = [];
+
+    constructor() {
+        const writes = [
+            { key: "config", value: "{}" },
+            ...this.executors.map((_, index) => ({ key: `executors/${index}`, value: JSON.stringify({ index }) })),
+        ];
+        this.data.execute({ kind: "commit", transaction: { conditions: [], writes, removals: [] } });
+    }
+
+    get violations(): readonly string[] {
+        return this.checker.violations;
+    }
+
+    async open(name: string): Promise<CellHost> {
+        const store = new MemoryLeaseStore(this.data);
+        const host = new CellHost({
+            host: name,
+            address: `127.0.0.1:${await findFreePort()}`,
+            seeds: [],
+            store,
+            codec: new TestCodec(),
+            connector: new FakeConnector(new Map(this.executors.map(row => [row.options.address, row]))),
+            advisor: new NoAdvisor(),
+            clock: this.clock,
+            random: new SeededRandom(name.charCodeAt(0)),
+            logger: {
+                write: (_level, message, fields) => this.lines.push(`${name} ${message} ${JSON.stringify(fields)}`),
+            },
+            maxLeaseMs: 6_000,
+            retentionMs: 60_000,
+            stopMs: 100,
+        });
+        this.stores.set(host, store);
+        this.hosts.push(host);
+        await host.start();
+        return host;
+    }
+
+    submit(host: CellHost, job: string): Promise<Result<void, Failure>> {
+        this.checker.registerJob(toId<JobId>(job), { team: testTeam, steps: [step] });
+        return host.submit(target, testTeam, toId<JobId>(job), { payload: "", steps: [step] });
+    }
+
+    /** Asks a host for the state of a job until it is the expected one, for 10 s at most. */
+    async awaitState(host: CellHost, job: string, expected: JobState): Promise<unknown> {
+        let state: unknown;
+        for (let waitedMs = 0; waitedMs < 10_000; waitedMs += 50) {
+            const described = await host.describe(toId<JobId>(job));
+            state = described.ok ? described.val : described.val.code;
+            if (state === expected) {
+                break;
+            }
+            await this.clock.wait(50);
+        }
+        return state;
+    }
+
+    async awaitOwner(): Promise<CellHost> {
+        for (;;) {
+            const owner = this.hosts.find(host => host.listGauges().is_owner === 1);
+            if (owner !== undefined) {
+                return owner;
+            }
+            await this.clock.wait(20);
+        }
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.hosts.map(host => host.resign()));
+        await Promise.all(this.hosts.map(host => host.stop()));
+        clearInterval(this.timer);
+    }
+}
+
+function findFreePort(): Promise<number> {
+    return new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+}
+
+describe("CellHost", () => {
+    let fixture: Fixture;
+
+    afterEach(() => fixture.close());
+
+    // Guards against callers who are told an old state for good, because the owner does not know that their host follows
+    // the job: it was accepted elsewhere, or before the present owner.
+    it("tells callers of every host how a job ends, also across a planned change of owner", async () => {
+        fixture = new Fixture();
+        const hosts = [await fixture.open("a"), await fixture.open("b"), await fixture.open("c")];
+        const owner = await fixture.awaitOwner();
+        const [first, second] = hosts.filter(host => host !== owner) as [CellHost, CellHost];
+        await fixture.clock.wait(300);
+        expect((await fixture.submit(first, "0000000000000001")).ok).toEqual(true);
+        expect(await fixture.awaitState(first, "0000000000000001", "succeeded")).toEqual("succeeded");
+        expect(await fixture.awaitState(second, "0000000000000001", "succeeded")).toEqual("succeeded");
+
+        fixture.workMs = 1_500;
+        expect((await fixture.submit(first, "0000000000000002")).ok).toEqual(true);
+        expect(await fixture.awaitState(second, "0000000000000002", "running")).toEqual("running");
+        await owner.resign();
+        expect(await fixture.awaitState(first, "0000000000000002", "succeeded")).toEqual("succeeded");
+        expect(await fixture.awaitState(second, "0000000000000002", "succeeded")).toEqual("succeeded");
+        expect(fixture.violations).toEqual([]);
+    });
+
+    // Guards against an answer "unknown job", which callers take for a lost job, while the owner cannot be asked.
+    it("reads a job from the store when the host has not heard of it and there is no owner to ask", async () => {
+        fixture = new Fixture();
+        const host = await fixture.open("a");
+        await fixture.awaitOwner();
+        expect((await fixture.submit(host, "0000000000000003")).ok).toEqual(true);
+        await host.resign();
+        const other = await fixture.open("b");
+        const described = await other.describe(toId<JobId>("0000000000000003"));
+        expect(described.ok).toEqual(true);
+        expect((await other.describe(toId<JobId>("00000000000000ff"))).ok).toEqual(false);
+    });
+});
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -36,7 +36,7 @@
     targetLatencyMs: 1_000,
 };
 
-const configuration: CellConfiguration = {
+export const testConfiguration: CellConfiguration = {
     version: 1,
     queues: [{ rules: testRules, host: "test", prefix: "/orders/", isPublic: true }],
     teams: [{
@@ -53,7 +53,7 @@
     maxBodyBytes: 100_000,
 };
 
-class TestCodec extends PlatformCodec {
+export class TestCodec extends PlatformCodec {
     override readonly configurationKey = "config";
     override readonly executorPrefix = "executors/";
 
@@ -77,7 +77,7 @@
     }
 
     override decodeConfiguration(): Result<CellConfiguration, Failure> {
-        return Ok(configuration);
+        return Ok(testConfiguration);
     }
 
     override decodeExecutor(item: StoreItem): Result<ExecutorEntry, Failure> {
@@ -194,7 +194,7 @@
             clock: this.simulation.clock,
             logger: this.simulation,
             term,
-            configuration,
+            configuration: testConfiguration,
             maxLeaseMs,
             retentionMs: 120_000,
             stopMs: 100,
