--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -186,7 +186,6 @@
             epoch: this.ownership.current?.epoch ?? 0,
             open_jobs: this.owner?.jobCount ?? 0,
             commit_backlog: this.owner?.backlog ?? 0,
-            tick_ms: this.owner?.tickMs ?? 0,
             renewal_age_ms: Math.round(this.ownership.renewalAgeMs),
             configuration_version: this.tracker.current?.configuration.version ?? 0,
             store_silence_ms: Math.round(Math.min(this.store.silenceMs, maxReportedSilenceMs)),
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -28,7 +28,6 @@
 import { rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
-import { TickPace } from "./tick-pace.js";
 
 /** Dependencies, term and limits of a cell owner. */
 export interface CellOwnerOptions {
@@ -78,6 +77,8 @@
  * tasks of a lost executor wait before they can start elsewhere.
  */
 const executorLeaseMs = 4_500;
+/** Delay from an event to the tick that decides on it, ms; events in between share the tick. */
+const tickDelayMs = 5;
 /** Interval of ticks without an event, ms. */
 const idleTickMs = 100;
 /** Interval of reports of pending jobs, ms; with the interval of heartbeats, half of the age that callers accept. */
@@ -99,7 +100,6 @@
     private isClosed = false;
     private isRecovered = false;
     private isTickScheduled = false;
-    private readonly tickPace: TickPace;
     /** Whether tasks that an earlier owner may have started can start, except those of executors with unknown runs. */
     private hasReleasedTasks = false;
     /** Whether these exceptions can start too. */
@@ -111,7 +111,6 @@
     constructor(private readonly options: CellOwnerOptions) {
         const { clock, connector, codec, logger, store, term, maxLeaseMs, retentionMs } = options;
         this.startedAt = clock.getNow();
-        this.tickPace = new TickPace(clock);
         this.epoch = term.epoch;
         this.configuration = options.configuration;
         this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
@@ -197,11 +196,6 @@
         return this.journal.backlog;
     }
 
-    /** Moving average of the time that a tick takes, ms. */
-    get tickMs(): number {
-        return this.tickPace.tickMs;
-    }
-
     /** Number of jobs in the scheduler. */
     get jobCount(): number {
         return this.scheduler.jobCount;
@@ -405,9 +399,9 @@
     private requestTick(): void {
         if (!this.isTickScheduled && this.isRecovered && !this.isClosed) {
             this.isTickScheduled = true;
-            this.options.clock.schedule(this.tickPace.delayMs, () => {
+            this.options.clock.schedule(tickDelayMs, () => {
                 this.isTickScheduled = false;
-                this.tickPace.measure(() => this.tick());
+                this.tick();
             });
         }
     }
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -68,11 +68,6 @@
 const maxIdleWaitMs = 2_000;
 /** Added to the chosen wait to get the time-out of a renewal, ms: a round trip across a region and a slow executor. */
 const answerMarginMs = 700;
-/**
- * Used instead of `answerMarginMs` until the executor has answered once, ms: a new owner opens the connections to all
- * executors at the same time.
- */
-const firstAnswerMarginMs = 1_500;
 /** Failed renewals in a row after which the executor counts as unreachable. */
 const failuresBeforeUnreachable = 2;
 /** Pause before a failed call to the executor is repeated, ms. */
@@ -274,7 +269,7 @@
         const acknowledged = this.isIncarnationKnown ? this.acknowledgedThrough : 0;
         const renewed = await client.renew(
             { fencingToken: this.fencingToken, acknowledged, deadlineMs, waitMs },
-            waitMs + (this.leases.isClockKnown ? answerMarginMs : firstAnswerMarginMs),
+            waitMs + answerMarginMs,
         );
         if (this.isClosed) {
             return;
