--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -22,7 +22,7 @@
         if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
             continue;
         }
-        const isBlocked = isStillBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
+        const isBlocked = checkBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
         if (isBlocked && step.spec.isGang && state.reservation === undefined) {
             state.setReservation(reserveExecutors(state, now, step), previous);
         }
@@ -47,10 +47,11 @@
 }
 
 /**
- * Returns whether the step was blocked and cannot have found `neededCount` free slots since. Only executors that gained
- * room or were newly granted are counted, and those that gained room twice are counted twice.
+ * Returns whether the step was blocked and cannot have found `neededCount` free slots since. Adds the slots of executors
+ * that gained room or were newly granted to the upper bound in `step.blocked`; an executor that gained room twice counts
+ * twice, so that a step can be evaluated needlessly but never be left out.
  */
-function isStillBlocked(state: SchedulerState, now: number, step: StepRow, neededCount: number): boolean {
+function checkBlocked(state: SchedulerState, now: number, step: StepRow, neededCount: number): boolean {
     const { blocked } = step;
     const isComparable = blocked !== undefined && blocked.reservedFor === state.reservation?.step
         && blocked.canBackfill === canBackfill(state, step);
