--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -1,13 +1,13 @@
 import type { Failure, JobId, Result } from "@waxwingroute/core";
 import { createFailure, Err, SeededRandom, SystemClock, toId } from "@waxwingroute/core";
-import type { AdviceGrant, JobState, StepSpec } from "@waxwingroute/workflow";
+import type { AdviceGrant, JobState } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import type { AddressInfo } from "node:net";
 import { createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { Advisor } from "./advisor.js";
 import { CellHost } from "./cell-host.js";
-import { TestCodec, testQueue, testTeam } from "./testing/cell-simulation.js";
+import { createStep, TestCodec, testQueue, testTeam } from "./testing/cell-simulation.js";
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
 import { InvariantChecker } from "./testing/invariant-checker.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
@@ -18,18 +18,7 @@
     }
 }
 
-const step: StepSpec = {
-    taskCount: 2,
-    resources: { cpuMillis: 1_000, memoryMb: 100, accelerators: 0 },
-    estimateMs: 100,
-    after: [],
-    isGang: false,
-    prefersOneRack: false,
-    canRunCopies: false,
-    savesCheckpoints: false,
-    isLongRunning: false,
-    usesIdleProcessors: false,
-};
+const step = createStep({ taskCount: 2, estimateMs: 100 });
 const target = { queue: testQueue, subpath: "job", isPublic: true };
 
 /** Hosts that talk over loopback, with a store and executors in this process. */
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -318,7 +318,8 @@
     }
 }
 
-function createStep(step: Partial<StepSpec>): StepSpec {
+/** Returns a step of one short task, with the given changes. */
+export function createStep(step: Partial<StepSpec>): StepSpec {
     return {
         taskCount: 1,
         resources: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 },
