Log and export the age of the configuration and what decided on a rejected call

Cause: logs and metrics could not tell how old the configuration of a host was, nor by which way a version arrived, so that the hypotheses of docs/incidents/configuration-behind.md could not be told apart.

Change: gauge configuration_age_ms, the fields source and ageMs of "configuration applied", and a line for each call that is rejected for its queue or key, with the version that decided and its age. No behaviour changes.

Measured: tests of the cell pass.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -188,6 +188,7 @@
             commit_backlog: this.owner?.backlog ?? 0,
             renewal_age_ms: Math.round(this.ownership.renewalAgeMs),
             configuration_version: this.tracker.current?.configuration.version ?? 0,
+            configuration_age_ms: Math.round(Math.min(this.tracker.ageMs, maxReportedSilenceMs)),
             store_silence_ms: Math.round(Math.min(this.store.silenceMs, maxReportedSilenceMs)),
             known_jobs: this.replica.size,
         };
@@ -219,9 +220,11 @@
             ));
         }
         const queue = index.findQueue(hostName, path);
-        return queue === undefined
-            ? Err(createFailure(gatewayFailures.unknownQueue, `no queue serves ${hostName}${path}`, "notRun"))
-            : Ok({ queue: queue.rules.queue, subpath: path.slice(queue.prefix.length), isPublic: queue.isPublic });
+        if (queue === undefined) {
+            this.logRejection(gatewayFailures.unknownQueue, { host: hostName, path });
+            return Err(createFailure(gatewayFailures.unknownQueue, `no queue serves ${hostName}${path}`, "notRun"));
+        }
+        return Ok({ queue: queue.rules.queue, subpath: path.slice(queue.prefix.length), isPublic: queue.isPublic });
     }
 
     override authorize(target: QueueTarget, key: string | undefined): Result<TeamId, Failure> {
@@ -229,13 +232,21 @@
         if (team !== undefined) {
             return Ok(team);
         }
-        return target.isPublic
-            ? Ok(publicTeam)
-            : Err(createFailure(
-                gatewayFailures.unknownKey,
-                "the queue requires a key, and the key is missing or belongs to no team",
-                "notRun",
-            ));
+        if (target.isPublic) {
+            return Ok(publicTeam);
+        }
+        this.logRejection(gatewayFailures.unknownKey, { queue: target.queue, path: target.subpath });
+        return Err(createFailure(
+            gatewayFailures.unknownKey,
+            "the queue requires a key, and the key is missing or belongs to no team",
+            "notRun",
+        ));
+    }
+
+    private logRejection(code: string, fields: Readonly<Record<string, unknown>>): void {
+        const version = this.tracker.current?.configuration.version;
+        const ageMs = Math.round(Math.min(this.tracker.ageMs, maxReportedSilenceMs));
+        this.options.logger.write("info", "call rejected", { code, ...fields, version, ageMs });
     }
 
     override getMaxBodyBytes(): number {
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -37,6 +37,8 @@
     private index: ConfigurationIndex | undefined;
     private isStopped = false;
     private isRefreshing = false;
+    /** Send time of the last answered read that found the present version. */
+    private confirmedAt = -Infinity;
 
     constructor(private readonly options: ConfigurationTrackerOptions) {}
 
@@ -45,6 +47,11 @@
         return this.index;
     }
 
+    /** Time since the last read that found the present version was sent, ms; infinite before the first. */
+    get ageMs(): number {
+        return this.options.clock.getNow() - this.confirmedAt;
+    }
+
     /** Follows the configuration until `stop`. */
     async run(): Promise<void> {
         while (!this.isStopped) {
@@ -76,13 +83,14 @@
 
     /** Returns the revision of the store at the read, or `undefined` if the read failed. */
     private async read(): Promise<number | undefined> {
-        const { store, codec } = this.options;
+        const { clock, codec, store } = this.options;
+        const sentAt = clock.getNow();
         const read = await store.call({ kind: "read", key: codec.configurationKey }, readTimeoutMs);
         if (!read.ok) {
             return undefined;
         }
-        if (read.val.item !== undefined) {
-            this.accept(read.val.item);
+        if (read.val.item !== undefined && this.accept(read.val.item, "read")) {
+            this.confirmedAt = Math.max(this.confirmedAt, sentAt);
         }
         return read.val.storeRevision;
     }
@@ -108,19 +116,20 @@
             }
             watched.val.changes.forEach(change => {
                 if (change.item !== undefined && change.key === codec.configurationKey) {
-                    this.accept(change.item);
+                    this.accept(change.item, "watch");
                 }
             });
             afterRevision = watched.val.storeRevision;
         }
     }
 
-    private accept(item: StoreItem): void {
+    /** Adopts the stored version if it is newer. Returns whether the present version is the stored one. */
+    private accept(item: StoreItem, source: "read" | "watch"): boolean {
         const decoded = this.options.codec.decodeConfiguration(item.value);
         if (!decoded.ok) {
             const { message } = decoded.val;
             this.options.logger.write("error", "configuration cannot be read", { revision: item.revision, message });
-            return;
+            return false;
         }
         const configuration = decoded.val;
         const previous = this.index?.configuration.version ?? -1;
@@ -129,11 +138,14 @@
             this.options.logger.write("info", "configuration applied", {
                 version: configuration.version,
                 previous,
+                source,
+                ageMs: Number.isFinite(this.ageMs) ? Math.round(this.ageMs) : undefined,
                 revision: item.revision,
                 queues: configuration.queues.length,
                 teams: configuration.teams.length,
             });
             this.options.onChange(configuration);
         }
+        return configuration.version >= previous;
     }
 }
