Bound the age of the configuration by reads that do not wait for watches

Cause: a host took silence for confirmation. Its tracker made one call at a time, so a watch on silent connections held back the next read for up to 10.9 s, or 24.9 s while the owner named the host's version; and while the owner named that version no read was made at all, though the owner may be as far behind. A process that had been paused or cut off decided by what it had known before.

Change: the configuration is read every second, whatever the watch does and whether or not earlier reads were answered. A read that has no answer after 300 ms is sent by a further route too. A host that cannot confirm it asks callers to retry (503) where it would have answered 401 or 404. A heartbeat of the owner still leads to a read, but is no longer taken for a confirmation.

fallback-store_test: the read is now answered by another host before the direct call has failed, so the test waits for that failure and then checks as much as before.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -67,6 +67,8 @@
 const defaultMaxBodyBytes = 262_144;
 /** Retry delay that callers of a starting host are given, ms. */
 const startingRetryMs = 500;
+/** Retry delay that callers are given while the configuration cannot be confirmed, ms. */
+const unconfirmedRetryMs = 1_000;
 /** Team of jobs submitted to public queues without a key. */
 const publicTeam = toId<TeamId>("public");
 /** Upper limit of the store's silence in the gauges, ms. */
@@ -209,6 +211,10 @@
         return problems;
     }
 
+    override confirmConfiguration(): Promise<void> {
+        return this.tracker.confirm();
+    }
+
     override resolveQueue(hostName: string, path: string): Result<QueueTarget, Failure> {
         const index = this.tracker.current;
         if (index === undefined) {
@@ -221,8 +227,8 @@
         }
         const queue = index.findQueue(hostName, path);
         if (queue === undefined) {
-            this.logRejection(gatewayFailures.unknownQueue, { host: hostName, path });
-            return Err(createFailure(gatewayFailures.unknownQueue, `no queue serves ${hostName}${path}`, "notRun"));
+            const message = `no queue serves ${hostName}${path}`;
+            return Err(this.createRejection(gatewayFailures.unknownQueue, message, { host: hostName, path }));
         }
         return Ok({ queue: queue.rules.queue, subpath: path.slice(queue.prefix.length), isPublic: queue.isPublic });
     }
@@ -235,18 +241,32 @@
         if (target.isPublic) {
             return Ok(publicTeam);
         }
-        this.logRejection(gatewayFailures.unknownKey, { queue: target.queue, path: target.subpath });
-        return Err(createFailure(
-            gatewayFailures.unknownKey,
-            "the queue requires a key, and the key is missing or belongs to no team",
-            "notRun",
-        ));
+        const message = "the queue requires a key, and the key is missing or belongs to no team";
+        return Err(this.createRejection(gatewayFailures.unknownKey, message, {
+            queue: target.queue,
+            path: target.subpath,
+        }));
     }
 
-    private logRejection(code: string, fields: Readonly<Record<string, unknown>>): void {
-        const version = this.tracker.current?.configuration.version;
-        const ageMs = Math.round(Math.min(this.tracker.ageMs, maxReportedSilenceMs));
-        this.options.logger.write("info", "call rejected", { code, ...fields, version, ageMs });
+    /**
+     * Rejects a call for its queue or key. A newer configuration may hold them, so a host that cannot confirm its own
+     * asks the caller to retry.
+     */
+    private createRejection(code: string, message: string, fields: Readonly<Record<string, unknown>>): Failure {
+        const { current, ageMs, isConfirmed } = this.tracker;
+        this.options.logger.write("info", "call rejected", {
+            code,
+            ...fields,
+            version: current?.configuration.version,
+            ageMs: Math.round(Math.min(ageMs, maxReportedSilenceMs)),
+            isConfirmed,
+        });
+        return isConfirmed ? createFailure(code, message, "notRun") : createFailure(
+            gatewayFailures.unavailable,
+            `${message}, by a configuration that this host cannot confirm at present`,
+            "notRun",
+            unconfirmedRetryMs,
+        );
     }
 
     override getMaxBodyBytes(): number {
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -166,4 +166,20 @@
         expect(described.ok).toEqual(true);
         expect((await other.describe(toId<JobId>("00000000000000ff"))).ok).toEqual(false);
     });
+
+    // Guards against a caller who is told for good that a queue or key does not exist, by a host that missed its addition.
+    it("asks callers to retry instead of rejecting them while it cannot confirm its configuration", async () => {
+        fixture = new Fixture();
+        const host = await fixture.open("a");
+        await fixture.awaitOwner();
+        await host.confirmConfiguration();
+        const rejected = host.resolveQueue("unknown", "/");
+        expect((rejected.val as Failure).code).toEqual("unknown-queue");
+        fixture.stores.get(host)!.mode = "silent";
+        await fixture.clock.wait(2_500);
+        const postponed = host.resolveQueue("unknown", "/").val as Failure;
+        expect(postponed.code).toEqual("unavailable");
+        expect(postponed.verdict).toEqual("notRun");
+        fixture.stores.get(host)!.mode = "up";
+    });
 });
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -1,8 +1,10 @@
 /**
  * Tracks the operators' configuration in the store. A version is never replaced by an older one.
  *
- * A change arrives by a watch, or by the heartbeats of the owner of the cell, which name its version. A host that hears
- * the owner name its own version can therefore leave out most reads.
+ * A change usually arrives by a watch, or after a heartbeat of the owner of the cell that names a newer version. Neither
+ * shows that the present version is still the newest: a watch can hear nothing, and the owner can be behind. Only a read
+ * shows that, so reads are sent at a fixed interval, whatever the watch does and whether or not earlier reads were
+ * answered.
  */
 import type { Clock } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
@@ -11,7 +13,7 @@
 import type { PlatformCodec } from "./platform-codec.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 
-/** Dependencies of `ConfigurationTracker`. */
+/** Dependencies and limits of `ConfigurationTracker`. */
 export interface ConfigurationTrackerOptions {
     readonly store: LeaseStore;
     readonly codec: PlatformCodec;
@@ -21,24 +23,36 @@
     readonly onChange: (configuration: CellConfiguration) => void;
     /** Returns the version that the owner named recently; `undefined` without a recent heartbeat. Default: none. */
     readonly getOwnerVersion?: () => number | undefined;
+    /** Age from which the configuration counts as unconfirmed, ms. Default 2,000. */
+    readonly maxAgeMs?: number;
 }
 
-/** Longest wait of one watch, ms. An empty watch is followed by a read, so this bounds how long a change is missed. */
-const watchMs = 1_500;
-/** Used instead of `watchMs` while the owner of the cell confirms the version, ms. */
-const confirmedWatchMs = 5_000;
-/** Timeout of one read, ms. */
-const readTimeoutMs = 700;
-/** Pause after a failed read, ms. */
+/** Longest wait of one watch, ms. */
+const watchMs = 5_000;
+/** Interval of reads, ms: two fit into the default of `maxAgeMs`. */
+const readIntervalMs = 1_000;
+/** Pause after a failed read that a watch needs, ms. */
 const retryMs = 150;
+/** Timeout of one read on one route, ms. */
+const readTimeoutMs = 700;
+/** Most reads without an answer. */
+const maxReadsInFlight = 4;
+/** Longest time for which a caller waits until the configuration is confirmed, ms. */
+const confirmTimeoutMs = 400;
 
 /** Reads and watches the configuration key, and keeps the newest version that can be decoded. */
 export class ConfigurationTracker {
     private index: ConfigurationIndex | undefined;
     private isStopped = false;
-    private isRefreshing = false;
+    private readsInFlight = 0;
     /** Send time of the last answered read that found the present version. */
     private confirmedAt = -Infinity;
+    /** Revision of the store after which changes are not known yet; `undefined` before the first read. */
+    private knownRevision: number | undefined;
+    private unreadableRevision: number | undefined;
+    private confirmation: Promise<void> | undefined;
+    /** Whether the last attempt to confirm an aged configuration failed. */
+    private isUnconfirmed = false;
 
     constructor(private readonly options: ConfigurationTrackerOptions) {}
 
@@ -52,90 +66,127 @@
         return this.options.clock.getNow() - this.confirmedAt;
     }
 
+    /** Whether the present version was the newest within the last `maxAgeMs`. */
+    get isConfirmed(): boolean {
+        return this.ageMs <= (this.options.maxAgeMs ?? 2_000);
+    }
+
     /** Follows the configuration until `stop`. */
     async run(): Promise<void> {
-        while (!this.isStopped) {
-            const revision = await this.read();
-            if (revision === undefined) {
-                await this.options.clock.wait(retryMs);
-            }
-            else {
-                await this.watch(revision);
-            }
-        }
+        await Promise.all([this.readPeriodically(), this.watch()]);
     }
 
     /** Reads the configuration if the owner named a newer version than the present one. */
     async refresh(): Promise<void> {
         const ownerVersion = this.options.getOwnerVersion?.();
-        const version = this.index?.configuration.version ?? -1;
-        if (ownerVersion !== undefined && ownerVersion > version && !this.isRefreshing) {
-            this.isRefreshing = true;
+        if (ownerVersion !== undefined && ownerVersion > (this.index?.configuration.version ?? -1)) {
             await this.read();
-            this.isRefreshing = false;
         }
     }
 
-    /** Ends `run` after the present call to the store. */
+    /**
+     * Reads the configuration if it is not confirmed, for example because this process was paused, and waits for the
+     * answer for a short time. While the store is away, only the first caller waits.
+     */
+    async confirm(): Promise<void> {
+        if (this.isConfirmed || this.isUnconfirmed) {
+            return;
+        }
+        this.confirmation ??= Promise.race([this.read(), this.options.clock.wait(confirmTimeoutMs)]).then(() => {
+            this.confirmation = undefined;
+            this.isUnconfirmed = !this.isConfirmed;
+            if (this.isUnconfirmed) {
+                this.options.logger.write("warn", "configuration not confirmed", {
+                    version: this.index?.configuration.version,
+                    ageMs: Number.isFinite(this.ageMs) ? Math.round(this.ageMs) : undefined,
+                });
+            }
+        });
+        await this.confirmation;
+    }
+
+    /** Ends `run` after the present calls to the store. */
     stop(): void {
         this.isStopped = true;
     }
 
-    /** Returns the revision of the store at the read, or `undefined` if the read failed. */
-    private async read(): Promise<number | undefined> {
+    private async readPeriodically(): Promise<void> {
+        while (!this.isStopped) {
+            void this.read();
+            await this.options.clock.wait(readIntervalMs);
+        }
+    }
+
+    private async read(): Promise<void> {
         const { clock, codec, store } = this.options;
+        if (this.readsInFlight >= maxReadsInFlight) {
+            return;
+        }
+        this.readsInFlight += 1;
         const sentAt = clock.getNow();
         const read = await store.call({ kind: "read", key: codec.configurationKey }, readTimeoutMs);
+        this.readsInFlight -= 1;
         if (!read.ok) {
-            return undefined;
+            return;
         }
+        this.recordRevision(read.val.storeRevision);
         if (read.val.item !== undefined && this.accept(read.val.item, "read")) {
             this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+            this.isUnconfirmed = false;
         }
-        return read.val.storeRevision;
-    }
-
-    /** Whether the owner of the cell named the present version recently. */
-    private get isConfirmed(): boolean {
-        return this.index !== undefined && this.options.getOwnerVersion?.() === this.index.configuration.version;
     }
 
-    /** Watches until a watch fails, or ends without a change while the version is not confirmed. */
-    private async watch(revision: number): Promise<void> {
-        const { store, codec } = this.options;
-        let afterRevision = revision;
+    private async watch(): Promise<void> {
+        const { clock, codec, store } = this.options;
         while (!this.isStopped) {
+            if (this.knownRevision === undefined) {
+                await this.read();
+            }
+            if (this.knownRevision === undefined) {
+                await clock.wait(retryMs);
+                continue;
+            }
             const watched = await store.call({
                 kind: "watch",
                 prefix: codec.configurationKey,
-                afterRevision,
-                waitMs: this.isConfirmed ? confirmedWatchMs : watchMs,
+                afterRevision: this.knownRevision,
+                waitMs: watchMs,
             });
-            if (!watched.ok || watched.val.changes.length === 0 && !this.isConfirmed) {
-                return;
+            if (!watched.ok) {
+                // The revision may be older than the history of the store.
+                this.knownRevision = undefined;
+                continue;
             }
+            this.recordRevision(watched.val.storeRevision);
             watched.val.changes.forEach(change => {
                 if (change.item !== undefined && change.key === codec.configurationKey) {
                     this.accept(change.item, "watch");
                 }
             });
-            afterRevision = watched.val.storeRevision;
         }
     }
 
+    private recordRevision(revision: number): void {
+        this.knownRevision = Math.max(this.knownRevision ?? 0, revision);
+    }
+
     /** Adopts the stored version if it is newer. Returns whether the present version is the stored one. */
     private accept(item: StoreItem, source: "read" | "watch"): boolean {
-        const decoded = this.options.codec.decodeConfiguration(item.value);
+        const { codec, logger, onChange } = this.options;
+        const decoded = codec.decodeConfiguration(item.value);
         if (!decoded.ok) {
-            const { message } = decoded.val;
-            this.options.logger.write("error", "configuration cannot be read", { revision: item.revision, message });
+            if (item.revision !== this.unreadableRevision) {
+                this.unreadableRevision = item.revision;
+                const { message } = decoded.val;
+                logger.write("error", "configuration cannot be read", { revision: item.revision, message });
+            }
             return false;
         }
         const configuration = decoded.val;
         const previous = this.index?.configuration.version ?? -1;
         if (configuration.version > previous) {
             this.index = new ConfigurationIndex(configuration);
-            this.options.logger.write("info", "configuration applied", {
+            logger.write("info", "configuration applied", {
                 version: configuration.version,
                 previous,
                 source,
@@ -144,7 +195,7 @@
                 queues: configuration.queues.length,
                 teams: configuration.teams.length,
             });
-            this.options.onChange(configuration);
+            onChange(configuration);
         }
         return configuration.version >= previous;
     }
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -1,13 +1,16 @@
 /**
  * Calls the store directly, or through another host of the cell while the store does not serve this one.
  *
+ * A read of one key is sent by a further route whenever none has answered for a short time, since its answer may bound
+ * the age of what this host believes.
+ *
  * After a failed direct call other hosts are tried first, and the direct route is probed in the background, so that
  * further requests do not wait for its time-out. A single write without an answer does not count as a failure of the
  * route, since a store that serves this host can lose answers.
  *
  * A write without an answer may have been carried out, so it is not sent again by another route: the caller decides.
  */
-import type { Clock, Failure, Result } from "@waxwingroute/core";
+import type { Clock, Failure, Result, Timer } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import { ownershipPrefix } from "./store-keys.js";
 import type { StoreReply, StoreRequest } from "./store.js";
@@ -31,6 +34,8 @@
 const maxPeersTried = 3;
 /** Direct writes in a row without an answer after which other hosts are tried first. */
 const unansweredWritesBeforeAvoided = 2;
+/** Time after which a read without an answer is sent by a further route too, ms: a round trip across regions. */
+const furtherRouteDelayMs = 300;
 /** Time-out of a probe, ms: longer than a call takes to a store that is slow but serves this host. */
 const probeTimeoutMs = 600;
 
@@ -61,25 +66,63 @@
     override async call<Request extends StoreRequest>(
         request: Request,
         timeoutMs?: number,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
+        return request.kind === "read"
+            ? this.callConcurrently(request, timeoutMs)
+            : this.callInTurn(request, timeoutMs);
+    }
+
+    private async callInTurn<Request extends StoreRequest>(
+        request: Request,
+        timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
         let lastResult: Result<StoreReply<Request>, Failure> | undefined;
         for (const route of this.listRoutes()) {
             lastResult = await this.callRoute(route, request, timeoutMs);
-            if (lastResult.ok || !isStoreUnreachable(lastResult.val)) {
-                this.lastAnswerAt = this.options.clock.getNow();
-                return lastResult;
-            }
-            if (route !== this.options.direct) {
-                // The next request starts with another host.
-                this.peerOffset += 1;
-            }
-            if (!canRepeat(request, lastResult.val)) {
+            if (lastResult.ok || isAnswer(lastResult) || !canRepeat(request, lastResult.val)) {
                 return lastResult;
             }
         }
         return lastResult!;
     }
 
+    /** Uses the next route when one has failed or has not answered for a while. The first answer is the result. */
+    private callConcurrently<Request extends StoreRequest>(
+        request: Request,
+        timeoutMs: number | undefined,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
+        const routes = this.listRoutes();
+        let unansweredCount = 0;
+        return new Promise(resolve => {
+            let timer: Timer | undefined;
+            let isSettled = false;
+            const settle = (result: Result<StoreReply<Request>, Failure>) => {
+                isSettled = true;
+                timer?.cancel();
+                resolve(result);
+            };
+            const startNext = () => {
+                timer?.cancel();
+                const route = routes.shift();
+                if (route === undefined || isSettled) {
+                    return;
+                }
+                unansweredCount += 1;
+                timer = this.options.clock.schedule(furtherRouteDelayMs, startNext);
+                void this.callRoute(route, request, timeoutMs).then(result => {
+                    unansweredCount -= 1;
+                    if (!isAnswer(result)) {
+                        startNext();
+                    }
+                    if (isAnswer(result) || unansweredCount === 0) {
+                        settle(result);
+                    }
+                });
+            };
+            startNext();
+        });
+    }
+
     /** Returns the routes in the order in which they are tried. A host that answers stays the first of the others. */
     private listRoutes(): LeaseStore[] {
         const peers = this.options.listPeers();
@@ -93,17 +136,31 @@
         request: Request,
         timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
-        if (route !== this.options.direct) {
-            return route.call(request, timeoutMs);
+        const isDirect = route === this.options.direct;
+        const result = isDirect ? await this.callDirectly(request, timeoutMs) : await route.call(request, timeoutMs);
+        if (isAnswer(result)) {
+            this.lastAnswerAt = this.options.clock.getNow();
         }
+        else if (!isDirect) {
+            // The next request starts with another host.
+            this.peerOffset += 1;
+        }
+        return result;
+    }
+
+    private async callDirectly<Request extends StoreRequest>(
+        request: Request,
+        timeoutMs: number | undefined,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
         const startedAt = this.options.clock.getNow();
-        const result = await route.call(request, timeoutMs);
-        const isAnswered = result.ok || !isStoreUnreachable(result.val);
+        const result = await this.options.direct.call(request, timeoutMs);
+        const isAnswered = isAnswer(result);
         this.options.onCall?.(request.kind, isAnswered, this.options.clock.getNow() - startedAt);
-        const isUnansweredWrite = !isAnswered && request.kind === "commit" && result.val.verdict !== "notRun";
+        const isUnansweredWrite = !result.ok && !isAnswered && request.kind === "commit"
+            && result.val.verdict !== "notRun";
         this.unansweredWrites = isUnansweredWrite ? this.unansweredWrites + 1 : isAnswered ? 0 : this.unansweredWrites;
         if (
-            !isAnswered && !this.isDirectAvoided
+            !result.ok && !isAnswered && !this.isDirectAvoided
             && (!isUnansweredWrite || this.unansweredWrites >= unansweredWritesBeforeAvoided)
         ) {
             this.isDirectAvoided = true;
@@ -138,7 +195,7 @@
     return failure.verdict === "notRun" || request.kind !== "commit";
 }
 
-/** Returns whether the failure is one of the route, not an answer of the store to the request. */
-function isStoreUnreachable(failure: Failure): boolean {
-    return failure.code !== storeFailures.compacted && failure.code !== storeFailures.leaseEnded;
+/** Returns whether the store has answered the request, be it with a failure; other failures are those of the route. */
+function isAnswer(result: Result<unknown, Failure>): boolean {
+    return result.ok || result.val.code === storeFailures.compacted || result.val.code === storeFailures.leaseEnded;
 }
--- a/packages/cell/src/fallback-store_test.ts
+++ b/packages/cell/src/fallback-store_test.ts
@@ -73,6 +73,8 @@
         const fixture = new Fixture();
         fixture.direct.mode = "silent";
         await fixture.settle(fixture.store.call({ kind: "read", key: "a" }, 500));
+        // The other host answers before the direct call has failed.
+        await fixture.clock.advance(300);
         expect(fixture.store.isDirectlyReachable).toEqual(false);
         for (let index = 0; index < 20; index++) {
             const sentAt = fixture.clock.getNow();
--- a/packages/cell/src/job-gateway.ts
+++ b/packages/cell/src/job-gateway.ts
@@ -26,6 +26,11 @@
 
 /** Accepts, describes and cancels jobs for callers. */
 export abstract class JobGateway {
+    /**
+     * Waits until the configuration by which the next calls are decided is recent. Resolves after a short time without
+     * that if the store cannot be read.
+     */
+    abstract confirmConfiguration(): Promise<void>;
     /** Returns the queue that the DNS name in the request and the path select. */
     abstract resolveQueue(hostName: string, path: string): Result<QueueTarget, Failure>;
     /** Returns the team of the key, or the team of public jobs if a public queue is called without a known key. */
