Open a new connection after a time-out instead of using an idle one that may be silent too

Cause: connections go silent together. A call that timed out destroyed its own connection only, so each further call took the next silent one from the pool and waited for its whole time-out: with three idle connections, 3 x 0.7 s for reads.

Change: a time-out on a reused connection closes the idle ones, so that the next call opens a new one.

Evidence: the new test of http-client_test does not end without the change (its second call waits on a silent connection) and passes with it.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -117,6 +117,9 @@
         const timer = this.clock.schedule(timeoutMs, () => setImmediate(() => exchange.expire(timeoutMs)));
         const result = await exchange.run(() => this.createClientRequest(request, body), body);
         timer.cancel();
+        if (!result.ok && result.val.kind === "timedOut" && exchange.isConnectionReused) {
+            this.closeIdleConnections();
+        }
         this.options.onCall?.({
             service: this.service,
             operation: request.operation,
@@ -128,6 +131,16 @@
         return result;
     }
 
+    /**
+     * Closes the connections without a call. Connections that were opened together often go silent together, and each
+     * would cost another call its whole time-out.
+     */
+    private closeIdleConnections(): void {
+        for (const sockets of Object.values(this.agent.freeSockets)) {
+            [...sockets ?? []].forEach(socket => socket.destroy());
+        }
+    }
+
     private buildPlatformHeaders(): OutgoingHttpHeaders {
         if (this.options.sendsPlatformHeaders === false) {
             return {};
@@ -164,6 +177,11 @@
 
     constructor(private readonly maxResponseBytes: number) {}
 
+    /** Whether the request went over a connection that had served others before. */
+    get isConnectionReused(): boolean {
+        return this.clientRequest?.reusedSocket === true;
+    }
+
     run(
         createClientRequest: () => ClientRequest,
         body: Buffer | undefined,
--- a/packages/platform/src/http-client_test.ts
+++ b/packages/platform/src/http-client_test.ts
@@ -58,6 +58,45 @@
         return result.ok ? "answered" : [result.val.kind, result.val.wasSent];
     }
 
+    describe("connections that go silent", () => {
+        // Guards against calls that each wait for their time-out on the next of several connections that went silent.
+        it("opens a new connection after a time-out instead of using an idle one", async () => {
+            const connections = 3;
+            const waiting: Socket[] = [];
+            const answer = (socket: Socket) => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+            let areOldSilent = false;
+            const old = new Set<Socket>();
+            let reportSilentCall = () => {};
+            const silentCall = new Promise<void>(resolve => {
+                reportSilentCall = resolve;
+            });
+            const url = await listen(socket => {
+                if (areOldSilent) {
+                    if (old.has(socket)) {
+                        reportSilentCall();
+                    }
+                    else {
+                        answer(socket);
+                    }
+                    return;
+                }
+                waiting.push(socket);
+                old.add(socket);
+                if (waiting.length === connections) {
+                    waiting.forEach(answer);
+                }
+            });
+            const client = createClient(url);
+            await Promise.all(Array.from({ length: connections }, () => client.send(request)));
+            areOldSilent = true;
+            const unanswered = client.send(request);
+            await silentCall;
+            await clock.advance(100);
+            expect(describeFailure(await unanswered)).toEqual(["timedOut", true]);
+            expect(describeFailure(await client.send(request))).toEqual("answered");
+        });
+    });
+
     describe("whether a failed request was sent", () => {
         // Guards against refusing a safe retry although no connection was made.
         it("reports that nothing was sent when the connection is refused", async () => {
