Probe and give up tasks that crash their executors

Cause: a crash left no trace. All runs of the executor ended as lost, which counts neither against a task nor a job; every task that had crashed an executor waited again with the others and crashed the next one.

Change: when an executor crashes, the runs that it had started and not listed are its suspects. A task under suspicion is started as a probe: its executor gets no other start until a listing shows that it survived, so that the next crash has one cause. Probes use a quarter of the executors at most; a task that was the only suspect waits for an idle executor and ranks last. Where many starts of a queue crash, all its starts are probes. After three crashes, two of them without another suspect, the job is shown as failed. Ends by crashes are stored with the other ends, so that the next owner goes on counting. A start without an answer may have been sent after the crash, so alone it proves nothing.

Evidence: the two tests of cell-owner_test (crash 2 and 20 ms after the start, owner replaced meanwhile) failed on: after 60 s the crashing job was still running.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -8,7 +8,15 @@
  */
 import type { Clock, ExecutorId, Failure, QueueId, Result } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
-import type { AdviceGrant, JobChange, ListedRun, RunEnd, SchedulerRules, StepKey } from "@waxwingroute/workflow";
+import type {
+    AdviceGrant,
+    JobChange,
+    ListedRun,
+    RunEnd,
+    SchedulerRules,
+    StepKey,
+    TaskKey,
+} from "@waxwingroute/workflow";
 import { parseTaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import type { AdviceHost } from "./advice-dispatcher.js";
 import { AdviceDispatcher } from "./advice-dispatcher.js";
@@ -287,6 +295,10 @@
         });
     }
 
+    onStarted(executor: ExecutorId, task: TaskKey, run: number): void {
+        this.runAfterRecovery(() => this.scheduler.recordStarted(this.options.clock.getNow(), executor, task, run));
+    }
+
     onRunning(executor: ExecutorId, run: ListedRun): void {
         this.runAfterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
     }
@@ -348,8 +360,9 @@
             acknowledge?.();
             this.jobs.forgetFinished(job);
         }
-        else if (acknowledge !== undefined) {
-            this.journal.recordEnd(end, acknowledge);
+        else if (acknowledge !== undefined || end.outcome === "crashed" || end.outcome === "suspected") {
+            // The executor does not list crashes, so the next owner knows only those that are stored.
+            this.journal.recordEnd(end, acknowledge ?? (() => {}));
         }
         this.requestTick();
     }
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -1,3 +1,4 @@
+import type { JobState } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { CellSimulationOptions } from "./testing/cell-simulation.js";
@@ -12,6 +13,10 @@
     return cell;
 }
 
+function isEnded(state: JobState | undefined): boolean {
+    return state === "succeeded" || state === "failed";
+}
+
 describe("CellOwner", () => {
     describe("without faults", () => {
         it("runs the steps of a job in order and reports the job as succeeded", async () => {
@@ -44,6 +49,43 @@
         });
     });
 
+    describe("a task that crashes its executors", () => {
+        /** More starts of a task than this break the rule of the platform: three crashes, and then three more starts. */
+        const maxStarts = 5;
+
+        for (const crashAfterMs of [2, 20]) {
+            it(`is given up across owners when it crashes them ${crashAfterMs} ms after its start`, async () => {
+                // Guards against one task that crashes executor after executor.
+                const starts = new Map<string, number>();
+                const cell = await openCell({
+                    hosts: 3,
+                    executors: 4,
+                    planRun: task => {
+                        starts.set(task, (starts.get(task) ?? 0) + 1);
+                        return task.startsWith("bad")
+                            ? { workMs: 300, outcome: "done", crashAfterMs }
+                            : { workMs: 300, outcome: "done" };
+                    },
+                });
+                const names = ["good0", "good1", "bad", "good2", "good3"];
+                names.forEach(name => void cell.submit(cell.hosts[0]!, name, [{ taskCount: 2 }]));
+                await cell.advance(2_500);
+                cell.owner!.restart();
+                await cell.advanceUntil(() => names.every(name => isEnded(cell.getState(name))), 60_000);
+                expect(names.map(name => cell.getState(name))).toEqual([
+                    "succeeded",
+                    "succeeded",
+                    "failed",
+                    "succeeded",
+                    "succeeded",
+                ]);
+                expect([...starts].filter(([, count]) => count > maxStarts)).toEqual([]);
+                expect(cell.checker.violations).toEqual([]);
+                cell.close();
+            });
+        }
+    });
+
     describe("a takeover", () => {
         it("does not run a finished task again whose unstored end preceded one that needs no storing", async () => {
             // Guards against acknowledging ends out of order. An end whose job has already ended is acknowledged at
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -336,6 +336,7 @@
         }
         if (existing !== undefined) {
             // The same id at another address is a new incarnation of the executor, which holds no earlier run.
+            existing.session.reportCrash();
             existing.session.close();
             this.executorsOfEarlierOwner.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -23,6 +23,9 @@
      * No run that was charged to the executor goes on: all its leases have expired, or it was restarted or replaced.
      */
     onRunsLost(executor: ExecutorId, reason: string): void;
+    /** The executor has confirmed a start. */
+    onStarted(executor: ExecutorId, task: TaskKey, run: number): void;
+    /** The executor lists a run. */
     onRunning(executor: ExecutorId, run: ListedRun): void;
     /**
      * A run has ended. The executor lists the end until `acknowledge` is called. Without `acknowledge`, the executor does
@@ -70,6 +73,10 @@
 const answerMarginMs = 700;
 /** Failed renewals in a row after which the executor counts as unreachable. */
 const failuresBeforeUnreachable = 2;
+/** Time from the confirmation of a probe's start until the runs are listed, ms. */
+const probeDelayMs = 50;
+/** Longest time from the sending of a start to the first failed call after a crash under it, ms, unless it is silent. */
+const maxCrashDelayMs = 600;
 /** Pause before a failed call to the executor is repeated, ms. */
 const retryMs = 250;
 /**
@@ -95,6 +102,12 @@
     changedAt: number;
     /** Whether `stop` was called for the run; it repeats the call to the executor until it is answered. */
     isStopping: boolean;
+    /** Whether the executor has listed the run. */
+    isListed: boolean;
+    readonly isProbe: boolean;
+    readonly sentAt: number;
+    /** Set when the executor crashed before it had listed the run. */
+    crashOutcome?: "crashed" | "suspected";
 }
 
 /** Exchanges renewals, listings and orders with one executor until it is closed. */
@@ -111,6 +124,8 @@
     private startedAtWallMs: number | undefined;
     private readonly leases: ExecutorLeases;
     private failures = 0;
+    /** Time of the first failed call since the last listing. */
+    private failingSince = Infinity;
     private isClosed = false;
     /** Whether what the executor holds is known: it has listed it, or it holds nothing any more. */
     private hasKnownRuns = false;
@@ -174,6 +189,9 @@
             state: "sent",
             changedAt: clock.getNow(),
             isStopping: false,
+            isListed: false,
+            isProbe: decision.isProbe,
+            sentAt: clock.getNow(),
         };
         this.trackedRuns.set(toRunKey(tracked), tracked);
         const started = await client.start({
@@ -193,7 +211,10 @@
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
             this.isIncarnationKnown &&= !this.leases.isClockReset(started.val.clockMs);
             tracked.state = "answered";
-            listener.onRunning(executor, { task: tracked.task, run: tracked.run, checkpoint: "", percent: 0 });
+            listener.onStarted(executor, tracked.task, tracked.run);
+            if (decision.isProbe) {
+                void this.confirmProbe(tracked);
+            }
             return;
         }
         logger.write("info", "start not confirmed", {
@@ -211,11 +232,32 @@
         }
         else {
             this.isIncarnationKnown = false;
+            this.failingSince = Math.min(this.failingSince, clock.getNow());
             tracked.state = "unanswered";
             this.wakeUp?.();
         }
     }
 
+    /**
+     * Lists the runs soon after a start to see whether the executor has survived it. The renewal that is waiting may be
+     * answered much later. Nothing else is taken from this listing, since the renewal's may overtake it.
+     */
+    private async confirmProbe(tracked: TrackedRun): Promise<void> {
+        const { client, clock, executor, listener } = this.options;
+        while (!this.isClosed && !tracked.isListed && this.trackedRuns.get(toRunKey(tracked)) === tracked) {
+            await clock.wait(probeDelayMs);
+            const listed = await client.renew({ fencingToken: this.fencingToken, acknowledged: 0 }, answerMarginMs);
+            const run = listed.ok
+                ? listed.val.running.find(candidate => toRunKey(candidate) === toRunKey(tracked))
+                : undefined;
+            if (run === undefined || this.trackedRuns.get(toRunKey(tracked)) !== tracked) {
+                return;
+            }
+            tracked.isListed = true;
+            listener.onRunning(executor, run);
+        }
+    }
+
     /** Limits the speed of a run, without a retry. Returns whether the executor confirmed it. */
     async throttle(task: TaskKey, run: number, percent: number): Promise<boolean> {
         const throttled = await this.options.client.throttle({ task, run, percent, fencingToken: this.fencingToken });
@@ -282,6 +324,7 @@
         }
         else {
             this.isIncarnationKnown = false;
+            this.failingSince = Math.min(this.failingSince, clock.getNow());
             this.handleFailedRenewal(renewed.val);
             this.reportIfFenced(renewed);
             await this.waitForWake(retryMs);
@@ -317,6 +360,7 @@
         this.isIncarnationKnown = true;
         const isRegained = !this.hasKnownRuns || this.failures >= failuresBeforeUnreachable;
         this.failures = 0;
+        this.failingSince = Infinity;
         const listed = new Set<string>();
         for (const end of listing.ended) {
             listed.add(toRunKey(end));
@@ -357,12 +401,16 @@
                 state: "answered",
                 changedAt: clock.getNow(),
                 isStopping: false,
+                isListed: true,
+                isProbe: false,
+                sentAt: clock.getNow(),
             });
             if (!mayContinue) {
                 void this.stop(run.task, run.run);
             }
             return;
         }
+        tracked.isListed = true;
         if (tracked.state === "unanswered") {
             tracked.state = "answered";
             tracked.changedAt = clock.getNow();
@@ -384,36 +432,72 @@
             }
             else {
                 this.trackedRuns.delete(key);
-                this.reportEnd(tracked, tracked.state === "stopped" ? "notStarted" : "lost");
+                this.reportEnd(tracked, tracked.crashOutcome ?? (tracked.state === "stopped" ? "notStarted" : "lost"));
             }
         }
     }
 
     private handleFailedRenewal(failure: Failure): void {
-        const { executor, listener, logger } = this.options;
-        this.failures += 1;
         if (failure.code === executorFailures.replaced) {
+            this.failures += 1;
+            this.reportCrash();
             this.forgetRunsOnce("another executor has its address");
             return;
         }
-        if (this.failures === failuresBeforeUnreachable) {
+        this.recordFailures(this.failures + 1, failure);
+        if (this.failures >= failuresBeforeUnreachable && this.leases.hasExpired()) {
+            this.forgetRunsOnce("its leases have run out");
+        }
+    }
+
+    private recordFailures(failures: number, failure: Failure): void {
+        const { executor, listener, logger } = this.options;
+        const wasReachable = this.failures < failuresBeforeUnreachable;
+        this.failures = failures;
+        if (wasReachable && failures >= failuresBeforeUnreachable) {
             logger.write("warn", "executor does not answer", { executor, code: failure.code, reason: failure.message });
             listener.onUnreachable(executor);
         }
-        if (this.failures >= failuresBeforeUnreachable && this.leases.hasExpired()) {
-            this.forgetRunsOnce("its leases have run out");
+    }
+
+    /** Reports the end of the runs under which the executor may have crashed; it is replaced or closed afterwards. */
+    reportCrash(): void {
+        this.markSuspects();
+        for (const [key, tracked] of this.trackedRuns) {
+            if (tracked.crashOutcome !== undefined) {
+                this.trackedRuns.delete(key);
+                this.reportEnd(tracked, tracked.crashOutcome);
+            }
         }
     }
 
+    /**
+     * Finds the runs under which the executor may have crashed: those that it did not list, and of these the ones that
+     * were sent shortly before the first call failed, if there are any. A start without an answer may have been sent after
+     * the crash, so it is never taken for the only suspect, unless nothing else was sent beside it.
+     */
+    private markSuspects(): void {
+        const unlisted = [...this.trackedRuns.values()].filter(tracked =>
+            !tracked.isListed && tracked.state !== "sent"
+        );
+        const recent = unlisted.filter(tracked => tracked.sentAt >= this.failingSince - maxCrashDelayMs);
+        const suspects = recent.length > 0 ? recent : unlisted;
+        const isSole = suspects.length === 1 && (suspects[0]!.state === "answered" || suspects[0]!.isProbe);
+        suspects.forEach(tracked => {
+            tracked.crashOutcome ??= isSole ? "crashed" : "suspected";
+        });
+    }
+
     /**
      * Reports the runs of the earlier incarnation as lost. Starts without an answer are kept, since they may still
      * reach the new incarnation.
      */
     private dropRunsOfEarlierIncarnation(): void {
+        this.markSuspects();
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.state === "answered" || tracked.state === "stopped") {
                 this.trackedRuns.delete(key);
-                this.reportEnd(tracked, "lost");
+                this.reportEnd(tracked, tracked.crashOutcome ?? "lost");
             }
         }
     }
@@ -431,7 +515,7 @@
         listener.onRunsLost(executor, reason);
     }
 
-    private reportEnd(tracked: TrackedRun, outcome: "notStarted" | "lost"): void {
+    private reportEnd(tracked: TrackedRun, outcome: "notStarted" | "lost" | "crashed" | "suspected"): void {
         const { executor, listener, logger } = this.options;
         if (outcome === "lost") {
             logger.write("warn", "run disappeared from its executor", {
--- a/packages/cell/src/order-sender.ts
+++ b/packages/cell/src/order-sender.ts
@@ -23,13 +23,14 @@
     }
 
     private sendStart(start: StartDecision): void {
-        const { executor, task, run, slackMs, checkpoint } = start;
+        const { executor, task, run, slackMs, checkpoint, isProbe } = start;
         this.options.logger.write("info", "start", {
             executor,
             task,
             run,
             slackMs: Math.round(slackMs),
             resumes: checkpoint !== "",
+            isProbe: isProbe || undefined,
         });
         void this.options.getSession(executor)?.start(start);
     }
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -21,6 +21,8 @@
 export interface RunPlan {
     readonly workMs: number;
     readonly outcome: "done" | "failed";
+    /** Time from the start until the executor crashes under the run, ms. Default: it does not. */
+    readonly crashAfterMs?: number;
 }
 
 /** Identity, lease limit and run plans of a fake executor. */
@@ -42,6 +44,8 @@
 
 /** Latency of a call in each direction, ms. */
 const latencyMs = 5;
+/** Time for which an executor is down after it crashed under a run, ms. */
+const crashDownMs = 2_000;
 /** Delay of orders while `isDelayingOrders` is set, ms. */
 const orderDelayMs = 3_000;
 
@@ -163,6 +167,9 @@
         const plan = this.options.planRun(order.task, order.run);
         this.runs.set(key, { task: order.task, run: order.run, plan, startedAt: this.options.clock.getNow() });
         this.options.checker.recordStart(this.options.executor, order.task, order.run);
+        if (plan.crashAfterMs !== undefined) {
+            this.scheduleCrash(plan.crashAfterMs);
+        }
         return Ok({ clockMs: this.clockMs });
     }
 
@@ -212,6 +219,17 @@
         });
     }
 
+    private scheduleCrash(afterMs: number): void {
+        const { clock } = this.options;
+        const incarnation = this.startedAtWallMs;
+        clock.schedule(afterMs, () => {
+            if (this.startedAtWallMs === incarnation) {
+                this.kill(true);
+                clock.schedule(crashDownMs, () => this.start());
+            }
+        });
+    }
+
     get hasEnds(): boolean {
         return this.ends.length > 0;
     }
--- a/packages/workflow/src/candidates.ts
+++ b/packages/workflow/src/candidates.ts
@@ -25,6 +25,7 @@
         && executor.pool === rules.pool
         && executor.avoidUntil <= now
         && executor.runsOfUnknownTasks.size === 0
+        && executor.probeRuns === 0
         && !isReservedForOther(state, step, executor)
         && (label === undefined || executor.labels.has(label));
 }
--- /dev/null
+++ b/packages/workflow/src/crash-system.ts
@@ -0,0 +1,137 @@
+/**
+ * Contains tasks that crash the executors that start them.
+ *
+ * A run is proven once its executor has listed it. When an executor crashes, only its unproven runs are suspects. A task
+ * under suspicion is started as a probe: its executor gets no other start until the probe is proven, so that a further
+ * crash has one cause. Probes may use only a part of the executors, which bounds what crashing tasks take from others.
+ * Where many starts of a queue end in a crash, all its starts are probes.
+ *
+ * A task is given up only after several crashes, most of them without another suspect, since executors also crash for
+ * other reasons. Ends by crashes are stored like other ends of runs, so that the count survives the owner.
+ */
+import type { Candidate } from "./candidates.js";
+import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { SchedulerState } from "./state.js";
+
+/** Crashes after which a task is given up, and how many of them must have had no other suspect. */
+const maxCrashes = 3;
+const minSoleCrashes = 2;
+/** Weight of a start in the crash rate of its queue, and of one that is among several suspects of a crash. */
+const startWeight = 0.03;
+const suspectWeight = 0.02;
+/** Crash rate from which all starts of a queue are probes. */
+const maxCrashRate = 0.1;
+/** Share of the executors of a pool on which probes may be in flight. */
+const maxProbeShare = 0.25;
+/** Share of the idle executors on which tasks may be probed that were the only suspects of a crash. */
+const maxIdleShare = 0.5;
+
+/** Records a crash under a task. Returns whether the task is to be given up. */
+export function recordCrash(
+    state: SchedulerState,
+    task: TaskRow,
+    run: number,
+    outcome: "crashed" | "suspected",
+): boolean {
+    const { step } = task;
+    // The members of a gang start together and share their run numbers.
+    const counted = step.spec.isGang ? step.tasks[0]! : task;
+    const runs = outcome === "crashed" ? counted.crashedRuns : counted.suspectedRuns;
+    if (runs.has(run) || task.state === "done") {
+        return false;
+    }
+    step.crashedCount += outcome === "crashed" && runs.size === 0 ? 1 : 0;
+    step.suspectCount += isSuspect(counted) ? 0 : 1;
+    runs.add(run);
+    step.blocked = undefined;
+    const queue = state.queues.get(step.occurrence.job.submission.queue);
+    if (queue !== undefined) {
+        queue.crashRate += (outcome === "crashed" ? startWeight : suspectWeight) * (1 - queue.crashRate);
+    }
+    const soleCount = step.spec.isGang ? minSoleCrashes : counted.crashedRuns.size;
+    const count = new Set([...counted.crashedRuns, ...counted.suspectedRuns]).size;
+    return count >= maxCrashes && soleCount >= minSoleCrashes;
+}
+
+/** Records that an executor has survived the start of a run. */
+export function recordSurvivedStart(state: SchedulerState, run: RunRow): void {
+    if (run.isProven) {
+        return;
+    }
+    state.confirmRun(run);
+    const queue = state.queues.get(run.task.step.occurrence.job.submission.queue);
+    if (queue !== undefined) {
+        queue.crashRate -= startWeight * queue.crashRate;
+    }
+}
+
+/** Divides the waiting tasks of a step into those that are started as probes and the others. */
+export function splitProbes(
+    state: SchedulerState,
+    step: StepRow,
+    waiting: readonly TaskRow[],
+): { readonly probes: readonly TaskRow[]; readonly others: readonly TaskRow[]; } {
+    const queue = state.queues.get(step.occurrence.job.submission.queue);
+    // The members of a gang have to start together.
+    if (step.spec.isGang || step.suspectCount === 0 && (queue?.crashRate ?? 0) <= maxCrashRate) {
+        return { probes: [], others: waiting };
+    }
+    // The tasks of a step are alike, so the others may crash their executors too.
+    const areAll = step.crashedCount > 0 || (queue?.crashRate ?? 0) > maxCrashRate;
+    return {
+        probes: waiting.filter(task => areAll || isSuspect(task)),
+        others: areAll ? [] : waiting.filter(task => !isSuspect(task)),
+    };
+}
+
+/** Returns whether the only tasks of the step that wait have each been the only suspect of a crash. */
+export function isLikelyToCrash(step: StepRow): boolean {
+    return step.crashedCount > 0 && step.crashedCount >= step.waitingCount;
+}
+
+/** Returns whether one more probe may be in flight on the executors of the step's pool. */
+export function allowsProbe(state: SchedulerState, step: StepRow): boolean {
+    const usableCount = listUsableExecutors(state, step).length;
+    return state.probeCount < Math.max(1, Math.floor(usableCount * maxProbeShare));
+}
+
+/**
+ * Returns the executor on which a probe may start now: the one with the fewest runs, which a crash would end too, and an
+ * idle one for a task that has crashed an executor. `undefined`: there is none.
+ */
+export function selectProbeExecutor(
+    state: SchedulerState,
+    task: TaskRow,
+    candidates: readonly Candidate[],
+): ExecutorRow | undefined {
+    const needsIdleExecutor = task.crashedRuns.size > 0 && !task.step.spec.isLongRunning;
+    if (!allowsProbe(state, task.step) || needsIdleExecutor && !allowsIdleProbe(state, task.step)) {
+        return undefined;
+    }
+    const maxRuns = needsIdleExecutor ? 0 : Infinity;
+    let selected: ExecutorRow | undefined;
+    for (const { executor } of candidates) {
+        const isUsable = executor.unprovenRuns === 0 && executor.runs.size <= maxRuns;
+        if (isUsable && executor.runs.size < (selected?.runs.size ?? Infinity)) {
+            selected = executor;
+        }
+    }
+    return selected;
+}
+
+/** Bounds the probes by the idle executors, so that others find room when the probes crash them. */
+function allowsIdleProbe(state: SchedulerState, step: StepRow): boolean {
+    const idleCount = listUsableExecutors(state, step).filter(executor => executor.runs.size === 0).length;
+    return state.probeCount < Math.max(1, Math.floor(idleCount * maxIdleShare));
+}
+
+function listUsableExecutors(state: SchedulerState, step: StepRow): ExecutorRow[] {
+    const pool = state.queues.get(step.occurrence.job.submission.queue)?.rules.pool;
+    return [...state.executors.values()].filter(executor =>
+        executor.pool === pool && executor.isReady && executor.isReachable
+    );
+}
+
+function isSuspect(task: TaskRow): boolean {
+    return task.crashedRuns.size + task.suspectedRuns.size > 0;
+}
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -119,11 +119,24 @@
         lastRunNumber: 0,
         doneCount: 0,
         failedGangRuns: new Set(),
+        crashedCount: 0,
+        suspectCount: 0,
         criticalPathMs,
     };
     for (let index = 0; index < spec.taskCount; index++) {
         const key = toTaskKey({ job, occurrence: occurrence.number, step: number, index });
-        tasks.push({ key, step, index, state, runs: [], lastRunNumber: 0, failedRuns: new Set(), checkpoint: "" });
+        tasks.push({
+            key,
+            step,
+            index,
+            state,
+            runs: [],
+            lastRunNumber: 0,
+            failedRuns: new Set(),
+            crashedRuns: new Set(),
+            suspectedRuns: new Set(),
+            checkpoint: "",
+        });
     }
     return step;
 }
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -3,6 +3,7 @@
 import { multiplyResources } from "@waxwingroute/core";
 import type { Candidate } from "./candidates.js";
 import { canBackfill, countFreeSlots, hasValidTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
+import { allowsProbe, selectProbeExecutor, splitProbes } from "./crash-system.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { Reservation, SchedulerState } from "./state.js";
@@ -22,7 +23,8 @@
         if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
             continue;
         }
-        const isBlocked = checkBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
+        const isBlocked = checkBlocked(state, now, step, neededCount)
+            || !placeStep(state, now, step, slackMs);
         if (isBlocked && step.spec.isGang && state.reservation === undefined) {
             state.setReservation(reserveExecutors(state, now, step), previous);
         }
@@ -31,13 +33,20 @@
 
 /** Places what it can of a step. Returns `false` if tasks remain that wait for free slots. */
 function placeStep(state: SchedulerState, now: number, step: StepRow, slackMs: number): boolean {
-    const waiting = listWaitingTasks(step);
+    const { probes, others: waiting } = splitProbes(state, step, listWaitingTasks(step));
+    if (waiting.length === 0 && !allowsProbe(state, step)) {
+        return true;
+    }
     const candidates = listCandidates(state, now, step);
+    placeProbes(state, now, step, probes, candidates, slackMs);
+    if (waiting.length === 0) {
+        return true;
+    }
     const isPlaced = step.spec.isGang
         ? placeGang(state, now, step, waiting, candidates, slackMs)
         : placeIndependentTasks(state, now, step, waiting, candidates, slackMs);
     step.advice.newlyGranted = [];
-    step.blocked = isPlaced ? undefined : {
+    step.blocked = isPlaced || probes.length > 0 ? undefined : {
         gainPosition: state.gainPosition,
         freeSlots: step.spec.isGang ? countSlots(candidates) : 0,
         reservedFor: state.reservation?.step,
@@ -100,6 +109,25 @@
     }
 }
 
+/** Starts each task alone on one of the executors that probes may use, as far as there are any. */
+function placeProbes(
+    state: SchedulerState,
+    now: number,
+    step: StepRow,
+    tasks: readonly TaskRow[],
+    candidates: Candidate[],
+    slackMs: number,
+): void {
+    for (const task of tasks) {
+        const executor = selectProbeExecutor(state, task, candidates);
+        if (executor === undefined || !allowsMore(step.occurrence.job.team, getChargedResources(step))) {
+            continue;
+        }
+        candidates.splice(candidates.findIndex(candidate => candidate.executor === executor), 1);
+        startTask(state, now, task, executor, getNextRunNumber(state, step), slackMs, true);
+    }
+}
+
 /** Returns `false` if tasks remain because no candidate has a free slot left. */
 function placeIndependentTasks(
     state: SchedulerState,
@@ -182,6 +210,7 @@
     executor: ExecutorRow,
     number: number,
     slackMs: number,
+    isProbe = false,
 ): void {
     const step = task.step;
     const run: RunRow = {
@@ -191,6 +220,8 @@
         resources: getChargedResources(step),
         startedAt: now,
         state: "starting",
+        isProven: false,
+        isProbe,
         percent: 0,
         lastProgressAt: now,
         tailMs: undefined,
@@ -205,6 +236,7 @@
         checkpoint: task.checkpoint,
         ticket: step.advice.tickets.get(executor.id)?.ticket,
         slackMs,
+        isProbe,
     });
     const job = step.occurrence.job;
     if (job.phase === "queued") {
--- a/packages/workflow/src/rank.ts
+++ b/packages/workflow/src/rank.ts
@@ -1,4 +1,5 @@
 /** Ranks steps: the most urgent step gets executors and advice first. */
+import { isLikelyToCrash } from "./crash-system.js";
 import type { StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 
@@ -8,10 +9,16 @@
  */
 const maxUsefulFactor = 3;
 
+/** Tier of steps whose tasks are likely to crash their executors. */
+const crashedTier = 4;
+
 /** A step with the values by which it is ranked. */
 export interface RankedStep {
     readonly step: StepRow;
-    /** 0: can meet its objective, or is a service; 1: late; 2: over the rate of its team; 3: too late to be of use. */
+    /**
+     * 0: can meet its objective, or is a service; 1: late; 2: over the rate of its team; 3: too late to be of use; 4:
+     * its tasks are likely to crash their executors.
+     */
     readonly tier: number;
     readonly priority: number;
     /** Time until the objective minus the remaining critical path, ms; negative if the objective cannot be met. */
@@ -38,7 +45,8 @@
     // The rate is checked first: a job over it displaces no useful work of others, even if it can meet its objective.
     const tier = job.isOverTeamRate ? 2 : endsAt <= objectiveAt ? 0 : endsAt <= tooLateAt ? 1 : 3;
     const isServing = step.spec.isLongRunning && !step.spec.usesIdleProcessors;
-    return { step, tier: isServing ? 0 : tier, priority: queue?.rules.priority ?? 0, slackMs };
+    const knownTier = isLikelyToCrash(step) ? crashedTier : isServing ? 0 : tier;
+    return { step, tier: knownTier, priority: queue?.rules.priority ?? 0, slackMs };
 }
 
 function compareRanks(first: RankedStep, second: RankedStep): number {
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -19,6 +19,10 @@
     readonly resources: ResourceVector;
     readonly startedAt: number;
     state: RunState;
+    /** Whether the executor has listed the run, so that it has survived the start. */
+    isProven: boolean;
+    /** Whether no other run may be started on the executor until this one is proven. */
+    readonly isProbe: boolean;
     /** Work done, 0 to 100. A long-running task is fully available at 100. */
     percent: number;
     /** When the run last made progress: `percent` rose, or a long-running task was fully available. */
@@ -42,6 +46,9 @@
     lastRunNumber: number;
     /** Numbers of the runs that failed. A set, because the end of a run can be reported more than once. */
     readonly failedRuns: Set<number>;
+    /** Numbers of the runs that ended as `crashed`, and as `suspected`. */
+    readonly crashedRuns: Set<number>;
+    readonly suspectedRuns: Set<number>;
     /** Progress that the next run resumes from; empty if none. */
     checkpoint: string;
 }
@@ -89,6 +96,9 @@
     doneCount: number;
     /** Numbers of the runs of a gang that failed; each counts once for all members. */
     readonly failedGangRuns: Set<number>;
+    /** Number of tasks that were the only suspect of a crash, and of tasks with any crash; done tasks are kept. */
+    crashedCount: number;
+    suspectCount: number;
     /** Estimated time from the start of this step to the end of the occurrence, ms. */
     criticalPathMs: number;
 }
@@ -160,6 +170,9 @@
     /** Number of runs of best-effort steps, and of steps with a latency target. */
     bestEffortRuns: number;
     servingRuns: number;
+    /** Number of runs that are not proven, and of those among them that are probes. */
+    unprovenRuns: number;
+    probeRuns: number;
     /**
      * Keys of listed runs whose task is not known, and so neither their resources, for example of jobs that ended under
      * an earlier owner. Nothing starts on the executor while there is one.
@@ -183,6 +196,8 @@
     estimateRatio: number;
     /** Moving average of the share of executors that the advisor granted when it was first asked about them. */
     grantRate: number;
+    /** Moving average of the share of starts that crashed their executor. */
+    crashRate: number;
 }
 
 /** Changes the state of a task. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -15,6 +15,7 @@
 import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
+import { recordSurvivedStart } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
 import { stopRunsOfLeavingExecutors } from "./evacuation-system.js";
@@ -78,7 +79,7 @@
         for (const queue of rules.queues) {
             const row = this.state.queues.get(queue.queue);
             if (row === undefined) {
-                this.state.queues.set(queue.queue, { rules: queue, estimateRatio: 1, grantRate: 0.5 });
+                this.state.queues.set(queue.queue, { rules: queue, estimateRatio: 1, grantRate: 0.5, crashRate: 0 });
             }
             else {
                 row.rules = queue;
@@ -194,6 +195,8 @@
                 resources: getChargedResources(task.step),
                 startedAt: now,
                 state: "running",
+                isProven: true,
+                isProbe: false,
                 percent: listed.percent,
                 lastProgressAt: now,
                 tailMs: listed.tailMs,
@@ -222,6 +225,8 @@
                 resources: getChargedResources(task.step),
                 startedAt: now,
                 state: "stopping",
+                isProven: true,
+                isProbe: false,
                 percent: 0,
                 lastProgressAt: now,
                 tailMs: undefined,
@@ -230,16 +235,23 @@
         }
     }
 
-    /** Records that an executor confirmed a start or lists a run, with the progress of the run. */
+    /** Records that an executor confirmed a start. It may still crash under it. */
+    recordStarted(now: number, executor: ExecutorId, task: TaskKey, run: number): void {
+        const row = this.findRun(executor, task, run);
+        if (row?.state === "starting") {
+            row.state = "running";
+            row.lastProgressAt = now;
+        }
+    }
+
+    /** Records that an executor lists a run, with the progress of the run. */
     recordRunning(now: number, executor: ExecutorId, listed: ListedRun): void {
+        this.recordStarted(now, executor, listed.task, listed.run);
         const run = this.findRun(executor, listed.task, listed.run);
         if (run === undefined) {
             return;
         }
-        if (run.state === "starting") {
-            run.state = "running";
-            run.lastProgressAt = now;
-        }
+        recordSurvivedStart(this.state, run);
         const isLongRunning = run.task.step.spec.isLongRunning;
         if (listed.percent > run.percent || isLongRunning && listed.percent >= 100) {
             run.lastProgressAt = now;
@@ -403,6 +415,8 @@
         runs: new Map(),
         bestEffortRuns: 0,
         servingRuns: 0,
+        unprovenRuns: 0,
+        probeRuns: 0,
         runsOfUnknownTasks: new Set(),
         failureRate: 0,
         slowdown: 1,
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -275,7 +275,10 @@
             fixture.scheduler.adoptRunToStop(fixture.now, executor, unknownRun);
             fixture.submit("a", [createStep()]);
             expect(fixture.startTasks()).toEqual([]);
-            fixture.endRun({ executor, ...unknownRun, payload: "", ticket: undefined, slackMs: 0 }, "stopped");
+            fixture.endRun(
+                { executor, ...unknownRun, payload: "", ticket: undefined, slackMs: 0, isProbe: false },
+                "stopped",
+            );
             expect(fixture.startTasks().length).toEqual(1);
         });
 
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -43,6 +43,8 @@
     hasReleasedUnknownTasks = false;
     /** Whether some task may be in the state `unknown`. */
     hasUnknownTasks = false;
+    /** Number of probes in flight. */
+    probeCount = 0;
     /** Run numbers of this owner are above this number. */
     runNumberBase = 0;
 
@@ -68,6 +70,7 @@
             row.runs.set(toRunKey(task.key, run.number), run);
             row.used = addResources(row.used, run.resources);
             updateRunCounts(row, run, 1);
+            this.probeCount += run.isProbe && !run.isProven ? 1 : 0;
         }
         const job = task.step.occurrence.job;
         job.team.used = addResources(job.team.used, run.resources);
@@ -92,6 +95,7 @@
         if (row?.runs.delete(toRunKey(task.key, run.number)) === true) {
             row.used = subtractResources(row.used, run.resources);
             updateRunCounts(row, run, -1);
+            this.probeCount -= run.isProbe && !run.isProven ? 1 : 0;
             this.recordRoomGain(row);
         }
         const job = task.step.occurrence.job;
@@ -102,6 +106,21 @@
         }
     }
 
+    /** Records that the executor has listed a run after its start, so that the start did not crash it. */
+    confirmRun(run: RunRow): void {
+        const row = this.executors.get(run.executor);
+        if (run.isProven || row?.runs.has(toRunKey(run.task.key, run.number)) !== true) {
+            return;
+        }
+        updateRunCounts(row, run, -1);
+        this.probeCount -= run.isProbe ? 1 : 0;
+        run.isProven = true;
+        updateRunCounts(row, run, 1);
+        if (run.isProbe) {
+            this.recordRoomGain(row);
+        }
+    }
+
     /** Number of room gains so far; the position of the next one. */
     get gainPosition(): number {
         return this.firstGain + this.roomGains.length;
@@ -175,6 +194,8 @@
     const { spec } = run.task.step;
     executor.bestEffortRuns += spec.usesIdleProcessors ? change : 0;
     executor.servingRuns += spec.targetMs !== undefined ? change : 0;
+    executor.unprovenRuns += run.isProven ? 0 : change;
+    executor.probeRuns += run.isProbe && !run.isProven ? change : 0;
 }
 
 /** Returns the resources of an executor that no run is charged for. */
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -139,7 +139,8 @@
 
 /**
  * How a run ended. `lapsed`: its lease expired. `memberEnded`: another member of the gang ended. `incomplete`: the gang
- * was not complete in time. `lost`: the executor was lost or restarted. `notStarted`: the start was refused.
+ * was not complete in time. `lost`: the executor was lost or restarted. `notStarted`: the start was refused. `crashed`:
+ * the executor crashed before it had listed the run, the only such run on it. `suspected`: the same, with other such runs.
  */
 export type RunOutcome =
     | "done"
@@ -149,7 +150,9 @@
     | "memberEnded"
     | "incomplete"
     | "lost"
-    | "notStarted";
+    | "notStarted"
+    | "crashed"
+    | "suspected";
 
 /** How a run ended on its executor, and the progress that it saved. */
 export interface RunEnd {
@@ -183,6 +186,8 @@
     readonly ticket: string | undefined;
     /** Slack of the step before the objective of its job, for the log, ms. */
     readonly slackMs: number;
+    /** Whether the executor gets no other start until it is known to have survived this one. */
+    readonly isProbe: boolean;
 }
 
 /**
