Send no starts to an executor that refuses connections

Cause: an executor counted as reachable until two renewals had failed, and a refused start left the task to the next tick, 5 ms later, which sent it there again.

Change: a refused connection, of a start or a renewal, makes the executor unreachable until a renewal is answered. Its runs stay charged as before: a refusal does not prove that they have ended.

Evidence: the new test of cell-owner_test failed without the change (more than the four starts in flight were refused).

--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -86,6 +86,25 @@
         }
     });
 
+    describe("an executor that is gone", () => {
+        it("gets no further starts after one was refused because nothing listens at its address", async () => {
+            // Guards against starts that are sent to the same dead executor again in each tick.
+            const cell = await openCell({ executors: 2 });
+            const gone = cell.executors[0]!;
+            gone.refusesWhenDown = true;
+            gone.kill(true);
+            void cell.submit(cell.hosts[0]!, "a", [{ taskCount: 8 }]);
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 10_000)).toEqual(true);
+            // Four tasks fit on the executor, and their starts are in flight together.
+            expect(gone.refusedOrders <= 4).toEqual(true);
+            gone.start();
+            await cell.advance(2_000);
+            void cell.submit(cell.hosts[0]!, "b", [{ taskCount: 8 }]);
+            expect(await cell.advanceUntil(() => cell.getState("b") === "succeeded", 2_000)).toEqual(true);
+            cell.close();
+        });
+    });
+
     describe("a takeover", () => {
         it("does not run a finished task again whose unstored end preceded one that needs no storing", async () => {
             // Guards against acknowledging ends out of order. An end whose job has already ended is acknowledged at
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -229,6 +229,9 @@
             this.trackedRuns.delete(toRunKey(tracked));
             this.reportEnd(tracked, "notStarted");
             this.reportIfFenced(started);
+            if (started.val.code === executorFailures.unreachable) {
+                this.recordUnreachable(started.val);
+            }
         }
         else {
             this.isIncarnationKnown = false;
@@ -444,12 +447,22 @@
             this.forgetRunsOnce("another executor has its address");
             return;
         }
-        this.recordFailures(this.failures + 1, failure);
+        if (failure.code === executorFailures.unreachable) {
+            this.recordUnreachable(failure);
+        }
+        else {
+            this.recordFailures(this.failures + 1, failure);
+        }
         if (this.failures >= failuresBeforeUnreachable && this.leases.hasExpired()) {
             this.forgetRunsOnce("its leases have run out");
         }
     }
 
+    /** Gives the executor no work until it answers a renewal: it takes no connection, so each start would be refused. */
+    private recordUnreachable(failure: Failure): void {
+        this.recordFailures(Math.max(this.failures + 1, failuresBeforeUnreachable), failure);
+    }
+
     private recordFailures(failures: number, failure: Failure): void {
         const { executor, listener, logger } = this.options;
         const wasReachable = this.failures < failuresBeforeUnreachable;
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -55,6 +55,10 @@
     isPartitioned = false;
     /** Orders get no answer and are carried out late. */
     isDelayingOrders = false;
+    /** Connections are refused at once while the process is down; otherwise calls get no answer. */
+    refusesWhenDown = false;
+    /** Number of orders that were refused in this way. */
+    refusedOrders = 0;
     startedAtWallMs = 1;
     private highestToken = 0;
     private clockStartedAt: number;
@@ -119,6 +123,10 @@
         const { clock } = this.options;
         const incarnation = this.startedAtWallMs;
         await clock.wait(latencyMs);
+        if (!this.isPartitioned && !this.isUp && this.refusesWhenDown) {
+            this.refusedOrders += isOrder ? 1 : 0;
+            return Err(createFailure(executorFailures.unreachable, "nothing listens at the address", "notRun"));
+        }
         if (this.isPartitioned || !this.isUp) {
             await clock.wait(timeoutMs);
             return Err(
