Test that a capacity that shrinks and grows is kept

Change: two tests; the scheduler passes them unchanged: the room is computed from the last reported capacity, runs that are being stopped count, and a step that was blocked is evaluated again when the capacity grows.

--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -358,6 +358,46 @@
         });
     });
 
+    describe("with an executor whose capacity changes", () => {
+        function setCapacity(fixture: SchedulerFixture, cores: number): void {
+            fixture.scheduler.updateExecutor({
+                executor: toId<ExecutorId>("e0"),
+                pool: toId("pool"),
+                zone: toId("zone"),
+                rack: undefined,
+                labels: [],
+                capacity: toCores(cores),
+                state: "ready",
+            });
+        }
+
+        it("starts nothing above a capacity that shrank, counting runs that are being stopped", () => {
+            // Guards against an executor that is charged beyond what it can hold.
+            const fixture = new SchedulerFixture(1);
+            fixture.submit("a", [createStep({ taskCount: 4, resources: { ...toCores(4), memoryMb: 1 } })]);
+            const starts = fixture.startTasks();
+            expect(starts.length).toEqual(4);
+            fixture.submit("b", [createStep({ taskCount: 4, resources: { ...toCores(4), memoryMb: 1 } })]);
+            setCapacity(fixture, 8);
+            fixture.scheduler.cancelJob(toId("a"));
+            expect(fixture.startTasks()).toEqual([]);
+            starts.slice(0, 2).forEach(start => fixture.endRun(start, "stopped"));
+            expect(fixture.startTasks()).toEqual([]);
+            fixture.endRun(starts[2]!, "stopped");
+            expect(fixture.startTasks().length).toEqual(1);
+        });
+
+        it("uses a capacity that grows again at once, also for steps that were blocked", () => {
+            const fixture = new SchedulerFixture(1);
+            setCapacity(fixture, 4);
+            fixture.submit("a", [createStep({ taskCount: 4, resources: { ...toCores(4), memoryMb: 1 } })]);
+            expect(fixture.startTasks().length).toEqual(1);
+            expect(fixture.startTasks()).toEqual([]);
+            setCapacity(fixture, 16);
+            expect(fixture.startTasks().length).toEqual(3);
+        });
+    });
+
     describe("with faulty executors", () => {
         it("stops a run that makes no progress and starts its task on another executor", () => {
             // Guards against a task that never ends because its executor hangs.
