Count executors that fall silent after a start in the crash rate of its queue

Cause: a crash is certain only when the successor of the executor answers, some four seconds later. Until then the starts of the queue went on as before and crashed the other executors.

Change: when an executor falls silent, its unproven runs count in the crash rate of their queues at once; the same runs are not counted again when the crash is certain. Only the rate, and so the use of probes, depends on it: no task is blamed and no job given up for silence. The rate is bounded, so that a queue is used freely again soon after an outage that looked like crashes.

--- a/packages/workflow/src/crash-system.ts
+++ b/packages/workflow/src/crash-system.ts
@@ -21,6 +21,8 @@
 const suspectWeight = 0.02;
 /** Crash rate from which all starts of a queue are probes. */
 const maxCrashRate = 0.1;
+/** Bound of the crash rate, so that a queue is used freely again soon after an outage that looked like crashes. */
+const highestCrashRate = 0.3;
 /** Share of the executors of a pool on which probes may be in flight. */
 const maxProbeShare = 0.25;
 /** Share of the idle executors on which tasks may be probed that were the only suspects of a crash. */
@@ -28,7 +30,6 @@
 
 /** Records a crash under a task. Returns whether the task is to be given up. */
 export function recordCrash(
-    state: SchedulerState,
     task: TaskRow,
     run: number,
     outcome: "crashed" | "suspected",
@@ -44,15 +45,40 @@
     step.suspectCount += isSuspect(counted) ? 0 : 1;
     runs.add(run);
     step.blocked = undefined;
-    const queue = state.queues.get(step.occurrence.job.submission.queue);
-    if (queue !== undefined) {
-        queue.crashRate += (outcome === "crashed" ? startWeight : suspectWeight) * (1 - queue.crashRate);
-    }
     const soleCount = step.spec.isGang ? minSoleCrashes : counted.crashedRuns.size;
     const count = new Set([...counted.crashedRuns, ...counted.suspectedRuns]).size;
     return count >= maxCrashes && soleCount >= minSoleCrashes;
 }
 
+/** Counts a run in the crash rate of its queue, once. `row`: the run, if it is still in the tables. */
+export function recordCrashRate(
+    state: SchedulerState,
+    step: StepRow,
+    row: RunRow | undefined,
+    isSoleSuspect: boolean,
+): void {
+    const queue = state.queues.get(step.occurrence.job.submission.queue);
+    if (queue === undefined || row?.countsAsCrash === true) {
+        return;
+    }
+    if (row !== undefined) {
+        row.countsAsCrash = true;
+    }
+    queue.crashRate = Math.min(highestCrashRate, queue.crashRate + (isSoleSuspect ? startWeight : suspectWeight));
+}
+
+/**
+ * Counts the unproven runs of an executor that does not answer any more. Whether it crashed is known only seconds later,
+ * when its successor answers; by then the other tasks of the queue could have crashed most executors.
+ */
+export function recordSilence(state: SchedulerState, executor: ExecutorRow): void {
+    for (const run of executor.runs.values()) {
+        if (!run.isProven) {
+            recordCrashRate(state, run.task.step, run, executor.unprovenRuns === 1);
+        }
+    }
+}
+
 /** Records that an executor has survived the start of a run. */
 export function recordSurvivedStart(state: SchedulerState, run: RunRow): void {
     if (run.isProven) {
--- a/packages/workflow/src/crash-system_test.ts
+++ b/packages/workflow/src/crash-system_test.ts
@@ -122,6 +122,41 @@
         });
     });
 
+    describe("queues with many crashes", () => {
+        it("probes all starts once several executors are silent after unproven starts, and some proven ones end that", () => {
+            // Guards against learning of crashes only when the successors of the executors answer, seconds later.
+            const fixture = new Fixture(16);
+            const submitWide = (job: string) =>
+                fixture.submit(job, [createStep({ taskCount: 16, resources: toCores(16) })]);
+            submitWide("a");
+            expect(fixture.startUnproven().length).toEqual(16);
+            for (let index = 0; index < 4; index++) {
+                fixture.putExecutor(index, "unreachable");
+            }
+            fixture.scheduler.cancelJob(toId("a"));
+            for (let index = 4; index < 16; index++) {
+                fixture.scheduler.recordRunsLost(fixture.now, toId<ExecutorId>(`e${index}`));
+            }
+            submitWide("b");
+            fixture.now += 100;
+            const probes = fixture.startUnproven();
+            expect(probes.map(({ isProbe }) => isProbe)).toEqual([true, true, true]);
+            probes.forEach(probe => fixture.prove(probe));
+            fixture.now += 100;
+            expect(fixture.startUnproven().length > 0).toEqual(true);
+            for (let round = 0; round < 20; round++) {
+                fixture.now += 100;
+                fixture.startUnproven().forEach(start => {
+                    fixture.prove(start);
+                    fixture.endRun(start, "done");
+                });
+            }
+            submitWide("c");
+            fixture.now += 100;
+            expect(fixture.startUnproven().some(({ isProbe }) => isProbe)).toEqual(false);
+        });
+    });
+
     describe("after a change of owner", () => {
         it("counts the crashes that earlier owners stored, each once", () => {
             // Guards against a budget that begins anew with each owner.
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -1,6 +1,6 @@
 /** Applies the end of a run to its task, step and job. */
 import { match, P } from "ts-pattern";
-import { recordCrash } from "./crash-system.js";
+import { recordCrash, recordCrashRate } from "./crash-system.js";
 import { recordRunOutcome } from "./health-system.js";
 import { countOccurrences, isStepDone, openReadySteps } from "./job-rows.js";
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
@@ -33,7 +33,8 @@
         .with("done", () => completeTask(state, task))
         .with("failed", () => recordFailure(state, task, number))
         .with(P.union("crashed", "suspected"), how => {
-            if (recordCrash(state, task, number, how)) {
+            recordCrashRate(state, task.step, row, how === "crashed");
+            if (recordCrash(task, number, how)) {
                 endJob(state, task.step.occurrence.job, "failed");
             }
         })
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -222,6 +222,7 @@
         state: "starting",
         isProven: false,
         isProbe,
+        countsAsCrash: false,
         percent: 0,
         lastProgressAt: now,
         tailMs: undefined,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -23,6 +23,8 @@
     isProven: boolean;
     /** Whether no other run may be started on the executor until this one is proven. */
     readonly isProbe: boolean;
+    /** Whether the run counts in the crash rate of its queue as one that crashed its executor. */
+    countsAsCrash: boolean;
     /** Work done, 0 to 100. A long-running task is fully available at 100. */
     percent: number;
     /** When the run last made progress: `percent` rose, or a long-running task was fully available. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -15,7 +15,7 @@
 import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
-import { recordSurvivedStart } from "./crash-system.js";
+import { recordSilence, recordSurvivedStart } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
 import { stopRunsOfLeavingExecutors } from "./evacuation-system.js";
@@ -105,6 +105,9 @@
         row.rack = update.rack;
         row.labels = new Set(update.labels);
         row.capacity = update.capacity;
+        if (row.isReachable && update.state === "unreachable") {
+            recordSilence(this.state, row);
+        }
         row.isReady = update.state === "ready";
         row.isReachable = update.state !== "unreachable";
         row.leavesAt = update.leavesAt;
@@ -197,6 +200,7 @@
                 state: "running",
                 isProven: true,
                 isProbe: false,
+                countsAsCrash: false,
                 percent: listed.percent,
                 lastProgressAt: now,
                 tailMs: listed.tailMs,
@@ -227,6 +231,7 @@
                 state: "stopping",
                 isProven: true,
                 isProbe: false,
+                countsAsCrash: false,
                 percent: 0,
                 lastProgressAt: now,
                 tailMs: undefined,
