Read all jobs again from time to time also while watches report changes

What callers would see: an accepted job that never starts while the same owner stays (LOST).

Cause: the owner read all jobs again only after a watch without changes. Under steady load every watch has some, so a job that a watch missed, and whose announcement was lost too, stayed unknown.

Change: all jobs are read again after 10 s at the latest also while watches report changes.

--- a/packages/cell/src/job-feed.ts
+++ b/packages/cell/src/job-feed.ts
@@ -22,8 +22,9 @@
 const watchMs = 1_000;
 /** Pause between watches, ms. Hosts announce what they store, so the watch only has to find what was not announced. */
 const watchPauseMs = 250;
-/** Shortest time between reads of all jobs while no watch fails, ms. */
+/** Shortest time between reads of all jobs while no watch fails, ms: while none reports changes, and while they do. */
 const rereadIntervalMs = 3_000;
+const busyRereadIntervalMs = 10_000;
 /** Pause after a failed watch, ms. */
 const retryMs = 150;
 
@@ -45,17 +46,19 @@
             if (this.isClosed) {
                 return;
             }
-            if (watched.ok && watched.val.changes.length > 0) {
-                this.applyItems(watched.val.changes.flatMap(({ item }) => item === undefined ? [] : [item]));
+            if (watched.ok) {
+                const { changes } = watched.val;
+                const hasChanges = changes.length > 0;
+                this.applyItems(changes.flatMap(({ item }) => item === undefined ? [] : [item]));
                 afterRevision = watched.val.storeRevision;
-                await clock.wait(watchPauseMs);
-                continue;
+                if (hasChanges) {
+                    await clock.wait(watchPauseMs);
+                }
+                if (clock.getNow() - readAt < (hasChanges ? busyRereadIntervalMs : rereadIntervalMs)) {
+                    continue;
+                }
             }
-            if (watched.ok && clock.getNow() - readAt < rereadIntervalMs) {
-                afterRevision = watched.val.storeRevision;
-                continue;
-            }
-            if (!watched.ok) {
+            else {
                 await clock.wait(retryMs);
             }
             const revision = await this.readAll();
@@ -78,7 +81,7 @@
         this.isClosed = true;
     }
 
-    /** Reads all jobs again. Even a watch without changes may have missed some, because the store drops its history. */
+    /** Reads all jobs again. A watch may have missed some, because the store drops its history. */
     private async readAll(): Promise<number | undefined> {
         const stored = await readStoredCell(this.options.store, this.options.logger);
         if (!stored.ok || this.isClosed) {
