List by a further route when one does not answer soon

What callers would see: work on executors that had said that they leave (DRAIN), and an owner known late.

Cause: a list went over one route after the other, each with its whole time-out: 4.9 s until the last of four routes, longer than executors announce that they leave.

Evidence: the new test of fallback-store_test failed before and passes after.

--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -1,8 +1,8 @@
 /**
  * Calls the store directly, or through another host of the cell while the store does not serve this one.
  *
- * A read of one key is sent by a further route whenever none has answered for a short time, since its answer may bound
- * the age of what this host believes.
+ * A read or a list is sent by a further route whenever none has answered for a short time, since its answer may bound the
+ * age of what this host believes: the configuration, the owner, which executors are leaving.
  *
  * After a failed direct call other hosts are tried first, and the direct route is probed in the background, so that
  * further requests do not wait for its time-out. A single write without an answer does not count as a failure of the
@@ -67,7 +67,7 @@
         request: Request,
         timeoutMs?: number,
     ): Promise<Result<StoreReply<Request>, Failure>> {
-        return request.kind === "read"
+        return request.kind === "read" || request.kind === "list"
             ? this.callConcurrently(request, timeoutMs)
             : this.callInTurn(request, timeoutMs);
     }
--- a/packages/cell/src/fallback-store_test.ts
+++ b/packages/cell/src/fallback-store_test.ts
@@ -68,6 +68,20 @@
         expect(read.ok).toEqual(true);
     });
 
+    it("lists through the last route in time although the others are silent", async () => {
+        // Guards against work that is given to executors which have said that they leave, because a list is asked for on
+        // one silent route after the other.
+        const shortestDrainNoticeMs = 3_000;
+        const fixture = new Fixture();
+        fixture.direct.mode = "silent";
+        fixture.otherPeer.mode = "silent";
+        const sentAt = fixture.clock.getNow();
+        const listed = await fixture.settle(fixture.store.call({ kind: "list", prefix: "a" }, 1_000));
+        expect(listed.ok).toEqual(true);
+        // Entries are listed in a fixed interval, and an order takes a round trip.
+        expect(fixture.clock.getNow() - sentAt <= shortestDrainNoticeMs / 3).toEqual(true);
+    });
+
     it("prefers other hosts after a failure until the store serves this host again", async () => {
         // Guards against requests that each wait for the time-out of the direct route.
         const fixture = new Fixture();
