--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -13,6 +13,8 @@
 import { ExecutorLeases } from "./executor-leases.js";
 import type { ExecutorListing, ListedEnd, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
+import { markCrashSuspects, toRunKey } from "./tracked-run.js";
+import type { TrackedRun } from "./tracked-run.js";
 
 /** Receives the events of the executor sessions of an owner. */
 export interface SessionListener {
@@ -75,8 +77,6 @@
 const failuresBeforeUnreachable = 2;
 /** Time from the confirmation of a probe's start until the runs are listed, ms. */
 const probeDelayMs = 50;
-/** Longest time from the sending of a start to the first failed call after a crash under it, ms, unless it is silent. */
-const maxCrashDelayMs = 600;
 /** Pause before a failed call to the executor is repeated, ms. */
 const retryMs = 250;
 /**
@@ -87,29 +87,6 @@
 /** Pause between renewals while received ends cannot be committed, ms. */
 const uncommittedPauseMs = 200;
 
-/**
- * `sent`: the call that starts the run is in flight. `answered`: the executor has confirmed or listed the run.
- * `unanswered`: the call got no answer, so the run may start later. `stopped`: the executor has answered a stop call.
- */
-type TrackedRunState = "sent" | "answered" | "unanswered" | "stopped";
-
-/** A run that this session started or that the executor has listed, until its end is known. */
-interface TrackedRun {
-    readonly task: TaskKey;
-    readonly run: number;
-    state: TrackedRunState;
-    /** Time of the last change of `state`. */
-    changedAt: number;
-    /** Whether `stop` was called for the run; it repeats the call to the executor until it is answered. */
-    isStopping: boolean;
-    /** Whether the executor has listed the run. */
-    isListed: boolean;
-    readonly isProbe: boolean;
-    readonly sentAt: number;
-    /** Set when the executor crashed before it had listed the run. */
-    crashOutcome?: "crashed" | "suspected";
-}
-
 /** Exchanges renewals, listings and orders with one executor until it is closed. */
 export class ExecutorSession {
     private readonly trackedRuns = new Map<string, TrackedRun>();
@@ -247,15 +224,12 @@
      */
     private async confirmProbe(tracked: TrackedRun): Promise<void> {
         const { client, clock, executor, listener } = this.options;
-        while (!this.isClosed && !tracked.isListed && this.trackedRuns.get(toRunKey(tracked)) === tracked) {
-            await clock.wait(probeDelayMs);
-            const listed = await client.renew({ fencingToken: this.fencingToken, acknowledged: 0 }, answerMarginMs);
-            const run = listed.ok
-                ? listed.val.running.find(candidate => toRunKey(candidate) === toRunKey(tracked))
-                : undefined;
-            if (run === undefined || this.trackedRuns.get(toRunKey(tracked)) !== tracked) {
-                return;
-            }
+        await clock.wait(probeDelayMs);
+        const listed = await client.renew({ fencingToken: this.fencingToken, acknowledged: 0 }, answerMarginMs);
+        const run = listed.ok
+            ? listed.val.running.find(candidate => toRunKey(candidate) === toRunKey(tracked))
+            : undefined;
+        if (run !== undefined && !this.isClosed && this.trackedRuns.get(toRunKey(tracked)) === tracked) {
             tracked.isListed = true;
             listener.onRunning(executor, run);
         }
@@ -475,7 +449,7 @@
 
     /** Reports the end of the runs under which the executor may have crashed; it is replaced or closed afterwards. */
     reportCrash(): void {
-        this.markSuspects();
+        markCrashSuspects(this.trackedRuns.values(), this.failingSince);
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.crashOutcome !== undefined) {
                 this.trackedRuns.delete(key);
@@ -484,31 +458,12 @@
         }
     }
 
-    /**
-     * Finds the runs under which the executor may have crashed: those that it did not list, and of these the ones that
-     * were sent shortly before the first call failed, if there are any. A start without an answer may have been sent after
-     * the crash, so it is never taken for the only suspect, unless nothing else was sent beside it.
-     */
-    private markSuspects(): void {
-        const unlisted = [...this.trackedRuns.values()].filter(tracked =>
-            !tracked.isListed && tracked.state !== "sent"
-        );
-        const recent = unlisted.filter(tracked => tracked.sentAt >= this.failingSince - maxCrashDelayMs);
-        const suspects = recent.length > 0 ? recent : unlisted;
-        // The members of a gang have the step and the run number in common, and count as one.
-        const starts = new Set(suspects.map(({ task, run }) => `${task.slice(0, task.lastIndexOf("."))}#${run}`));
-        const isSole = starts.size === 1 && suspects.some(({ state, isProbe }) => state === "answered" || isProbe);
-        suspects.forEach(tracked => {
-            tracked.crashOutcome ??= isSole ? "crashed" : "suspected";
-        });
-    }
-
     /**
      * Reports the runs of the earlier incarnation as lost. Starts without an answer are kept, since they may still
      * reach the new incarnation.
      */
     private dropRunsOfEarlierIncarnation(): void {
-        this.markSuspects();
+        markCrashSuspects(this.trackedRuns.values(), this.failingSince);
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.state === "answered" || tracked.state === "stopped") {
                 this.trackedRuns.delete(key);
@@ -560,7 +515,3 @@
         });
     }
 }
-
-function toRunKey(run: { readonly task: TaskKey; readonly run: number; }): string {
-    return `${run.task}#${run.run}`;
-}
--- /dev/null
+++ b/packages/cell/src/tracked-run.ts
@@ -0,0 +1,52 @@
+/**
+ * The runs that a session with an executor tracks, and which of them may have crashed the executor.
+ */
+import type { TaskKey } from "@waxwingroute/workflow";
+
+/**
+ * `sent`: the call that starts the run is in flight. `answered`: the executor has confirmed or listed the run.
+ * `unanswered`: the call got no answer, so the run may start later. `stopped`: the executor has answered a stop call.
+ */
+export type TrackedRunState = "sent" | "answered" | "unanswered" | "stopped";
+
+/** A run that this session started or that the executor has listed, until its end is known. */
+export interface TrackedRun {
+    readonly task: TaskKey;
+    readonly run: number;
+    state: TrackedRunState;
+    /** Time of the last change of `state`. */
+    changedAt: number;
+    /** Whether `stop` was called for the run; it repeats the call to the executor until it is answered. */
+    isStopping: boolean;
+    /** Whether the executor has listed the run. */
+    isListed: boolean;
+    readonly isProbe: boolean;
+    readonly sentAt: number;
+    /** Set when the executor crashed before it had listed the run. */
+    crashOutcome?: "crashed" | "suspected";
+}
+
+/** Longest time from the sending of a start to the first failed call after a crash under it, ms, unless it is silent. */
+const maxCrashDelayMs = 600;
+
+/** Returns the key by which a session finds a run. */
+export function toRunKey(run: { readonly task: TaskKey; readonly run: number; }): string {
+    return `${run.task}#${run.run}`;
+}
+
+/**
+ * Sets `crashOutcome` of the runs under which an executor may have crashed: those that it did not list, and of these the
+ * ones that were sent shortly before the first call failed, if there are any. A start without an answer may have been
+ * sent after the crash, so that alone it counts as the only suspect only if it was a probe.
+ */
+export function markCrashSuspects(runs: Iterable<TrackedRun>, failingSince: number): void {
+    const unlisted = [...runs].filter(tracked => !tracked.isListed && tracked.state !== "sent");
+    const recent = unlisted.filter(tracked => tracked.sentAt >= failingSince - maxCrashDelayMs);
+    const suspects = recent.length > 0 ? recent : unlisted;
+    // The members of a gang have the step and the run number in common, and count as one.
+    const starts = new Set(suspects.map(({ task, run }) => `${task.slice(0, task.lastIndexOf("."))}#${run}`));
+    const isSole = starts.size === 1 && suspects.some(({ state, isProbe }) => state === "answered" || isProbe);
+    suspects.forEach(tracked => {
+        tracked.crashOutcome ??= isSole ? "crashed" : "suspected";
+    });
+}
