Let reads of a large configuration end, and read it less often

Cause: the configuration had grown to 2,026 queues, about 600 kB. A small host's link of 7 Mbit/s takes about a second for it, and each read ended at its timeout of 700 ms; it was then repeated over other hosts, filled the link, and the store was taken for away.

Change: the timeout grows with the size of the last configuration and doubles after a failed read, twice at most. A large configuration is read at 50 bytes/ms at most. A further route is used after three sevenths of the timeout, 300 ms at least.

--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -33,8 +33,12 @@
 const readIntervalMs = 1_000;
 /** Pause after a failed read that a watch needs, ms. */
 const retryMs = 150;
-/** Timeout of one read on one route, ms. */
+/** Timeout of one read of a small configuration on one route, ms; doubled after a failed read, twice at most. */
 const readTimeoutMs = 700;
+const maxTimeoutDoublings = 2;
+/** Rate at which even the host with the slowest link receives a configuration, and the part of it for reads, bytes/ms. */
+const receivedBytesPerMs = 300;
+const readBytesPerMs = 50;
 /** Most reads without an answer. */
 const maxReadsInFlight = 4;
 /** Longest time for which a caller waits until the configuration is confirmed, ms. */
@@ -45,6 +49,10 @@
     private index: ConfigurationIndex | undefined;
     private isStopped = false;
     private readsInFlight = 0;
+    /** Reads that failed since the last answered one: the configuration may have grown too large for the timeout. */
+    private failedReads = 0;
+    /** Size of the configuration as last read, bytes. */
+    private sizeBytes = 0;
     /** Send time of the last answered read that found the present version. */
     private confirmedAt = -Infinity;
     /** Revision of the store after which changes are not known yet; `undefined` before the first read. */
@@ -68,7 +76,12 @@
 
     /** Whether the present version was the newest within the last `maxAgeMs`. */
     get isConfirmed(): boolean {
-        return this.ageMs <= (this.options.maxAgeMs ?? 2_000);
+        return this.ageMs <= Math.max(this.options.maxAgeMs ?? 2_000, 2 * this.readInterval);
+    }
+
+    /** Interval of reads, ms: longer for a large configuration, whose reads would fill the link of a small host. */
+    private get readInterval(): number {
+        return Math.max(readIntervalMs, this.sizeBytes / readBytesPerMs);
     }
 
     /** Follows the configuration until `stop`. */
@@ -112,8 +125,10 @@
 
     private async readPeriodically(): Promise<void> {
         while (!this.isStopped) {
-            void this.read();
-            await this.options.clock.wait(readIntervalMs);
+            if (this.failedReads === 0 || this.readsInFlight === 0) {
+                void this.read();
+            }
+            await this.options.clock.wait(this.readInterval);
         }
     }
 
@@ -124,11 +139,16 @@
         }
         this.readsInFlight += 1;
         const sentAt = clock.getNow();
-        const read = await store.call({ kind: "read", key: codec.configurationKey }, readTimeoutMs);
+        const timeoutMs = (readTimeoutMs + this.sizeBytes / receivedBytesPerMs)
+            * 2 ** Math.min(this.failedReads, maxTimeoutDoublings);
+        const read = await store.call({ kind: "read", key: codec.configurationKey }, timeoutMs);
         this.readsInFlight -= 1;
         if (!read.ok) {
+            this.failedReads += 1;
             return;
         }
+        this.failedReads = 0;
+        this.sizeBytes = read.val.item?.value.length ?? 0;
         this.recordRevision(read.val.storeRevision);
         if (read.val.item !== undefined && this.accept(read.val.item, "read")) {
             this.confirmedAt = Math.max(this.confirmedAt, sentAt);
--- a/packages/cell/src/configuration-tracker_test.ts
+++ b/packages/cell/src/configuration-tracker_test.ts
@@ -29,6 +29,8 @@
     isDeaf = false;
     readonly store: MemoryLeaseStore;
     readsSent = 0;
+    /** Rate at which values are received, bytes/ms. */
+    bytesPerMs = Infinity;
 
     constructor(data: MemoryStoreData) {
         super();
@@ -50,7 +52,15 @@
             await clock.wait(waitMs);
             return Ok({ changes: [], storeRevision: revision }) as unknown as Result<StoreReply<Request>, Failure>;
         }
-        return this.store.call(request, timeoutMs);
+        const result: Result<StoreReply<StoreRequest>, Failure> = await this.store.call(request, timeoutMs);
+        if (request.kind === "read" && result.ok && "item" in result.val) {
+            const transferMs = (result.val.item?.value.length ?? 0) / this.bytesPerMs;
+            await clock.wait(Math.min(transferMs, timeoutMs));
+            if (transferMs > timeoutMs) {
+                return Err(createFailure(storeFailures.unanswered, "the answer was not whole in time", "mayHaveRun"));
+            }
+        }
+        return result as Result<StoreReply<Request>, Failure>;
     }
 }
 
@@ -161,6 +171,27 @@
         });
     });
 
+    describe("a large configuration", () => {
+        it("is read without being cut off by the timeout, and seldom", async () => {
+            // Guards against reads of many routes over a slow link that never end in time and leave no room for others.
+            const sizeBytes = 600_000;
+            const fixture = new Fixture();
+            fixture.forEachRoute(route => {
+                route.bytesPerMs = 400;
+            });
+            await fixture.start();
+            fixture.forEachRoute(route => {
+                route.silentKinds = ["watch"];
+            });
+            fixture.store("2".padEnd(sizeBytes));
+            await fixture.clock.advance(10_000);
+            expect(fixture.version).toEqual(2);
+            const reads = fixture.routes.reduce((sum, route) => sum + route.readsSent, 0);
+            await fixture.clock.advance(30_000);
+            expect(fixture.routes.reduce((sum, route) => sum + route.readsSent, 0) - reads <= 6).toEqual(true);
+        });
+    });
+
     describe("confirm", () => {
         it("finds a change that was made while this host was paused or cut off before a call is decided", async () => {
             // Guards against a process that acts on a key which was withdrawn while it did not run.
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -34,8 +34,12 @@
 const maxPeersTried = 3;
 /** Direct writes in a row without an answer after which other hosts are tried first. */
 const unansweredWritesBeforeAvoided = 2;
-/** Time after which a read without an answer is sent by a further route too, ms: a round trip across regions. */
+/**
+ * Shortest time after which a read without an answer is sent by a further route too, ms: a round trip across regions. It
+ * grows with the timeout, since a large answer would otherwise be received several times at once.
+ */
 const furtherRouteDelayMs = 300;
+const furtherRoutePart = 3 / 7;
 /** Time-out of a probe, ms: longer than a call takes to a store that is slow but serves this host. */
 const probeTimeoutMs = 600;
 
@@ -92,6 +96,7 @@
         timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
         const routes = this.listRoutes();
+        const delayMs = Math.max(furtherRouteDelayMs, (timeoutMs ?? 0) * furtherRoutePart);
         let unansweredCount = 0;
         return new Promise(resolve => {
             let timer: Timer | undefined;
@@ -108,7 +113,7 @@
                     return;
                 }
                 unansweredCount += 1;
-                timer = this.options.clock.schedule(furtherRouteDelayMs, startNext);
+                timer = this.options.clock.schedule(delayMs, startNext);
                 void this.callRoute(route, request, timeoutMs).then(result => {
                     unansweredCount -= 1;
                     if (!isAnswer(result)) {
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -23,8 +23,7 @@
         if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
             continue;
         }
-        const isBlocked = checkBlocked(state, now, step, neededCount)
-            || !placeStep(state, now, step, slackMs);
+        const isBlocked = checkBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
         if (isBlocked && step.spec.isGang && state.reservation === undefined) {
             state.setReservation(reserveExecutors(state, now, step), previous);
         }
