--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # the program of a host was built.
 set -e
 cd "$(dirname "$0")"
-for file in lib/*.mjs [0-9]/*.mjs; do
+for file in lib/*.mjs findings/*.mjs [0-9]/*.mjs; do
     node --check "$file"
 done
 test -f ../target/waxwing-node.cjs
