--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,6 +37,12 @@
             ],
         },
     },
+    {
+        // Promises that nobody awaits go through the `Supervisor`, since an error in one would end the process.
+        files: ["packages/cell/src/**/*.ts", "packages/node/src/**/*.ts", "platform/src/**/*.ts"],
+        ignores: ["packages/cell/src/testing/**", "packages/node/src/main.ts"],
+        rules: { "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }] },
+    },
     {
         files: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
         rules: {
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -3,7 +3,7 @@
  * another, so a host is given another call only when little of its outstanding work is left.
  */
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { AdviceGrant, AdviceRequest, AdviceRules, AdviceSendResult, StepKey } from "@waxwingroute/workflow";
 import type { Advisor } from "./advisor.js";
 
@@ -17,6 +17,7 @@
 export interface AdviceDispatcherOptions {
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Called with the result of each request to the advisor. */
     readonly onAnswer: (
         step: StepKey,
@@ -80,7 +81,7 @@
             return "postponed";
         }
         const row = isLong ? pickForLongCall(free) : pickForShortCall(free);
-        void this.ask(row, request, workMs);
+        this.options.supervisor.start("advice", { step: request.step }, () => this.ask(row, request, workMs));
         return "sent";
     }
 
@@ -99,14 +100,18 @@
     }
 
     private async ask(row: HostRow, request: AdviceRequest, workMs: number): Promise<void> {
-        const { clock, logger, onAnswer } = this.options;
+        const { clock, logger, onAnswer, supervisor } = this.options;
         const { step, executors } = request;
         const sentAt = clock.getNow();
         const longCallCount = workMs > longCallMs ? 1 : 0;
         const queuedMs = row.backlogMs;
         row.backlogMs += workMs;
         row.longCalls += longCallCount;
-        const answer = await row.host.advisor.ask(step, executors, row.backlogMs + answerMarginMs);
+        const answer = await supervisor.call(
+            "advice",
+            { step },
+            () => row.host.advisor.ask(step, executors, row.backlogMs + answerMarginMs),
+        );
         row.backlogMs -= workMs;
         row.longCalls -= longCallCount;
         const overheadMs = Math.max(0, clock.getNow() - sentAt - queuedMs - workMs);
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -2,9 +2,9 @@
  * A host of a cell: serves callers, tracks the configuration, follows the owner, and owns the cell itself while
  * it holds the ownership lease.
  */
-import type { Clock, Failure, JobId, QueueId, RandomSource, Result, TeamId } from "@waxwingroute/core";
+import type { Clock, Failure, JobId, NetworkAddress, QueueId, RandomSource, Result, TeamId } from "@waxwingroute/core";
 import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { RpcServer } from "@waxwingroute/transport";
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
@@ -36,10 +36,10 @@
 export interface CellHostOptions {
     /** Name of this host. */
     readonly host: string;
-    /** `<ip>:<port>` at which the other hosts reach this one. */
-    readonly address: string;
+    /** At which the other hosts reach this one. */
+    readonly address: NetworkAddress;
     /** Addresses of hosts that may be up, for the first contact while the store does not serve this host. */
-    readonly seeds: readonly string[];
+    readonly seeds: readonly NetworkAddress[];
     readonly store: LeaseStore;
     readonly codec: PlatformCodec;
     readonly connector: ExecutorConnector;
@@ -47,6 +47,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: LogWriter;
+    /** Catches the errors of loops and calls that nobody waits for. */
+    readonly supervisor: Supervisor;
     /** Longest lease that executors grant, ms. */
     readonly maxLeaseMs: number;
     /** How long the states of finished jobs are kept, ms. */
@@ -93,13 +95,14 @@
 
     constructor(private readonly options: CellHostOptions) {
         super();
-        const { address, clock, codec, host, logger, random } = options;
+        const { address, clock, codec, host, logger, random, supervisor } = options;
         this.peers = new PeerDirectory(address);
         this.store = new FallbackStore({
             direct: options.store,
             listPeers: () => this.peers.listStores(),
             clock,
             logger,
+            supervisor,
             onCall: options.onStoreCall,
         });
         this.replica = new JobReplica({ clock, retentionMs: options.retentionMs });
@@ -107,6 +110,7 @@
             store: this.store,
             clock,
             logger,
+            supervisor,
             onStored: items => this.announce(items),
         });
         this.tracker = new ConfigurationTracker({
@@ -114,6 +118,7 @@
             codec,
             clock,
             logger,
+            supervisor,
             onChange: () => this.applyConfiguration(),
             getOwnerVersion: () => this.ownerClient.configurationVersion,
         });
@@ -139,6 +144,7 @@
             clock,
             random,
             logger,
+            supervisor,
             host,
             address,
             incarnation: random.getHex(16),
@@ -159,10 +165,15 @@
     /** Starts the RPC server and all loops. */
     async start(): Promise<void> {
         await this.server.listen();
-        void this.tracker.run();
-        void this.ownership.run();
-        void this.ownerClient.run();
-        void this.pruneReplica();
+        const isStopped = () => this.isStopping;
+        this.tracker.start();
+        this.ownership.start();
+        this.options.supervisor.startLoop({ operation: "owner client", isStopped, run: () => this.ownerClient.run() });
+        this.options.supervisor.startLoop({
+            operation: "pruning of job states",
+            isStopped,
+            run: () => this.pruneReplica(),
+        });
     }
 
     /** Releases the cell and ends the ownership loop; requests of callers are still answered. */
@@ -193,6 +204,7 @@
             configuration_age_ms: Math.round(Math.min(this.tracker.ageMs, maxReportedSilenceMs)),
             store_silence_ms: Math.round(Math.min(this.store.silenceMs, maxReportedSilenceMs)),
             known_jobs: this.replica.size,
+            unexpected_errors: this.options.supervisor.failureCount,
         };
     }
 
@@ -385,14 +397,26 @@
         if (configuration === undefined) {
             return;
         }
-        const { advisor, clock, codec, connector, host, logger, maintenance, maxLeaseMs, retentionMs, stopMs } =
-            this.options;
+        const {
+            advisor,
+            clock,
+            codec,
+            connector,
+            host,
+            logger,
+            maintenance,
+            maxLeaseMs,
+            retentionMs,
+            stopMs,
+            supervisor,
+        } = this.options;
         const owner = new CellOwner({
             store: this.store,
             codec,
             connector,
             clock,
             logger,
+            supervisor,
             term,
             configuration,
             maxLeaseMs,
@@ -407,12 +431,12 @@
                     this.publisher.publishPending(counts);
                 },
                 onFenced: reason => this.ownership.recordFenced(reason),
-                onConflict: () => void this.ownership.verify(),
+                onConflict: () => this.options.supervisor.start("ownership check", {}, () => this.ownership.verify()),
             },
         });
         owner.addAdviceHost({ name: host, advisor });
         this.owner = owner;
-        void owner.run();
+        owner.start();
     }
 
     private endTerm(): void {
@@ -429,7 +453,11 @@
 
     private announce(items: readonly StoreItem[]): void {
         if (this.owner === undefined) {
-            void this.ownerClient.announce(items);
+            this.options.supervisor.start(
+                "announcement",
+                { items: items.length },
+                () => this.ownerClient.announce(items),
+            );
         }
         else {
             this.owner.acceptAnnounced(items);
@@ -450,7 +478,7 @@
         if (update.peers !== undefined) {
             this.peers.replace(update.peers);
         }
-        void this.tracker.refresh();
+        this.options.supervisor.start("configuration refresh", {}, () => this.tracker.refresh());
     }
 
     private addService(): void {
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -1,4 +1,4 @@
-import type { Failure, JobId, Result } from "@waxwingroute/core";
+import type { Failure, JobId, NetworkAddress, Result } from "@waxwingroute/core";
 import { createFailure, Err, SeededRandom, SystemClock, toId } from "@waxwingroute/core";
 import type { AdviceGrant, JobState } from "@waxwingroute/workflow";
 import { expect } from "earl";
@@ -11,6 +11,7 @@
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
 import { InvariantChecker } from "./testing/invariant-checker.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 class NoAdvisor extends Advisor {
     override async ask(): Promise<Result<readonly AdviceGrant[], Failure>> {
@@ -62,7 +63,7 @@
         const store = new MemoryLeaseStore(this.data);
         const host = new CellHost({
             host: name,
-            address: `127.0.0.1:${await findFreePort()}`,
+            address: toId<NetworkAddress>(`127.0.0.1:${await findFreePort()}`),
             seeds: [],
             store,
             codec: new TestCodec(),
@@ -73,6 +74,7 @@
             logger: {
                 write: (_level, message, fields) => this.lines.push(`${name} ${message} ${JSON.stringify(fields)}`),
             },
+            supervisor: createStrictSupervisor(this.clock),
             maxLeaseMs: 6_000,
             retentionMs: 60_000,
             stopMs: 100,
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -7,7 +7,7 @@
  * at once.
  */
 import type { Clock, ExecutorId, Failure, QueueId, Result } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type {
     AdviceGrant,
     JobChange,
@@ -30,7 +30,7 @@
 import { OrderSender } from "./order-sender.js";
 import { OwnerJobs } from "./owner-jobs.js";
 import { OwnerJournal } from "./owner-journal.js";
-import type { StoredCell } from "./owner-recovery.js";
+import type { JobEvent, StoredCell } from "./owner-recovery.js";
 import { readRoster, readStoredCell } from "./owner-recovery.js";
 import type { PlatformCodec } from "./platform-codec.js";
 import { rosterKey } from "./store-keys.js";
@@ -44,6 +44,7 @@
     readonly connector: ExecutorConnector;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     readonly term: OwnershipTerm;
     readonly configuration: CellConfiguration;
     /** Longest lease that executors grant, ms. */
@@ -117,7 +118,7 @@
     private epoch: number;
 
     constructor(private readonly options: CellOwnerOptions) {
-        const { clock, connector, codec, logger, store, term, maxLeaseMs, retentionMs } = options;
+        const { clock, connector, codec, logger, store, supervisor, term, maxLeaseMs, retentionMs } = options;
         this.startedAt = clock.getNow();
         this.epoch = term.epoch;
         this.configuration = options.configuration;
@@ -128,6 +129,7 @@
             store,
             clock,
             logger,
+            supervisor,
             term,
             retentionMs,
             onConflict: () => options.listener.onConflict(),
@@ -144,22 +146,31 @@
             onChanges: changes => options.listener.onChanges(changes),
             onSchedulingNeeded: () => this.requestTick(),
         });
-        this.feed = new JobFeed({ store, clock, logger, onEvent: event => this.jobs.applyEvent(event) });
+        this.feed = new JobFeed({
+            store,
+            clock,
+            logger,
+            supervisor,
+            onEvent: event => this.jobs.applyEvent(event),
+        });
         this.registry = new ExecutorRegistry({
             store,
             codec,
             connector,
             clock,
             logger,
+            supervisor,
             scheduler: this.scheduler,
             listener: this,
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
+            isPoolKnown: pool => this.configuration.pools.has(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
             onChange: () => this.requestTick(),
         });
         this.orders = new OrderSender({
             logger,
+            supervisor,
             getSession: executor => this.registry.getSession(executor),
             onThrottleUnconfirmed: ({ executor, task, run }) =>
                 this.scheduler.recordThrottleUnconfirmed(executor, task, run),
@@ -167,19 +178,21 @@
         this.advice = new AdviceDispatcher({
             clock,
             logger,
+            supervisor,
             onAnswer: (step, candidates, grants) => this.acceptAdvice(step, candidates, grants),
         });
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
     private createMaintenance(maintenance: CellMaintenanceOptions): MaintenanceDriver {
-        const { clock, codec, isLeaseValid, listener, logger, store } = this.options;
+        const { clock, codec, isLeaseValid, listener, logger, store, supervisor } = this.options;
         return new MaintenanceDriver({
             ...maintenance,
             store,
             codec,
             clock,
             logger,
+            supervisor,
             getFencingToken: () => this.epoch,
             isLeaseValid,
             countRuns: executor => this.scheduler.listRuns(executor).length,
@@ -210,7 +223,15 @@
     }
 
     /** Recovers the state of the cell and then schedules until `close`. */
-    async run(): Promise<void> {
+    start(): void {
+        this.options.supervisor.startLoop({
+            operation: "recovery of the cell",
+            isStopped: () => this.isClosed,
+            run: () => this.run(),
+        });
+    }
+
+    private async run(): Promise<void> {
         const { clock, logger, store } = this.options;
         const [roster, stored] = await Promise.all([
             this.retry(() => readRoster(store, logger)).then(read => {
@@ -234,11 +255,15 @@
             executors: roster.entries.length,
             readMs: Math.round(readAt - this.startedAt),
         });
-        void this.registry.run();
-        void this.tickWhenIdle();
-        void this.reportPending();
-        void this.maintenance?.run();
-        await this.feed.run(stored.storeRevision);
+        this.registry.start();
+        this.startLoop("idle ticks", () => this.tickWhenIdle());
+        this.startLoop("count of pending jobs", () => this.reportPending());
+        this.startLoop("maintenance", () => this.maintenance?.run() ?? Promise.resolve());
+        this.startLoop("job feed", () => this.feed.run(stored.storeRevision));
+    }
+
+    private startLoop(operation: string, run: () => Promise<void>): void {
+        this.options.supervisor.startLoop({ operation, isStopped: () => this.isClosed, run });
     }
 
     /** Stops all loops; records that are not stored yet are dropped. */
@@ -331,7 +356,7 @@
 
     private adoptOrStopRun(executor: ExecutorId, run: ListedRun): void {
         if (!this.adoptRun(executor, run)) {
-            void this.registry.getSession(executor)?.stop(run.task, run.run);
+            this.registry.getSession(executor)?.startStop(run.task, run.run);
         }
     }
 
@@ -369,22 +394,32 @@
 
     private restore(stored: StoredCell): void {
         const events = [...stored.jobs].sort((first, second) => first.revision - second.revision);
-        events.filter(event => event.kind === "record").forEach(event => this.jobs.applyEvent(event));
+        events.filter(event => event.kind === "record").forEach(event => this.applyStored(event));
         const now = this.options.clock.getNow();
         this.scheduler.openDueOccurrences(now, this.options.clock.getWallTime());
         for (const { key, ends } of stored.batches) {
-            ends.forEach(end => this.scheduler.recordEnd(now, end));
+            ends.forEach(end => {
+                this.options.supervisor.run(
+                    "stored end",
+                    { key, task: end.task },
+                    () => this.scheduler.recordEnd(now, end),
+                );
+            });
             this.journal.adoptBatch(key, ends, job => this.scheduler.getJobState(job) !== undefined);
         }
-        events.filter(event => event.kind === "cancel").forEach(event => this.jobs.applyEvent(event));
+        events.filter(event => event.kind === "cancel").forEach(event => this.applyStored(event));
         this.isRecovered = true;
         const actions = this.deferredActions;
         this.deferredActions = [];
-        actions.forEach(action => action());
+        actions.forEach(action => this.options.supervisor.run("event during the recovery", {}, action));
         this.releaseHeldTasks();
         this.requestTick();
     }
 
+    private applyStored(event: JobEvent): void {
+        this.options.supervisor.run("stored job", { job: event.job }, () => this.jobs.applyEvent(event));
+    }
+
     /** Accepts jobs and cancellations that a host has just stored; the watch would deliver them later. */
     acceptAnnounced(items: readonly StoreItem[]): void {
         this.feed.acceptAnnounced(items);
@@ -414,7 +449,7 @@
             this.isTickScheduled = true;
             this.options.clock.schedule(tickDelayMs, () => {
                 this.isTickScheduled = false;
-                this.tick();
+                this.options.supervisor.run("tick", {}, () => this.tick());
             });
         }
     }
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -209,6 +209,59 @@
         });
     });
 
+    describe("entries of other writers", () => {
+        /** The first cannot be decoded without an error, the second names an address that cannot be opened. */
+        const oddEntries = ["[", JSON.stringify({ index: 99 })];
+
+        it("leave the other executors in use, and the owner in place", async () => {
+            // Guards against one entry that ends each owner in turn or keeps it from reading the others.
+            const cell = await openCell({
+                executors: 4,
+                toleratesErrors: true,
+                planRun: () => ({ workMs: 2_000, outcome: "done" }),
+            });
+            const host = cell.owner!;
+            cell.removeExecutorEntry(3);
+            await cell.advance(2_000);
+            oddEntries.forEach((entry, index) => cell.putEntry(`0-${index}`, entry));
+            await cell.advance(2_000);
+            cell.putExecutorEntry(3);
+            await cell.advance(2_000);
+            void cell.submit(host, "a", [{ taskCount: 16, estimateMs: 2_000 }]);
+            await cell.advance(1_000);
+            expect(cell.executors.map(executor => executor.runningCount)).toEqual([4, 4, 4, 4]);
+            expect(cell.owner === host).toEqual(true);
+            expect(cell.logLines.some(line => line.includes("unexpected error") && line.includes("executors/0-0")))
+                .toEqual(true);
+            cell.close();
+        });
+
+        for (const [number, entry] of oddEntries.entries()) {
+            it(`do not end the running tasks of the executor whose entry they replace for a while (${number + 1})`, async () => {
+                // Guards against tasks that are lost and started again because an entry was unreadable for seconds.
+                const cell = await openCell({
+                    toleratesErrors: true,
+                    planRun: () => ({ workMs: 8_000, outcome: "done" }),
+                });
+                void cell.submit(cell.owner!, "a", [{ taskCount: 9, estimateMs: 8_000 }]);
+                await cell.advanceUntil(() => cell.checker.startCount === 9, 3_000);
+                const count = cell.executors[1]!.runningCount;
+                expect(count > 0).toEqual(true);
+                cell.putEntry("1", entry);
+                await cell.advance(4_000);
+                expect(cell.executors[1]!.runningCount).toEqual(count);
+                cell.putExecutorEntry(1);
+                expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 8_000)).toEqual(true);
+                void cell.submit(cell.owner!, "b", [{ taskCount: 12, estimateMs: 8_000 }]);
+                await cell.advance(1_000);
+                expect(cell.executors.map(executor => executor.runningCount)).toEqual([4, 4, 4]);
+                expect(cell.checker.startCount).toEqual(21);
+                expect(cell.checker.violations).toEqual([]);
+                cell.close();
+            });
+        }
+    });
+
     describe("a failed executor", () => {
         it("has its tasks started elsewhere after its entry is removed, even while the owner calls it", async () => {
             // Guards against extending the lease of the executor with each renewal that it does not answer.
--- a/packages/cell/src/cell-publisher.ts
+++ b/packages/cell/src/cell-publisher.ts
@@ -4,7 +4,7 @@
  * A host follows the jobs that it accepted or was asked about, so a change goes to one host in most cases. Heartbeats
  * are sent to a fraction of the hosts at a time, so that the owner never writes to all of them at once.
  */
-import type { Clock, JobId, QueueId, Timer } from "@waxwingroute/core";
+import type { Clock, JobId, NetworkAddress, QueueId, Timer } from "@waxwingroute/core";
 import type { StreamWriter } from "@waxwingroute/transport";
 import { isOpenState } from "@waxwingroute/workflow";
 import type { JobChange, JobState } from "@waxwingroute/workflow";
@@ -15,7 +15,7 @@
 export interface CellPublisherOptions {
     readonly clock: Clock;
     /** Address of the owner, through which each host can reach the store. */
-    readonly address: string;
+    readonly address: NetworkAddress;
     /** Returns the state of a job, or `undefined` if the owner does not know it. */
     readonly getState: (job: JobId) => JobState | undefined;
     /** Returns the version of the owner's configuration. */
@@ -25,14 +25,14 @@
 /** A host that receives the updates of the owner. */
 export interface Subscriber {
     readonly host: string;
-    /** `<ip>:<port>` at which other hosts reach it. */
-    readonly address: string;
+    /** At which other hosts reach it. */
+    readonly address: NetworkAddress;
     /** Open jobs that it follows. */
     readonly jobs: readonly JobId[];
 }
 
 interface SubscriberRow {
-    readonly address: string;
+    readonly address: NetworkAddress;
     readonly writer: StreamWriter<CellUpdate>;
     /** States that wait to be sent. */
     changes: (readonly [JobId, JobState])[];
@@ -178,7 +178,7 @@
      * Selects the owner and the hosts at distances 1, 2, 4, 8 and so on in the order of subscription, so that the number
      * of peers of a host grows with the logarithm of the number of hosts.
      */
-    private selectPeers(row: SubscriberRow): string[] {
+    private selectPeers(row: SubscriberRow): NetworkAddress[] {
         const rows = [...this.subscribers.values()];
         const position = rows.indexOf(row);
         const peers = new Set([this.options.address]);
--- a/packages/cell/src/cell-publisher_test.ts
+++ b/packages/cell/src/cell-publisher_test.ts
@@ -1,4 +1,4 @@
-import type { JobId, QueueId } from "@waxwingroute/core";
+import type { JobId, NetworkAddress, QueueId } from "@waxwingroute/core";
 import { ManualClock, toId } from "@waxwingroute/core";
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobState } from "@waxwingroute/workflow";
@@ -42,7 +42,7 @@
     readonly writers = new Map<string, FakeWriter>();
     readonly publisher = new CellPublisher({
         clock: this.clock,
-        address: "owner:1",
+        address: toId<NetworkAddress>("10.0.0.1:1"),
         getState: job => this.states.get(job),
         getConfigurationVersion: () => 7,
     });
@@ -50,7 +50,10 @@
     subscribe(host: string, jobs: readonly string[] = []): FakeWriter {
         const writer = new FakeWriter();
         this.writers.set(host, writer);
-        this.publisher.addSubscriber({ host, address: `${host}:1`, jobs: jobs.map(toId<JobId>) }, writer);
+        this.publisher.addSubscriber(
+            { host, address: toId<NetworkAddress>(`${host}:1`), jobs: jobs.map(toId<JobId>) },
+            writer,
+        );
         return writer;
     }
 
@@ -128,7 +131,7 @@
             await fixture.clock.advance(1_000);
             const last = writers[0]!.sent.filter(({ peers }) => peers !== undefined).at(-1)!;
             expect(last.peers!.length).toEqual(7);
-            expect(last.peers!.includes("owner:1")).toEqual(true);
+            expect(last.peers!.includes(toId<NetworkAddress>("10.0.0.1:1"))).toEqual(true);
             writers[0]!.sent.splice(0);
             await fixture.clock.advance(2_000);
             expect(writers[0]!.sent.every(({ peers }) => peers === undefined)).toEqual(true);
--- a/packages/cell/src/cell-service.ts
+++ b/packages/cell/src/cell-service.ts
@@ -1,6 +1,6 @@
 /** RPC methods and messages between the hosts of a cell. */
-import { createFailure, Err } from "@waxwingroute/core";
-import type { ExecutorId, Failure, JobId, QueueId, Result } from "@waxwingroute/core";
+import { createFailure, Err, isNetworkAddress } from "@waxwingroute/core";
+import type { ExecutorId, Failure, JobId, NetworkAddress, QueueId, Result } from "@waxwingroute/core";
 import { createStreamMethod, createUnaryMethod } from "@waxwingroute/transport";
 import type { RpcClient } from "@waxwingroute/transport";
 import type { AdviceGrant, JobState, StepKey } from "@waxwingroute/workflow";
@@ -17,13 +17,15 @@
     z.tuple([z.custom<JobId>(isText), z.number().int().min(0).max(jobStates.length - 1)]),
 );
 
+const addressSchema = z.custom<NetworkAddress>(isNetworkAddress);
+
 const updateSchema = z.object({
     /** New states of the jobs that the subscriber follows. */
     changes: statesSchema,
     /** Number of jobs without a started task, by queue; only in heartbeats, and absent before the first count. */
     pending: z.array(z.tuple([z.custom<QueueId>(isText), z.number().int()])).optional(),
     /** Addresses of other hosts through which the subscriber can reach the store; absent if they are unchanged. */
-    peers: z.array(z.string()).optional(),
+    peers: z.array(addressSchema).optional(),
     /** Version of the owner's configuration; only in heartbeats, and absent before the owner has one. */
     configurationVersion: z.number().optional(),
 });
@@ -46,7 +48,7 @@
 
 const subscribeSchema = z.object({
     host: z.string(),
-    address: z.string(),
+    address: addressSchema,
     /** Open jobs that the subscriber follows. */
     jobs: z.array(z.custom<JobId>(isText)),
 });
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -7,7 +7,7 @@
  * answered.
  */
 import type { Clock } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { CellConfiguration } from "./configuration.js";
 import { ConfigurationIndex } from "./configuration.js";
 import type { PlatformCodec } from "./platform-codec.js";
@@ -19,6 +19,7 @@
     readonly codec: PlatformCodec;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Called for each newer version. */
     readonly onChange: (configuration: CellConfiguration) => void;
     /** Returns the version that the owner named recently; `undefined` without a recent heartbeat. Default: none. */
@@ -85,8 +86,11 @@
     }
 
     /** Follows the configuration until `stop`. */
-    async run(): Promise<void> {
-        await Promise.all([this.readPeriodically(), this.watch()]);
+    start(): void {
+        const { supervisor } = this.options;
+        const isStopped = () => this.isStopped;
+        supervisor.startLoop({ operation: "configuration reads", isStopped, run: () => this.readPeriodically() });
+        supervisor.startLoop({ operation: "configuration watch", isStopped, run: () => this.watch() });
     }
 
     /** Reads the configuration if the owner named a newer version than the present one. */
@@ -126,14 +130,14 @@
     private async readPeriodically(): Promise<void> {
         while (!this.isStopped) {
             if (this.failedReads === 0 || this.readsInFlight === 0) {
-                void this.read();
+                this.options.supervisor.start("configuration read", {}, () => this.read());
             }
             await this.options.clock.wait(this.readInterval);
         }
     }
 
     private async read(): Promise<void> {
-        const { clock, codec, store } = this.options;
+        const { clock, codec, store, supervisor } = this.options;
         if (this.readsInFlight >= maxReadsInFlight) {
             return;
         }
@@ -141,7 +145,11 @@
         const sentAt = clock.getNow();
         const timeoutMs = (readTimeoutMs + this.sizeBytes / receivedBytesPerMs)
             * 2 ** Math.min(this.failedReads, maxTimeoutDoublings);
-        const read = await store.call({ kind: "read", key: codec.configurationKey }, timeoutMs);
+        const read = await supervisor.call(
+            "configuration read",
+            {},
+            () => store.call({ kind: "read", key: codec.configurationKey }, timeoutMs),
+        );
         this.readsInFlight -= 1;
         if (!read.ok) {
             this.failedReads += 1;
--- a/packages/cell/src/configuration-tracker_test.ts
+++ b/packages/cell/src/configuration-tracker_test.ts
@@ -9,6 +9,7 @@
 import { LeaseStore, storeFailures } from "./store.js";
 import { TestCodec, testConfiguration } from "./testing/cell-simulation.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 /** The shortest time that operators allow until a confirmed change is in force everywhere, ms. */
 const applyBoundMs = 3_000;
@@ -76,16 +77,19 @@
 
     constructor() {
         const logger = { write: (_level: string, message: string) => this.lines.push(message) };
+        const supervisor = createStrictSupervisor(this.clock);
         this.tracker = new ConfigurationTracker({
             store: new FallbackStore({
                 direct: this.routes[0]!,
                 listPeers: () => this.routes.slice(1),
                 clock: this.clock,
                 logger,
+                supervisor,
             }),
             codec: this.codec,
             clock: this.clock,
             logger,
+            supervisor,
             onChange: configuration => this.applied.push(configuration.version),
             getOwnerVersion: () => this.ownerVersion,
         });
@@ -98,7 +102,7 @@
     /** Stores a version, starts the tracker and lets it run for a while. */
     async start(): Promise<void> {
         this.store("1");
-        void this.tracker.run();
+        this.tracker.start();
         await this.clock.advance(100);
         expect(this.version).toEqual(1);
     }
--- a/packages/cell/src/configuration.ts
+++ b/packages/cell/src/configuration.ts
@@ -1,6 +1,6 @@
 /** The operators' configuration in the form that the cell uses. */
 import type { TeamId } from "@waxwingroute/core";
-import type { QueueRules, TeamRules } from "@waxwingroute/workflow";
+import type { PoolId, QueueRules, TeamRules } from "@waxwingroute/workflow";
 
 /** A queue and the address at which callers reach it. */
 export interface QueueConfiguration {
@@ -25,6 +25,8 @@
     readonly version: number;
     readonly queues: readonly QueueConfiguration[];
     readonly teams: readonly TeamConfiguration[];
+    /** Pools whose executors belong to the cell; a pool may be without a queue. */
+    readonly pools: ReadonlySet<PoolId>;
     /** Largest request body, bytes. */
     readonly maxBodyBytes: number;
 }
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -8,8 +8,8 @@
  * these.
  */
 import { toId, zeroResources } from "@waxwingroute/core";
-import type { Clock, ExecutorId, ZoneId } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { Clock, ExecutorId, NetworkAddress, ZoneId } from "@waxwingroute/core";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { ExecutorState, PoolId, TaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import { ExecutorSession } from "./executor-session.js";
 import type { SessionListener } from "./executor-session.js";
@@ -27,10 +27,13 @@
     readonly connector: ExecutorConnector;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     readonly scheduler: WorkflowScheduler;
     readonly listener: SessionListener;
     readonly fencingToken: number;
     readonly maxLeaseMs: number;
+    /** Returns whether the configuration names the pool; executors of other pools are not used. */
+    readonly isPoolKnown: (pool: PoolId) => boolean;
     /** Writes the roster to the store and calls `onStored` once the write is committed. */
     readonly storeRoster: (write: StoreWrite, onStored: () => void) => void;
     /** Called when executors were added or removed, or when their states changed. */
@@ -50,7 +53,7 @@
 
 interface ExecutorRecord {
     readonly executor: ExecutorId;
-    readonly address: string;
+    readonly address: NetworkAddress;
     readonly session: ExecutorSession;
     /** The newest entry; `undefined` if the executor is known only from the roster. */
     entry: ExecutorEntry | undefined;
@@ -84,7 +87,8 @@
     private readonly records = new Map<ExecutorId, ExecutorRecord>();
     /** Executors that an earlier owner used and that may still hold runs of it. */
     private readonly executorsOfEarlierOwner = new Map<ExecutorId, ExecutorOfEarlierOwner>();
-    private readonly malformedKeys = new Set<string>();
+    /** Entries that name no executor to use, with the reasons that were logged. */
+    private readonly skippedEntries = new Map<string, string>();
     private isClosed = false;
     private lastReadAt: number;
     private ignoreMissingUntil = 0;
@@ -107,7 +111,15 @@
     }
 
     /** Reads the entries periodically until `close` is called. */
-    async run(): Promise<void> {
+    start(): void {
+        this.options.supervisor.startLoop({
+            operation: "executor entries",
+            isStopped: () => this.isClosed,
+            run: () => this.run(),
+        });
+    }
+
+    private async run(): Promise<void> {
         while (!this.isClosed) {
             await this.refresh();
             await this.options.clock.wait(pollMs);
@@ -203,16 +215,14 @@
     private applyEntries(items: readonly StoreItem[], isListComplete: boolean): void {
         const seen = new Set<ExecutorId>();
         for (const item of items) {
-            const decoded = this.options.codec.decodeExecutor(item);
-            if (decoded.ok) {
-                seen.add(decoded.val.executor);
-                this.applyEntry(decoded.val);
-            }
-            else if (!this.malformedKeys.has(item.key)) {
-                this.malformedKeys.add(item.key);
-                const reason = decoded.val.message;
-                this.options.logger.write("warn", "executor entry skipped", { key: item.key, reason });
-            }
+            // An error that one entry causes must not keep the others from being read.
+            this.options.supervisor.run("executor entry", { key: item.key }, () => {
+                const entry = this.decodeEntry(item);
+                if (entry !== undefined) {
+                    this.applyEntry(entry);
+                    seen.add(entry.executor);
+                }
+            });
         }
         if (isListComplete) {
             this.markMissing(seen);
@@ -221,6 +231,26 @@
         this.options.onChange();
     }
 
+    /** Returns the entry if it names an executor that can be used. The runs of an executor with another entry go on. */
+    private decodeEntry(item: StoreItem): ExecutorEntry | undefined {
+        const { codec, isPoolKnown, logger } = this.options;
+        const decoded = codec.decodeExecutor(item);
+        const reason = !decoded.ok
+            ? decoded.val.message
+            : isPoolKnown(decoded.val.pool)
+            ? undefined
+            : `the configuration does not name the pool ${decoded.val.pool}`;
+        if (!decoded.ok || reason !== undefined) {
+            if (reason !== undefined && this.skippedEntries.get(item.key) !== reason) {
+                this.skippedEntries.set(item.key, reason);
+                logger.write("warn", "executor entry skipped", { key: item.key, revision: item.revision, reason });
+            }
+            return undefined;
+        }
+        this.skippedEntries.delete(item.key);
+        return decoded.val;
+    }
+
     private applyEntry(entry: ExecutorEntry): void {
         const record = this.openRecord(entry.executor, entry.address);
         const wasDraining = record.entry?.isDraining;
@@ -329,7 +359,7 @@
         this.options.storeRoster({ key: rosterKey, value: encodeRoster(roster) }, onStored);
     }
 
-    private openRecord(executor: ExecutorId, address: string): ExecutorRecord {
+    private openRecord(executor: ExecutorId, address: NetworkAddress): ExecutorRecord {
         const existing = this.records.get(executor);
         if (existing !== undefined && existing.address === address) {
             return existing;
@@ -341,12 +371,13 @@
             this.executorsOfEarlierOwner.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
         }
-        const { clock, connector, listener, logger, maxLeaseMs } = this.options;
+        const { clock, connector, listener, logger, maxLeaseMs, supervisor } = this.options;
         const session = new ExecutorSession({
             executor,
             client: connector.open({ executor, address }),
             clock,
             logger,
+            supervisor,
             listener,
             fencingToken: this.fencingToken,
             maxLeaseMs,
@@ -363,7 +394,7 @@
             rosterStatus: "absent",
         };
         this.records.set(executor, record);
-        void session.run();
+        session.start();
         return record;
     }
 
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -8,10 +8,10 @@
  * expired by its own clock.
  */
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { ListedRun, RunEnd, StartDecision, TaskKey } from "@waxwingroute/workflow";
 import { ExecutorLeases } from "./executor-leases.js";
-import type { ExecutorListing, ListedEnd, TaskExecutor } from "./task-executor.js";
+import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
 import { markCrashSuspects, toRunKey } from "./tracked-run.js";
 import type { TrackedRun } from "./tracked-run.js";
@@ -49,6 +49,7 @@
     readonly client: TaskExecutor;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     readonly listener: SessionListener;
     readonly fencingToken: number;
     /** Longest lease that the executor grants, ms. */
@@ -131,7 +132,16 @@
     }
 
     /** Renews the lease and processes the listings until `close` is called. */
-    async run(): Promise<void> {
+    start(): void {
+        this.options.supervisor.startLoop({
+            operation: "executor session",
+            fields: { executor: this.options.executor },
+            isStopped: () => this.isClosed,
+            run: () => this.run(),
+        });
+    }
+
+    private async run(): Promise<void> {
         while (!this.isClosed) {
             await this.renewOnce();
         }
@@ -158,8 +168,19 @@
     }
 
     /** Sends a start. If it gets no answer, later listings resolve whether the run was started. */
-    async start(decision: StartDecision): Promise<void> {
-        const { clock, client, executor, listener, logger } = this.options;
+    startRun(decision: StartDecision): void {
+        const { executor, supervisor } = this.options;
+        supervisor.start("start", { executor, task: decision.task }, () => this.sendStart(decision));
+    }
+
+    /** Sends a stop, and repeats it until it is answered. The end of the run arrives with a later listing. */
+    startStop(task: TaskKey, run: number): void {
+        const { executor, supervisor } = this.options;
+        supervisor.start("stop", { executor, task }, () => this.stop(task, run));
+    }
+
+    private async sendStart(decision: StartDecision): Promise<void> {
+        const { clock, client, executor, listener, logger, supervisor } = this.options;
         const tracked: TrackedRun = {
             task: decision.task,
             run: decision.run,
@@ -171,7 +192,7 @@
             sentAt: clock.getNow(),
         };
         this.trackedRuns.set(toRunKey(tracked), tracked);
-        const started = await client.start({
+        const order: StartOrder = {
             task: decision.task,
             run: decision.run,
             payload: decision.payload,
@@ -179,7 +200,8 @@
             ticket: decision.ticket,
             deadlineMs: this.leases.extend(),
             fencingToken: this.fencingToken,
-        });
+        };
+        const started = await supervisor.call("start", { executor, task: order.task }, () => client.start(order));
         if (this.isClosed || !this.trackedRuns.has(toRunKey(tracked))) {
             return;
         }
@@ -190,7 +212,7 @@
             tracked.state = "answered";
             listener.onStarted(executor, tracked.task, tracked.run);
             if (decision.isProbe) {
-                void this.confirmProbe(tracked);
+                supervisor.start("probe", { executor, task: tracked.task }, () => this.confirmProbe(tracked));
             }
             return;
         }
@@ -242,9 +264,8 @@
         return throttled.ok;
     }
 
-    /** Repeats a stop until it is answered. The end of the run arrives with a later listing. */
-    async stop(task: TaskKey, run: number): Promise<void> {
-        const { client, clock } = this.options;
+    private async stop(task: TaskKey, run: number): Promise<void> {
+        const { client, clock, executor, supervisor } = this.options;
         const tracked = this.trackedRuns.get(toRunKey({ task, run }));
         if (tracked !== undefined) {
             if (tracked.isStopping) {
@@ -253,7 +274,8 @@
             tracked.isStopping = true;
         }
         while (!this.isClosed) {
-            const stopped = await client.stop({ task, run, fencingToken: this.fencingToken });
+            const order = { task, run, fencingToken: this.fencingToken };
+            const stopped = await supervisor.call("stop", { executor, task }, () => client.stop(order));
             if (stopped.ok || stopped.val.verdict === "notRun" && stopped.val.code === executorFailures.fenced) {
                 this.reportIfFenced(stopped);
                 break;
@@ -383,7 +405,7 @@
                 sentAt: clock.getNow(),
             });
             if (!mayContinue) {
-                void this.stop(run.task, run.run);
+                this.startStop(run.task, run.run);
             }
             return;
         }
@@ -405,7 +427,7 @@
                 continue;
             }
             if (tracked.state === "unanswered") {
-                void this.stop(tracked.task, tracked.run);
+                this.startStop(tracked.task, tracked.run);
             }
             else {
                 this.trackedRuns.delete(key);
--- a/packages/cell/src/fallback-store.ts
+++ b/packages/cell/src/fallback-store.ts
@@ -11,7 +11,7 @@
  * A write without an answer may have been carried out, so it is not sent again by another route: the caller decides.
  */
 import type { Clock, Failure, Result, Timer } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { ownershipPrefix } from "./store-keys.js";
 import type { StoreReply, StoreRequest } from "./store.js";
 import { LeaseStore, storeFailures } from "./store.js";
@@ -24,6 +24,7 @@
     readonly listPeers: () => readonly LeaseStore[];
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Called after each direct call. */
     readonly onCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
     /** Pause between probes of the direct route, ms. Default 300. */
@@ -114,7 +115,8 @@
                 }
                 unansweredCount += 1;
                 timer = this.options.clock.schedule(delayMs, startNext);
-                void this.callRoute(route, request, timeoutMs).then(result => {
+                this.options.supervisor.start("store call", { operation: request.kind }, async () => {
+                    const result = await this.callRoute(route, request, timeoutMs);
                     unansweredCount -= 1;
                     if (!isAnswer(result)) {
                         startNext();
@@ -142,7 +144,11 @@
         timeoutMs: number | undefined,
     ): Promise<Result<StoreReply<Request>, Failure>> {
         const isDirect = route === this.options.direct;
-        const result = isDirect ? await this.callDirectly(request, timeoutMs) : await route.call(request, timeoutMs);
+        const result = await this.options.supervisor.call(
+            "store call",
+            { operation: request.kind },
+            () => isDirect ? this.callDirectly(request, timeoutMs) : route.call(request, timeoutMs),
+        );
         if (isAnswer(result)) {
             this.lastAnswerAt = this.options.clock.getNow();
         }
@@ -174,7 +180,7 @@
                 code: result.val.code,
                 reason: result.val.message,
             });
-            void this.probe();
+            this.options.supervisor.start("store probe", {}, () => this.probe());
         }
         return result;
     }
--- a/packages/cell/src/fallback-store_test.ts
+++ b/packages/cell/src/fallback-store_test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { FallbackStore } from "./fallback-store.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 class Fixture {
     readonly clock = new ManualClock();
@@ -16,6 +17,7 @@
         listPeers: () => [this.otherPeer, this.peer],
         clock: this.clock,
         logger: { write: () => undefined },
+        supervisor: createStrictSupervisor(this.clock),
     });
 
     async settle<T>(promise: Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -8,7 +8,7 @@
 export { machineFailures, MachineManager } from "./machine-manager.js";
 export type { Machine, MachineId, MachineOrder, MachineState, MaintenanceWave, WaveState } from "./machine-manager.js";
 export { PlatformCodec } from "./platform-codec.js";
-export { LeaseStore, storeFailures } from "./store.js";
+export { LeaseStore, listAll, storeFailures } from "./store.js";
 export type { StoreChange, StoreItem, StoreReplies, StoreReply, StoreRequest, StoreTransaction } from "./store.js";
 export { ExecutorConnector, executorFailures, TaskExecutor } from "./task-executor.js";
 export type {
--- a/packages/cell/src/job-feed.ts
+++ b/packages/cell/src/job-feed.ts
@@ -3,7 +3,7 @@
  * watch of the store.
  */
 import type { Clock } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { JobEvent } from "./owner-recovery.js";
 import { decodeJobItem, readStoredCell } from "./owner-recovery.js";
 import { jobPrefix } from "./store-keys.js";
@@ -14,6 +14,7 @@
     readonly store: LeaseStore;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Called for each event; the same event can be delivered more than once. */
     readonly onEvent: (event: JobEvent) => void;
 }
@@ -87,7 +88,7 @@
         if (!stored.ok || this.isClosed) {
             return undefined;
         }
-        stored.val.jobs.forEach(event => this.options.onEvent(event));
+        stored.val.jobs.forEach(event => this.report(event));
         return stored.val.storeRevision;
     }
 
@@ -95,8 +96,13 @@
         for (const item of items) {
             const event = decodeJobItem(item, this.options.logger);
             if (event !== undefined) {
-                this.options.onEvent(event);
+                this.report(event);
             }
         }
     }
+
+    private report(event: JobEvent): void {
+        const { onEvent, supervisor } = this.options;
+        supervisor.run("stored job", { job: event.job }, () => onEvent(event));
+    }
 }
--- a/packages/cell/src/job-feed_test.ts
+++ b/packages/cell/src/job-feed_test.ts
@@ -8,6 +8,7 @@
 import { LeaseStore } from "./store.js";
 import { createStep } from "./testing/cell-simulation.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 /** Longest time for which a job that was accepted may stay unknown to the owner, ms: what the platform allows at its end. */
 const knownWithinMs = 14_000;
@@ -45,6 +46,7 @@
             store: new ForgetfulStore(data, toJobKey(hidden)),
             clock,
             logger: { write: () => {} },
+            supervisor: createStrictSupervisor(clock),
             onEvent: ({ job }) => known.add(job),
         });
         const storeJob = (job: JobId) => {
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -9,7 +9,7 @@
  */
 import type { Clock, Failure, JobId, Result } from "@waxwingroute/core";
 import { createFailure, Err, Ok } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
 import type { JobRecord, StoredEpoch } from "./store-keys.js";
 import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
@@ -21,6 +21,7 @@
     readonly store: LeaseStore;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Called with the items that one transaction stored. */
     readonly onStored?: (items: readonly StoreItem[]) => void;
     /** Longest time until a request is answered, ms. Default 1,500. */
@@ -108,10 +109,11 @@
         while (this.waiting.length > 0 && this.inFlight < (this.options.maxInFlight ?? 3)) {
             const batch = this.takeBatch();
             this.inFlight += 1;
-            void this.commit(batch).finally(() => {
-                this.inFlight -= 1;
-                this.flush();
-            });
+            this.options.supervisor.start("job commit", { jobs: batch.length }, () =>
+                this.commit(batch).finally(() => {
+                    this.inFlight -= 1;
+                    this.flush();
+                }));
         }
     }
 
@@ -196,7 +198,7 @@
             this.waiting.unshift(...remaining);
         }
         else if (this.waiting.length === 0) {
-            void this.probe();
+            this.options.supervisor.start("store probe", {}, () => this.probe());
         }
     }
 
--- a/packages/cell/src/job-intake_test.ts
+++ b/packages/cell/src/job-intake_test.ts
@@ -5,12 +5,18 @@
 import { JobIntake } from "./job-intake.js";
 import { decodeJobRecord, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 class Fixture {
     readonly clock = new ManualClock();
     readonly data = new MemoryStoreData(this.clock);
     readonly store = new MemoryLeaseStore(this.data);
-    readonly intake = new JobIntake({ store: this.store, clock: this.clock, logger: { write: () => undefined } });
+    readonly intake = new JobIntake({
+        store: this.store,
+        clock: this.clock,
+        logger: { write: () => undefined },
+        supervisor: createStrictSupervisor(this.clock),
+    });
 
     submit(name: string): { result: Result<string, Failure> | undefined; } {
         const submission: { result: Result<string, Failure> | undefined; } = { result: undefined };
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -8,9 +8,9 @@
  *
  * Independent of the package `ownership`, which the scheduler and cluster packages use.
  */
-import type { Clock, Failure, RandomSource, Result } from "@waxwingroute/core";
+import type { Clock, Failure, NetworkAddress, RandomSource, Result } from "@waxwingroute/core";
 import { Err, Ok } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { match } from "ts-pattern";
 import type { OwnerRecord, StoredEpoch } from "./store-keys.js";
 import { decodeEpoch, decodeOwner, encodeOwner, epochKey, ownerKey, ownershipPrefix } from "./store-keys.js";
@@ -41,10 +41,11 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Name of this host. */
     readonly host: string;
-    /** `<ip>:<port>` at which the other hosts reach this one. */
-    readonly address: string;
+    /** At which the other hosts reach this one. */
+    readonly address: NetworkAddress;
     /** Random id of this process. */
     readonly incarnation: string;
     readonly listener: LeaseOwnershipListener;
@@ -125,8 +126,13 @@
         return this.term !== undefined && this.options.clock.getNow() - this.renewedAt < validMs;
     }
 
-    /** Runs until `stop`. */
-    async run(): Promise<void> {
+    /** Takes part in the ownership until `stop`. */
+    start(): void {
+        const isStopped = () => this.isStopped;
+        this.options.supervisor.startLoop({ operation: "cell ownership", isStopped, run: () => this.run() });
+    }
+
+    private async run(): Promise<void> {
         while (!this.isStopped) {
             if (this.term === undefined) {
                 await this.follow();
@@ -315,9 +321,10 @@
         await this.options.clock.wait((this.options.leaseMs ?? defaultLeaseMs) / renewalsPerLease);
         if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
             this.renewalsInFlight += 1;
-            void this.sendRenewal(this.lease).finally(() => {
-                this.renewalsInFlight -= 1;
-            });
+            this.options.supervisor.start("ownership renewal", {}, () =>
+                this.sendRenewal(this.lease).finally(() => {
+                    this.renewalsInFlight -= 1;
+                }));
         }
     }
 
@@ -357,8 +364,9 @@
         // without renewal.
         if (!this.isAcquiring) {
             this.isAcquiring = true;
-            await this.acquire(view, true);
-            this.isAcquiring = false;
+            await this.acquire(view, true).finally(() => {
+                this.isAcquiring = false;
+            });
         }
     }
 
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -1,5 +1,5 @@
-import { ManualClock, SeededRandom } from "@waxwingroute/core";
-import type { Failure, Result } from "@waxwingroute/core";
+import { ManualClock, SeededRandom, toId } from "@waxwingroute/core";
+import type { Failure, NetworkAddress, Result } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { OwnershipOptions, OwnershipTerm } from "./lease-ownership.js";
@@ -7,6 +7,7 @@
 import type { StoreReply, StoreRequest } from "./store.js";
 import { LeaseStore } from "./store.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
+import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
 interface Host {
     readonly store: MemoryLeaseStore;
@@ -27,8 +28,9 @@
             clock: this.clock,
             random: this.random,
             logger: { write: () => undefined },
+            supervisor: createStrictSupervisor(this.clock),
             host: name,
-            address: `${name}:1`,
+            address: toId<NetworkAddress>(`10.0.0.${name.charCodeAt(0)}:1`),
             incarnation: name,
             isOwnerAlive: () => false,
             listener: {
@@ -39,7 +41,7 @@
             },
             ...options,
         });
-        void ownership.run();
+        ownership.start();
         return { store, ownership, events };
     }
 }
--- a/packages/cell/src/maintenance-driver.ts
+++ b/packages/cell/src/maintenance-driver.ts
@@ -8,7 +8,7 @@
  */
 import type { Clock, ExecutorId } from "@waxwingroute/core";
 import { Ok } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { Machine, MachineId, MachineManager, MaintenanceWave } from "./machine-manager.js";
 import { machineFailures } from "./machine-manager.js";
 import type { PlatformCodec } from "./platform-codec.js";
@@ -23,6 +23,7 @@
     readonly machines: MachineManager;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     /** Name of this host, sent with each order. */
     readonly holder: string;
     readonly getFencingToken: () => number;
@@ -191,7 +192,11 @@
         for (const machine of waiting) {
             const executor = progress.evacuating.get(machine);
             if (executor !== undefined && this.options.countRuns(executor) === 0 && this.canOrder()) {
-                void this.sendOrder(progress, machine, executor);
+                this.options.supervisor.start(
+                    "machine order",
+                    { machine },
+                    () => this.sendOrder(progress, machine, executor),
+                );
             }
         }
     }
@@ -245,10 +250,12 @@
 
     /** Orders the maintenance of a machine whose executor is evacuated. */
     private async sendOrder(progress: WaveProgress, machine: MachineId, executor: ExecutorId): Promise<void> {
-        const { clock, getFencingToken, holder, logger, machines, onFenced, planEvacuation, storeValue } = this.options;
+        const { clock, getFencingToken, holder, logger, machines, onFenced, planEvacuation, storeValue, supervisor } =
+            this.options;
         const { wave } = progress.wave;
         progress.inFlight.add(machine);
-        const result = await machines.performMaintenance({ machine, wave, holder, fencingToken: getFencingToken() });
+        const order = { machine, wave, holder, fencingToken: getFencingToken() };
+        const result = await supervisor.call("machine order", { machine }, () => machines.performMaintenance(order));
         progress.inFlight.delete(machine);
         logger.write("info", "machine ordered into maintenance", {
             wave,
--- a/packages/cell/src/order-sender.ts
+++ b/packages/cell/src/order-sender.ts
@@ -1,12 +1,13 @@
 /** Sends the decisions of a scheduler tick to the executors and logs each of them. */
 import type { ExecutorId } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { StartDecision, StopDecision, ThrottleDecision, TickDecisions } from "@waxwingroute/workflow";
 import type { ExecutorSession } from "./executor-session.js";
 
 /** The sessions and callbacks of an order sender. */
 export interface OrderSenderOptions {
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     readonly getSession: (executor: ExecutorId) => ExecutorSession | undefined;
     /** Called when an executor did not confirm a throttle order, so that its effect is unknown. */
     readonly onThrottleUnconfirmed: (throttle: ThrottleDecision) => void;
@@ -19,7 +20,10 @@
     send({ starts, stops, throttles }: Omit<TickDecisions, "changes">): void {
         starts.forEach(start => this.sendStart(start));
         stops.forEach(stop => this.sendStop(stop));
-        throttles.forEach(throttle => void this.sendThrottle(throttle));
+        throttles.forEach(throttle => {
+            const { executor, task } = throttle;
+            this.options.supervisor.start("throttle", { executor, task }, () => this.sendThrottle(throttle));
+        });
     }
 
     private sendStart(start: StartDecision): void {
@@ -32,12 +36,12 @@
             resumes: checkpoint !== "",
             isProbe: isProbe || undefined,
         });
-        void this.options.getSession(executor)?.start(start);
+        this.options.getSession(executor)?.startRun(start);
     }
 
     private sendStop({ executor, task, run, reason, percent }: StopDecision): void {
         this.options.logger.write("info", "stop", { executor, task, run, reason, percent });
-        void this.options.getSession(executor)?.stop(task, run);
+        this.options.getSession(executor)?.startStop(task, run);
     }
 
     private async sendThrottle(throttle: ThrottleDecision): Promise<void> {
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -1,7 +1,7 @@
 /**
  * RPC client of a host for the owner of the cell: follows jobs and heartbeats, and announces stored items to it.
  */
-import type { Clock, JobId } from "@waxwingroute/core";
+import type { Clock, JobId, NetworkAddress } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
 import { RpcClient } from "@waxwingroute/transport";
 import type { RpcStream } from "@waxwingroute/transport";
@@ -16,8 +16,8 @@
     readonly logger: LogWriter;
     /** Name of this host. */
     readonly host: string;
-    /** `<ip>:<port>` at which the other hosts reach this one. */
-    readonly address: string;
+    /** At which the other hosts reach this one. */
+    readonly address: NetworkAddress;
     /** Returns the open jobs that this host knows. */
     readonly listOpenJobs: () => readonly JobId[];
     /** Called with each message of the owner, after `onStates` with the states in it. */
@@ -47,7 +47,7 @@
 
 /** Keeps a stream of updates open to the owner of the cell. */
 export class OwnerClient {
-    private ownerAddress: string | undefined;
+    private ownerAddress: NetworkAddress | undefined;
     private client: RpcClient | undefined;
     private stream: RpcStream | undefined;
     private heardAt = -Infinity;
@@ -70,7 +70,7 @@
     }
 
     /** Follows the owner at this address; `undefined` if there is none or it is this host. */
-    setOwner(address: string | undefined): void {
+    setOwner(address: NetworkAddress | undefined): void {
         if (address !== this.ownerAddress) {
             this.ownerAddress = address;
             this.disconnect();
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -6,7 +6,7 @@
  * nothing.
  */
 import type { Clock, JobId, QueueId } from "@waxwingroute/core";
-import type { LogWriter } from "@waxwingroute/telemetry";
+import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { JobState, RunEnd } from "@waxwingroute/workflow";
 import { parseTaskKey } from "@waxwingroute/workflow";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
@@ -20,6 +20,7 @@
     readonly store: LeaseStore;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    readonly supervisor: Supervisor;
     readonly term: OwnershipTerm;
     /** How long records of finished jobs are kept, ms. */
     readonly retentionMs: number;
@@ -165,7 +166,8 @@
             this.options.clock.schedule(batchDelayMs, () => {
                 this.isScheduled = false;
                 if (!this.isClosed) {
-                    void this.store(this.takeBatch());
+                    const batch = this.takeBatch();
+                    this.options.supervisor.start("journal", { batch: batch.number }, () => this.store(batch));
                     this.schedule();
                 }
             });
--- a/packages/cell/src/peer-directory.ts
+++ b/packages/cell/src/peer-directory.ts
@@ -1,4 +1,5 @@
 /** The other hosts of the cell that this host can call; a connection is opened at the first call. */
+import type { NetworkAddress } from "@waxwingroute/core";
 import { RpcClient } from "@waxwingroute/transport";
 import { PeerStore } from "./cell-service.js";
 import type { LeaseStore } from "./store.js";
@@ -13,9 +14,9 @@
 
 /** Connections to other hosts by address. */
 export class PeerDirectory {
-    private readonly peers = new Map<string, Peer>();
+    private readonly peers = new Map<NetworkAddress, Peer>();
 
-    constructor(private readonly ownAddress: string) {}
+    constructor(private readonly ownAddress: NetworkAddress) {}
 
     /** Returns a route to the store through each of the other hosts. */
     listStores(): LeaseStore[] {
@@ -23,7 +24,7 @@
     }
 
     /** Returns the client of a host, created if necessary; `undefined` for this host itself. */
-    add(address: string): RpcClient | undefined {
+    add(address: NetworkAddress): RpcClient | undefined {
         if (address === this.ownAddress) {
             return undefined;
         }
@@ -37,7 +38,7 @@
     }
 
     /** Keeps connections to these hosts only. */
-    replace(addresses: readonly string[]): void {
+    replace(addresses: readonly NetworkAddress[]): void {
         addresses.forEach(address => this.add(address));
         const kept = new Set(addresses);
         for (const [address, peer] of this.peers) {
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -1,6 +1,6 @@
 /** Keys of the cell in the store, and the formats of their values. */
-import type { ExecutorId, JobId, QueueId, TeamId } from "@waxwingroute/core";
-import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
+import type { ExecutorId, JobId, NetworkAddress, QueueId, TeamId } from "@waxwingroute/core";
+import { createFailure, Err, isNetworkAddress, Ok, toId } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
 import type { JobSpec, JobState, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
 import { z } from "zod";
@@ -41,8 +41,8 @@
     /** Random id of the process. */
     readonly incarnation: string;
     readonly host: string;
-    /** `<ip>:<port>` at which the other hosts reach the owner. */
-    readonly address: string;
+    /** At which the other hosts reach the owner. */
+    readonly address: NetworkAddress;
     readonly epoch: number;
 }
 
@@ -55,19 +55,20 @@
 /** An executor that may hold runs of the cell. */
 export interface RosterEntry {
     readonly executor: ExecutorId;
-    readonly address: string;
+    readonly address: NetworkAddress;
     /** The only tasks that the executor can still hold, because it gets no new work. Absent: it can hold any task. */
     readonly tasks?: readonly TaskKey[];
 }
 
+const addressSchema = z.custom<NetworkAddress>(isNetworkAddress, "must be <ip>:<port>");
 const ownerSchema = z.object({
     incarnation: z.string(),
     host: z.string(),
-    address: z.string(),
+    address: addressSchema,
     epoch: z.number().int(),
 });
 const rosterSchema = z.array(
-    z.object({ executor: z.string(), address: z.string(), tasks: z.array(z.string()).optional() }),
+    z.object({ executor: z.string(), address: addressSchema, tasks: z.array(z.string()).optional() }),
 );
 const jobSchema = z.union([
     z.object({ state: z.enum(["succeeded", "failed", "cancelled"]), queue: z.string() }),
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -4,7 +4,7 @@
  * Every operation is one `StoreRequest`, so that a host that the store does not serve can forward it through another
  * host.
  */
-import { Ok } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
 
 /** A key with its value and revisions. */
@@ -111,9 +111,14 @@
         }
         items.push(...page.val.items);
         storeRevision ??= page.val.storeRevision;
-        after = page.val.items.at(-1)?.key;
-        if (!page.val.hasMore || after === undefined) {
+        const last = page.val.items.at(-1)?.key;
+        if (!page.val.hasMore || last === undefined) {
             return Ok({ items, storeRevision });
         }
+        if (last === after) {
+            const message = `the store listed ${JSON.stringify(last)} again on the next page`;
+            return Err(createFailure(storeFailures.unanswered, message, "ran"));
+        }
+        after = last;
     }
 }
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -1,12 +1,11 @@
 /** The calls from the owner of a cell to an executor, and their messages. Adapters implement the calls. */
-import type { ExecutorId, Failure, RackId, ResourceVector, Result, ZoneId } from "@waxwingroute/core";
+import type { ExecutorId, Failure, NetworkAddress, RackId, ResourceVector, Result, ZoneId } from "@waxwingroute/core";
 import type { ListedRun, PoolId, RunOutcome, TaskKey } from "@waxwingroute/workflow";
 
 /** The entry in the store with which an executor registers. */
 export interface ExecutorEntry {
     readonly executor: ExecutorId;
-    /** `<ip>:<port>` */
-    readonly address: string;
+    readonly address: NetworkAddress;
     readonly pool: PoolId;
     readonly zone: ZoneId;
     readonly rack: RackId | undefined;
@@ -97,5 +96,5 @@
 
 /** Opens connections to executors. */
 export abstract class ExecutorConnector {
-    abstract open(entry: { readonly executor: ExecutorId; readonly address: string; }): TaskExecutor;
+    abstract open(entry: { readonly executor: ExecutorId; readonly address: NetworkAddress; }): TaskExecutor;
 }
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -1,7 +1,8 @@
 /** Runs the hosts of a cell, fake executors and a store in one process with one manual clock, for tests. */
-import type { JobId, QueueId, RackId, TeamId, ZoneId } from "@waxwingroute/core";
+import type { JobId, NetworkAddress, QueueId, RackId, TeamId, ZoneId } from "@waxwingroute/core";
 import { createFailure, Err, ManualClock, Ok, SeededRandom, toId } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
+import { Supervisor } from "@waxwingroute/telemetry";
 import type { JobState, PoolId, QueueRules, StepSpec } from "@waxwingroute/workflow";
 import { CellOwner } from "../cell-owner.js";
 import type { CellConfiguration } from "../configuration.js";
@@ -16,6 +17,7 @@
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./fake-executor.js";
 import { InvariantChecker } from "./invariant-checker.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./memory-lease-store.js";
+import { createStrictSupervisor } from "./strict-supervisor.js";
 
 export const testQueue = toId<QueueId>("orders");
 export const testTeam = toId<TeamId>("sales");
@@ -50,6 +52,7 @@
         },
         keys: [],
     }],
+    pools: new Set([pool]),
     maxBodyBytes: 100_000,
 };
 
@@ -107,6 +110,8 @@
     readonly planRun?: FakeExecutor["options"]["planRun"];
     readonly machines?: MachineManager;
     readonly clock?: ManualClock;
+    /** Whether unexpected errors are logged, as in a program, and do not fail the test. Default: no. */
+    readonly toleratesErrors?: boolean;
 }
 
 const defaultPlan: RunPlan = { workMs: 300, outcome: "done" };
@@ -119,7 +124,11 @@
     owner: CellOwner | undefined;
     private ownership: LeaseOwnership;
 
-    constructor(private readonly simulation: CellSimulation, private readonly name: string) {
+    constructor(
+        private readonly simulation: CellSimulation,
+        private readonly name: string,
+        private readonly address: NetworkAddress,
+    ) {
         const { clock, data, executors } = simulation;
         this.store = new MemoryLeaseStore(data);
         this.connector = new FakeConnector(new Map(executors.map(row => [row.options.address, row])));
@@ -127,6 +136,7 @@
             store: this.store,
             clock,
             logger: simulation,
+            supervisor: simulation.supervisor,
             // Announced to every owner, even a deposed one that does not know it yet: hosts that have not heard of its
             // successor still do this.
             onStored: items => simulation.hosts.forEach(host => host.owner?.acceptAnnounced(items)),
@@ -164,8 +174,9 @@
             clock,
             random,
             logger: this.simulation,
+            supervisor: this.simulation.supervisor,
             host: this.name,
-            address: `${this.name}:1`,
+            address: this.address,
             incarnation: random.getHex(16),
             isOwnerAlive: () => false,
             listener: {
@@ -177,7 +188,7 @@
                 onOwnerSeen: (_owner, epoch) => this.intake.recordEpoch(epoch),
             },
         });
-        void ownership.run();
+        ownership.start();
         return ownership;
     }
 
@@ -193,6 +204,7 @@
             connector: this.connector,
             clock: this.simulation.clock,
             logger: this.simulation,
+            supervisor: this.simulation.supervisor,
             term,
             configuration: testConfiguration,
             maxLeaseMs,
@@ -208,10 +220,10 @@
                 onChanges: changes => changes.forEach(({ job, state }) => this.simulation.states.set(job, state)),
                 onPending: () => undefined,
                 onFenced: reason => ownership.recordFenced(reason),
-                onConflict: () => void ownership.verify(),
+                onConflict: () => this.simulation.supervisor.start("ownership check", {}, () => ownership.verify()),
             },
         });
-        void this.owner.run();
+        this.owner.start();
     }
 }
 
@@ -219,6 +231,7 @@
 export class CellSimulation {
     readonly clock: ManualClock;
     readonly random: SeededRandom;
+    readonly supervisor: Supervisor;
     readonly data: MemoryStoreData;
     readonly checker = new InvariantChecker({
         executorCpuMillis,
@@ -234,6 +247,9 @@
 
     constructor(options: CellSimulationOptions) {
         this.clock = options.clock ?? new ManualClock(1_000);
+        this.supervisor = options.toleratesErrors === true
+            ? new Supervisor({ clock: this.clock, logger: this })
+            : createStrictSupervisor(this.clock);
         this.data = new MemoryStoreData(this.clock);
         this.machines = options.machines;
         this.random = new SeededRandom(options.seed ?? 1);
@@ -251,7 +267,7 @@
             this.putExecutorEntry(index);
         }
         for (let index = 0; index < options.hosts; index++) {
-            this.hosts.push(new SimulatedHost(this, `host-${index}`));
+            this.hosts.push(new SimulatedHost(this, `host-${index}`, toId<NetworkAddress>(`10.1.0.${index + 1}:1`)));
         }
     }
 
@@ -265,7 +281,12 @@
     }
 
     putExecutorEntry(index: number, isDraining = false): void {
-        const write = { key: `executors/${index}`, value: JSON.stringify({ index, isDraining }) };
+        this.putEntry(`${index}`, JSON.stringify({ index, isDraining }));
+    }
+
+    /** Stores any text as the entry of an executor, as another writer might. */
+    putEntry(name: string, value: string): void {
+        const write = { key: `executors/${name}`, value };
         this.data.execute({ kind: "commit", transaction: { conditions: [], writes: [write], removals: [] } });
     }
 
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -3,7 +3,7 @@
  * refuses starts of old runs, and lists ends until they are acknowledged. Its faults are restarts, partitions, and
  * orders that get no answer and are carried out late. It reports each run to an `InvariantChecker`.
  */
-import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
+import type { Clock, ExecutorId, Failure, NetworkAddress, Result } from "@waxwingroute/core";
 import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
 import type { RunOutcome, TaskKey } from "@waxwingroute/workflow";
 import type {
@@ -345,7 +345,9 @@
         super();
     }
 
-    override open({ executor, address }: { readonly executor: ExecutorId; readonly address: string; }): TaskExecutor {
+    override open(
+        { executor, address }: { readonly executor: ExecutorId; readonly address: NetworkAddress; },
+    ): TaskExecutor {
         const found = this.executors.get(address);
         if (found === undefined) {
             throw new Error(`no fake executor ${executor} at ${address}`);
@@ -355,8 +357,8 @@
 }
 
 /** Returns the address of the fake executor with this index. */
-export function toFakeAddress(index: number): string {
-    return `10.0.0.${index + 1}:8000`;
+export function toFakeAddress(index: number): NetworkAddress {
+    return toId<NetworkAddress>(`10.0.0.${index + 1}:8000`);
 }
 
 /** Returns the id of the fake executor with this index. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,8 @@
     WriterToken,
     ZoneId,
 } from "./ids.js";
+export { isNetworkAddress } from "./network-address.js";
+export type { NetworkAddress } from "./network-address.js";
 export { RandomSource, SeededRandom, SystemRandom } from "./random.js";
 export {
     addResources,
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -6,8 +6,8 @@
  */
 import { CellHost } from "@waxwingroute/cell";
 import type { CellHostOptions } from "@waxwingroute/cell";
-import { SystemClock, SystemRandom } from "@waxwingroute/core";
-import type { Clock } from "@waxwingroute/core";
+import { isNetworkAddress, SystemClock, SystemRandom, toId } from "@waxwingroute/core";
+import type { Clock, NetworkAddress } from "@waxwingroute/core";
 import {
     HttpAdvisor,
     HttpExecutorConnector,
@@ -21,7 +21,13 @@
 } from "@waxwingroute/platform-adapter";
 import type { PlatformSettings } from "@waxwingroute/platform-adapter";
 import type { Logger } from "@waxwingroute/telemetry";
-import { createLogger, EventLog, installGracefulShutdown, PrometheusMetrics } from "@waxwingroute/telemetry";
+import {
+    createLogger,
+    EventLog,
+    installGracefulShutdown,
+    PrometheusMetrics,
+    Supervisor,
+} from "@waxwingroute/telemetry";
 
 /** Fraction of the grace period in which callers with open connections are served. */
 const drainTimeFraction = 0.6;
@@ -94,16 +100,29 @@
         : { machines: new HttpMachineManager({ address: machineAddress, clock }), ownerChangeMs: machineLeaseMs };
 }
 
+/** Returns the peer addresses of the seeds. A seed without an IP number is skipped, since the others suffice. */
+function listSeeds(settings: PlatformSettings, logger: Logger): NetworkAddress[] {
+    return settings.seeds.flatMap(seed => {
+        const address = `${seed.split(":")[0]}:${settings.peerPort}`;
+        if (isNetworkAddress(address)) {
+            return [address];
+        }
+        logger.write("warn", "seed skipped", { seed, reason: "it has no IP number" });
+        return [];
+    });
+}
+
 async function startNode(settings: PlatformSettings, logger: Logger): Promise<void> {
     const clock = new SystemClock();
     const metrics = new PrometheusMetrics("waxwing");
     const eventLog = new EventLog({ writer: logger, metrics, getNow: () => clock.getNow() });
-    const address = `${settings.ip}:${settings.peerPort}`;
+    const supervisor = new Supervisor({ logger: eventLog, clock });
+    const address = toId<NetworkAddress>(`${settings.ip}:${settings.peerPort}`);
     const isSlowHost = settings.cpuShare * settings.coreSpeed < slowHostCores;
     const cell = new CellHost({
         host: settings.host,
         address,
-        seeds: settings.seeds.map(seed => `${seed.split(":")[0]}:${settings.peerPort}`),
+        seeds: listSeeds(settings, logger),
         store: new HttpLeaseStore({ address: settings.storeAddress, clock }),
         codec: new StoreCodec(),
         connector: new HttpExecutorConnector(clock),
@@ -111,6 +130,7 @@
         clock,
         random: new SystemRandom(),
         logger: eventLog,
+        supervisor,
         maxLeaseMs: settings.maxLeaseMs,
         retentionMs: settings.retentionSeconds * 1_000,
         stopMs: settings.stopMs,
@@ -124,7 +144,7 @@
             }
         },
     });
-    const jobServer = new JobServer({ address: settings.callerAddress, gateway: cell });
+    const jobServer = new JobServer({ address: settings.callerAddress, gateway: cell, supervisor });
     const readinessServer = new ReadinessServer({
         address: settings.readinessAddress,
         listProblems: () => cell.listProblems(),
@@ -133,7 +153,11 @@
     await jobServer.listen();
     await readinessServer.listen();
     await metrics.listen(settings.ip, metricsPort);
-    void updateGauges(cell, metrics, clock);
+    supervisor.startLoop({
+        operation: "gauges",
+        isStopped: () => false,
+        run: () => updateGauges(cell, metrics, clock),
+    });
     logger.write("info", "host started", { address, callers: settings.callerAddress, store: settings.storeAddress });
     process.on("SIGHUP", () => logger.write("info", "settings changed; they take effect at the next start"));
     installGracefulShutdown({
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -10,3 +10,5 @@
 export { PrometheusMetrics } from "./prometheus-metrics.js";
 export { StatsdMetrics } from "./statsd-metrics.js";
 export type { StatsdMetricsOptions } from "./statsd-metrics.js";
+export { Supervisor } from "./supervisor.js";
+export type { SupervisedLoop, SupervisorOptions } from "./supervisor.js";
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -55,9 +55,12 @@
     /** Serves the metrics at every path of the address. */
     listen(address: string, port: number): Promise<void> {
         const server = createServer((_request, response) => {
-            void this.render().then(text => {
+            this.render().then(text => {
                 response.writeHead(200, { "content-type": this.registry.contentType });
                 response.end(text);
+            }).catch((error: unknown) => {
+                response.statusCode = 500;
+                response.end(`the metrics cannot be rendered: ${String(error)}\n`);
             });
         });
         this.server = server;
