Start no step of a job that has been cancelled or has failed

Cause: the end of a run opened the later steps of its job without asking whether the job was still open.

Change: SchedulerState.openStep is the only way for a step to become startable, and asks whether the job is open.

--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -43,7 +43,9 @@
     if (task.step.spec.isGang && outcome !== "done") {
         stopGangRun(state, task.step, number);
     }
-    openStep(state, task.step);
+    if (!isStepDone(task.step)) {
+        state.openStep(task.step);
+    }
 }
 
 /** Fails or cancels a job: none of its tasks starts any more, and its runs are stopped. */
@@ -60,7 +62,7 @@
 function stopJobRuns(state: SchedulerState, job: JobRow, reason: StopReason): void {
     for (const occurrence of job.occurrences.values()) {
         for (const step of occurrence.steps) {
-            state.openSteps.delete(step);
+            state.closeStep(step);
             step.tasks.forEach(task => task.runs.forEach(run => state.stopRun(run, reason)));
         }
     }
@@ -87,7 +89,7 @@
         }
     }
     if (isStepDone(step)) {
-        state.openSteps.delete(step);
+        state.closeStep(step);
         finishStep(state, step);
     }
 }
@@ -122,9 +124,3 @@
         task.runs.filter(run => run.number === number).forEach(run => state.stopRun(run, "gangBroken"));
     }
 }
-
-function openStep(state: SchedulerState, step: StepRow): void {
-    if (!isStepDone(step) && state.isOpen(step.occurrence.job)) {
-        state.openSteps.add(step);
-    }
-}
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -82,7 +82,7 @@
         const isReady = step.doneCount < step.tasks.length
             && step.spec.after.every(number => isStepDone(occurrence.steps[number]));
         if (isReady) {
-            state.openSteps.add(step);
+            state.openStep(step);
         }
     }
 }
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -25,8 +25,7 @@
     readonly jobs = new Table<JobId, JobRow>();
     readonly queues = new Table<QueueId, QueueRow>();
     readonly teams = new Table<TeamId, TeamRow>();
-    /** Unfinished steps of open jobs whose earlier steps are all done. */
-    readonly openSteps = new Set<StepRow>();
+    private readonly startableSteps = new Set<StepRow>();
     readonly starts: StartDecision[] = [];
     readonly stops: StopDecision[] = [];
     readonly changes: JobChange[] = [];
@@ -191,6 +190,26 @@
         }
     }
 
+    /** Unfinished steps of open jobs whose earlier steps are all done. Tasks of no other step start. */
+    get openSteps(): ReadonlySet<StepRow> {
+        return this.startableSteps;
+    }
+
+    /**
+     * Lets the tasks of a step start. Has no effect if the job has ended: the runs of a cancelled or failed job end later
+     * than the job, and each of these ends may complete a step.
+     */
+    openStep(step: StepRow): void {
+        if (this.isOpen(step.occurrence.job)) {
+            this.startableSteps.add(step);
+        }
+    }
+
+    /** Lets no further task of a step start. */
+    closeStep(step: StepRow): void {
+        this.startableSteps.delete(step);
+    }
+
     /** Returns whether the job may still start tasks. */
     isOpen(job: JobRow): boolean {
         return job.endsAs === undefined && (job.phase === "queued" || job.phase === "running");
