Bound the time for which an owner acts without the store

Cause: an owner without the store acted for ever; its successor assumed that it had stopped at the takeover; each took the silence of an executor for the end of its leases, though the other may have renewed them.

Change: an owner starts and renews until maxOutageMs after its lease may have ended. Its successor counts on that time for executors that it does not reach, unless it sees sooner that earlier owners have stopped: their addresses are stored, and it calls them. Runs of silent executors count as lost only under a valid lease.

The checker of the simulated cell is stricter: a start after an end that is acknowledged later is a violation unless the lease lapsed in between, as the operators' rule says. The test of the deposed owner keeps its scenario by cutting the hosts off.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -5,7 +5,7 @@
 import type { Clock, Failure, JobId, NetworkAddress, QueueId, RandomSource, Result, TeamId } from "@waxwingroute/core";
 import { createFailure, Err, Ok, toId } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
-import { RpcServer } from "@waxwingroute/transport";
+import { isConnectionRefused, RpcServer } from "@waxwingroute/transport";
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
 import type { Advisor } from "./advisor.js";
@@ -27,7 +27,7 @@
 import { PeerDirectory } from "./peer-directory.js";
 import type { PlatformCodec } from "./platform-codec.js";
 import { decodeJobRecord, parseJobKey, toCancelKey, toJobKey } from "./store-keys.js";
-import type { OwnerRecord, StoredEpoch } from "./store-keys.js";
+import type { OwnerRecord, PossibleOwner, StoredEpoch } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreRequest } from "./store.js";
 import { storeFailures } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
@@ -57,6 +57,8 @@
     readonly acquireDelayMs?: number;
     /** Time to live of this host's ownership lease, ms. Default 1,500. A takeover first waits for its expiry. */
     readonly ownershipLeaseMs?: number;
+    /** How long this host sends orders after its ownership lease may have expired, ms. Default 10,000. */
+    readonly maxOutageMs?: number;
     /** Longest time from the order to stop a task until it has ended, ms. */
     readonly stopMs: number;
     /** How machines are serviced; absent where the cell does not do that. */
@@ -75,6 +77,8 @@
 const publicTeam = toId<TeamId>("public");
 /** Upper limit of the store's silence in the gauges, ms. */
 const maxReportedSilenceMs = 3_600_000;
+/** Timeout of a call that replaces an earlier owner, ms. */
+const replaceTimeoutMs = 500;
 /** Timeout of a forwarded store request that sets none, ms. */
 const forwardedTimeoutMs = 1_000;
 
@@ -151,6 +155,7 @@
             isOwnerAlive: () => this.ownerClient.isOwnerAlive,
             acquireDelayMs: options.acquireDelayMs,
             leaseMs: options.ownershipLeaseMs,
+            maxOutageMs: options.maxOutageMs,
             listener: {
                 onAcquired: (term, isContinued) => this.beginTerm(term, isContinued),
                 onLost: () => this.endTerm(),
@@ -422,7 +427,8 @@
             maxLeaseMs,
             retentionMs,
             stopMs,
-            isLeaseValid: () => this.ownership.isLeaseValid,
+            ownership: this.ownership,
+            askToStop: owner => this.askToStop(owner, term.epoch),
             maintenance: maintenance === undefined ? undefined : { ...maintenance, holder: host },
             listener: {
                 onChanges: changes => this.publish(changes),
@@ -439,6 +445,15 @@
         owner.start();
     }
 
+    private async askToStop({ address }: PossibleOwner, epoch: number): Promise<boolean> {
+        const client = address === undefined ? undefined : this.peers.add(address);
+        if (address === undefined || client === undefined) {
+            return false;
+        }
+        const answered = await client.call(cellService.replaceOwner, { epoch }, replaceTimeoutMs);
+        return answered.ok || await isConnectionRefused(address, replaceTimeoutMs);
+    }
+
     private endTerm(): void {
         this.pendingTerm = undefined;
         this.owner?.close();
@@ -496,6 +511,10 @@
                 this.owner === undefined
                     ? createNotOwnerResult()
                     : Ok({ states: encodeStates(this.publisher.follow(host, jobs)) }),
+            replaceOwner: async ({ epoch }) => {
+                this.ownership.recordSuccessor(epoch);
+                return Ok({});
+            },
             ask: async ({ step, executors, timeoutMs }) => {
                 const answered = await this.options.advisor.ask(step, executors, timeoutMs);
                 return answered.map(grants => ({ grants: [...grants] }));
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -22,7 +22,7 @@
 import { AdviceDispatcher } from "./advice-dispatcher.js";
 import type { CellConfiguration } from "./configuration.js";
 import { ExecutorRegistry } from "./executor-registry.js";
-import type { SessionListener } from "./executor-session.js";
+import type { OrderAuthority, SessionListener } from "./executor-session.js";
 import { JobFeed } from "./job-feed.js";
 import type { OwnershipTerm } from "./lease-ownership.js";
 import type { MachineManager } from "./machine-manager.js";
@@ -33,7 +33,9 @@
 import type { JobEvent, StoredCell } from "./owner-recovery.js";
 import { readRoster, readStoredCell } from "./owner-recovery.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { rosterKey } from "./store-keys.js";
+import { Predecessors } from "./predecessors.js";
+import type { PossibleOwner } from "./store-keys.js";
+import { encodePossibleOwners, possibleOwnersKey, rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
@@ -53,8 +55,10 @@
     readonly retentionMs: number;
     /** Longest time from the order to stop a task until it has ended, ms. */
     readonly stopMs: number;
-    /** Returns whether the lease cannot have expired, so that no other host can own the cell now. */
-    readonly isLeaseValid: () => boolean;
+    /** Whether this host may send orders, and whether no other host can own the cell now; see `LeaseOwnership`. */
+    readonly ownership: { readonly canOrder: boolean; readonly isLeaseValid: boolean; };
+    /** Asks the process of an earlier owner to stop. Returns whether it has, or is gone. */
+    readonly askToStop: (owner: PossibleOwner) => Promise<boolean>;
     /** How machines are serviced; absent where the cell does not do that. */
     readonly maintenance?: CellMaintenanceOptions;
     readonly listener: OwnerListener;
@@ -105,7 +109,9 @@
     private readonly jobs: OwnerJobs;
     private readonly feed: JobFeed;
     private readonly maintenance: MaintenanceDriver | undefined;
+    private predecessors: Predecessors;
     private configuration: CellConfiguration;
+    private canOrder = true;
     private isClosed = false;
     private isRecovered = false;
     private isTickScheduled = false;
@@ -125,6 +131,7 @@
         this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
         this.scheduler.setEpoch(term.epoch);
         this.scheduler.applyRules(toRules(options.configuration));
+        this.predecessors = this.createPredecessors(term);
         this.journal = new OwnerJournal({
             store,
             clock,
@@ -164,6 +171,7 @@
             listener: this,
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
+            authority: this.createAuthority(),
             isPoolKnown: pool => this.configuration.pools.has(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
             onChange: () => this.requestTick(),
@@ -184,8 +192,41 @@
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
+    private createAuthority(): OrderAuthority {
+        const { ownership } = this.options;
+        const getEarlierOrdersEndAt = () => this.predecessors.ordersEndAt;
+        return {
+            get canOrder() {
+                return ownership.canOrder;
+            },
+            get isLeaseValid() {
+                return ownership.isLeaseValid;
+            },
+            get earlierOrdersEndAt() {
+                return getEarlierOrdersEndAt();
+            },
+        };
+    }
+
+    private createPredecessors(term: OwnershipTerm): Predecessors {
+        const { askToStop, clock, logger } = this.options;
+        return new Predecessors({
+            clock,
+            logger,
+            owners: term.predecessors,
+            askToStop,
+            onAllStopped: () => this.storePossibleOwners(term),
+        });
+    }
+
+    /** Stores that this owner is the only one that may send orders, so that its successor asks no others. */
+    private storePossibleOwners({ revision, self }: OwnershipTerm): void {
+        this.journal.setRevision(possibleOwnersKey, revision);
+        this.journal.recordWrite({ key: possibleOwnersKey, value: encodePossibleOwners([self]) }, () => undefined);
+    }
+
     private createMaintenance(maintenance: CellMaintenanceOptions): MaintenanceDriver {
-        const { clock, codec, isLeaseValid, listener, logger, store, supervisor } = this.options;
+        const { clock, codec, listener, logger, ownership, store, supervisor } = this.options;
         return new MaintenanceDriver({
             ...maintenance,
             store,
@@ -194,7 +235,7 @@
             logger,
             supervisor,
             getFencingToken: () => this.epoch,
-            isLeaseValid,
+            isLeaseValid: () => ownership.isLeaseValid,
             countRuns: executor => this.scheduler.listRuns(executor).length,
             planEvacuation: (executor, emptyBy) => this.registry.planEvacuation(executor, emptyBy),
             storeValue: (write, revision, onStored) => {
@@ -224,11 +265,8 @@
 
     /** Recovers the state of the cell and then schedules until `close`. */
     start(): void {
-        this.options.supervisor.startLoop({
-            operation: "recovery of the cell",
-            isStopped: () => this.isClosed,
-            run: () => this.run(),
-        });
+        this.startLoop("recovery of the cell", () => this.run());
+        this.startLoop("stop of earlier owners", () => this.predecessors.run());
     }
 
     private async run(): Promise<void> {
@@ -269,6 +307,7 @@
     /** Stops all loops; records that are not stored yet are dropped. */
     close(): void {
         this.isClosed = true;
+        this.predecessors.close();
         this.feed.close();
         this.maintenance?.close();
         this.journal.close();
@@ -281,6 +320,9 @@
         this.journal.setTerm(term);
         this.jobs.setEpoch(term.epoch);
         this.registry.setFencingToken(term.epoch);
+        this.predecessors.close();
+        this.predecessors = this.createPredecessors(term);
+        this.startLoop("stop of earlier owners", () => this.predecessors.run());
     }
 
     /** Applies the rules of a newer configuration. */
@@ -474,6 +516,9 @@
         if (this.isClosed) {
             return;
         }
+        if (!this.checkAuthority()) {
+            return;
+        }
         const now = this.options.clock.getNow();
         const { starts, stops, throttles, changes } = this.scheduler.tick(now);
         this.orders.send({ starts, stops, throttles });
@@ -481,6 +526,19 @@
         this.askAdvice(now);
     }
 
+    /** Returns whether this host may send orders now, and logs each change. */
+    private checkAuthority(): boolean {
+        const { canOrder } = this.options.ownership;
+        if (canOrder !== this.canOrder) {
+            this.canOrder = canOrder;
+            this.options.logger.write(canOrder ? "info" : "warn", canOrder ? "orders resumed" : "orders suspended", {
+                epoch: this.epoch,
+                reason: canOrder ? "the lease was renewed" : "the store has been away for too long",
+            });
+        }
+        return canOrder;
+    }
+
     private askAdvice(now: number): void {
         this.scheduler.sendAdviceRequests(now, request => {
             const rules = this.configuration.queues.find(queue => queue.rules.queue === request.queue)?.rules.advice;
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -146,6 +146,7 @@
             const cell = await openCell({ planRun: () => ({ workMs: 3_000, outcome: "done" }) });
             const deposed = cell.owner!;
             const successor = cell.hosts.find(host => host !== deposed)!;
+            cell.arePeersCutOff = true;
             deposed.store.mode = "silent";
             successor.connector.unreachable.add(toFakeAddress(0));
             expect(await cell.advanceUntil(() => successor.owner !== undefined, 4_000)).toEqual(true);
@@ -262,6 +263,90 @@
         }
     });
 
+    describe("an owner that is cut off from the store", () => {
+        /** Longest outage of the store on the operators' sites, ms. */
+        const outageMs = 6_900;
+
+        async function openCutCell(workMs: number, reached: readonly number[]): Promise<CellSimulation> {
+            const cell = await openCell({ executors: 4, planRun: () => ({ workMs, outcome: "done" }) });
+            const [first, second] = [cell.owner!, cell.hosts.find(host => host !== cell.owner)!];
+            void cell.submit(first, "a", [{ taskCount: 20, estimateMs: workMs }]);
+            void cell.submit(first, "b", [{ taskCount: 20, estimateMs: workMs }]);
+            await cell.advanceUntil(() => cell.checker.startCount === 16, 3_000);
+            cell.arePeersCutOff = true;
+            first.store.mode = "silent";
+            for (const index of [0, 1, 2, 3]) {
+                (reached.includes(index) ? second : first).connector.unreachable.add(toFakeAddress(index));
+            }
+            return cell;
+        }
+
+        for (const workMs of [2_000, 8_000]) {
+            for (const reached of [[0, 1], [0, 1, 2], [0], []]) {
+                for (const cutMs of [8_000, 22_000]) {
+                    const name =
+                        `${reached.length} of 4 executors on its side, tasks of ${workMs} ms, cut off for ${cutMs} ms`;
+                    it(`runs no task beside its successor: ${name}`, async () => {
+                        // Guards against two owners that each start what the other may run, or renew what it counts as lost.
+                        const cell = await openCutCell(workMs, reached);
+                        await cell.advance(cutMs);
+                        expect(cell.hosts[1]!.owner !== undefined && cell.hosts[0]!.owner !== undefined).toEqual(true);
+                        cell.arePeersCutOff = false;
+                        cell.hosts.forEach(host => {
+                            host.store.mode = "up";
+                            host.connector.unreachable.clear();
+                        });
+                        const isDone = () => ["a", "b"].every(job => cell.getState(job) === "succeeded");
+                        expect(await cell.advanceUntil(isDone, 40_000)).toEqual(true);
+                        expect(cell.checker.violations).toEqual([]);
+                        cell.close();
+                    });
+                }
+            }
+        }
+
+        it("sends no starts and renews no leases after the bound of its authority", async () => {
+            // Guards against an owner that acts for as long as it is cut off.
+            const cell = await openCutCell(60_000, [0, 1]);
+            await cell.advance(11_500);
+            const startCount = cell.checker.startCount;
+            await cell.advance(6_000);
+            const [first, second] = cell.executors;
+            expect([first!.runningCount, second!.runningCount]).toEqual([0, 0]);
+            expect(cell.checker.startCount >= startCount).toEqual(true);
+            expect(cell.logLines.some(line => line.includes("orders suspended"))).toEqual(true);
+            cell.close();
+        });
+
+        it("goes on starting what was accepted while the store is away for all", async () => {
+            // Guards against a bound that stops a zone in an ordinary outage of the store.
+            const cell = await openCell({ planRun: () => ({ workMs: 900, outcome: "done" }) });
+            void cell.submit(cell.owner!, "a", [{ taskCount: 200, estimateMs: 900 }]);
+            await cell.advance(1_000);
+            cell.data.mode = "silent";
+            await cell.advance(outageMs);
+            const before = cell.checker.startCount;
+            await cell.advance(1_500);
+            expect(cell.checker.startCount > before).toEqual(true);
+            cell.data.mode = "up";
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 30_000)).toEqual(true);
+            expect(cell.checker.violations).toEqual([]);
+            cell.close();
+        });
+
+        it("stops at once when its successor reaches it", async () => {
+            // Guards against a takeover that waits for an owner that could be told.
+            const cell = await openCutCell(5_000, [0, 1]);
+            cell.arePeersCutOff = false;
+            const first = cell.owner!;
+            expect(await cell.advanceUntil(() => first.owner === undefined, 3_000)).toEqual(true);
+            // The leases of the executors that the successor does not reach last 4.9 s.
+            const before = cell.checker.startCount;
+            expect(await cell.advanceUntil(() => cell.checker.startCount > before, 6_000)).toEqual(true);
+            cell.close();
+        });
+    });
+
     describe("a failed executor", () => {
         it("has its tasks started elsewhere after its entry is removed, even while the owner calls it", async () => {
             // Guards against extending the lease of the executor with each renewal that it does not answer.
--- a/packages/cell/src/cell-service.ts
+++ b/packages/cell/src/cell-service.ts
@@ -88,6 +88,8 @@
      * host does not own the cell.
      */
     follow: createUnaryMethod("Cell/Follow", followSchema, z.object({ states: statesSchema })),
+    /** Tells an earlier owner that another host acquired the cell in this epoch. The answer shows that it has stopped. */
+    replaceOwner: createUnaryMethod("Cell/ReplaceOwner", z.object({ epoch: z.number().int() }), z.object({})),
     /** Asks the advisor through another host. */
     ask: createUnaryMethod("Cell/Ask", adviceSchema, grantsSchema),
     /** Forwards a request to the store through another host. */
--- a/packages/cell/src/executor-leases.ts
+++ b/packages/cell/src/executor-leases.ts
@@ -1,8 +1,7 @@
 /** Tracks when the leases of all runs on one executor have expired, measured by the executor's own clock. */
 import type { Clock } from "@waxwingroute/core";
+import { clockRateBound } from "./store-keys.js";
 
-/** Largest relative rate difference between an executor's clock and this host's; the platform documents it. */
-const maxClockDrift = 0.02;
 /** Added to every wait for a lease to expire, ms, for messages that are still in flight. */
 const leaseMarginMs = 250;
 
@@ -13,22 +12,22 @@
     private clockReadAt = 0;
     /** Latest lease end that was requested, in time of the executor's clock. */
     private lastDeadlineMs = 0;
-    private readonly openedAt: number;
 
-    constructor(private readonly clock: Clock, private readonly maxLeaseMs: number) {
-        this.openedAt = clock.getNow();
-    }
+    constructor(private readonly clock: Clock, private readonly maxLeaseMs: number) {}
 
     get isClockKnown(): boolean {
         return this.clockMs !== undefined;
     }
 
-    /** Returns whether the leases of all runs that the executor can hold have certainly expired. */
-    hasExpired(): boolean {
-        const now = this.clock.getNow();
+    /**
+     * Returns whether the leases of all runs that the executor can hold have certainly expired. Without a reading of its
+     * clock, an earlier owner may have renewed the lease until `earlierOrdersEndAt`. With one, it has refused that owner
+     * since.
+     */
+    hasExpired(earlierOrdersEndAt: number): boolean {
         if (this.clockMs === undefined) {
-            // Without a clock reading, an earlier owner may have renewed the lease just before this session opened.
-            return now - this.openedAt > this.maxLeaseMs * (1 + 2 * maxClockDrift) + leaseMarginMs;
+            const longestMs = this.maxLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+            return this.clock.getNow() - earlierOrdersEndAt > longestMs;
         }
         return this.estimateClock(this.clockMs) > Math.max(this.lastDeadlineMs, this.clockMs) + leaseMarginMs;
     }
@@ -60,6 +59,6 @@
 
     /** Returns the lowest reading that the executor's clock can have now. */
     private estimateClock(lastReadingMs: number): number {
-        return lastReadingMs + (this.clock.getNow() - this.clockReadAt) * (1 - maxClockDrift);
+        return lastReadingMs + (this.clock.getNow() - this.clockReadAt) * (1 - clockRateBound);
     }
 }
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -12,7 +12,7 @@
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { ExecutorState, PoolId, TaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import { ExecutorSession } from "./executor-session.js";
-import type { SessionListener } from "./executor-session.js";
+import type { OrderAuthority, SessionListener } from "./executor-session.js";
 import type { PlatformCodec } from "./platform-codec.js";
 import { encodeRoster, rosterKey } from "./store-keys.js";
 import type { RosterEntry } from "./store-keys.js";
@@ -32,6 +32,7 @@
     readonly listener: SessionListener;
     readonly fencingToken: number;
     readonly maxLeaseMs: number;
+    readonly authority: OrderAuthority;
     /** Returns whether the configuration names the pool; executors of other pools are not used. */
     readonly isPoolKnown: (pool: PoolId) => boolean;
     /** Writes the roster to the store and calls `onStored` once the write is committed. */
@@ -371,7 +372,7 @@
             this.executorsOfEarlierOwner.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
         }
-        const { clock, connector, listener, logger, maxLeaseMs, supervisor } = this.options;
+        const { authority, clock, connector, listener, logger, maxLeaseMs, supervisor } = this.options;
         const session = new ExecutorSession({
             executor,
             client: connector.open({ executor, address }),
@@ -381,6 +382,7 @@
             listener,
             fencingToken: this.fencingToken,
             maxLeaseMs,
+            authority,
             needsFrequentListings: id => this.options.scheduler.needsFrequentReports(id),
         });
         const record: ExecutorRecord = {
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -43,6 +43,16 @@
     onFenced(executor: ExecutorId): void;
 }
 
+/** What an owner may do at the moment; an owner that is cut off from the store loses both after a bounded time. */
+export interface OrderAuthority {
+    /** Whether starts and renewals of leases may be sent. */
+    readonly canOrder: boolean;
+    /** Whether no other host can own the cell, so that no other has renewed the leases of silent executors. */
+    readonly isLeaseValid: boolean;
+    /** Time by which earlier owners have sent their last order. */
+    readonly earlierOrdersEndAt: number;
+}
+
 /** The connection, limits and callbacks of a session. */
 export interface ExecutorSessionOptions {
     readonly executor: ExecutorId;
@@ -54,6 +64,7 @@
     readonly fencingToken: number;
     /** Longest lease that the executor grants, ms. */
     readonly maxLeaseMs: number;
+    readonly authority: OrderAuthority;
     /**
      * Returns whether the executor has to be listed several times a second, because tasks are throttled by its load.
      */
@@ -110,6 +121,11 @@
     /** Whether the last call confirmed that the executor has not restarted since the processed ends were numbered. */
     private isIncarnationKnown = false;
     private fencingToken: number;
+    /**
+     * Whether the executor has restarted since this owner last certainly owned the cell. It has then forgotten the token
+     * of a successor, which may use it too.
+     */
+    private isUnfenced = false;
     private wakeUp: (() => void) | undefined;
 
     constructor(private readonly options: ExecutorSessionOptions) {
@@ -124,7 +140,7 @@
 
     /** Whether the executor answers renewals and its runs are known, so that it can be given work. */
     get isReachable(): boolean {
-        return this.failures < failuresBeforeUnreachable && this.hasKnownRuns;
+        return this.failures < failuresBeforeUnreachable && this.hasKnownRuns && !this.isUnfenced;
     }
 
     setFencingToken(token: number): void {
@@ -201,6 +217,12 @@
             deadlineMs: this.leases.extend(),
             fencingToken: this.fencingToken,
         };
+        // Checked after the lease end is computed, so that a pause of the process in between cannot prolong the lease.
+        if (!this.options.authority.canOrder) {
+            this.trackedRuns.delete(toRunKey(tracked));
+            this.reportEnd(tracked, "notStarted");
+            return;
+        }
         const started = await supervisor.call("start", { executor, task: order.task }, () => client.start(order));
         if (this.isClosed || !this.trackedRuns.has(toRunKey(tracked))) {
             return;
@@ -304,7 +326,8 @@
         // A renewal without an answer may have extended the lease. After a failure, renewals therefore ask for no
         // extension; otherwise the leases of a silent executor would never be known to have expired.
         const canExtend = this.leases.isClockKnown && this.failures === 0;
-        const deadlineMs = canExtend ? this.leases.extend() : undefined;
+        const extendedMs = canExtend ? this.leases.extend() : undefined;
+        const deadlineMs = this.options.authority.canOrder ? extendedMs : undefined;
         // After a restart the executor numbers its ends from 1 again, and an old number would acknowledge new ends. So
         // none is acknowledged until a listing has shown the executor's start time.
         const acknowledged = this.isIncarnationKnown ? this.acknowledgedThrough : 0;
@@ -346,9 +369,12 @@
     private acceptListing(listing: ExecutorListing, sentAt: number): void {
         const { executor, listener, logger } = this.options;
         this.leases.recordClock(listing.clockMs);
+        const { isLeaseValid } = this.options.authority;
+        this.isUnfenced &&= !isLeaseValid;
         if (this.startedAtWallMs !== undefined && listing.startedAtWallMs !== this.startedAtWallMs) {
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
             this.dropRunsOfEarlierIncarnation();
+            this.isUnfenced = !isLeaseValid;
             this.processedThrough = 0;
             this.acknowledgedThrough = 0;
             this.unstoredEnds.clear();
@@ -449,7 +475,12 @@
         else {
             this.recordFailures(this.failures + 1, failure);
         }
-        if (this.failures >= failuresBeforeUnreachable && this.leases.hasExpired()) {
+        const { earlierOrdersEndAt, isLeaseValid } = this.options.authority;
+        // Without a valid lease, a successor may have renewed the leases of an executor that this owner does not reach.
+        if (
+            this.failures >= failuresBeforeUnreachable && isLeaseValid
+            && this.leases.hasExpired(earlierOrdersEndAt)
+        ) {
             this.forgetRunsOnce("its leases have run out");
         }
     }
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -3,7 +3,7 @@
  *
  * Each acquisition raises the epoch in the same transaction. The epoch is the fencing token of all orders, so
  * an executor refuses a replaced owner once it has heard from the new one. While no host can reach the store, none can
- * take over, and the owner continues. An owner whose lease has expired acquires the cell again; if the epoch is still
+ * take over, and the owner continues for a bounded time, after which it sends no orders. An owner whose lease has expired acquires the cell again; if the epoch is still
  * its own, no other host has owned the cell in between, and it keeps its state in memory.
  *
  * Independent of the package `ownership`, which the scheduler and cluster packages use.
@@ -12,8 +12,19 @@
 import { Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { match } from "ts-pattern";
-import type { OwnerRecord, StoredEpoch } from "./store-keys.js";
-import { decodeEpoch, decodeOwner, encodeOwner, epochKey, ownerKey, ownershipPrefix } from "./store-keys.js";
+import type { OwnerRecord, PossibleOwner, StoredEpoch } from "./store-keys.js";
+import {
+    clockRateBound,
+    decodeEpoch,
+    decodeOwner,
+    decodePossibleOwners,
+    encodeOwner,
+    encodePossibleOwners,
+    epochKey,
+    ownerKey,
+    ownershipPrefix,
+    possibleOwnersKey,
+} from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreReplies } from "./store.js";
 import { storeFailures } from "./store.js";
 
@@ -23,6 +34,10 @@
     readonly epoch: number;
     /** Revision of the owner key; every write of the owner is conditional on it. */
     readonly revision: number;
+    /** Earlier owners that may still have sent orders at the acquisition, this process left out. */
+    readonly predecessors: readonly PossibleOwner[];
+    /** What the next owners are told of this one. */
+    readonly self: PossibleOwner;
 }
 
 /** Receives the changes of the ownership. */
@@ -55,14 +70,21 @@
     readonly leaseMs?: number;
     /** Delay of this host's acquisitions, ms, so that other hosts can acquire the cell first. Default 0. */
     readonly acquireDelayMs?: number;
+    /**
+     * How long the owner sends orders after its lease may have expired, ms, because the store may be away for all hosts.
+     * A successor that reaches neither the owner nor an executor waits as long. Default 10,000.
+     */
+    readonly maxOutageMs?: number;
 }
 
 /** Time to live of the lease, ms. */
 const defaultLeaseMs = 1_500;
 /** Renewals in the lifetime of a lease; two of them in a row may be lost. */
 const renewalsPerLease = 4;
-/** Largest relative difference between a host's clock rate and the store's, as the platform documents it. */
-const clockRateBound = 0.02;
+/** Default of `maxOutageMs`. */
+const defaultMaxOutageMs = 10_000;
+/** Most owners in the list of those that may still send orders; older ones are combined into one of unknown address. */
+const maxPossibleOwners = 8;
 /** Longest time for which hosts leave the cell to its last owner while that owner is still heard from, ms. */
 const ownerReturnMs = 700;
 /** Interval of checks whether the last owner is still heard from, ms. An owner that resigns ends its streams. */
@@ -91,6 +113,7 @@
     readonly owner: OwnerRecord | undefined;
     readonly ownerRevision: number;
     readonly storedEpoch: StoredEpoch;
+    readonly possibleOwners: readonly PossibleOwner[];
     readonly storeRevision: number;
 }
 
@@ -103,8 +126,9 @@
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
     private isFenced = false;
     private isAcquiring = false;
-    /** Send time of the last answered grant or renewal of the lease. */
+    /** Send time of the last answered grant or renewal of the lease, by the monotonic and by the wall clock. */
     private renewedAt = -Infinity;
+    private renewedAtWall = -Infinity;
     private renewalsInFlight = 0;
     private endWatch: (() => void) | undefined;
 
@@ -122,8 +146,36 @@
 
     /** Whether the lease cannot have expired yet, so that no other host can own the cell. */
     get isLeaseValid(): boolean {
-        const validMs = (this.options.leaseMs ?? defaultLeaseMs) * (1 - clockRateBound);
-        return this.term !== undefined && this.options.clock.getNow() - this.renewedAt < validMs;
+        return this.term !== undefined && this.computeUnrenewedMs() < this.leaseMs * (1 - clockRateBound);
+    }
+
+    /**
+     * Whether this host may send orders: until `maxOutageMs` after the lease may have expired. A successor that may
+     * exist by then counts on it.
+     */
+    get canOrder(): boolean {
+        const { maxOutageMs = defaultMaxOutageMs } = this.options;
+        return this.term !== undefined && this.computeUnrenewedMs() < this.leaseMs + maxOutageMs;
+    }
+
+    private get leaseMs(): number {
+        return this.options.leaseMs ?? defaultLeaseMs;
+    }
+
+    /**
+     * Returns the longest time for which the lease can have been without renewal, ms. The monotonic clock stands still
+     * while the machine is suspended, the wall clock may be set back.
+     */
+    private computeUnrenewedMs(): number {
+        const { clock } = this.options;
+        return Math.max(clock.getNow() - this.renewedAt, clock.getWallTime() - this.renewedAtWall);
+    }
+
+    private recordRenewal(sentAt: number, sentAtWall: number): void {
+        if (sentAt > this.renewedAt) {
+            this.renewedAt = sentAt;
+            this.renewedAtWall = sentAtWall;
+        }
     }
 
     /** Takes part in the ownership until `stop`. */
@@ -167,6 +219,13 @@
         }
     }
 
+    /** Gives the cell up if another host has acquired it in this epoch, which it says itself. */
+    recordSuccessor(epoch: number): void {
+        if (this.term !== undefined && this.term.epoch < epoch) {
+            this.recordLoss("another host acquired the cell");
+        }
+    }
+
     /** Reads the owner record again if it is being watched, because the owner is no longer heard from. */
     refresh(): void {
         this.endWatch?.();
@@ -195,7 +254,7 @@
             }
             if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
                 // The answer to an earlier acquisition was lost.
-                this.beginTerm({ epoch: view.owner.epoch, revision: view.ownerRevision }, false);
+                this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), false);
                 return;
             }
             const next = await this.watchOwnership(view);
@@ -220,6 +279,9 @@
             owner: parsed,
             ownerRevision: owner === "unchanged" ? view.ownerRevision : owner?.revision ?? 0,
             storedEpoch: epoch === undefined ? view.storedEpoch : decodeEpoch(epoch),
+            possibleOwners: items.has(possibleOwnersKey)
+                ? this.parsePossibleOwners(items.get(possibleOwnersKey))
+                : view.possibleOwners,
             storeRevision: watched.val.storeRevision,
         };
     }
@@ -268,8 +330,9 @@
 
     private async acquire(view: OwnershipView, isContinued: boolean): Promise<boolean> {
         const sentAt = this.options.clock.getNow();
+        const sentAtWall = this.options.clock.getWallTime();
         const granted = await this.options.store.call(
-            { kind: "grantLease", ttlMs: this.options.leaseMs ?? defaultLeaseMs },
+            { kind: "grantLease", ttlMs: this.leaseMs },
             callTimeoutMs,
         );
         if (!granted.ok || this.isStopped) {
@@ -278,6 +341,7 @@
         }
         const epoch = view.storedEpoch.epoch + 1;
         const { host, address, incarnation } = this.options;
+        const possibleOwners = [...this.listPredecessors(view), this.describeSelf(epoch)];
         this.isFenced = false;
         this.lease = granted.val.lease;
         const committed = await this.options.store.call({
@@ -287,6 +351,7 @@
                 writes: [
                     { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch }), lease: this.lease },
                     { key: epochKey, value: String(epoch) },
+                    { key: possibleOwnersKey, value: encodePossibleOwners(possibleOwners) },
                 ],
                 removals: [],
             },
@@ -298,11 +363,41 @@
             });
             return false;
         }
-        this.renewedAt = sentAt;
-        this.beginTerm({ epoch, revision: committed.val.revision }, isContinued);
+        this.recordRenewal(sentAt, sentAtWall);
+        this.beginTerm(this.toTerm(epoch, committed.val.revision, view), isContinued);
         return true;
     }
 
+    private toTerm(epoch: number, revision: number, view: OwnershipView): OwnershipTerm {
+        const predecessors = this.listPredecessors(view).filter(owner => owner.epoch < epoch);
+        return { epoch, revision, predecessors, self: this.describeSelf(epoch) };
+    }
+
+    private describeSelf(epoch: number): PossibleOwner {
+        const { address, maxOutageMs = defaultMaxOutageMs } = this.options;
+        return { epoch, address, maxOutageMs };
+    }
+
+    /**
+     * Returns the owners that may still send orders, other than this process and earlier ones at its address, which are
+     * gone. Without a record that includes the last epoch, the last owner is one of unknown address.
+     */
+    private listPredecessors({ possibleOwners, storedEpoch: { epoch } }: OwnershipView): PossibleOwner[] {
+        const { address, maxOutageMs = defaultMaxOutageMs } = this.options;
+        const isComplete = epoch === 0 || possibleOwners.at(-1)?.epoch === epoch;
+        const known = isComplete ? possibleOwners : [...possibleOwners, { epoch, maxOutageMs }];
+        const others = known.filter(owner => owner.address !== address);
+        if (others.length < maxPossibleOwners) {
+            return others;
+        }
+        const older = others.slice(0, 1 - maxPossibleOwners);
+        const combined = {
+            epoch: older.at(-1)!.epoch,
+            maxOutageMs: Math.max(...older.map(owner => owner.maxOutageMs)),
+        };
+        return [combined, ...others.slice(1 - maxPossibleOwners)];
+    }
+
     private beginTerm(term: OwnershipTerm, isContinued: boolean): void {
         this.term = term;
         this.lastEpoch = term.epoch;
@@ -318,7 +413,7 @@
 
     /** Sends a renewal after the interval, whether or not the earlier ones have been answered. */
     private async renew(): Promise<void> {
-        await this.options.clock.wait((this.options.leaseMs ?? defaultLeaseMs) / renewalsPerLease);
+        await this.options.clock.wait(this.leaseMs / renewalsPerLease);
         if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
             this.renewalsInFlight += 1;
             this.options.supervisor.start("ownership renewal", {}, () =>
@@ -330,12 +425,13 @@
 
     private async sendRenewal(lease: number): Promise<void> {
         const sentAt = this.options.clock.getNow();
+        const sentAtWall = this.options.clock.getWallTime();
         const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
         if (lease !== this.lease || this.isStopped) {
             return;
         }
         if (renewed.ok) {
-            this.renewedAt = Math.max(this.renewedAt, sentAt);
+            this.recordRenewal(sentAt, sentAtWall);
         }
         else if (renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readOwnership();
@@ -353,7 +449,7 @@
         }
         if (view.owner?.incarnation === this.options.incarnation) {
             // The answer to an earlier acquisition was lost.
-            this.beginTerm({ epoch: view.owner.epoch, revision: view.ownerRevision }, true);
+            this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), true);
             return;
         }
         if (view.storedEpoch.epoch !== term.epoch) {
@@ -377,14 +473,24 @@
         }
         const owner = listed.val.items.find(item => item.key === ownerKey);
         const epoch = listed.val.items.find(item => item.key === epochKey);
+        const possibleOwners = listed.val.items.find(item => item.key === possibleOwnersKey);
         return Ok({
             owner: this.parseOwner(owner),
             ownerRevision: owner?.revision ?? 0,
             storedEpoch: decodeEpoch(epoch),
+            possibleOwners: this.parsePossibleOwners(possibleOwners),
             storeRevision: listed.val.storeRevision,
         });
     }
 
+    private parsePossibleOwners(item: StoreItem | undefined): readonly PossibleOwner[] {
+        const decoded = item === undefined ? undefined : decodePossibleOwners(item.value);
+        if (decoded?.ok === false) {
+            this.options.logger.write("error", "possible owners cannot be read", { reason: decoded.val.message });
+        }
+        return decoded?.ok === true ? decoded.val : [];
+    }
+
     private parseOwner(item: StoreItem | undefined): OwnerRecord | undefined {
         if (item === undefined) {
             return undefined;
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -15,8 +15,17 @@
     readonly events: string[];
 }
 
+/** A clock whose wall time is set apart from its monotonic time. */
+class SuspendedClock extends ManualClock {
+    wallOffsetMs = 0;
+
+    override getWallTime(): number {
+        return super.getWallTime() + this.wallOffsetMs;
+    }
+}
+
 class Fixture {
-    readonly clock = new ManualClock();
+    readonly clock = new SuspendedClock();
     readonly data = new MemoryStoreData(this.clock);
     readonly random = new SeededRandom(1);
 
@@ -219,4 +228,64 @@
         expect(host.ownership.current !== undefined).toEqual(true);
         host.ownership.abort();
     });
+
+    describe("authority to order", () => {
+        const maxOutageMs = 5_000;
+
+        it("ends a bounded time after the lease, and returns with a renewal", async () => {
+            // Guards against an owner that orders without a bound while its successor does too.
+            const fixture = new Fixture();
+            const host = fixture.open("a", { maxOutageMs, leaseMs: 1_000 });
+            await fixture.clock.advance(500);
+            fixture.data.mode = "silent";
+            await fixture.clock.advance(maxOutageMs);
+            expect([host.ownership.isLeaseValid, host.ownership.canOrder]).toEqual([false, true]);
+            await fixture.clock.advance(1_500);
+            expect(host.ownership.canOrder).toEqual(false);
+            fixture.data.mode = "up";
+            await fixture.clock.advance(2_000);
+            expect([host.ownership.isLeaseValid, host.ownership.canOrder]).toEqual([true, true]);
+            host.ownership.abort();
+        });
+
+        it("has ended when the machine wakes after a suspension that the monotonic clock does not count", async () => {
+            // Guards against a process that acts on a permission that has run out while it was away.
+            const fixture = new Fixture();
+            const host = fixture.open("a", { maxOutageMs, leaseMs: 1_000 });
+            await fixture.clock.advance(500);
+            fixture.clock.wallOffsetMs = maxOutageMs + 1_000;
+            expect([host.ownership.isLeaseValid, host.ownership.canOrder]).toEqual([false, false]);
+            await fixture.clock.advance(500);
+            expect([host.ownership.isLeaseValid, host.ownership.canOrder]).toEqual([true, true]);
+            host.ownership.abort();
+        });
+
+        it("names to each owner the earlier ones that may still order", async () => {
+            // Guards against a successor that counts on the last owner only, though an earlier one may be alive too.
+            const fixture = new Fixture();
+            const hosts = ["a", "b", "c"].map(name => fixture.open(name, { maxOutageMs }));
+            for (let owners = 1; owners <= 3; owners++) {
+                await fixture.clock.advance(4_000);
+                const owner = hosts.find(host => host.ownership.current !== undefined)!;
+                const { predecessors } = owner.ownership.current!;
+                expect(predecessors.map(({ epoch }) => epoch)).toEqual(
+                    Array.from({ length: owners - 1 }, (_, index) => index + 1),
+                );
+                expect(predecessors.every(({ address }) => address !== undefined)).toEqual(true);
+                owner.ownership.abort();
+            }
+        });
+
+        it("is assumed of an owner that the store does not name", async () => {
+            // Guards against a takeover from a host of an earlier version that counts on no earlier owner.
+            const fixture = new Fixture();
+            const write = { key: "waxwing/lead/epoch", value: "7" };
+            const transaction = { conditions: [], writes: [write], removals: [] };
+            fixture.data.execute({ kind: "commit", transaction });
+            const host = fixture.open("a", { maxOutageMs });
+            await fixture.clock.advance(500);
+            expect(host.ownership.current?.predecessors).toEqual([{ epoch: 7, maxOutageMs }]);
+            host.ownership.abort();
+        });
+    });
 });
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -13,6 +13,8 @@
 export const ownerKey = "waxwing/lead/owner";
 /** Epoch of the cell, raised by each acquisition; not under a lease. */
 export const epochKey = "waxwing/lead/epoch";
+/** Owners that may still send orders, the newest last; see `PossibleOwner`. */
+export const possibleOwnersKey = "waxwing/lead/possible";
 /** Executors that may hold runs of the cell. */
 export const rosterKey = "waxwing/roster";
 /** Prefix of job records and cancellations. */
@@ -46,6 +48,18 @@
     readonly epoch: number;
 }
 
+/** An owner that may send orders until an outage of the store has lasted `maxOutageMs`, though its lease has expired. */
+export interface PossibleOwner {
+    readonly epoch: number;
+    /** Absent: not known, so that it cannot be asked. */
+    readonly address?: NetworkAddress;
+    /** Time after the end of its lease in which it sends orders, ms, by its own clock. */
+    readonly maxOutageMs: number;
+}
+
+/** Largest relative difference between the rates of two clocks, as the platform documents it. */
+export const clockRateBound = 0.02;
+
 /** The value and the revision of `epochKey`; both are 0 before the first owner. */
 export interface StoredEpoch {
     readonly epoch: number;
@@ -67,6 +81,11 @@
     address: addressSchema,
     epoch: z.number().int(),
 });
+const possibleOwnersSchema = z.array(z.object({
+    epoch: z.number().int(),
+    address: addressSchema.optional(),
+    maxOutageMs: z.number().min(0),
+}));
 const rosterSchema = z.array(
     z.object({ executor: z.string(), address: addressSchema, tasks: z.array(z.string()).optional() }),
 );
@@ -173,6 +192,16 @@
     return parseValue(ownerSchema, text);
 }
 
+/** Returns the stored form of the owners that may still send orders. */
+export function encodePossibleOwners(owners: readonly PossibleOwner[]): string {
+    return JSON.stringify(owners);
+}
+
+/** Decodes the value of `possibleOwnersKey`. */
+export function decodePossibleOwners(text: string): Result<PossibleOwner[], Failure> {
+    return parseValue(possibleOwnersSchema, text);
+}
+
 /** Returns the stored form of the executor roster. */
 export function encodeRoster(entries: readonly RosterEntry[]): string {
     return JSON.stringify(entries);
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -11,6 +11,7 @@
 import { LeaseOwnership } from "../lease-ownership.js";
 import type { MachineManager, MaintenanceWave, WaveState } from "../machine-manager.js";
 import { PlatformCodec } from "../platform-codec.js";
+import type { PossibleOwner } from "../store-keys.js";
 import type { StoreItem } from "../store.js";
 import type { ExecutorEntry } from "../task-executor.js";
 import type { RunPlan } from "./fake-executor.js";
@@ -127,7 +128,7 @@
     constructor(
         private readonly simulation: CellSimulation,
         private readonly name: string,
-        private readonly address: NetworkAddress,
+        readonly address: NetworkAddress,
     ) {
         const { clock, data, executors } = simulation;
         this.store = new MemoryLeaseStore(data);
@@ -192,6 +193,11 @@
         return ownership;
     }
 
+    /** Gives the cell up because another host has acquired it in this epoch. */
+    replaceOwner(epoch: number): void {
+        this.ownership.recordSuccessor(epoch);
+    }
+
     private beginTerm(ownership: LeaseOwnership, term: OwnershipTerm, isContinued: boolean): void {
         this.intake.recordEpoch(term);
         if (isContinued && this.owner !== undefined) {
@@ -210,7 +216,8 @@
             maxLeaseMs,
             retentionMs: 120_000,
             stopMs: 100,
-            isLeaseValid: () => ownership.isLeaseValid,
+            ownership,
+            askToStop: async owner => this.simulation.replaceOwner(owner, term.epoch),
             maintenance: this.simulation.machines === undefined ? undefined : {
                 machines: this.simulation.machines,
                 holder: this.name,
@@ -244,6 +251,8 @@
     readonly states = new Map<JobId, JobState>();
     readonly logLines: string[] = [];
     readonly machines: MachineManager | undefined;
+    /** Whether hosts cannot call each other. */
+    arePeersCutOff = false;
 
     constructor(options: CellSimulationOptions) {
         this.clock = options.clock ?? new ManualClock(1_000);
@@ -276,6 +285,15 @@
         this.logLines.push(`${Math.round(this.clock.getNow())} ${level} ${message} ${JSON.stringify(fields)}`);
     }
 
+    /** Asks the host at the address of an earlier owner to stop, unless the hosts are cut off from one another. */
+    replaceOwner({ address }: PossibleOwner, epoch: number): boolean {
+        if (this.arePeersCutOff) {
+            return false;
+        }
+        this.hosts.find(host => host.address === address)?.replaceOwner(epoch);
+        return true;
+    }
+
     get owner(): SimulatedHost | undefined {
         return this.hosts.find(host => host.owner !== undefined);
     }
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -66,6 +66,8 @@
     private nextSequence = 1;
     private runs = new Map<string, ActiveRun>();
     private ends: ListedEnd[] = [];
+    /** Ends up to this sequence number were listed when the lease expired. */
+    private lapsedThrough = 0;
     private highestEndedRuns = new Map<TaskKey, number>();
     private isUp = true;
 
@@ -80,9 +82,12 @@
     /** Ends runs that are finished or whose lease has expired. Called before each call and by the simulation. */
     advance(): void {
         const now = this.options.clock.getNow();
+        const leaseEndsAt = this.clockStartedAt + this.leaseDeadlineMs;
+        if (leaseEndsAt <= now) {
+            this.lapsedThrough = this.nextSequence - 1;
+        }
         for (const [key, run] of this.runs) {
             const endsAt = run.startedAt + run.plan.workMs;
-            const leaseEndsAt = this.clockStartedAt + this.leaseDeadlineMs;
             if (endsAt <= now && endsAt <= leaseEndsAt) {
                 this.end(key, run, run.plan.outcome);
             }
@@ -105,6 +110,7 @@
         this.highestToken = 0;
         this.leaseDeadlineMs = 0;
         this.nextSequence = 1;
+        this.lapsedThrough = 0;
         this.clockStartedAt = this.options.clock.getNow();
         this.startedAtWallMs += 1;
         this.isUp = !isDown;
@@ -211,7 +217,9 @@
             this.extend(renewal.deadlineMs);
         }
         this.ends.filter(end => end.sequence <= renewal.acknowledged)
-            .forEach(end => this.options.checker.recordAcknowledged(end.task, end.run));
+            .forEach(end =>
+                this.options.checker.recordAcknowledged(end.task, end.run, end.sequence <= this.lapsedThrough)
+            );
         this.ends = this.ends.filter(end => end.sequence > renewal.acknowledged);
         const now = this.options.clock.getNow();
         return Ok({
--- a/packages/cell/src/testing/invariant-checker.ts
+++ b/packages/cell/src/testing/invariant-checker.ts
@@ -24,7 +24,8 @@
 
 interface TaskRecord {
     readonly running: Map<number, ExecutorId>;
-    readonly doneRuns: Set<number>;
+    /** Runs that ended as done, with the number of starts of the task at that time. */
+    readonly doneRuns: Map<number, number>;
     readonly failedRuns: Set<number>;
     /** Failed runs whose ends are acknowledged. */
     readonly acknowledgedFailures: Set<number>;
@@ -75,7 +76,7 @@
         const record = this.getRecord(task);
         record.running.delete(run);
         if (outcome === "done") {
-            record.doneRuns.add(run);
+            record.doneRuns.set(run, record.starts);
         }
         else if (outcome === "failed") {
             record.failedRuns.add(run);
@@ -86,9 +87,14 @@
         this.getRecord(task).running.delete(run);
     }
 
-    recordAcknowledged(task: TaskKey, run: number): void {
+    /** `hasLapsed`: the leases of the executor have expired between the end and its acknowledgement. */
+    recordAcknowledged(task: TaskKey, run: number, hasLapsed: boolean): void {
         const record = this.getRecord(task);
-        record.isDoneAcknowledged ||= record.doneRuns.has(run);
+        const startsAtEnd = record.doneRuns.get(run);
+        record.isDoneAcknowledged ||= startsAtEnd !== undefined;
+        if (startsAtEnd !== undefined && !hasLapsed && record.starts > startsAtEnd) {
+            this.violations.push(`${task}: started again after run ${run} had ended, which is acknowledged now`);
+        }
         if (record.failedRuns.has(run)) {
             record.acknowledgedFailures.add(run);
         }
@@ -158,7 +164,7 @@
         }
         const created: TaskRecord = {
             running: new Map(),
-            doneRuns: new Set(),
+            doneRuns: new Map(),
             failedRuns: new Set(),
             acknowledgedFailures: new Set(),
             isDoneAcknowledged: false,
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -119,6 +119,9 @@
             cell.data.mode = random.pickOne(["silent", "refusing", "up", "up"] as const)!;
         },
         () => cell.data.compact(),
+        () => {
+            cell.arePeersCutOff = !cell.arePeersCutOff;
+        },
         () => {
             host.connector.isConnected = !host.connector.isConnected;
         },
@@ -137,6 +140,7 @@
 
 function endFaults(cell: CellSimulation): void {
     cell.data.mode = "up";
+    cell.arePeersCutOff = false;
     cell.hosts.forEach(host => {
         host.store.mode = "up";
         host.store.commitFault = "none";
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,5 +1,6 @@
 /** gRPC clients, servers and service descriptions for calls between the system's processes. */
 export { decodeMessage, encodeMessage } from "./codec.js";
+export { isConnectionRefused } from "./connection-probe.js";
 export { RpcClient } from "./rpc-client.js";
 export type { RpcClientOptions, RpcStream, StreamHandlers } from "./rpc-client.js";
 export { RpcServer } from "./rpc-server.js";
