Take no run for lost that a listing of 500 ends may have left out

Cause: an executor lists at most 500 ends; a run whose end was not among them and that no longer ran counted as lost. A takeover released such tasks too.

Change: a listing says whether it has all ends. Without them, no run counts as lost, and the runs of an executor are not known to a new owner.

--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -263,6 +263,53 @@
         }
     });
 
+    describe("an executor with more ends than a listing holds", () => {
+        const maxListedEnds = 10;
+
+        async function openLoadedCell(): Promise<CellSimulation> {
+            const cell = await openCell({
+                executors: 2,
+                maxListedEnds,
+                planRun: () => ({ workMs: 250, outcome: "done" }),
+            });
+            for (let index = 0; index < 10; index++) {
+                void cell.submit(cell.owner!, `j${index}`, [{ taskCount: 24, estimateMs: 250 }]);
+            }
+            await cell.advanceUntil(() => cell.checker.startCount > 8, 3_000);
+            return cell;
+        }
+
+        function isAllDone(cell: CellSimulation): boolean {
+            return Array.from({ length: 10 }, (_, index) => `j${index}`).every(name =>
+                cell.getState(name) === "succeeded"
+            );
+        }
+
+        it("has none of its tasks started again after the store was away", async () => {
+            // Guards against a run that counts as lost because its end is not among the listed ones.
+            const cell = await openLoadedCell();
+            cell.data.mode = "refusing";
+            await cell.advance(6_500);
+            cell.data.mode = "up";
+            expect(await cell.advanceUntil(() => isAllDone(cell), 60_000)).toEqual(true);
+            expect(cell.checker.violations).toEqual([]);
+            expect(cell.checker.startCount).toEqual(240);
+            cell.close();
+        });
+
+        it("has none of them started again by the next owner", async () => {
+            // Guards against a takeover that releases all tasks that the first listing does not name.
+            const cell = await openLoadedCell();
+            cell.data.mode = "refusing";
+            await cell.advance(5_000);
+            cell.owner!.kill();
+            cell.data.mode = "up";
+            expect(await cell.advanceUntil(() => isAllDone(cell), 60_000)).toEqual(true);
+            expect(cell.checker.violations).toEqual([]);
+            cell.close();
+        });
+    });
+
     describe("an owner that is cut off from the store", () => {
         /** Longest outage of the store on the operators' sites, ms. */
         const outageMs = 6_900;
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -395,9 +395,10 @@
             listed.add(toRunKey(run));
             this.acceptRunning(run);
         }
-        this.resolveRuns(listed, sentAt);
-        this.hasKnownRuns = true;
-        if (isRegained) {
+        this.resolveRuns(listed, sentAt, listing.hasAllEnds);
+        // Until all ends are listed, a task that an earlier owner started may have ended without this owner's knowledge.
+        this.hasKnownRuns ||= listing.hasAllEnds;
+        if (isRegained && this.hasKnownRuns) {
             listener.onReachable(executor);
         }
     }
@@ -444,10 +445,10 @@
     }
 
     /**
-     * Reports the end of runs that are missing in a listing which was requested after the last change of their states.
-     * A start without an answer is stopped first, since the executor may still carry it out.
+     * Reports the end of runs that are missing in a listing which was requested after the last change of their states and
+     * has all ends. A start without an answer is stopped first, since the executor may still carry it out.
      */
-    private resolveRuns(listed: ReadonlySet<string>, sentAt: number): void {
+    private resolveRuns(listed: ReadonlySet<string>, sentAt: number, hasAllEnds: boolean): void {
         for (const [key, tracked] of this.trackedRuns) {
             if (listed.has(key) || tracked.changedAt >= sentAt || tracked.state === "sent") {
                 continue;
@@ -455,7 +456,7 @@
             if (tracked.state === "unanswered") {
                 this.startStop(tracked.task, tracked.run);
             }
-            else {
+            else if (hasAllEnds) {
                 this.trackedRuns.delete(key);
                 this.reportEnd(tracked, tracked.crashOutcome ?? (tracked.state === "stopped" ? "notStarted" : "lost"));
             }
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -63,7 +63,7 @@
     readonly checkpoint: string;
 }
 
-/** The answer to a renewal: everything that the executor holds. */
+/** The answer to a renewal: everything that the executor holds, unless it holds too many ends for one answer. */
 export interface ExecutorListing {
     /** Reading of the executor's clock. */
     readonly clockMs: number;
@@ -71,6 +71,8 @@
     readonly startedAtWallMs: number | undefined;
     readonly running: readonly ListedRun[];
     readonly ended: readonly ListedEnd[];
+    /** Whether there are no further ends. If there are, a run that is in neither list may have ended. */
+    readonly hasAllEnds: boolean;
 }
 
 /** Failure codes of executor calls that the owner distinguishes; any other means that the outcome is unknown. */
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -110,6 +110,8 @@
     readonly seed?: number;
     readonly planRun?: FakeExecutor["options"]["planRun"];
     readonly machines?: MachineManager;
+    /** Most ends in one listing of an executor. Default 500. */
+    readonly maxListedEnds?: number;
     readonly clock?: ManualClock;
     /** Whether unexpected errors are logged, as in a program, and do not fail the test. Default: no. */
     readonly toleratesErrors?: boolean;
@@ -270,6 +272,7 @@
                     clock: this.clock,
                     checker: this.checker,
                     planRun: options.planRun ?? (() => defaultPlan),
+                    maxListedEnds: options.maxListedEnds,
                     maxLeaseMs,
                 }),
             );
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -33,6 +33,8 @@
     readonly checker: InvariantChecker;
     readonly planRun: (task: TaskKey, run: number) => RunPlan;
     readonly maxLeaseMs: number;
+    /** Most ends in one listing. Default 500. */
+    readonly maxListedEnds?: number;
 }
 
 interface ActiveRun {
@@ -222,6 +224,7 @@
             );
         this.ends = this.ends.filter(end => end.sequence > renewal.acknowledged);
         const now = this.options.clock.getNow();
+        const { maxListedEnds = 500 } = this.options;
         return Ok({
             clockMs: this.clockMs,
             startedAtWallMs: this.startedAtWallMs,
@@ -231,7 +234,8 @@
                 checkpoint: "",
                 percent: Math.floor(100 * (now - run.startedAt) / run.plan.workMs),
             })),
-            ended: [...this.ends],
+            ended: this.ends.slice(0, maxListedEnds),
+            hasAllEnds: this.ends.length <= maxListedEnds,
         });
     }
 
