--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -5,7 +5,7 @@
 export { isOpenState } from "./job-state.js";
 export { parseTaskKey, toStepKey, toTaskKey } from "./keys.js";
 export type { TaskKeyParts } from "./keys.js";
-export { WorkflowScheduler } from "./scheduler.js";
+export { runNumbersPerEpoch, WorkflowScheduler } from "./scheduler.js";
 export type {
     AdviceGrant,
     AdviceRequest,
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -50,6 +50,8 @@
  * identifies a run by task and number; a step is assumed to have fewer runs than this in one epoch.
  */
 export const runNumbersPerEpoch = 10_000;
+/** A job opens no further occurrence while its unfinished ones have this many tasks. */
+const maxOpenTasksPerJob = 20_000;
 
 /** Schedules jobs of dependent steps on the executors of one cell. */
 export class WorkflowScheduler {
@@ -335,7 +337,7 @@
     openDueOccurrences(now: number, wallNow: number): void {
         for (const job of this.state.jobs.values()) {
             const schedule = job.submission.spec.schedule;
-            while (schedule !== undefined && this.state.isOpen(job) && job.nextOccurrence < countOccurrences(job)) {
+            while (schedule !== undefined && this.state.isOpen(job) && canOpenOccurrence(job)) {
                 const dueInMs = schedule.startAtWallMs + job.nextOccurrence * schedule.intervalMs - wallNow;
                 if (dueInMs > 0) {
                     break;
@@ -404,6 +406,13 @@
     }
 }
 
+/** Returns whether the job has a further occurrence, and not too many unfinished ones, which may all be due at once. */
+function canOpenOccurrence(job: JobRow): boolean {
+    const tasks = job.submission.spec.steps.reduce((sum, step) => sum + step.taskCount, 0);
+    const unfinished = job.nextOccurrence - job.finishedOccurrences;
+    return job.nextOccurrence < countOccurrences(job) && (unfinished === 0 || unfinished * tasks < maxOpenTasksPerJob);
+}
+
 function createExecutorRow(update: ExecutorUpdate): ExecutorRow {
     return {
         id: update.executor,
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -94,6 +94,33 @@
         });
     });
 
+    describe("with a schedule whose occurrences are all due at once", () => {
+        it("opens only as many as it can hold, and the others as these are finished", () => {
+            // Guards against one job that ends the process, out of memory or in an endless loop.
+            const fixture = new SchedulerFixture(1);
+            fixture.scheduler.addJob(fixture.now, {
+                job: toId<JobId>("a"),
+                queue: toId<QueueId>("queue"),
+                team,
+                spec: {
+                    payload: "",
+                    steps: [createStep({ taskCount: 5_000, resources: noLimit })],
+                    schedule: { startAtWallMs: 0, intervalMs: 0, occurrences: 1_000_000_000 },
+                },
+                acceptedAt: fixture.now,
+                mayHaveStarted: false,
+            });
+            fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
+            const starts = fixture.startTasks();
+            expect(new Set(starts.map(({ task }) => parseTaskKey(task)?.occurrence))).toEqual(new Set([0, 1, 2, 3]));
+            starts.filter(({ task }) => parseTaskKey(task)?.occurrence === 0).forEach(start => {
+                fixture.endRun(start, "done");
+            });
+            fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
+            expect(parseTaskKey(fixture.startTasks()[0]!.task)?.occurrence).toEqual(4);
+        });
+    });
+
     // Guards against gangs that run incompletely, or block each other or other work.
     describe("with gangs", () => {
         it("starts all members with one run number, or none of them", () => {
