Count no silence of an executor as a standstill of its runs

The stops are repeated until they are answered, so they end tasks that had gone on all the while once the executors are back.

Cause: the standstill was measured up to now, though the progress was last reported when the executor last listed its runs.

Change: it is measured up to the last listing and 1.2 s more, the longest time between two listings of an executor that works.

Evidence: the new case of scheduler_test fails without the change.

--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -225,6 +225,7 @@
         countsAsCrash: false,
         percent: 0,
         lastProgressAt: now,
+        lastReportedAt: now,
         tailMs: undefined,
         speedPercent: 100,
     };
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -29,6 +29,8 @@
     percent: number;
     /** When the run last made progress: `percent` rose, or a long-running task was fully available. */
     lastProgressAt: number;
+    /** When the executor last listed the run; before that, when the run was started or adopted. */
+    lastReportedAt: number;
     /** Tail latency of a serving task, ms; `undefined` until it is reported. */
     tailMs: number | undefined;
     /** Share of full speed at which the executor lets the run work, 0 to 100; `undefined` while unknown. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -205,6 +205,7 @@
                 countsAsCrash: false,
                 percent: listed.percent,
                 lastProgressAt: now,
+                lastReportedAt: now,
                 tailMs: listed.tailMs,
                 speedPercent: undefined,
             };
@@ -236,6 +237,7 @@
                 countsAsCrash: false,
                 percent: 0,
                 lastProgressAt: now,
+                lastReportedAt: now,
                 tailMs: undefined,
                 speedPercent: undefined,
             });
@@ -259,6 +261,7 @@
             return;
         }
         recordSurvivedStart(this.state, run);
+        run.lastReportedAt = now;
         const isLongRunning = run.task.step.spec.isLongRunning;
         if (listed.percent > run.percent || isLongRunning && listed.percent >= 100) {
             run.lastProgressAt = now;
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -121,6 +121,36 @@
         });
     });
 
+    describe("with runs that make no progress", () => {
+        for (
+            const { name, isListed } of [{ name: "stops one that is listed", isListed: true }, {
+                name: "stops none of an executor that lists nothing for a while",
+                isListed: false,
+            }]
+        ) {
+            it(name, () => {
+                // Guards against running tasks of a machine that is only slow to report, which are stopped when it is back.
+                const fixture = new SchedulerFixture(1);
+                fixture.submit("a", [createStep({ estimateMs: 8_000 })]);
+                const [{ executor, task, run }] = fixture.startTasks() as [StartDecision];
+                const stops: unknown[] = [];
+                for (let elapsed = 0; elapsed < 6_000; elapsed += 500) {
+                    fixture.now += 500;
+                    if (isListed) {
+                        fixture.scheduler.recordRunning(fixture.now, executor, {
+                            task,
+                            run,
+                            checkpoint: "",
+                            percent: 0,
+                        });
+                    }
+                    stops.push(...fixture.tick().stops);
+                }
+                expect(stops.length).toEqual(isListed ? 1 : 0);
+            });
+        }
+    });
+
     // Guards against gangs that run incompletely, or block each other or other work.
     describe("with gangs", () => {
         it("starts all members with one run number, or none of them", () => {
@@ -431,7 +461,10 @@
             const fixture = new SchedulerFixture(2);
             fixture.submit("a", [createStep()]);
             const [stalled] = fixture.startTasks();
+            const { executor, task, run } = stalled!;
             fixture.now += 4_000;
+            // Only what the executor lists shows that the run stands still.
+            fixture.scheduler.recordRunning(fixture.now, executor, { task, run, checkpoint: "", percent: 0 });
             expect(fixture.tick().stops).toEqual([{
                 executor: stalled!.executor,
                 task: stalled!.task,
--- a/packages/workflow/src/stall-system.ts
+++ b/packages/workflow/src/stall-system.ts
@@ -4,6 +4,8 @@
 
 /** Interval of checks of all runs, ms; a small part of the shortest time after which a run counts as stalled. */
 const checkIntervalMs = 100;
+/** Longest time between two listings of an executor that works, ms. Time beyond it says nothing about its runs. */
+const maxReportIntervalMs = 1_200;
 
 /** Stops each stalled run. Its executor gets no work for a while and its failure rate rises. */
 export function stopStalledRuns(state: SchedulerState, now: number): void {
@@ -29,6 +31,7 @@
 
 function isStalled(state: SchedulerState, now: number, run: RunRow): boolean {
     const { step } = run.task;
+    const observedUntil = Math.min(now, run.lastReportedAt + maxReportIntervalMs);
     // A member of a gang at 100 % waits for the other members to finish.
     const isWaitingForGang = step.spec.isGang && run.percent >= 100;
     if (isWaitingForGang || step.spec.usesIdleProcessors) {
@@ -36,7 +39,7 @@
     }
     if (step.spec.isLongRunning) {
         // A long-running task at 100 % is fully available and has no further progress to make.
-        return run.percent < 100 && now - run.lastProgressAt > state.options.stallFloorMs;
+        return run.percent < 100 && observedUntil - run.lastProgressAt > state.options.stallFloorMs;
     }
     const ratio = state.queues.get(step.occurrence.job.submission.queue)?.estimateRatio ?? 1;
     // Progress is reported in whole percents, so a healthy run reports none for a hundredth of its run time.
@@ -44,5 +47,5 @@
         state.options.stallFloorMs,
         step.spec.estimateMs * ratio * state.options.stallFactor / 100,
     );
-    return now - run.lastProgressAt > maxStandstillMs;
+    return observedUntil - run.lastProgressAt > maxStandstillMs;
 }
