Keep a cancellation that arrives before its job

Cause: the owner removed the stored cancellation of a job that it did not know, as if the job had ended. Under load it learns of jobs later than of their cancellations.

Change: such a cancellation is kept and applied once the job is known. It is removed with the end of its job, or when two reads of all jobs in a row have no such job.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -159,6 +159,7 @@
             logger,
             supervisor,
             onEvent: event => this.jobs.applyEvent(event),
+            onFullRead: events => this.jobs.applyFullRead(events),
         });
         this.registry = new ExecutorRegistry({
             store,
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -1,6 +1,7 @@
 import type { JobState } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { toCancelKey } from "./store-keys.js";
 import type { CellSimulationOptions } from "./testing/cell-simulation.js";
 import { CellSimulation, limitedTeam } from "./testing/cell-simulation.js";
 import { toFakeAddress } from "./testing/fake-executor.js";
@@ -394,6 +395,58 @@
         });
     });
 
+    describe("a cancellation that the owner knows before its job", () => {
+        const key = toCancelKey("late" as never);
+
+        function storeCancellation(cell: CellSimulation): void {
+            const transaction = { conditions: [], writes: [{ key, value: "1" }], removals: [] };
+            cell.data.execute({ kind: "commit", transaction });
+            cell.owner!.owner!.acceptAnnounced([{ key, value: "1", revision: 1, createdRevision: 1 }]);
+        }
+
+        it("is applied to the job once it is known", async () => {
+            // Guards against a cancelled job that runs because the owner heard of its cancellation first.
+            const cell = await openCell();
+            storeCancellation(cell);
+            await cell.advance(400);
+            void cell.submit(cell.owner!, "late", [{ taskCount: 4 }]);
+            await cell.advance(2_000);
+            expect(cell.checker.startCount).toEqual(0);
+            expect(cell.getState("late")).toEqual("cancelled");
+            void cell.submit(cell.owner!, "next", [{}]);
+            await cell.advance(2_000);
+            expect(cell.data.items.has(key)).toEqual(false);
+            cell.close();
+        });
+
+        it("is applied by the next owner", async () => {
+            // Guards against a stored cancellation that is removed before its job has ended.
+            const cell = await openCell();
+            storeCancellation(cell);
+            void cell.submit(cell.owner!, "other", [{}]);
+            await cell.advance(1_500);
+            cell.owner!.kill();
+            await cell.advanceUntil(() => cell.owner?.owner?.hasReleasedAllTasks === true, 8_000);
+            const before = cell.checker.startCount;
+            void cell.submit(cell.owner!, "late", [{ taskCount: 4 }]);
+            await cell.advance(2_000);
+            expect(cell.checker.startCount).toEqual(before);
+            expect(cell.getState("late")).toEqual("cancelled");
+            cell.close();
+        });
+
+        it("is removed if two reads of all jobs show none", async () => {
+            // Guards against cancellations of jobs that have expired, which would stay in the store.
+            const cell = await openCell();
+            storeCancellation(cell);
+            await cell.advance(30_000);
+            void cell.submit(cell.owner!, "next", [{}]);
+            await cell.advance(2_000);
+            expect(cell.data.items.has(key)).toEqual(false);
+            cell.close();
+        });
+    });
+
     describe("a failed executor", () => {
         it("has its tasks started elsewhere after its entry is removed, even while the owner calls it", async () => {
             // Guards against extending the lease of the executor with each renewal that it does not answer.
--- a/packages/cell/src/job-feed.ts
+++ b/packages/cell/src/job-feed.ts
@@ -17,6 +17,8 @@
     readonly supervisor: Supervisor;
     /** Called for each event; the same event can be delivered more than once. */
     readonly onEvent: (event: JobEvent) => void;
+    /** Called with the events of each read of all jobs, after `onEvent` for each of them. */
+    readonly onFullRead: (events: readonly JobEvent[]) => void;
 }
 
 /** Longest wait of a watch, ms. */
@@ -89,6 +91,7 @@
             return undefined;
         }
         stored.val.jobs.forEach(event => this.report(event));
+        this.options.onFullRead(stored.val.jobs);
         return stored.val.storeRevision;
     }
 
--- a/packages/cell/src/job-feed_test.ts
+++ b/packages/cell/src/job-feed_test.ts
@@ -48,6 +48,7 @@
             logger: { write: () => {} },
             supervisor: createStrictSupervisor(clock),
             onEvent: ({ job }) => known.add(job),
+            onFullRead: () => undefined,
         });
         const storeJob = (job: JobId) => {
             const value = encodeAcceptedJob({
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -34,6 +34,10 @@
     /** States of finished jobs whose end is stored. */
     private readonly finishedStates = new Map<JobId, JobState>();
     private readonly cancelled = new Set<JobId>();
+    /** Jobs that are not known yet and are cancelled once they are: a cancellation can overtake its job. */
+    private readonly cancelledEarly = new Set<JobId>();
+    /** Those of them that the last read of all jobs did not have. */
+    private missingJobs: ReadonlySet<JobId> = new Set();
     /** Jobs of a later epoch, kept until it is known whether this owner acquired that epoch itself. */
     private deferred: JobEvent[] = [];
     private epoch: number;
@@ -85,9 +89,12 @@
         }
         for (const change of changes.filter(({ state }) => !isOpenState(state))) {
             const { job, state } = change;
-            journal.recordFinished({ ...change, hasStoredCancellation: this.cancelled.has(job) }, () => {
+            const hasStoredCancellation = this.cancelled.has(job);
+            journal.recordFinished({ ...change, hasStoredCancellation }, () => {
                 this.finishedStates.set(job, state);
-                this.cancelled.delete(job);
+                if (this.cancelled.delete(job) && !hasStoredCancellation) {
+                    journal.removeKeys([toCancelKey(job)]);
+                }
                 logger.write("info", "job finished", { job, state });
                 onChanges([change]);
                 this.forgetFinished(job);
@@ -107,6 +114,22 @@
         [...this.finishedStates.keys()].forEach(job => this.forgetFinished(job));
     }
 
+    /**
+     * Removes the cancellations of jobs that no longer exist. `events` are those of a read of all jobs; a job that was
+     * stored while they were read may be missing in one, so two reads in a row must not have it.
+     */
+    applyFullRead(events: readonly JobEvent[]): void {
+        const stored = new Set(events.filter(event => event.kind === "record").map(event => event.job));
+        const cancellations = events.filter(event => event.kind === "cancel").map(event => event.job);
+        const missing = cancellations.filter(job => this.cancelledEarly.has(job) && !stored.has(job));
+        for (const job of missing.filter(job => this.missingJobs.has(job))) {
+            this.cancelledEarly.delete(job);
+            this.options.journal.removeKeys([toCancelKey(job)]);
+            this.options.logger.write("info", "cancellation removed", { job, reason: "its job does not exist" });
+        }
+        this.missingJobs = new Set(missing);
+    }
+
     /** Forgets the state of a job whose record is removed after its retention. */
     forgetExpired(job: JobId): void {
         this.finishedStates.delete(job);
@@ -117,6 +140,9 @@
         if (!this.finishedStates.has(job) && this.options.scheduler.getJobState(job) === undefined) {
             this.finishedStates.set(job, record.state);
             this.options.journal.adoptFinished(job);
+            if (this.cancelledEarly.delete(job)) {
+                this.options.journal.removeKeys([toCancelKey(job)]);
+            }
             this.options.onChanges([{ job, queue: record.queue, state: record.state }]);
         }
     }
@@ -148,6 +174,9 @@
         });
         logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
         onChanges([{ job, queue: record.queue, state: "queued" }]);
+        if (this.cancelledEarly.delete(job)) {
+            this.cancel(job);
+        }
         if (record.spec.schedule !== undefined) {
             scheduler.openDueOccurrences(now, clock.getWallTime());
         }
@@ -156,12 +185,16 @@
 
     private cancel(job: JobId): void {
         const { journal, logger, onSchedulingNeeded, scheduler } = this.options;
-        if (this.cancelled.has(job)) {
+        if (this.cancelled.has(job) || this.cancelledEarly.has(job)) {
             return;
         }
-        const state = scheduler.getJobState(job);
-        logger.write("info", "job cancelled", { job, state });
+        const state = scheduler.getJobState(job) ?? this.finishedStates.get(job);
+        logger.write("info", "job cancelled", { job, state: state ?? "not known yet" });
         if (state === undefined) {
+            this.cancelledEarly.add(job);
+            return;
+        }
+        if (this.finishedStates.has(job)) {
             journal.removeKeys([toCancelKey(job)]);
             return;
         }
