Repeat announcements until the owner confirms them, cancellations first

Cause: a host announced a cancellation once, with a time-out of 500 ms, and acknowledged it whether or not the owner had heard of it. Under load the owner's reads fail too; a log showed up to 12 s until it knew.

Change: an Announcer repeats each announcement until the owner has applied it, with longer time-outs and with what was stored meanwhile; cancellations go apart from jobs. A cancellation is acknowledged once the owner has confirmed it, after 2 s at the latest.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -9,6 +9,7 @@
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
 import type { Advisor } from "./advisor.js";
+import { Announcer } from "./announcer.js";
 import type { CellMaintenanceOptions } from "./cell-owner.js";
 import { CellOwner } from "./cell-owner.js";
 import { CellPublisher } from "./cell-publisher.js";
@@ -77,6 +78,8 @@
 const publicTeam = toId<TeamId>("public");
 /** Upper limit of the store's silence in the gauges, ms. */
 const maxReportedSilenceMs = 3_600_000;
+/** Longest time for which a stored cancellation is not acknowledged, because the owner has not confirmed it, ms. */
+const maxConfirmationMs = 2_000;
 /** Timeout of a call that replaces an earlier owner, ms. */
 const replaceTimeoutMs = 500;
 /** Timeout of a forwarded store request that sets none, ms. */
@@ -88,6 +91,9 @@
     private readonly tracker: ConfigurationTracker;
     private readonly ownership: LeaseOwnership;
     private readonly replica: JobReplica;
+    private readonly jobAnnouncer: Announcer;
+    /** Apart from the jobs, so that a cancellation waits for none of them. */
+    private readonly cancellationAnnouncer: Announcer;
     private readonly intake: JobIntake;
     private readonly publisher: CellPublisher;
     private readonly ownerClient: OwnerClient;
@@ -110,12 +116,16 @@
             onCall: options.onStoreCall,
         });
         this.replica = new JobReplica({ clock, retentionMs: options.retentionMs });
+        const createAnnouncer = () =>
+            new Announcer({ clock, supervisor, send: (items, timeoutMs) => this.announce(items, timeoutMs) });
+        this.jobAnnouncer = createAnnouncer();
+        this.cancellationAnnouncer = createAnnouncer();
         this.intake = new JobIntake({
             store: this.store,
             clock,
             logger,
             supervisor,
-            onStored: items => this.announce(items),
+            onStored: items => this.addAnnouncements(items),
         });
         this.tracker = new ConfigurationTracker({
             store: this.store,
@@ -192,6 +202,8 @@
         this.isStopping = true;
         this.tracker.stop();
         this.ownerClient.close();
+        this.jobAnnouncer.close();
+        this.cancellationAnnouncer.close();
         this.publisher.close();
         await this.server.shutdown(100);
         this.peers.close();
@@ -209,6 +221,8 @@
             configuration_age_ms: Math.round(Math.min(this.tracker.ageMs, maxReportedSilenceMs)),
             store_silence_ms: Math.round(Math.min(this.store.silenceMs, maxReportedSilenceMs)),
             known_jobs: this.replica.size,
+            unannounced_jobs: this.jobAnnouncer.backlog,
+            unannounced_cancellations: this.cancellationAnnouncer.backlog,
             unexpected_errors: this.options.supervisor.failureCount,
         };
     }
@@ -344,7 +358,12 @@
             job,
             outcome: stored.ok ? "stored" : stored.val.code,
         });
-        return stored.ok ? Ok(undefined) : Err(stored.val);
+        if (!stored.ok) {
+            return Err(stored.val);
+        }
+        // An owner that does not know the cancellation yet may still start the job.
+        await this.cancellationAnnouncer.waitUntilConfirmed(toCancelKey(job), maxConfirmationMs);
+        return Ok(undefined);
     }
 
     override countPending(queue: QueueId): Result<number, Failure> {
@@ -466,17 +485,17 @@
         this.publisher.publishChanges(changes);
     }
 
-    private announce(items: readonly StoreItem[]): void {
-        if (this.owner === undefined) {
-            this.options.supervisor.start(
-                "announcement",
-                { items: items.length },
-                () => this.ownerClient.announce(items),
-            );
-        }
-        else {
-            this.owner.acceptAnnounced(items);
-        }
+    private addAnnouncements(items: readonly StoreItem[]): void {
+        const isCancellation = ({ key }: StoreItem) => parseJobKey(key).isCancel;
+        this.cancellationAnnouncer.add(items.filter(isCancellation));
+        this.jobAnnouncer.add(items.filter(item => !isCancellation(item)));
+    }
+
+    /** Sends items to the owner of the cell, which may be this host. Returns whether it has applied them. */
+    private async announce(items: readonly StoreItem[], timeoutMs: number): Promise<boolean> {
+        return this.owner === undefined
+            ? this.ownerClient.announce(items, timeoutMs)
+            : this.owner.acceptAnnounced(items);
     }
 
     private followOwner(owner: OwnerRecord | undefined, storedEpoch: StoredEpoch): void {
@@ -500,10 +519,9 @@
         this.server.addService(cellService, {
             subscribe: (subscriber, writer) => this.acceptSubscriber(subscriber, writer),
             announce: async ({ host, items }) => {
-                if (this.owner === undefined) {
+                if (this.owner?.acceptAnnounced(items) !== true) {
                     return createNotOwnerResult();
                 }
-                this.owner.acceptAnnounced(items);
                 const jobs = items.map(item => parseJobKey(item.key).job);
                 return Ok({ states: encodeStates(this.publisher.follow(host, jobs)) });
             },
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -463,9 +463,12 @@
         this.options.supervisor.run("stored job", { job: event.job }, () => this.jobs.applyEvent(event));
     }
 
-    /** Accepts jobs and cancellations that a host has just stored; the watch would deliver them later. */
-    acceptAnnounced(items: readonly StoreItem[]): void {
-        this.feed.acceptAnnounced(items);
+    /**
+     * Accepts jobs and cancellations that a host has just stored; the watch would deliver them later. Returns `false` if
+     * they are ignored, because the cell is still being recovered.
+     */
+    acceptAnnounced(items: readonly StoreItem[]): boolean {
+        return this.feed.acceptAnnounced(items);
     }
 
     /** Allows the start of tasks that no executor can still run by an order of an earlier owner. */
--- a/packages/cell/src/job-feed.ts
+++ b/packages/cell/src/job-feed.ts
@@ -72,11 +72,13 @@
         }
     }
 
-    /** Delivers what a host has just stored; ignored before `run` and after `close`. */
-    acceptAnnounced(items: readonly StoreItem[]): void {
-        if (this.isOpen && !this.isClosed) {
+    /** Delivers what a host has just stored. Returns `false` before `run` and after `close`, when it is ignored. */
+    acceptAnnounced(items: readonly StoreItem[]): boolean {
+        const isAccepted = this.isOpen && !this.isClosed;
+        if (isAccepted) {
             this.applyItems(items);
         }
+        return isAccepted;
     }
 
     /** Ends the delivery of events. */
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -34,8 +34,6 @@
 const maxSilenceMs = 1_500;
 /** Silence up to which the owner counts as alive, ms: a heartbeat and its delay on a busy owner. */
 const maxAliveSilenceMs = 800;
-/** Timeout of an announcement, ms. */
-const announceTimeoutMs = 500;
 /** Timeout of a question about a job, ms: a round trip across regions and a busy owner. */
 const followTimeoutMs = 400;
 /** Interval of checks whether the stream must be reopened, ms. */
@@ -78,17 +76,19 @@
         }
     }
 
-    /** Sends the owner what this host has just stored. If that fails, the owner reads it from the store later. */
-    async announce(items: readonly StoreItem[]): Promise<void> {
+    /** Sends the owner what this host has stored. Returns whether the owner has applied it. */
+    async announce(items: readonly StoreItem[], timeoutMs: number): Promise<boolean> {
         const { host, onStates } = this.options;
         const announced = await this.client?.call(
             cellService.announce,
             { host, items: [...items] },
-            announceTimeoutMs,
+            timeoutMs,
         );
-        if (announced?.ok === true) {
-            onStates(decodeStates(announced.val.states));
+        if (announced?.ok !== true) {
+            return false;
         }
+        onStates(decodeStates(announced.val.states));
+        return true;
     }
 
     /** Asks the owner for the state of a job and follows the job. `undefined`: not known to the owner, or no answer. */
