Count jobs as pending until a task has begun, and ask a refusing executor later

Cause: a job became 'running' when a start was decided, and a refused start was decided again in the next tick.

Change: a job becomes 'running' when an executor has shown that a task has begun. An executor that refused a start gets none for 100 ms, doubled with each further refusal up to 1.6 s; a confirmed start ends that.

--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -1,7 +1,7 @@
 /** Applies the end of a run to its task, step and job. */
 import { match, P } from "ts-pattern";
 import { recordCrash, recordCrashRate } from "./crash-system.js";
-import { recordRunOutcome } from "./health-system.js";
+import { recordRefusedStart, recordRunOutcome } from "./health-system.js";
 import { countOccurrences, isStepDone, openReadySteps } from "./job-rows.js";
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState } from "./rows.js";
@@ -17,9 +17,26 @@
     readonly checkpoint: string;
 }
 
+/** Outcomes that only an executor that has begun the run reports. */
+const outcomesOfBegunRuns: ReadonlySet<RunOutcome> = new Set([
+    "done",
+    "failed",
+    "stopped",
+    "lapsed",
+    "memberEnded",
+    "incomplete",
+]);
+
 /** Records the end of a run. An end that was recorded before has no further effect. */
 export function applyRunEnd(state: SchedulerState, now: number, ended: EndedRun): void {
     const { task, number, row, outcome, checkpoint } = ended;
+    const executor = row === undefined ? undefined : state.executors.get(row.executor);
+    if (outcomesOfBegunRuns.has(outcome)) {
+        state.markJobRunning(task.step.occurrence.job);
+    }
+    if (outcome === "notStarted" && row?.state === "starting" && executor !== undefined) {
+        recordRefusedStart(state, now, executor);
+    }
     if (row !== undefined) {
         recordRunOutcome(state, now, row, outcome);
         state.removeRun(row);
--- a/packages/workflow/src/health-system.ts
+++ b/packages/workflow/src/health-system.ts
@@ -15,6 +15,19 @@
 /** Time for which a failing executor gets no work, ms. After it, new tasks show whether the executor has recovered. */
 const avoidMs = 4_000;
 
+/** Time for which an executor that refused a start gets none, ms; doubled with each refusal up to the maximum. */
+const refusalDelayMs = 100;
+const maxRefusalDelayMs = 1_600;
+
+/** Gives an executor that refused a start no work for a moment. Starts that were sent together count as one refusal. */
+export function recordRefusedStart(state: SchedulerState, now: number, executor: ExecutorRow): void {
+    if (now >= executor.avoidUntil) {
+        const delayMs = Math.min(maxRefusalDelayMs, refusalDelayMs * 2 ** executor.refusedStarts);
+        executor.refusedStarts += 1;
+        state.recordAvoidance(executor, now + delayMs);
+    }
+}
+
 /** Updates the averages of the executor and the queue of a run that succeeded or failed. */
 export function recordRunOutcome(state: SchedulerState, now: number, run: RunRow, outcome: RunOutcome): void {
     if (outcome !== "done" && outcome !== "failed") {
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -240,11 +240,6 @@
         slackMs,
         isProbe,
     });
-    const job = step.occurrence.job;
-    if (job.phase === "queued") {
-        job.phase = "running";
-        state.changes.push({ job: job.id, queue: job.submission.queue, state: "running" });
-    }
 }
 
 /**
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -185,6 +185,8 @@
      * an earlier owner. Nothing starts on the executor while there is one.
      */
     readonly runsOfUnknownTasks: Set<string>;
+    /** Number of refused starts since the last confirmed one. */
+    refusedStarts: number;
     /** Moving average of the share of runs that failed or stalled. */
     failureRate: number;
     /** Moving average of measured run time divided by expected run time. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -210,7 +210,7 @@
                 speedPercent: undefined,
             };
             this.state.addRun(run);
-            this.markJobRunning(task);
+            this.state.markJobRunning(task.step.occurrence.job);
         }
         return true;
     }
@@ -250,6 +250,8 @@
         if (row?.state === "starting") {
             row.state = "running";
             row.lastProgressAt = now;
+            this.state.markJobRunning(row.task.step.occurrence.job);
+            this.state.executors.get(executor)!.refusedStarts = 0;
         }
     }
 
@@ -379,14 +381,6 @@
         };
     }
 
-    private markJobRunning(task: TaskRow): void {
-        const job: JobRow = task.step.occurrence.job;
-        if (job.phase === "queued") {
-            job.phase = "running";
-            this.state.changes.push({ job: job.id, queue: job.submission.queue, state: "running" });
-        }
-    }
-
     private endRun(now: number, run: RunRow, outcome: EndedRun["outcome"]): void {
         applyRunEnd(this.state, now, { task: run.task, number: run.number, row: run, outcome, checkpoint: "" });
     }
@@ -435,6 +429,7 @@
         unprovenRuns: 0,
         probeRuns: 0,
         runsOfUnknownTasks: new Set(),
+        refusedStarts: 0,
         failureRate: 0,
         slowdown: 1,
         avoidUntil: 0,
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -121,6 +121,42 @@
         });
     });
 
+    describe("with an executor that refuses starts", () => {
+        function refuse(fixture: SchedulerFixture, starts: readonly StartDecision[]): void {
+            starts.forEach(start => fixture.endRun(start, "notStarted"));
+        }
+
+        it("counts a job as pending until an executor has begun one of its tasks", () => {
+            // Guards against a count of pending jobs that leaves out jobs of which nothing runs.
+            const fixture = new SchedulerFixture(1);
+            fixture.submit("a", [createStep()]);
+            refuse(fixture, fixture.tick().starts);
+            expect([...fixture.scheduler.countPending().values()]).toEqual([1]);
+            fixture.now += 200;
+            expect(fixture.startTasks().length).toEqual(1);
+            expect([...fixture.scheduler.countPending().values()]).toEqual([]);
+            expect(fixture.getJobState("a")).toEqual("running");
+        });
+
+        it("asks it again after growing delays, and at once after it has taken one", () => {
+            // Guards against a thousand refused starts a second.
+            const fixture = new SchedulerFixture(1);
+            fixture.submit("a", [createStep({ taskCount: 4 })]);
+            let rounds = 0;
+            for (let elapsed = 0; elapsed < 10_000; elapsed += 10) {
+                fixture.now += 10;
+                const { starts } = fixture.tick();
+                rounds += starts.length > 0 ? 1 : 0;
+                refuse(fixture, starts);
+            }
+            expect(rounds >= 6 && rounds <= 12).toEqual(true);
+            fixture.now += 2_000;
+            expect(fixture.startTasks().length).toEqual(4);
+            fixture.submit("b", [createStep()]);
+            expect(fixture.startTasks().length).toEqual(1);
+        });
+    });
+
     describe("with runs that make no progress", () => {
         for (
             const { name, isListed } of [{ name: "stops one that is listed", isListed: true }, {
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -210,6 +210,14 @@
         this.startableSteps.delete(step);
     }
 
+    /** Records that a task of the job has begun, as far as an executor has shown it. */
+    markJobRunning(job: JobRow): void {
+        if (job.phase === "queued") {
+            job.phase = "running";
+            this.changes.push({ job: job.id, queue: job.submission.queue, state: "running" });
+        }
+    }
+
     /** Returns whether the job may still start tasks. */
     isOpen(job: JobRow): boolean {
         return job.endsAs === undefined && (job.phase === "queued" || job.phase === "running");
