--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -321,6 +321,7 @@
             queue: target.queue,
             team,
             acceptedAtWallMs: clock.getWallTime(),
+            queueRules: this.tracker.current?.findRules(target.queue),
             spec,
         });
         const tookMs = Math.round(clock.getNow() - startedAt);
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -173,7 +173,7 @@
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
             authority: this.createAuthority(),
-            isPoolKnown: pool => this.configuration.pools.has(pool),
+            isPoolKnown: pool => this.configuration.pools.has(pool) || this.scheduler.isPoolUsed(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
             onChange: () => this.requestTick(),
         });
@@ -545,7 +545,7 @@
 
     private askAdvice(now: number): void {
         this.scheduler.sendAdviceRequests(now, request => {
-            const rules = this.configuration.queues.find(queue => queue.rules.queue === request.queue)?.rules.advice;
+            const rules = this.scheduler.getQueueRules(request.queue)?.advice;
             return rules === undefined ? "postponed" : this.advice.send(request, rules);
         });
     }
--- a/packages/cell/src/configuration.ts
+++ b/packages/cell/src/configuration.ts
@@ -1,5 +1,5 @@
 /** The operators' configuration in the form that the cell uses. */
-import type { TeamId } from "@waxwingroute/core";
+import type { QueueId, TeamId } from "@waxwingroute/core";
 import type { PoolId, QueueRules, TeamRules } from "@waxwingroute/workflow";
 
 /** A queue and the address at which callers reach it. */
@@ -34,10 +34,12 @@
 /** Finds the queues and teams of one configuration without a search through all of them. */
 export class ConfigurationIndex {
     private readonly queuesByHost = new Map<string, QueueConfiguration[]>();
+    private readonly rulesByQueue = new Map<QueueId, QueueRules>();
     private readonly teamsByKey = new Map<string, TeamId>();
 
     constructor(readonly configuration: CellConfiguration) {
         for (const queue of configuration.queues) {
+            this.rulesByQueue.set(queue.rules.queue, queue.rules);
             const host = queue.host.toLowerCase();
             const queues = this.queuesByHost.get(host) ?? [];
             queues.push(queue);
@@ -56,6 +58,11 @@
         return this.queuesByHost.get(host.toLowerCase())?.find(queue => path.startsWith(queue.prefix));
     }
 
+    /** Returns the rules of a queue. */
+    findRules(queue: QueueId): QueueRules | undefined {
+        return this.rulesByQueue.get(queue);
+    }
+
     /** Returns the team that the key belongs to. */
     findTeam(key: string): TeamId | undefined {
         return this.teamsByKey.get(key);
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -169,6 +169,7 @@
             queue: record.queue,
             team: record.team,
             spec: record.spec,
+            queueRules: record.queueRules,
             acceptedAt: now - ageMs,
             mayHaveStarted: record.epoch < firstEpoch && !hasReleasedTasks(),
         });
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -2,7 +2,7 @@
 import type { ExecutorId, JobId, NetworkAddress, QueueId, TeamId } from "@waxwingroute/core";
 import { createFailure, Err, isNetworkAddress, Ok, toId } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
-import type { JobSpec, JobState, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
+import type { JobSpec, JobState, QueueRules, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
 import { z } from "zod";
 import type { MachineId } from "./machine-manager.js";
 import type { StoreItem } from "./store.js";
@@ -34,6 +34,8 @@
         readonly acceptedAtWallMs: number;
         /** Epoch of the cell at the acceptance; an owner of an earlier epoch must not start the job. */
         readonly epoch: number;
+        /** Rules of the queue at the acceptance; the queue may be removed before the job has ended. */
+        readonly queueRules?: QueueRules;
         readonly spec: JobSpec;
     }
     | { readonly kind: "finished"; readonly state: JobState; readonly queue: QueueId; };
@@ -96,6 +98,7 @@
         team: z.string(),
         at: z.number(),
         epoch: z.number().default(0),
+        rules: z.custom<QueueRules>(isQueueRules).optional(),
         spec: z.custom<JobSpec>(isJobSpec),
     }),
 ]);
@@ -149,6 +152,7 @@
         team: record.team,
         at: record.acceptedAtWallMs,
         epoch: record.epoch,
+        rules: record.queueRules,
         spec: record.spec,
     });
 }
@@ -173,6 +177,7 @@
             team: toId<TeamId>(value.team),
             acceptedAtWallMs: value.at,
             epoch: value.epoch,
+            queueRules: value.rules,
             spec: value.spec,
         });
 }
@@ -259,6 +264,11 @@
         && Array.isArray(value.steps);
 }
 
+/** Rules were validated with their configuration, as specifications were with the submission. */
+function isQueueRules(value: unknown): boolean {
+    return typeof value === "object" && value !== null && "queue" in value && "pool" in value;
+}
+
 function parseValue<T>(schema: z.ZodType<T, unknown>, text: string): Result<T, Failure> {
     try {
         const checked = schema.safeParse(JSON.parse(text));
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -24,7 +24,7 @@
 import { decideThrottles, needsThrottling } from "./pacing-system.js";
 import { placeTasks } from "./placement-system.js";
 import { selectRankedSteps } from "./rank.js";
-import type { ExecutorRow, JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
 import { stopStalledRuns } from "./stall-system.js";
 import { getChargedResources, SchedulerState } from "./state.js";
@@ -36,6 +36,8 @@
     JobState,
     JobSubmission,
     ListedRun,
+    PoolId,
+    QueueRules,
     RunEnd,
     SchedulerOptions,
     SchedulerRules,
@@ -79,13 +81,7 @@
     /** Applies the declared queues and teams. A queue or team that is missing from `rules` keeps its last rules. */
     applyRules(rules: SchedulerRules): void {
         for (const queue of rules.queues) {
-            const row = this.state.queues.get(queue.queue);
-            if (row === undefined) {
-                this.state.queues.set(queue.queue, { rules: queue, estimateRatio: 1, grantRate: 0.5, crashRate: 0 });
-            }
-            else {
-                row.rules = queue;
-            }
+            this.ensureQueue(queue).rules = queue;
         }
         rules.teams.forEach(team => {
             this.state.getTeam(team.team).rules = team;
@@ -96,6 +92,25 @@
         }
     }
 
+    /** Returns the rules of a queue, also of one that was removed while jobs of it are open. */
+    getQueueRules(queue: QueueId): QueueRules | undefined {
+        return this.state.queues.get(queue)?.rules;
+    }
+
+    /** Returns whether a queue uses the executors of the pool. */
+    isPoolUsed(pool: PoolId): boolean {
+        return [...this.state.queues.values()].some(({ rules }) => rules.pool === pool);
+    }
+
+    private ensureQueue(rules: QueueRules): QueueRow {
+        return this.state.queues.ensure(rules.queue, () => ({
+            rules,
+            estimateRatio: 1,
+            grantRate: 0.5,
+            crashRate: 0,
+        }));
+    }
+
     /** Adds or changes an executor. Its runs are kept. */
     updateExecutor(update: ExecutorUpdate): void {
         const row = this.state.executors.ensure(update.executor, () => createExecutorRow(update));
@@ -142,6 +157,9 @@
         if (this.state.jobs.has(submission.job)) {
             return;
         }
+        if (submission.queueRules !== undefined) {
+            this.ensureQueue(submission.queueRules);
+        }
         const team = this.state.getTeam(submission.team);
         const job = createJobRow(submission, team, takeRateToken(team, now));
         this.state.jobs.set(submission.job, job);
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -121,6 +121,25 @@
         });
     });
 
+    describe("with a job of a queue that was removed", () => {
+        it("schedules it by the rules at its acceptance, after a change of owner too", () => {
+            // Guards against accepted jobs that stand for ever once the owner changes.
+            const fixture = new SchedulerFixture(1);
+            fixture.scheduler.addJob(fixture.now, {
+                job: toId<JobId>("a"),
+                queue: toId<QueueId>("removed"),
+                team,
+                spec: { payload: "", steps: [createStep()] },
+                acceptedAt: fixture.now,
+                mayHaveStarted: false,
+                queueRules: createQueue("removed"),
+            });
+            const [start] = fixture.startTasks();
+            fixture.endRun(start!, "done");
+            expect(fixture.getJobState("a")).toEqual("succeeded");
+        });
+    });
+
     describe("with an executor that refuses starts", () => {
         function refuse(fixture: SchedulerFixture, starts: readonly StartDecision[]): void {
             starts.forEach(start => fixture.endRun(start, "notStarted"));
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -71,6 +71,8 @@
     readonly acceptedAt: number;
     /** Whether an earlier owner may have started tasks of the job. */
     readonly mayHaveStarted: boolean;
+    /** Rules of the queue at the acceptance, used if the queue has been removed since. Default: the job then waits. */
+    readonly queueRules?: QueueRules;
 }
 
 /** Cost of a call to the advisor of a queue, which says where a step may run, and validity of its answers. */
