--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -11,13 +11,11 @@
 import type { Clock, Failure, NetworkAddress, RandomSource, Result } from "@waxwingroute/core";
 import { Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
-import { match } from "ts-pattern";
+import { LeaseClock } from "./lease-clock.js";
+import type { OwnershipView } from "./ownership-view.js";
+import { decodeView, updateView } from "./ownership-view.js";
 import type { OwnerRecord, PossibleOwner, StoredEpoch } from "./store-keys.js";
 import {
-    clockRateBound,
-    decodeEpoch,
-    decodeOwner,
-    decodePossibleOwners,
     encodeOwner,
     encodePossibleOwners,
     epochKey,
@@ -25,7 +23,7 @@
     ownershipPrefix,
     possibleOwnersKey,
 } from "./store-keys.js";
-import type { LeaseStore, StoreItem, StoreReplies } from "./store.js";
+import type { LeaseStore, StoreReplies } from "./store.js";
 import { storeFailures } from "./store.js";
 
 /** One acquisition of the cell, which gives the right to send orders to executors. */
@@ -108,17 +106,10 @@
 /** Timeout of other calls about the ownership, ms. */
 const callTimeoutMs = 800;
 
-/** The owner and epoch keys as read from the store. */
-interface OwnershipView {
-    readonly owner: OwnerRecord | undefined;
-    readonly ownerRevision: number;
-    readonly storedEpoch: StoredEpoch;
-    readonly possibleOwners: readonly PossibleOwner[];
-    readonly storeRevision: number;
-}
-
 /** Acquires, renews and releases the ownership of the cell for one host, and reports other owners. */
 export class LeaseOwnership {
+    private readonly leaseMs: number;
+    private readonly maxOutageMs: number;
     private term: OwnershipTerm | undefined;
     private lease = 0;
     private lastEpoch = 0;
@@ -126,13 +117,16 @@
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
     private isFenced = false;
     private isAcquiring = false;
-    /** Send time of the last answered grant or renewal of the lease, by the monotonic and by the wall clock. */
-    private renewedAt = -Infinity;
-    private renewedAtWall = -Infinity;
+    private readonly leaseClock: LeaseClock;
     private renewalsInFlight = 0;
     private endWatch: (() => void) | undefined;
 
-    constructor(private readonly options: OwnershipOptions) {}
+    constructor(private readonly options: OwnershipOptions) {
+        const { clock, leaseMs = defaultLeaseMs, maxOutageMs = defaultMaxOutageMs } = options;
+        this.leaseMs = leaseMs;
+        this.maxOutageMs = maxOutageMs;
+        this.leaseClock = new LeaseClock({ clock, leaseMs, maxOutageMs });
+    }
 
     /** The term of this host; `undefined` while it does not own the cell. */
     get current(): OwnershipTerm | undefined {
@@ -141,41 +135,17 @@
 
     /** Time since the last answered renewal of the lease was sent, ms; 0 while this host does not own the cell. */
     get renewalAgeMs(): number {
-        return this.term === undefined ? 0 : this.options.clock.getNow() - this.renewedAt;
+        return this.term === undefined ? 0 : this.leaseClock.renewalAgeMs;
     }
 
     /** Whether the lease cannot have expired yet, so that no other host can own the cell. */
     get isLeaseValid(): boolean {
-        return this.term !== undefined && this.computeUnrenewedMs() < this.leaseMs * (1 - clockRateBound);
+        return this.term !== undefined && this.leaseClock.isLeaseValid;
     }
 
-    /**
-     * Whether this host may send orders: until `maxOutageMs` after the lease may have expired. A successor that may
-     * exist by then counts on it.
-     */
+    /** Whether this host may send orders. A successor that may exist by then counts on it. */
     get canOrder(): boolean {
-        const { maxOutageMs = defaultMaxOutageMs } = this.options;
-        return this.term !== undefined && this.computeUnrenewedMs() < this.leaseMs + maxOutageMs;
-    }
-
-    private get leaseMs(): number {
-        return this.options.leaseMs ?? defaultLeaseMs;
-    }
-
-    /**
-     * Returns the longest time for which the lease can have been without renewal, ms. The monotonic clock stands still
-     * while the machine is suspended, the wall clock may be set back.
-     */
-    private computeUnrenewedMs(): number {
-        const { clock } = this.options;
-        return Math.max(clock.getNow() - this.renewedAt, clock.getWallTime() - this.renewedAtWall);
-    }
-
-    private recordRenewal(sentAt: number, sentAtWall: number): void {
-        if (sentAt > this.renewedAt) {
-            this.renewedAt = sentAt;
-            this.renewedAtWall = sentAtWall;
-        }
+        return this.term !== undefined && this.leaseClock.canOrder;
     }
 
     /** Takes part in the ownership until `stop`. */
@@ -271,19 +241,7 @@
             // A watch can end without a change that the store has dropped from its history, so the keys are read again.
             return undefined;
         }
-        const items = new Map(watched.val.changes.map(change => [change.key, change.item]));
-        const owner = items.has(ownerKey) ? items.get(ownerKey) : "unchanged";
-        const epoch = items.get(epochKey);
-        const parsed = owner === "unchanged" ? view.owner : this.parseOwner(owner);
-        return {
-            owner: parsed,
-            ownerRevision: owner === "unchanged" ? view.ownerRevision : owner?.revision ?? 0,
-            storedEpoch: epoch === undefined ? view.storedEpoch : decodeEpoch(epoch),
-            possibleOwners: items.has(possibleOwnersKey)
-                ? this.parsePossibleOwners(items.get(possibleOwnersKey))
-                : view.possibleOwners,
-            storeRevision: watched.val.storeRevision,
-        };
+        return updateView(view, watched.val, this.options.logger);
     }
 
     private async watchUntilRefresh(
@@ -329,8 +287,7 @@
     }
 
     private async acquire(view: OwnershipView, isContinued: boolean): Promise<boolean> {
-        const sentAt = this.options.clock.getNow();
-        const sentAtWall = this.options.clock.getWallTime();
+        const sentAt = this.leaseClock.read();
         const granted = await this.options.store.call(
             { kind: "grantLease", ttlMs: this.leaseMs },
             callTimeoutMs,
@@ -363,7 +320,7 @@
             });
             return false;
         }
-        this.recordRenewal(sentAt, sentAtWall);
+        this.leaseClock.recordRenewal(sentAt);
         this.beginTerm(this.toTerm(epoch, committed.val.revision, view), isContinued);
         return true;
     }
@@ -374,8 +331,7 @@
     }
 
     private describeSelf(epoch: number): PossibleOwner {
-        const { address, maxOutageMs = defaultMaxOutageMs } = this.options;
-        return { epoch, address, maxOutageMs };
+        return { epoch, address: this.options.address, maxOutageMs: this.maxOutageMs };
     }
 
     /**
@@ -383,9 +339,9 @@
      * gone. Without a record that includes the last epoch, the last owner is one of unknown address.
      */
     private listPredecessors({ possibleOwners, storedEpoch: { epoch } }: OwnershipView): PossibleOwner[] {
-        const { address, maxOutageMs = defaultMaxOutageMs } = this.options;
+        const { address } = this.options;
         const isComplete = epoch === 0 || possibleOwners.at(-1)?.epoch === epoch;
-        const known = isComplete ? possibleOwners : [...possibleOwners, { epoch, maxOutageMs }];
+        const known = isComplete ? possibleOwners : [...possibleOwners, { epoch, maxOutageMs: this.maxOutageMs }];
         const others = known.filter(owner => owner.address !== address);
         if (others.length < maxPossibleOwners) {
             return others;
@@ -424,14 +380,13 @@
     }
 
     private async sendRenewal(lease: number): Promise<void> {
-        const sentAt = this.options.clock.getNow();
-        const sentAtWall = this.options.clock.getWallTime();
+        const sentAt = this.leaseClock.read();
         const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
         if (lease !== this.lease || this.isStopped) {
             return;
         }
         if (renewed.ok) {
-            this.recordRenewal(sentAt, sentAtWall);
+            this.leaseClock.recordRenewal(sentAt);
         }
         else if (renewed.val.code === storeFailures.leaseEnded) {
             const view = await this.readOwnership();
@@ -471,37 +426,6 @@
         if (!listed.ok) {
             return Err(listed.val);
         }
-        const owner = listed.val.items.find(item => item.key === ownerKey);
-        const epoch = listed.val.items.find(item => item.key === epochKey);
-        const possibleOwners = listed.val.items.find(item => item.key === possibleOwnersKey);
-        return Ok({
-            owner: this.parseOwner(owner),
-            ownerRevision: owner?.revision ?? 0,
-            storedEpoch: decodeEpoch(epoch),
-            possibleOwners: this.parsePossibleOwners(possibleOwners),
-            storeRevision: listed.val.storeRevision,
-        });
-    }
-
-    private parsePossibleOwners(item: StoreItem | undefined): readonly PossibleOwner[] {
-        const decoded = item === undefined ? undefined : decodePossibleOwners(item.value);
-        if (decoded?.ok === false) {
-            this.options.logger.write("error", "possible owners cannot be read", { reason: decoded.val.message });
-        }
-        return decoded?.ok === true ? decoded.val : [];
-    }
-
-    private parseOwner(item: StoreItem | undefined): OwnerRecord | undefined {
-        if (item === undefined) {
-            return undefined;
-        }
-        const decoded = decodeOwner(item.value);
-        return match(decoded.ok)
-            .with(true, () => decoded.val as OwnerRecord)
-            .with(false, () => {
-                this.options.logger.write("error", "owner record cannot be read", { revision: item.revision });
-                return undefined;
-            })
-            .exhaustive();
+        return Ok(decodeView(listed.val, this.options.logger));
     }
 }
