--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -22,20 +22,20 @@
 import { AdviceDispatcher } from "./advice-dispatcher.js";
 import type { CellConfiguration } from "./configuration.js";
 import { ExecutorRegistry } from "./executor-registry.js";
-import type { OrderAuthority, SessionListener } from "./executor-session.js";
+import type { SessionListener } from "./executor-session.js";
 import { JobFeed } from "./job-feed.js";
 import type { OwnershipTerm } from "./lease-ownership.js";
 import type { MachineManager } from "./machine-manager.js";
 import { MaintenanceDriver } from "./maintenance-driver.js";
 import { OrderSender } from "./order-sender.js";
+import type { OwnerAuthorityOptions } from "./owner-authority.js";
+import { OwnerAuthority } from "./owner-authority.js";
 import { OwnerJobs } from "./owner-jobs.js";
 import { OwnerJournal } from "./owner-journal.js";
 import type { JobEvent, StoredCell } from "./owner-recovery.js";
 import { readRoster, readStoredCell } from "./owner-recovery.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { Predecessors } from "./predecessors.js";
-import type { PossibleOwner } from "./store-keys.js";
-import { encodePossibleOwners, possibleOwnersKey, rosterKey } from "./store-keys.js";
+import { rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
 
@@ -55,10 +55,9 @@
     readonly retentionMs: number;
     /** Longest time from the order to stop a task until it has ended, ms. */
     readonly stopMs: number;
-    /** Whether this host may send orders, and whether no other host can own the cell now; see `LeaseOwnership`. */
-    readonly ownership: { readonly canOrder: boolean; readonly isLeaseValid: boolean; };
-    /** Asks the process of an earlier owner to stop. Returns whether it has, or is gone. */
-    readonly askToStop: (owner: PossibleOwner) => Promise<boolean>;
+    /** See `OwnerAuthorityOptions`. */
+    readonly ownership: OwnerAuthorityOptions["ownership"];
+    readonly askToStop: OwnerAuthorityOptions["askToStop"];
     /** How machines are serviced; absent where the cell does not do that. */
     readonly maintenance?: CellMaintenanceOptions;
     readonly listener: OwnerListener;
@@ -109,9 +108,8 @@
     private readonly jobs: OwnerJobs;
     private readonly feed: JobFeed;
     private readonly maintenance: MaintenanceDriver | undefined;
-    private predecessors: Predecessors;
+    private readonly authority: OwnerAuthority;
     private configuration: CellConfiguration;
-    private canOrder = true;
     private isClosed = false;
     private isRecovered = false;
     private isTickScheduled = false;
@@ -131,7 +129,6 @@
         this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
         this.scheduler.setEpoch(term.epoch);
         this.scheduler.applyRules(toRules(options.configuration));
-        this.predecessors = this.createPredecessors(term);
         this.journal = new OwnerJournal({
             store,
             clock,
@@ -142,6 +139,11 @@
             onConflict: () => options.listener.onConflict(),
             onExpired: job => this.jobs.forgetExpired(job),
         });
+        const { askToStop, ownership } = options;
+        this.authority = new OwnerAuthority(
+            { clock, logger, supervisor, journal: this.journal, ownership, askToStop },
+            term,
+        );
         this.jobs = new OwnerJobs({
             scheduler: this.scheduler,
             journal: this.journal,
@@ -172,7 +174,7 @@
             listener: this,
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
-            authority: this.createAuthority(),
+            authority: this.authority,
             isPoolKnown: pool => this.configuration.pools.has(pool) || this.scheduler.isPoolUsed(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
             onChange: () => this.requestTick(),
@@ -193,39 +195,6 @@
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
-    private createAuthority(): OrderAuthority {
-        const { ownership } = this.options;
-        const getEarlierOrdersEndAt = () => this.predecessors.ordersEndAt;
-        return {
-            get canOrder() {
-                return ownership.canOrder;
-            },
-            get isLeaseValid() {
-                return ownership.isLeaseValid;
-            },
-            get earlierOrdersEndAt() {
-                return getEarlierOrdersEndAt();
-            },
-        };
-    }
-
-    private createPredecessors(term: OwnershipTerm): Predecessors {
-        const { askToStop, clock, logger } = this.options;
-        return new Predecessors({
-            clock,
-            logger,
-            owners: term.predecessors,
-            askToStop,
-            onAllStopped: () => this.storePossibleOwners(term),
-        });
-    }
-
-    /** Stores that this owner is the only one that may send orders, so that its successor asks no others. */
-    private storePossibleOwners({ revision, self }: OwnershipTerm): void {
-        this.journal.setRevision(possibleOwnersKey, revision);
-        this.journal.recordWrite({ key: possibleOwnersKey, value: encodePossibleOwners([self]) }, () => undefined);
-    }
-
     private createMaintenance(maintenance: CellMaintenanceOptions): MaintenanceDriver {
         const { clock, codec, listener, logger, ownership, store, supervisor } = this.options;
         return new MaintenanceDriver({
@@ -267,7 +236,7 @@
     /** Recovers the state of the cell and then schedules until `close`. */
     start(): void {
         this.startLoop("recovery of the cell", () => this.run());
-        this.startLoop("stop of earlier owners", () => this.predecessors.run());
+        this.authority.start();
     }
 
     private async run(): Promise<void> {
@@ -308,7 +277,7 @@
     /** Stops all loops; records that are not stored yet are dropped. */
     close(): void {
         this.isClosed = true;
-        this.predecessors.close();
+        this.authority.close();
         this.feed.close();
         this.maintenance?.close();
         this.journal.close();
@@ -321,9 +290,7 @@
         this.journal.setTerm(term);
         this.jobs.setEpoch(term.epoch);
         this.registry.setFencingToken(term.epoch);
-        this.predecessors.close();
-        this.predecessors = this.createPredecessors(term);
-        this.startLoop("stop of earlier owners", () => this.predecessors.run());
+        this.authority.setTerm(term);
     }
 
     /** Applies the rules of a newer configuration. */
@@ -520,7 +487,7 @@
         if (this.isClosed) {
             return;
         }
-        if (!this.checkAuthority()) {
+        if (!this.authority.check()) {
             return;
         }
         const now = this.options.clock.getNow();
@@ -530,19 +497,6 @@
         this.askAdvice(now);
     }
 
-    /** Returns whether this host may send orders now, and logs each change. */
-    private checkAuthority(): boolean {
-        const { canOrder } = this.options.ownership;
-        if (canOrder !== this.canOrder) {
-            this.canOrder = canOrder;
-            this.options.logger.write(canOrder ? "info" : "warn", canOrder ? "orders resumed" : "orders suspended", {
-                epoch: this.epoch,
-                reason: canOrder ? "the lease was renewed" : "the store has been away for too long",
-            });
-        }
-        return canOrder;
-    }
-
     private askAdvice(now: number): void {
         this.scheduler.sendAdviceRequests(now, request => {
             const rules = this.scheduler.getQueueRules(request.queue)?.advice;
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -10,6 +10,7 @@
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { ListedRun, RunEnd, StartDecision, TaskKey } from "@waxwingroute/workflow";
+import { EndAcknowledgements } from "./end-acknowledgements.js";
 import { ExecutorLeases } from "./executor-leases.js";
 import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
@@ -102,14 +103,7 @@
 /** Exchanges renewals, listings and orders with one executor until it is closed. */
 export class ExecutorSession {
     private readonly trackedRuns = new Map<string, TrackedRun>();
-    /** Number of restarts of the executor that were seen. The sequence numbers of ends begin again with each. */
-    private restartCount = 0;
-    /** Sequence number of the last end that was passed to the listener. */
-    private processedThrough = 0;
-    /** Ends up to this sequence number may be acknowledged to the executor. */
-    private acknowledgedThrough = 0;
-    /** Sequence numbers of ends that were passed to the listener and are not stored yet. */
-    private readonly unstoredEnds = new Set<number>();
+    private readonly ends = new EndAcknowledgements();
     private startedAtWallMs: number | undefined;
     private readonly leases: ExecutorLeases;
     private failures = 0;
@@ -169,20 +163,6 @@
         this.options.client.close();
     }
 
-    /** Records that an end is stored. An end is acknowledged only when all earlier ones are stored too. */
-    private acknowledge(sequence: number, restartCount: number): void {
-        if (restartCount !== this.restartCount) {
-            return;
-        }
-        this.unstoredEnds.delete(sequence);
-        this.acknowledgedThrough = this.unstoredEnds.size === 0
-            ? this.processedThrough
-            : Math.min(...this.unstoredEnds) - 1;
-        if (this.unstoredEnds.size === 0) {
-            this.wakeUp?.();
-        }
-    }
-
     /** Sends a start. If it gets no answer, later listings resolve whether the run was started. */
     startRun(decision: StartDecision): void {
         const { executor, supervisor } = this.options;
@@ -316,11 +296,10 @@
 
     private async renewOnce(): Promise<void> {
         const { clock, client } = this.options;
-        const isCommitPending = this.acknowledgedThrough < this.processedThrough;
-        if (isCommitPending) {
+        if (this.ends.isPending) {
             await this.waitForWake(commitWaitMs);
         }
-        const isStillPending = this.acknowledgedThrough < this.processedThrough;
+        const isStillPending = this.ends.isPending;
         const waitMs = this.chooseWait(isStillPending);
         const sentAt = clock.getNow();
         // A renewal without an answer may have extended the lease. After a failure, renewals therefore ask for no
@@ -330,7 +309,7 @@
         const deadlineMs = this.options.authority.canOrder ? extendedMs : undefined;
         // After a restart the executor numbers its ends from 1 again, and an old number would acknowledge new ends. So
         // none is acknowledged until a listing has shown the executor's start time.
-        const acknowledged = this.isIncarnationKnown ? this.acknowledgedThrough : 0;
+        const acknowledged = this.isIncarnationKnown ? this.ends.acknowledged : 0;
         const renewed = await client.renew(
             { fencingToken: this.fencingToken, acknowledged, deadlineMs, waitMs },
             waitMs + answerMarginMs,
@@ -340,7 +319,7 @@
         }
         if (renewed.ok) {
             this.acceptListing(renewed.val, sentAt);
-            if (isStillPending && this.acknowledgedThrough < this.processedThrough) {
+            if (isStillPending && this.ends.isPending) {
                 await this.waitForWake(uncommittedPauseMs);
             }
         }
@@ -375,10 +354,7 @@
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
             this.dropRunsOfEarlierIncarnation();
             this.isUnfenced = !isLeaseValid;
-            this.processedThrough = 0;
-            this.acknowledgedThrough = 0;
-            this.unstoredEnds.clear();
-            this.restartCount += 1;
+            this.ends.reset();
             this.leases.reset();
         }
         this.startedAtWallMs = listing.startedAtWallMs;
@@ -404,16 +380,19 @@
     }
 
     private acceptEnd(end: ListedEnd): void {
-        if (end.sequence <= this.processedThrough) {
+        const recordStored = this.ends.begin(end.sequence);
+        if (recordStored === undefined) {
             return;
         }
-        this.processedThrough = end.sequence;
-        this.unstoredEnds.add(end.sequence);
         this.trackedRuns.delete(toRunKey(end));
         const { executor, listener } = this.options;
-        const { task, run, outcome, checkpoint, sequence } = end;
-        const restartCount = this.restartCount;
-        listener.onEnded({ executor, task, run, outcome, checkpoint }, () => this.acknowledge(sequence, restartCount));
+        const { task, run, outcome, checkpoint } = end;
+        listener.onEnded({ executor, task, run, outcome, checkpoint }, () => {
+            recordStored();
+            if (!this.ends.isPending) {
+                this.wakeUp?.();
+            }
+        });
     }
 
     private acceptRunning(run: ListedRun): void {
