--- a/packages/workflow/src/end-system_test.ts
+++ b/packages/workflow/src/end-system_test.ts
@@ -46,17 +46,12 @@
                         const isGang = random.getInteger(3) === 0;
                         const first = createStep({ taskCount: 1 + random.getInteger(4), isGang });
                         const schedule = { startAtWallMs: fixture.now, intervalMs: 300, occurrences: 3 };
-                        fixture.scheduler.addJob(fixture.now, {
-                            job: toId<JobId>(`j${round}`),
-                            queue: toId("queue"),
-                            team: toId("team"),
+                        fixture.addJob(`j${round}`, {
                             spec: {
                                 payload: "",
                                 steps: [first, createStep({ taskCount: 2, after: [0] }), createStep()],
                                 schedule: random.getInteger(3) === 0 ? schedule : undefined,
                             },
-                            acceptedAt: fixture.now,
-                            mayHaveStarted: false,
                         });
                     }
                     fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -1,9 +1,9 @@
-import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
+import type { ExecutorId, JobId } from "@waxwingroute/core";
 import { toId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
-import { createQueue, createStep, noLimit, SchedulerFixture, team, toCores } from "./testing/scheduler-fixture.js";
+import { createQueue, createStep, noLimit, SchedulerFixture, toCores } from "./testing/scheduler-fixture.js";
 import type { StartDecision, TickDecisions } from "./types.js";
 
 describe("the workflow scheduler", () => {
@@ -72,18 +72,8 @@
         it("starts the occurrences of a schedule when they are due, and not before", () => {
             // Guards against early occurrences, and against occurrences that are skipped when several are due at once.
             const fixture = new SchedulerFixture(1);
-            fixture.scheduler.addJob(fixture.now, {
-                job: toId<JobId>("a"),
-                queue: toId<QueueId>("queue"),
-                team,
-                spec: {
-                    payload: "",
-                    steps: [createStep()],
-                    schedule: { startAtWallMs: 50_000, intervalMs: 1_000, occurrences: 2 },
-                },
-                acceptedAt: fixture.now,
-                mayHaveStarted: false,
-            });
+            const schedule = { startAtWallMs: 50_000, intervalMs: 1_000, occurrences: 2 };
+            fixture.addJob("a", { spec: { payload: "", steps: [createStep()], schedule } });
             fixture.scheduler.openDueOccurrences(fixture.now, 49_999);
             expect(fixture.startTasks()).toEqual([]);
             fixture.scheduler.openDueOccurrences(fixture.now, 51_000);
@@ -98,18 +88,9 @@
         it("opens only as many as it can hold, and the others as these are finished", () => {
             // Guards against one job that ends the process, out of memory or in an endless loop.
             const fixture = new SchedulerFixture(1);
-            fixture.scheduler.addJob(fixture.now, {
-                job: toId<JobId>("a"),
-                queue: toId<QueueId>("queue"),
-                team,
-                spec: {
-                    payload: "",
-                    steps: [createStep({ taskCount: 5_000, resources: noLimit })],
-                    schedule: { startAtWallMs: 0, intervalMs: 0, occurrences: 1_000_000_000 },
-                },
-                acceptedAt: fixture.now,
-                mayHaveStarted: false,
-            });
+            const schedule = { startAtWallMs: 0, intervalMs: 0, occurrences: 1_000_000_000 };
+            const steps = [createStep({ taskCount: 5_000, resources: noLimit })];
+            fixture.addJob("a", { spec: { payload: "", steps, schedule } });
             fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
             const starts = fixture.startTasks();
             expect(new Set(starts.map(({ task }) => parseTaskKey(task)?.occurrence))).toEqual(new Set([0, 1, 2, 3]));
@@ -125,15 +106,9 @@
         it("schedules it by the rules at its acceptance, after a change of owner too", () => {
             // Guards against accepted jobs that stand for ever once the owner changes.
             const fixture = new SchedulerFixture(1);
-            fixture.scheduler.addJob(fixture.now, {
-                job: toId<JobId>("a"),
-                queue: toId<QueueId>("removed"),
-                team,
-                spec: { payload: "", steps: [createStep()] },
-                acceptedAt: fixture.now,
-                mayHaveStarted: false,
-                queueRules: createQueue("removed"),
-            });
+            const queueRules = createQueue("removed");
+            const spec = { payload: "", steps: [createStep()] };
+            fixture.addJob("a", { spec, queue: queueRules.queue, queueRules });
             const [start] = fixture.startTasks();
             fixture.endRun(start!, "done");
             expect(fixture.getJobState("a")).toEqual("succeeded");
--- a/packages/workflow/src/testing/scheduler-fixture.ts
+++ b/packages/workflow/src/testing/scheduler-fixture.ts
@@ -5,6 +5,7 @@
 import type {
     AdviceRequest,
     ExecutorState,
+    JobSubmission,
     PoolId,
     QueueRules,
     RunOutcome,
@@ -92,13 +93,18 @@
 
     /** Adds a job without a schedule. */
     submit(job: string, steps: readonly StepSpec[], queue = "queue", mayHaveStarted = false): void {
+        this.addJob(job, { spec: { payload: job, steps }, queue: toId<QueueId>(queue), mayHaveStarted });
+    }
+
+    /** Adds a job of the queue `queue` that was accepted now, apart from what `submission` sets. */
+    addJob(job: string, submission: Partial<JobSubmission> & Pick<JobSubmission, "spec">): void {
         this.scheduler.addJob(this.now, {
             job: toId<JobId>(job),
-            queue: toId<QueueId>(queue),
+            queue: toId<QueueId>("queue"),
             team,
-            spec: { payload: job, steps },
             acceptedAt: this.now,
-            mayHaveStarted,
+            mayHaveStarted: false,
+            ...submission,
         });
     }
 
