--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -1,10 +1,11 @@
 /**
  * Decides which host owns the cell: the one whose record is stored in `ownerKey`, under a lease of the store.
  *
- * Each acquisition raises the epoch in the same transaction. The epoch is the fencing token of all orders, so
- * an executor refuses a replaced owner once it has heard from the new one. While no host can reach the store, none can
- * take over, and the owner continues for a bounded time, after which it sends no orders. An owner whose lease has expired acquires the cell again; if the epoch is still
- * its own, no other host has owned the cell in between, and it keeps its state in memory.
+ * Each acquisition raises the epoch in the same transaction. The epoch is the fencing token of all orders, so an executor
+ * refuses a replaced owner once it has heard from the new one. While no host can reach the store, none can take over, and
+ * the owner continues for a bounded time, after which it sends no orders. An owner whose lease has expired acquires the
+ * cell again; if the epoch is still its own, no other host has owned the cell in between, and it keeps its state in
+ * memory.
  *
  * Independent of the package `ownership`, which the scheduler and cluster packages use.
  */
