--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -224,8 +224,7 @@
                 return;
             }
             if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
-                // The answer to an earlier acquisition was lost.
-                this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), false);
+                this.adoptAcquisition(view, view.owner, false);
                 return;
             }
             const next = await this.watchOwnership(view);
@@ -300,14 +299,15 @@
         const epoch = view.storedEpoch.epoch + 1;
         const { host, address, incarnation } = this.options;
         const possibleOwners = [...this.listPredecessors(view), this.describeSelf(epoch)];
+        const { lease } = granted.val;
         this.isFenced = false;
-        this.lease = granted.val.lease;
+        this.lease = lease;
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
                 conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.storedEpoch.revision }],
                 writes: [
-                    { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch }), lease: this.lease },
+                    { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch, lease }), lease },
                     { key: epochKey, value: String(epoch) },
                     { key: possibleOwnersKey, value: encodePossibleOwners(possibleOwners) },
                 ],
@@ -326,6 +326,15 @@
         return true;
     }
 
+    /**
+     * Begins the term of an acquisition whose answer was lost. A later attempt may have been granted another lease, which
+     * must not be renewed in place of that of the record.
+     */
+    private adoptAcquisition(view: OwnershipView, owner: OwnerRecord, isContinued: boolean): void {
+        this.lease = owner.lease ?? this.lease;
+        this.beginTerm(this.toTerm(owner.epoch, view.ownerRevision, view), isContinued);
+    }
+
     private toTerm(epoch: number, revision: number, view: OwnershipView): OwnershipTerm {
         const predecessors = this.listPredecessors(view).filter(owner => owner.epoch < epoch);
         return { epoch, revision, predecessors, self: this.describeSelf(epoch) };
@@ -404,8 +413,7 @@
             return;
         }
         if (view.owner?.incarnation === this.options.incarnation) {
-            // The answer to an earlier acquisition was lost.
-            this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), true);
+            this.adoptAcquisition(view, view.owner, true);
             return;
         }
         if (view.storedEpoch.epoch !== term.epoch) {
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -1,11 +1,11 @@
-import { ManualClock, SeededRandom, toId } from "@waxwingroute/core";
+import { createFailure, Err, ManualClock, SeededRandom, toId } from "@waxwingroute/core";
 import type { Failure, NetworkAddress, Result } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { OwnershipOptions, OwnershipTerm } from "./lease-ownership.js";
 import { LeaseOwnership } from "./lease-ownership.js";
 import type { StoreReply, StoreRequest } from "./store.js";
-import { LeaseStore } from "./store.js";
+import { LeaseStore, storeFailures } from "./store.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
 import { createStrictSupervisor } from "./testing/strict-supervisor.js";
 
@@ -72,6 +72,34 @@
     }
 }
 
+/** Holds the first commit back and carries it out, unanswered, just before the second one. */
+class OvertakenCommitStore extends LeaseStore {
+    private commitCount = 0;
+    private held: StoreRequest | undefined;
+
+    constructor(private readonly store: LeaseStore, private readonly clock: ManualClock) {
+        super();
+    }
+
+    override async call<Request extends StoreRequest>(
+        request: Request,
+        timeoutMs = 1_000,
+    ): Promise<Result<StoreReply<Request>, Failure>> {
+        this.commitCount += request.kind === "commit" ? 1 : 0;
+        if (request.kind === "commit" && this.commitCount === 1) {
+            this.held = request;
+            await this.clock.wait(timeoutMs);
+            return Err(createFailure(storeFailures.unanswered, "the answer is lost", "mayHaveRun"));
+        }
+        if (request.kind === "commit" && this.held !== undefined) {
+            const { held } = this;
+            this.held = undefined;
+            await this.store.call(held);
+        }
+        return this.store.call(request, timeoutMs);
+    }
+}
+
 describe("LeaseOwnership", () => {
     it("gives the cell to exactly one of several hosts", async () => {
         const fixture = new Fixture();
@@ -229,6 +257,25 @@
         host.ownership.abort();
     });
 
+    describe("an acquisition whose answer is late or lost", () => {
+        it("leaves the host with the lease under which its record is stored", async () => {
+            // Guards against an owner that renews another lease, and takes itself for the owner once its record is gone.
+            const fixture = new Fixture();
+            const store = new OvertakenCommitStore(new MemoryLeaseStore(fixture.data), fixture.clock);
+            const first = fixture.open("a", { store });
+            await fixture.clock.advance(1_000);
+            expect(first.events).toEqual(["acquired 1"]);
+            const second = fixture.open("b");
+            for (let round = 0; round < 60; round++) {
+                await fixture.clock.advance(50);
+                const owners = [first, second].filter(host => host.ownership.isLeaseValid);
+                expect(owners.length <= 1).toEqual(true);
+            }
+            expect([first.events, second.events]).toEqual([["acquired 1"], []]);
+            [first, second].forEach(host => host.ownership.abort());
+        });
+    });
+
     describe("authority to order", () => {
         const maxOutageMs = 5_000;
 
