--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -171,11 +171,15 @@
         this.isStopped = true;
         if (this.term !== undefined) {
             this.recordLoss("stopping");
-            const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
-            this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
+            await this.releaseLease();
         }
     }
 
+    private async releaseLease(): Promise<void> {
+        const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
+        this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
+    }
+
     /** Ends the loop without releasing the lease, as a crash of the process would. */
     abort(): void {
         this.isStopped = true;
@@ -321,6 +325,11 @@
             });
             return false;
         }
+        if (this.isStopped) {
+            // `stop` ran while the acquisition was on its way, and had no term to release.
+            await this.releaseLease();
+            return false;
+        }
         this.leaseClock.recordRenewal(sentAt);
         this.beginTerm(this.toTerm(epoch, committed.val.revision, view), isContinued);
         return true;
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -274,6 +274,21 @@
             expect([first.events, second.events]).toEqual([["acquired 1"], []]);
             [first, second].forEach(host => host.ownership.abort());
         });
+
+        it("does not make a host the owner that has resigned meanwhile", async () => {
+            // Guards against a host that owns the cell while it shuts down, without renewing its lease.
+            const fixture = new Fixture();
+            const store = new LateAnswerStore(new MemoryLeaseStore(fixture.data), fixture.clock);
+            store.lateMs = 300;
+            const host = fixture.open("a", { store });
+            while (!fixture.data.items.has("waxwing/lead/owner")) {
+                await fixture.clock.advance(10);
+            }
+            void host.ownership.stop();
+            await fixture.clock.advance(650);
+            expect(host.events).toEqual([]);
+            expect(fixture.data.items.has("waxwing/lead/owner")).toEqual(false);
+        });
     });
 
     describe("authority to order", () => {
