--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -32,6 +32,7 @@
 import type { LeaseStore, StoreItem, StoreRequest } from "./store.js";
 import { storeFailures } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
+import { createWaitingGauges } from "./waiting-log.js";
 
 /** Dependencies, addresses and limits of a cell host. */
 export interface CellHostOptions {
@@ -223,6 +224,7 @@
             known_jobs: this.replica.size,
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
+            ...this.owner?.waitingGauges ?? createWaitingGauges(undefined),
             unexpected_errors: this.options.supervisor.failureCount,
         };
     }
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -38,6 +38,7 @@
 import { rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
+import { WaitingLog } from "./waiting-log.js";
 
 /** Dependencies, term and limits of a cell owner. */
 export interface CellOwnerOptions {
@@ -109,6 +110,7 @@
     private readonly feed: JobFeed;
     private readonly maintenance: MaintenanceDriver | undefined;
     private readonly authority: OwnerAuthority;
+    private readonly waitingLog: WaitingLog;
     private configuration: CellConfiguration;
     private isClosed = false;
     private isRecovered = false;
@@ -160,7 +162,7 @@
             clock,
             logger,
             supervisor,
-            onEvent: event => this.jobs.applyEvent(event),
+            onEvent: (event, path) => this.jobs.applyEvent(event, path),
             onFullRead: events => this.jobs.applyFullRead(events),
         });
         this.registry = new ExecutorRegistry({
@@ -192,6 +194,7 @@
             supervisor,
             onAnswer: (step, candidates, grants) => this.acceptAdvice(step, candidates, grants),
         });
+        this.waitingLog = new WaitingLog({ scheduler: this.scheduler, clock, logger });
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
@@ -228,6 +231,11 @@
         return this.journal.backlog;
     }
 
+    /** Number of steps that could start and do not, by the name of the gauge of their reason. */
+    get waitingGauges(): Readonly<Record<string, number>> {
+        return this.waitingLog.gauges;
+    }
+
     /** Number of jobs in the scheduler. */
     get jobCount(): number {
         return this.scheduler.jobCount;
@@ -265,6 +273,7 @@
         });
         this.registry.start();
         this.startLoop("idle ticks", () => this.tickWhenIdle());
+        this.startLoop("log of waiting steps", () => this.waitingLog.run());
         this.startLoop("count of pending jobs", () => this.reportPending());
         this.startLoop("maintenance", () => this.maintenance?.run() ?? Promise.resolve());
         this.startLoop("job feed", () => this.feed.run(stored.storeRevision));
@@ -280,6 +289,7 @@
         this.authority.close();
         this.feed.close();
         this.maintenance?.close();
+        this.waitingLog.close();
         this.journal.close();
         this.registry.close();
     }
@@ -427,7 +437,7 @@
     }
 
     private applyStored(event: JobEvent): void {
-        this.options.supervisor.run("stored job", { job: event.job }, () => this.jobs.applyEvent(event));
+        this.options.supervisor.run("stored job", { job: event.job }, () => this.jobs.applyEvent(event, "recovery"));
     }
 
     /**
--- a/packages/cell/src/job-feed.ts
+++ b/packages/cell/src/job-feed.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
-import type { JobEvent } from "./owner-recovery.js";
+import type { JobEvent, JobEventPath } from "./owner-recovery.js";
 import { decodeJobItem, readStoredCell } from "./owner-recovery.js";
 import { jobPrefix } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
@@ -16,7 +16,7 @@
     readonly logger: LogWriter;
     readonly supervisor: Supervisor;
     /** Called for each event; the same event can be delivered more than once. */
-    readonly onEvent: (event: JobEvent) => void;
+    readonly onEvent: (event: JobEvent, path: JobEventPath) => void;
     /** Called with the events of each read of all jobs, after `onEvent` for each of them. */
     readonly onFullRead: (events: readonly JobEvent[]) => void;
 }
@@ -52,7 +52,7 @@
             if (watched.ok) {
                 const { changes } = watched.val;
                 const hasChanges = changes.length > 0;
-                this.applyItems(changes.flatMap(({ item }) => item === undefined ? [] : [item]));
+                this.applyItems(changes.flatMap(({ item }) => item === undefined ? [] : [item]), "watch");
                 afterRevision = watched.val.storeRevision;
                 if (hasChanges) {
                     await clock.wait(watchPauseMs);
@@ -76,7 +76,7 @@
     acceptAnnounced(items: readonly StoreItem[]): boolean {
         const isAccepted = this.isOpen && !this.isClosed;
         if (isAccepted) {
-            this.applyItems(items);
+            this.applyItems(items, "announced");
         }
         return isAccepted;
     }
@@ -92,22 +92,22 @@
         if (!stored.ok || this.isClosed) {
             return undefined;
         }
-        stored.val.jobs.forEach(event => this.report(event));
+        stored.val.jobs.forEach(event => this.report(event, "fullRead"));
         this.options.onFullRead(stored.val.jobs);
         return stored.val.storeRevision;
     }
 
-    private applyItems(items: readonly StoreItem[]): void {
+    private applyItems(items: readonly StoreItem[], path: JobEventPath): void {
         for (const item of items) {
             const event = decodeJobItem(item, this.options.logger);
             if (event !== undefined) {
-                this.report(event);
+                this.report(event, path);
             }
         }
     }
 
-    private report(event: JobEvent): void {
+    private report(event: JobEvent, path: JobEventPath): void {
         const { onEvent, supervisor } = this.options;
-        supervisor.run("stored job", { job: event.job }, () => onEvent(event));
+        supervisor.run("stored job", { job: event.job }, () => onEvent(event, path));
     }
 }
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -7,7 +7,7 @@
 import { isOpenState } from "@waxwingroute/workflow";
 import type { JobChange, JobState, WorkflowScheduler } from "@waxwingroute/workflow";
 import type { OwnerJournal } from "./owner-journal.js";
-import type { JobEvent } from "./owner-recovery.js";
+import type { JobEvent, JobEventPath } from "./owner-recovery.js";
 import type { JobRecord } from "./store-keys.js";
 import { toCancelKey } from "./store-keys.js";
 
@@ -39,7 +39,7 @@
     /** Those of them that the last read of all jobs did not have. */
     private missingJobs: ReadonlySet<JobId> = new Set();
     /** Jobs of a later epoch, kept until it is known whether this owner acquired that epoch itself. */
-    private deferred: JobEvent[] = [];
+    private deferred: { readonly event: JobEvent; readonly path: JobEventPath; }[] = [];
     private epoch: number;
 
     constructor(private readonly options: OwnerJobsOptions) {
@@ -54,23 +54,23 @@
     /** Continues in a later epoch that this owner acquired itself. */
     setEpoch(epoch: number): void {
         this.epoch = epoch;
-        this.deferred.splice(0).forEach(event => this.applyEvent(event));
+        this.deferred.splice(0).forEach(({ event, path }) => this.applyEvent(event, path));
     }
 
     /** Applies a job or cancellation from the store. Applying one again has no effect. */
-    applyEvent(event: JobEvent): void {
+    applyEvent(event: JobEvent, path: JobEventPath): void {
         if (event.kind === "cancel") {
-            this.cancel(event.job);
+            this.cancel(event.job, path);
         }
         else if (event.record.kind === "finished") {
             this.restoreFinished(event.job, event.record);
         }
         else if (event.record.epoch > this.epoch) {
-            this.deferred.push(event);
+            this.deferred.push({ event, path });
             this.options.onLaterEpoch();
         }
         else {
-            this.add(event.job, event.record, event.revision);
+            this.add(event.job, event.record, event.revision, path);
         }
     }
 
@@ -147,7 +147,12 @@
         }
     }
 
-    private add(job: JobId, record: Extract<JobRecord, { kind: "accepted"; }>, revision: number): void {
+    private add(
+        job: JobId,
+        record: Extract<JobRecord, { kind: "accepted"; }>,
+        revision: number,
+        path: JobEventPath,
+    ): void {
         const {
             clock,
             firstEpoch,
@@ -173,10 +178,10 @@
             acceptedAt: now - ageMs,
             mayHaveStarted: record.epoch < firstEpoch && !hasReleasedTasks(),
         });
-        logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, ageMs });
+        logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, path, ageMs });
         onChanges([{ job, queue: record.queue, state: "queued" }]);
         if (this.cancelledEarly.delete(job)) {
-            this.cancel(job);
+            this.cancel(job, path);
         }
         if (record.spec.schedule !== undefined) {
             scheduler.openDueOccurrences(now, clock.getWallTime());
@@ -184,13 +189,13 @@
         onSchedulingNeeded();
     }
 
-    private cancel(job: JobId): void {
+    private cancel(job: JobId, path: JobEventPath): void {
         const { journal, logger, onSchedulingNeeded, scheduler } = this.options;
         if (this.cancelled.has(job) || this.cancelledEarly.has(job)) {
             return;
         }
         const state = scheduler.getJobState(job) ?? this.finishedStates.get(job);
-        logger.write("info", "job cancelled", { job, state: state ?? "not known yet" });
+        logger.write("info", "job cancelled", { job, path, state: state ?? "not known yet" });
         if (state === undefined) {
             this.cancelledEarly.add(job);
             return;
--- a/packages/cell/src/owner-recovery.ts
+++ b/packages/cell/src/owner-recovery.ts
@@ -21,6 +21,9 @@
     | { readonly kind: "record"; readonly job: JobId; readonly record: JobRecord; readonly revision: number; }
     | { readonly kind: "cancel"; readonly job: JobId; readonly revision: number; };
 
+/** How an owner learned of a job or cancellation. */
+export type JobEventPath = "recovery" | "announced" | "watch" | "fullRead";
+
 /** The jobs and run ends that the cell has stored. */
 export interface StoredCell {
     readonly jobs: readonly JobEvent[];
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -69,10 +69,58 @@
             !line.isContext || line.timeMs >= firstMs - contextWindowMs && line.timeMs <= lastMs + contextWindowMs
         )
         .sort((one, other) => one.timeMs - other.timeMs);
-    io.writeOut(format === "json" ? formatJson(timeline) : timeline.map(line => formatLine(line, firstMs)).join(""));
+    const summary = formatWaits(jobLines, firstMs);
+    io.writeOut(
+        format === "json" ? formatJson(timeline) : timeline.map(line => formatLine(line, firstMs)).join("") + summary,
+    );
     return exitCodes.done;
 }
 
+/** Reasons of `step waits` in words; others are shown as they are. */
+const reasonTexts: Readonly<Record<string, string>> = {
+    adviceInFlight: "the advisor's answer",
+    adviceNotAsked: "a call to the advisor",
+    adviceRefused: "an executor that the advisor has not refused",
+    executorsAvoided: "executors that refused starts or failed runs",
+    executorsBlocked: "runs of unknown size or a probe on its executors",
+    executorsLeaving: "an executor that does not leave",
+    executorsUnreachable: "executors that do not answer",
+    gangIncomplete: "the end of all runs of its gang",
+    mayStillRun: "executors that may run its tasks since the takeover",
+    noExecutor: "an executor of its pool and label",
+    noRoom: "room",
+    none: "nothing that the scheduler knows: a fault",
+    probeLimit: "other probes of tasks that may crash executors",
+    probeNeedsIdle: "an idle executor for a probe",
+    queueUnknown: "the declaration of its queue",
+    reservedForGang: "executors that are reserved for a gang",
+    teamLimit: "the limit of its team",
+    ticketExpired: "a new ticket of the advisor",
+};
+
+/** Says for each step that waits at the end of the logs what it waits for, and since when. */
+function formatWaits(jobLines: readonly LogLine[], firstMs: number): string {
+    const waits = new Map<string, LogLine>();
+    for (const line of [...jobLines].sort((one, other) => one.timeMs - other.timeMs)) {
+        const { step, task } = line.fields;
+        if (line.message === "step waits" && typeof step === "string") {
+            waits.set(step, line);
+        }
+        else if (line.message === "start" && typeof task === "string") {
+            waits.delete(task.slice(0, task.lastIndexOf(".")));
+        }
+        else if (line.message === "job finished" || line.message === "job cancelled") {
+            waits.clear();
+        }
+    }
+    return [...waits.values()].map(({ fields, timeMs }) => {
+        const reason = String(fields.reason);
+        const since = (timeMs - firstMs - Number(fields.reasonSinceMs)) / 1_000;
+        return `task ${String(fields.task)} could start, waits for ${reasonTexts[reason] ?? reason} (${reason}) `
+            + `since ${since.toFixed(3)}\n`;
+    }).join("");
+}
+
 /** Builds the command `waxwing explain`. */
 export function createExplainCommand(io: ProgramIo): CommandDef {
     return defineCommand({
--- a/packages/cli/src/commands/explain_test.ts
+++ b/packages/cli/src/commands/explain_test.ts
@@ -18,6 +18,13 @@
         formatLogLine(90_000, "b", "cell ownership lost", { epoch: 4 }),
         formatLogLine(3_000, "b", "job finished", { job: "aa11", state: "succeeded" }),
     ].join("\n"),
+    "waits.log": [
+        formatLogLine(1_000, "a", "job known", { job: "dd44", path: "announced", ageMs: 30 }),
+        ...[["dd44.0.0", "adviceInFlight"], ["dd44.0.1", "noRoom"]].map(([step, reason]) =>
+            formatLogLine(5_000, "a", "step waits", { step, task: `${step}.0`, reason, reasonSinceMs: 1_500 })
+        ),
+        formatLogLine(6_000, "a", "start", { task: "dd44.0.0.0", executor: "e1", run: 1 }),
+    ].join("\n"),
 };
 
 async function run(commandLine: string): Promise<{ exitCode: number; out: string; error: string; }> {
@@ -51,6 +58,12 @@
         expect(out.includes("bb22")).toEqual(false);
     });
 
+    it("says what the tasks that could start wait for, and since when", async () => {
+        const { out } = await run("explain dd44 --logs waits.log");
+        const summary = out.trimEnd().split("\n").filter(text => text.includes("could start"));
+        expect(summary).toEqual(["task dd44.0.1.0 could start, waits for room (noRoom) since 2.500"]);
+    });
+
     it("prints JSON on request", async () => {
         const { out } = await run("explain aa11 --logs a.log,b.log --output json");
         expect((JSON.parse(out) as unknown[]).length).toEqual(4);
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -61,6 +61,7 @@
         }
         const result = send({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
         advice.isRequestPending = result === "sent";
+        advice.requestedAt = result === "sent" ? now : advice.requestedAt;
         if (result === "noHost") {
             return;
         }
@@ -82,6 +83,7 @@
         step.advice.retryAt = now + retryDelayMs;
         return;
     }
+    step.advice.answeredAt = now;
     const newlyAsked = asked.filter(executor => !step.advice.tickets.has(executor));
     const granted = new Set(grants.map(grant => grant.executor));
     grants.forEach(({ executor, ticket }) => {
--- a/packages/workflow/src/crash-system.ts
+++ b/packages/workflow/src/crash-system.ts
@@ -99,6 +99,12 @@
     return !step.spec.isGang || step.suspectCount === 0 || executor.unprovenRuns === 0;
 }
 
+/** Returns whether tasks of the step start as probes, alone on their executors, and not as members of a gang. */
+export function isProbeStep(state: SchedulerState, step: StepRow): boolean {
+    const queue = state.queues.get(step.occurrence.job.submission.queue);
+    return !step.spec.isGang && (step.suspectCount > 0 || (queue?.crashRate ?? 0) > maxCrashRate);
+}
+
 /** Divides the waiting tasks of a step into those that are started as probes and the others. */
 export function splitProbes(
     state: SchedulerState,
@@ -106,7 +112,7 @@
     waiting: readonly TaskRow[],
 ): { readonly probes: readonly TaskRow[]; readonly others: readonly TaskRow[]; } {
     const queue = state.queues.get(step.occurrence.job.submission.queue);
-    if (step.spec.isGang || step.suspectCount === 0 && (queue?.crashRate ?? 0) <= maxCrashRate) {
+    if (!isProbeStep(state, step)) {
         return { probes: [], others: waiting };
     }
     // The tasks of a step are alike, so the others may crash their executors too.
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -35,3 +35,6 @@
     ThrottleDecision,
     TickDecisions,
 } from "./types.js";
+export { waitingReasons } from "./waiting-reasons.js";
+export type { WaitingReason } from "./waiting-reasons.js";
+export type { WaitingSample, WaitingStep } from "./waiting-steps.js";
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -110,6 +110,8 @@
         tasks,
         advice: {
             isRequestPending: false,
+            requestedAt: undefined,
+            answeredAt: undefined,
             retryAt: 0,
             tickets: new Map(),
             refused: new Set(),
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -60,6 +60,9 @@
 /** The advisor's answers for one step. */
 export interface AdviceState {
     isRequestPending: boolean;
+    /** When the last request was sent, and when the advisor last answered one; `undefined`: never. */
+    requestedAt: number | undefined;
+    answeredAt: number | undefined;
     /** No request is sent before this time. */
     retryAt: number;
     /** Executors that the advisor granted, also those whose ticket has expired. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -46,6 +46,8 @@
     TickDecisions,
 } from "./types.js";
 import { listUnknownTasks, updateUnknownUsage } from "./unknown-tasks-system.js";
+import type { WaitingSample } from "./waiting-steps.js";
+import { WaitingSteps } from "./waiting-steps.js";
 
 /**
  * Size of the range of run numbers of one epoch. Ranges keep the run numbers of two owners apart, since an executor
@@ -58,6 +60,7 @@
 /** Schedules jobs of dependent steps on the executors of one cell. */
 export class WorkflowScheduler {
     private readonly state: SchedulerState;
+    private readonly waitingSteps = new WaitingSteps();
 
     constructor(options: SchedulerOptions = {}) {
         this.state = new SchedulerState({
@@ -385,6 +388,14 @@
         return row !== undefined && needsThrottling(row);
     }
 
+    /**
+     * Returns which open steps did not start their tasks for some time, and why. Its cost is bounded, but higher than that
+     * of a tick, so it is called about once a second.
+     */
+    sampleWaitingSteps(now: number): WaitingSample {
+        return this.waitingSteps.sample(this.state, now);
+    }
+
     /** Stops runs that are stalled or must leave, places tasks, and returns all decisions since the previous tick. */
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
