--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -208,10 +208,12 @@
             return;
         }
         tracked.changedAt = clock.getNow();
+        // The executor ends or refuses a run whose stop it answered meanwhile, whatever becomes of the start.
+        const isStopped = tracked.state === "stopped";
         if (started.ok) {
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
             this.isIncarnationKnown &&= !this.leases.isClockReset(started.val.clockMs);
-            tracked.state = "answered";
+            tracked.state = isStopped ? "stopped" : "answered";
             listener.onStarted(executor, tracked.task, tracked.run);
             if (decision.isProbe) {
                 supervisor.start("probe", { executor, task: tracked.task }, () => this.confirmProbe(tracked));
@@ -237,7 +239,7 @@
         else {
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
-            tracked.state = "unanswered";
+            tracked.state = isStopped ? "stopped" : "unanswered";
             this.wakeUp?.();
         }
     }
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -55,6 +55,8 @@
 export class FakeExecutor {
     /** No call reaches it and no answer leaves it. */
     isPartitioned = false;
+    /** Calls are carried out, and their answers are lost. */
+    losesAnswers = false;
     /** Orders get no answer and are carried out late. */
     isDelayingOrders = false;
     /** Connections are refused at once while the process is down; otherwise calls get no answer. */
@@ -156,6 +158,12 @@
         }
         this.advance();
         const result = execute();
+        if (this.losesAnswers) {
+            await clock.wait(timeoutMs);
+            return Err(
+                createFailure(executorFailures.unanswered, "the executor has not answered in time", "mayHaveRun"),
+            );
+        }
         await clock.wait(latencyMs);
         return this.isPartitioned || this.startedAtWallMs !== incarnation
             ? Err(createFailure(executorFailures.unanswered, "the executor has not answered in time", "mayHaveRun"))
