--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -65,6 +65,8 @@
     readonly fencingToken: number;
     /** Longest lease that the executor grants, ms. */
     readonly maxLeaseMs: number;
+    /** Longest time from the order to stop a run until it has ended, ms. */
+    readonly stopMs: number;
     readonly authority: OrderAuthority;
     /**
      * Returns whether the executor has to be listed several times a second, because tasks are throttled by its load.
@@ -182,7 +184,8 @@
             run: decision.run,
             state: "sent",
             changedAt: clock.getNow(),
-            isStopping: false,
+            stop: "none",
+            stopAnsweredAt: 0,
             isListed: false,
             isProbe: decision.isProbe,
             sentAt: clock.getNow(),
@@ -272,15 +275,18 @@
         const { client, clock, executor, supervisor } = this.options;
         const tracked = this.trackedRuns.get(toRunKey({ task, run }));
         if (tracked !== undefined) {
-            if (tracked.isStopping) {
+            if (tracked.stop === "sending") {
                 return;
             }
-            tracked.isStopping = true;
+            tracked.stop = "sending";
         }
+        let isRefused = false;
         while (!this.isClosed) {
             const order = { task, run, fencingToken: this.fencingToken };
             const stopped = await supervisor.call("stop", { executor, task }, () => client.stop(order));
-            if (stopped.ok || stopped.val.verdict === "notRun" && stopped.val.code === executorFailures.fenced) {
+            isRefused = !stopped.ok && stopped.val.verdict === "notRun"
+                && stopped.val.code === executorFailures.fenced;
+            if (stopped.ok || isRefused) {
                 this.reportIfFenced(stopped);
                 break;
             }
@@ -289,9 +295,13 @@
                 return;
             }
         }
-        if (tracked !== undefined && tracked.state !== "stopped") {
-            tracked.state = "stopped";
-            tracked.changedAt = clock.getNow();
+        if (tracked !== undefined) {
+            tracked.stop = "answered";
+            tracked.stopAnsweredAt = clock.getNow();
+            if (!isRefused && tracked.state !== "stopped") {
+                tracked.state = "stopped";
+                tracked.changedAt = clock.getNow();
+            }
         }
         this.wakeUp?.();
     }
@@ -371,7 +381,7 @@
         }
         for (const run of listing.running) {
             listed.add(toRunKey(run));
-            this.acceptRunning(run);
+            this.acceptRunning(run, sentAt);
         }
         this.resolveRuns(listed, sentAt, listing.hasAllEnds);
         // Until all ends are listed, a task that an earlier owner started may have ended without this owner's knowledge.
@@ -397,8 +407,8 @@
         });
     }
 
-    private acceptRunning(run: ListedRun): void {
-        const { clock, executor, listener } = this.options;
+    private acceptRunning(run: ListedRun, sentAt: number): void {
+        const { clock, executor, listener, logger, stopMs } = this.options;
         const tracked = this.trackedRuns.get(toRunKey(run));
         if (tracked === undefined) {
             const mayContinue = listener.onUntrackedRun(executor, run);
@@ -407,7 +417,8 @@
                 run: run.run,
                 state: "answered",
                 changedAt: clock.getNow(),
-                isStopping: false,
+                stop: "none",
+                stopAnsweredAt: 0,
                 isListed: true,
                 isProbe: false,
                 sentAt: clock.getNow(),
@@ -422,6 +433,10 @@
             tracked.state = "answered";
             tracked.changedAt = clock.getNow();
         }
+        if (tracked.stop === "answered" && sentAt - tracked.stopAnsweredAt > stopMs) {
+            logger.write("warn", "run goes on after its stop", { executor, task: run.task, run: run.run });
+            this.startStop(run.task, run.run);
+        }
         listener.onRunning(executor, run);
     }
 
--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -16,8 +16,10 @@
     state: TrackedRunState;
     /** Time of the last change of `state`. */
     changedAt: number;
-    /** Whether `stop` was called for the run; it repeats the call to the executor until it is answered. */
-    isStopping: boolean;
+    /** `sending`: calls that stop the run are repeated until one is answered. `answered`: one was, also with a refusal. */
+    stop: "none" | "sending" | "answered";
+    /** When a stop was last answered. */
+    stopAnsweredAt: number;
     /** Whether the executor has listed the run. */
     isListed: boolean;
     readonly isProbe: boolean;
