--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -33,6 +33,8 @@
     readonly epoch: number;
     /** Revision of the owner key; every write of the owner is conditional on it. */
     readonly revision: number;
+    /** The lease of the store that the owner key has. */
+    readonly lease: number;
     /** Earlier owners that may still have sent orders at the acquisition, this process left out. */
     readonly predecessors: readonly PossibleOwner[];
     /** What the next owners are told of this one. */
@@ -112,7 +114,6 @@
     private readonly leaseMs: number;
     private readonly maxOutageMs: number;
     private term: OwnershipTerm | undefined;
-    private lease = 0;
     private lastEpoch = 0;
     private isStopped = false;
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
@@ -170,8 +171,9 @@
     async stop(): Promise<void> {
         this.isStopped = true;
         if (this.term !== undefined) {
+            const { lease } = this.term;
             this.recordLoss("stopping");
-            const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
+            const ended = await this.options.store.call({ kind: "endLease", lease }, callTimeoutMs);
             this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
         }
     }
@@ -225,7 +227,7 @@
             }
             if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
                 // The answer to an earlier acquisition was lost.
-                this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), false);
+                this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), false);
                 return;
             }
             const next = await this.watchOwnership(view);
@@ -300,14 +302,14 @@
         const epoch = view.storedEpoch.epoch + 1;
         const { host, address, incarnation } = this.options;
         const possibleOwners = [...this.listPredecessors(view), this.describeSelf(epoch)];
+        const { lease } = granted.val;
         this.isFenced = false;
-        this.lease = granted.val.lease;
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
                 conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.storedEpoch.revision }],
                 writes: [
-                    { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch }), lease: this.lease },
+                    { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch, lease }), lease },
                     { key: epochKey, value: String(epoch) },
                     { key: possibleOwnersKey, value: encodePossibleOwners(possibleOwners) },
                 ],
@@ -322,13 +324,17 @@
             return false;
         }
         this.leaseClock.recordRenewal(sentAt);
-        this.beginTerm(this.toTerm(epoch, committed.val.revision, view), isContinued);
+        this.beginTerm(this.toTerm({ epoch, lease }, committed.val.revision, view), isContinued);
         return true;
     }
 
-    private toTerm(epoch: number, revision: number, view: OwnershipView): OwnershipTerm {
+    private toTerm(
+        { epoch, lease }: Pick<OwnerRecord, "epoch" | "lease">,
+        revision: number,
+        view: OwnershipView,
+    ): OwnershipTerm {
         const predecessors = this.listPredecessors(view).filter(owner => owner.epoch < epoch);
-        return { epoch, revision, predecessors, self: this.describeSelf(epoch) };
+        return { epoch, revision, lease, predecessors, self: this.describeSelf(epoch) };
     }
 
     private describeSelf(epoch: number): PossibleOwner {
@@ -372,9 +378,10 @@
     private async renew(): Promise<void> {
         await this.options.clock.wait(this.leaseMs / renewalsPerLease);
         if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
+            const { lease } = this.term;
             this.renewalsInFlight += 1;
             this.options.supervisor.start("ownership renewal", {}, () =>
-                this.sendRenewal(this.lease).finally(() => {
+                this.sendRenewal(lease).finally(() => {
                     this.renewalsInFlight -= 1;
                 }));
         }
@@ -383,7 +390,7 @@
     private async sendRenewal(lease: number): Promise<void> {
         const sentAt = this.leaseClock.read();
         const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
-        if (lease !== this.lease || this.isStopped) {
+        if (lease !== this.term?.lease || this.isStopped) {
             return;
         }
         if (renewed.ok) {
@@ -405,7 +412,7 @@
         }
         if (view.owner?.incarnation === this.options.incarnation) {
             // The answer to an earlier acquisition was lost.
-            this.beginTerm(this.toTerm(view.owner.epoch, view.ownerRevision, view), true);
+            this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), true);
             return;
         }
         if (view.storedEpoch.epoch !== term.epoch) {
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -229,6 +229,32 @@
         host.ownership.abort();
     });
 
+    describe("an acquisition that the store carries out late", () => {
+        it("gives a term that ends with the lease of that acquisition", async () => {
+            // Guards against an owner that renews the lease of a later, failed acquisition: its record goes with the
+            // earlier lease, and the host would still count its own as valid beside a successor.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            host.store.latencyMs = 100;
+            host.store.commitFault = "late";
+            // Between the read and the commit of the second acquisition, with the timeout of the first commit before it.
+            host.store.lateMs = 1_150;
+            await fixture.clock.advance(700);
+            host.store.commitFault = "none";
+            await fixture.clock.advance(1_200);
+            expect(host.events).toEqual(["acquired 1"]);
+            // The lease of the first acquisition, which nobody has renewed, ends 1.5 s after it was granted.
+            const other = fixture.open("c");
+            let overlaps = 0;
+            for (let elapsed = 0; elapsed < 5_000; elapsed += 20) {
+                await fixture.clock.advance(20);
+                overlaps += host.ownership.isLeaseValid && other.ownership.current !== undefined ? 1 : 0;
+            }
+            expect(overlaps).toEqual(0);
+            [host, other].forEach(({ ownership }) => ownership.abort());
+        });
+    });
+
     describe("authority to order", () => {
         const maxOutageMs = 5_000;
 
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -48,6 +48,8 @@
     /** At which the other hosts reach the owner. */
     readonly address: NetworkAddress;
     readonly epoch: number;
+    /** The lease of the store with which the record is removed; 0 in records of earlier versions. */
+    readonly lease: number;
 }
 
 /** An owner that may send orders until an outage of the store has lasted `maxOutageMs`, though its lease has expired. */
@@ -82,6 +84,7 @@
     host: z.string(),
     address: addressSchema,
     epoch: z.number().int(),
+    lease: z.number().int().default(0),
 });
 const possibleOwnersSchema = z.array(z.object({
     epoch: z.number().int(),
