--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -116,6 +116,7 @@
     private term: OwnershipTerm | undefined;
     private lastEpoch = 0;
     private isStopped = false;
+    private isAborted = false;
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
     private isFenced = false;
     private isAcquiring = false;
@@ -173,14 +174,19 @@
         if (this.term !== undefined) {
             const { lease } = this.term;
             this.recordLoss("stopping");
-            const ended = await this.options.store.call({ kind: "endLease", lease }, callTimeoutMs);
-            this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
+            await this.release(lease);
         }
     }
 
+    private async release(lease: number): Promise<void> {
+        const ended = await this.options.store.call({ kind: "endLease", lease }, callTimeoutMs);
+        this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
+    }
+
     /** Ends the loop without releasing the lease, as a crash of the process would. */
     abort(): void {
         this.isStopped = true;
+        this.isAborted = true;
         this.term = undefined;
     }
 
@@ -323,6 +329,13 @@
             });
             return false;
         }
+        if (this.isStopped) {
+            // The host has resigned while the commit was on its way.
+            if (!this.isAborted) {
+                await this.release(lease);
+            }
+            return false;
+        }
         this.leaseClock.recordRenewal(sentAt);
         this.beginTerm(this.toTerm({ epoch, lease }, committed.val.revision, view), isContinued);
         return true;
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -253,6 +253,18 @@
             expect(overlaps).toEqual(0);
             [host, other].forEach(({ ownership }) => ownership.abort());
         });
+
+        it("gives the cell back if the host has resigned meanwhile", async () => {
+            // Guards against a host that stops and becomes the owner by an answer that arrives after it has resigned.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            host.store.latencyMs = 100;
+            await fixture.clock.advance(260);
+            void host.ownership.stop();
+            await fixture.clock.advance(1_000);
+            expect(host.events).toEqual([]);
+            expect(fixture.data.items.has("waxwing/lead/owner")).toEqual(false);
+        });
     });
 
     describe("authority to order", () => {
