--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -395,6 +395,26 @@
         });
     });
 
+    describe("an owner that continues in a later term", () => {
+        it("keeps the cell when its own later token overtakes an order with the earlier one", async () => {
+            // Guards against an owner that takes its own token for that of a successor: the cell has no owner until the
+            // lease of its record has expired.
+            const cell = await openCell({ hosts: 1 });
+            cell.data.mode = "silent";
+            await cell.advance(4_000);
+            cell.data.mode = "up";
+            await cell.advanceUntil(() => cell.logLines.some(line => line.includes('"isContinued":true')), 2_000);
+            for (const name of ["a", "b", "c"]) {
+                void cell.submit(cell.hosts[0]!, name, [{ taskCount: 3 }]);
+                await cell.advance(200);
+            }
+            await cell.advance(3_000);
+            expect(cell.logLines.filter(line => line.includes("ownership lost"))).toEqual([]);
+            expect(["a", "b", "c"].map(name => cell.getState(name))).toEqual(["succeeded", "succeeded", "succeeded"]);
+            cell.close();
+        });
+    });
+
     describe("a cancellation that the owner knows before its job", () => {
         const key = toCancelKey("late" as never);
 
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -229,7 +229,7 @@
         if (started.val.verdict === "notRun") {
             this.trackedRuns.delete(toRunKey(tracked));
             this.reportEnd(tracked, "notStarted");
-            this.reportIfFenced(started);
+            this.reportIfFenced(started, order.fencingToken);
             if (started.val.code === executorFailures.unreachable) {
                 this.recordUnreachable(started.val);
             }
@@ -261,8 +261,9 @@
 
     /** Limits the speed of a run, without a retry. Returns whether the executor confirmed it. */
     async throttle(task: TaskKey, run: number, percent: number): Promise<boolean> {
-        const throttled = await this.options.client.throttle({ task, run, percent, fencingToken: this.fencingToken });
-        this.reportIfFenced(throttled);
+        const { fencingToken } = this;
+        const throttled = await this.options.client.throttle({ task, run, percent, fencingToken });
+        this.reportIfFenced(throttled, fencingToken);
         return throttled.ok;
     }
 
@@ -278,8 +279,7 @@
         while (!this.isClosed) {
             const order = { task, run, fencingToken: this.fencingToken };
             const stopped = await supervisor.call("stop", { executor, task }, () => client.stop(order));
-            if (stopped.ok || stopped.val.verdict === "notRun" && stopped.val.code === executorFailures.fenced) {
-                this.reportIfFenced(stopped);
+            if (stopped.ok || this.reportIfFenced(stopped, order.fencingToken)) {
                 break;
             }
             await clock.wait(retryMs);
@@ -310,8 +310,9 @@
         // After a restart the executor numbers its ends from 1 again, and an old number would acknowledge new ends. So
         // none is acknowledged until a listing has shown the executor's start time.
         const acknowledged = this.isIncarnationKnown ? this.ends.acknowledged : 0;
+        const { fencingToken } = this;
         const renewed = await client.renew(
-            { fencingToken: this.fencingToken, acknowledged, deadlineMs, waitMs },
+            { fencingToken, acknowledged, deadlineMs, waitMs },
             waitMs + answerMarginMs,
         );
         if (this.isClosed) {
@@ -327,7 +328,7 @@
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             this.handleFailedRenewal(renewed.val);
-            this.reportIfFenced(renewed);
+            this.reportIfFenced(renewed, fencingToken);
             await this.waitForWake(retryMs);
         }
     }
@@ -530,10 +531,16 @@
         listener.onEnded({ executor, task: tracked.task, run: tracked.run, outcome, checkpoint: "" });
     }
 
-    private reportIfFenced(result: Result<unknown, Failure>): void {
-        if (!result.ok && result.val.code === executorFailures.fenced) {
+    /**
+     * Reports that the executor has seen the token of a later owner. An order that was overtaken by one of a later term of
+     * this owner is refused for this owner's own token. Returns whether the refusal was reported.
+     */
+    private reportIfFenced(result: Result<unknown, Failure>, token: number): boolean {
+        const isFenced = !result.ok && result.val.code === executorFailures.fenced && token === this.fencingToken;
+        if (isFenced) {
             this.options.listener.onFenced(this.options.executor);
         }
+        return isFenced;
     }
 
     private waitForWake(maxMs: number): Promise<void> {
