--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -33,6 +33,8 @@
     readonly epoch: number;
     /** Revision of the owner key; every write of the owner is conditional on it. */
     readonly revision: number;
+    /** The lease of the store that the owner key has. */
+    readonly lease: number;
     /** Earlier owners that may still have sent orders at the acquisition, this process left out. */
     readonly predecessors: readonly PossibleOwner[];
     /** What the next owners are told of this one. */
@@ -112,9 +114,9 @@
     private readonly leaseMs: number;
     private readonly maxOutageMs: number;
     private term: OwnershipTerm | undefined;
-    private lease = 0;
     private lastEpoch = 0;
     private isStopped = false;
+    private isAborted = false;
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
     private isFenced = false;
     private isAcquiring = false;
@@ -170,19 +172,21 @@
     async stop(): Promise<void> {
         this.isStopped = true;
         if (this.term !== undefined) {
+            const { lease } = this.term;
             this.recordLoss("stopping");
-            await this.releaseLease();
+            await this.release(lease);
         }
     }
 
-    private async releaseLease(): Promise<void> {
-        const ended = await this.options.store.call({ kind: "endLease", lease: this.lease }, callTimeoutMs);
+    private async release(lease: number): Promise<void> {
+        const ended = await this.options.store.call({ kind: "endLease", lease }, callTimeoutMs);
         this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
     }
 
     /** Ends the loop without releasing the lease, as a crash of the process would. */
     abort(): void {
         this.isStopped = true;
+        this.isAborted = true;
         this.term = undefined;
     }
 
@@ -228,7 +232,8 @@
                 return;
             }
             if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
-                this.adoptAcquisition(view, view.owner, false);
+                // The answer to an earlier acquisition was lost.
+                this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), false);
                 return;
             }
             const next = await this.watchOwnership(view);
@@ -305,7 +310,6 @@
         const possibleOwners = [...this.listPredecessors(view), this.describeSelf(epoch)];
         const { lease } = granted.val;
         this.isFenced = false;
-        this.lease = lease;
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
@@ -326,27 +330,24 @@
             return false;
         }
         if (this.isStopped) {
-            // `stop` ran while the acquisition was on its way, and had no term to release.
-            await this.releaseLease();
+            // The host has resigned while the commit was on its way.
+            if (!this.isAborted) {
+                await this.release(lease);
+            }
             return false;
         }
         this.leaseClock.recordRenewal(sentAt);
-        this.beginTerm(this.toTerm(epoch, committed.val.revision, view), isContinued);
+        this.beginTerm(this.toTerm({ epoch, lease }, committed.val.revision, view), isContinued);
         return true;
     }
 
-    /**
-     * Begins the term of an acquisition whose answer was lost. A later attempt may have been granted another lease, which
-     * must not be renewed in place of that of the record.
-     */
-    private adoptAcquisition(view: OwnershipView, owner: OwnerRecord, isContinued: boolean): void {
-        this.lease = owner.lease ?? this.lease;
-        this.beginTerm(this.toTerm(owner.epoch, view.ownerRevision, view), isContinued);
-    }
-
-    private toTerm(epoch: number, revision: number, view: OwnershipView): OwnershipTerm {
+    private toTerm(
+        { epoch, lease }: Pick<OwnerRecord, "epoch" | "lease">,
+        revision: number,
+        view: OwnershipView,
+    ): OwnershipTerm {
         const predecessors = this.listPredecessors(view).filter(owner => owner.epoch < epoch);
-        return { epoch, revision, predecessors, self: this.describeSelf(epoch) };
+        return { epoch, revision, lease, predecessors, self: this.describeSelf(epoch) };
     }
 
     private describeSelf(epoch: number): PossibleOwner {
@@ -390,9 +391,10 @@
     private async renew(): Promise<void> {
         await this.options.clock.wait(this.leaseMs / renewalsPerLease);
         if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
+            const { lease } = this.term;
             this.renewalsInFlight += 1;
             this.options.supervisor.start("ownership renewal", {}, () =>
-                this.sendRenewal(this.lease).finally(() => {
+                this.sendRenewal(lease).finally(() => {
                     this.renewalsInFlight -= 1;
                 }));
         }
@@ -401,7 +403,7 @@
     private async sendRenewal(lease: number): Promise<void> {
         const sentAt = this.leaseClock.read();
         const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
-        if (lease !== this.lease || this.isStopped) {
+        if (lease !== this.term?.lease || this.isStopped) {
             return;
         }
         if (renewed.ok) {
@@ -422,7 +424,8 @@
             return;
         }
         if (view.owner?.incarnation === this.options.incarnation) {
-            this.adoptAcquisition(view, view.owner, true);
+            // The answer to an earlier acquisition was lost.
+            this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), true);
             return;
         }
         if (view.storedEpoch.epoch !== term.epoch) {
