--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,224 @@
+/**
+ * The callers of a run: they submit jobs, repeat submissions without an answer, cancel some jobs and ask for others, each
+ * over a connection that it keeps until the connection ends.
+ */
+import type { RandomSource } from "@waxwingroute/core";
+import type { Agent } from "node:http";
+import type { HostProcess } from "./host-process.js";
+import type { QueueConfiguration } from "./protocol.js";
+import { decodeJobState, encodeJob } from "./protocol.js";
+import { createAgent, sendRequest } from "./request.js";
+import type { CallerAnswer } from "./request.js";
+import type { RecordedJob, RunRecord } from "./run-record.js";
+import type { WorkloadOptions } from "./workload.js";
+import { pickJob } from "./workload.js";
+
+/** Time that callers wait for an answer, ms. */
+const timeoutMs = 3_000;
+/** Most attempts to submit a job. */
+const maxAttempts = 12;
+const callerCount = 10;
+const defaultJobsPerSecond = 3;
+const defaultCancelShare = 0.2;
+
+/** The hosts, queue and jobs of the callers. */
+export interface CallersOptions {
+    readonly hosts: readonly HostProcess[];
+    readonly queue: QueueConfiguration;
+    readonly random: RandomSource;
+    readonly record: RunRecord;
+    readonly workload: WorkloadOptions;
+}
+
+/** One caller with its connection. */
+class Caller {
+    private host: HostProcess;
+    private agent: Agent = createAgent();
+
+    constructor(private readonly options: CallersOptions) {
+        this.host = options.random.pickOne(options.hosts)!;
+    }
+
+    get hostName(): string {
+        return this.host.name;
+    }
+
+    async send(method: string, id: string, content?: unknown): Promise<CallerAnswer> {
+        const { queue, record } = this.options;
+        const sentAt = record.now;
+        const { host } = this;
+        const answer = await sendRequest({
+            address: host.callerAddress,
+            method,
+            path: `${queue.prefix}${id}`,
+            headers: { "host": queue.hostName, "api-key": queue.apiKey, "x-deadline-ms": String(timeoutMs) },
+            content,
+            timeoutMs,
+            agent: this.agent,
+        });
+        record.write("answer", {
+            host: host.name,
+            method,
+            job: id,
+            status: answer.status,
+            state: decodeJobState(answer.content),
+            tookMs: Math.round(record.now - sentAt),
+        });
+        if (answer.status === 0) {
+            record.unanswered.push({ host: host.name, sentAt, tookMs: record.now - sentAt, what: `${method} ${id}` });
+            this.connectElsewhere();
+        }
+        return answer;
+    }
+
+    close(): void {
+        this.agent.destroy();
+    }
+
+    /** Opens a connection to another host, as the balancer would. */
+    private connectElsewhere(): void {
+        this.agent.destroy();
+        this.agent = createAgent();
+        const { hosts, random } = this.options;
+        this.host = random.pickOne(hosts.filter(host => host !== this.host)) ?? this.host;
+    }
+}
+
+/** All callers of a run. */
+export class Callers {
+    private readonly callers: Caller[];
+    private isStopped = false;
+    private readonly pending = new Set<Promise<void>>();
+
+    constructor(private readonly options: CallersOptions) {
+        this.callers = Array.from({ length: callerCount }, () => new Caller(options));
+    }
+
+    /** Sends requests until `stop`. */
+    async run(): Promise<void> {
+        const { random, workload: { jobsPerSecond = defaultJobsPerSecond } } = this.options;
+        while (!this.isStopped) {
+            this.start(this.handleJob());
+            this.start(this.askForJob());
+            await wait(random.getFloat() * 2_000 / jobsPerSecond);
+        }
+    }
+
+    /** Stops and waits for the requests on their way. */
+    async stop(): Promise<void> {
+        this.isStopped = true;
+        await Promise.all(this.pending);
+    }
+
+    close(): void {
+        this.callers.forEach(caller => caller.close());
+    }
+
+    /** Asks for the states of jobs until none of `isOpen` is left or the time is over. */
+    async askForAll(isOpen: (job: RecordedJob) => boolean, endsAt: number): Promise<void> {
+        const { record } = this.options;
+        while (record.now < endsAt) {
+            const open = [...record.jobs.values()].filter(isOpen);
+            if (open.length === 0) {
+                return;
+            }
+            for (let index = 0; index < open.length; index += callerCount) {
+                await Promise.all(
+                    open.slice(index, index + callerCount).map((job, number) => this.ask(this.callers[number]!, job)),
+                );
+            }
+            await wait(500);
+        }
+    }
+
+    private start(action: Promise<void>): void {
+        this.pending.add(action);
+        void action.finally(() => this.pending.delete(action));
+    }
+
+    private pickCaller(): Caller {
+        return this.options.random.pickOne(this.callers)!;
+    }
+
+    /** Submits a job, and later cancels some. */
+    private async handleJob(): Promise<void> {
+        const { random, record, workload } = this.options;
+        const job: RecordedJob = { ...pickJob(random, workload), attempts: [], states: [] };
+        const mustCancel = random.getFloat() < (workload.cancelShare ?? defaultCancelShare);
+        const cancelDelayMs = random.getFloat() * 4_000;
+        record.jobs.set(job.id, job);
+        await this.submit(job);
+        if (mustCancel) {
+            await wait(cancelDelayMs);
+            await this.cancel(job);
+        }
+    }
+
+    private async submit(job: RecordedJob): Promise<void> {
+        const { record, random } = this.options;
+        const content = encodeJob(job.spec, job.steps);
+        while (job.attempts.length < maxAttempts && job.acceptedAt === undefined && !this.isStopped) {
+            const caller = this.pickCaller();
+            const sentAt = record.now;
+            const host = caller.hostName;
+            const attempt = { host, sentAt, status: 0 };
+            job.attempts.push(attempt);
+            const { status } = await caller.send("POST", job.id, content);
+            attempt.status = status;
+            if (status >= 200 && status < 300) {
+                job.acceptedAt = record.now;
+            }
+            else if (status === 429 || status === 503 || status === 404) {
+                // Some callers give up after a rejection, others try again.
+                if (random.getFloat() < 0.3) {
+                    return;
+                }
+                await wait(300 + random.getFloat() * 1_000);
+            }
+            else {
+                await wait(random.getFloat() * 500);
+            }
+        }
+    }
+
+    private async cancel(job: RecordedJob): Promise<void> {
+        const { record } = this.options;
+        job.cancelSentAt = record.now;
+        while (job.cancelledAt === undefined && !this.isStopped) {
+            const { status } = await this.pickCaller().send("DELETE", job.id);
+            if (status >= 200 && status < 300 || status === 410) {
+                job.cancelledAt = record.now;
+                return;
+            }
+            await wait(300);
+        }
+    }
+
+    private async askForJob(): Promise<void> {
+        const jobs = [...this.options.record.jobs.values()].slice(-40).filter(job => job.acceptedAt !== undefined);
+        const job = this.options.random.pickOne(jobs);
+        if (job !== undefined) {
+            await this.ask(this.pickCaller(), job);
+        }
+    }
+
+    private async ask(caller: Caller, job: RecordedJob): Promise<void> {
+        const { record } = this.options;
+        const host = caller.hostName;
+        const { status, content } = await caller.send("GET", job.id);
+        const state = status === 410 ? "unknown" : decodeJobState(content);
+        if (state === undefined) {
+            return;
+        }
+        if (job.states.at(-1)?.state !== state) {
+            job.states.push({ at: record.now, host, state });
+        }
+        if (state === "succeeded") {
+            job.succeededAt ??= record.now;
+        }
+    }
+}
+
+function wait(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/soak/src/executor-troubles.ts
@@ -0,0 +1,45 @@
+/** Troubles of executors and of the ways to them. */
+import type { ExecutorFaults } from "./executor-front.js";
+import { Trouble } from "./trouble.js";
+import type { TroubleContext } from "./trouble.js";
+
+/** An executor that loses calls or answers, carries calls out late, or rejects starts. */
+export class FaultyExecutor extends Trouble {
+    readonly name = "faulty-executor";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { site, random, wait } = context;
+        const front = random.pickOne(site.executors)!;
+        const share = 0.3 + 0.7 * random.getFloat();
+        const faults = random.pickOne<ExecutorFaults>([
+            { callLossShare: share },
+            { answerLossShare: share },
+            { lateShare: share, maxLateMs: this.pickMs(random, 1_000, 10_000) },
+            { lateShare: share / 2, answerLossShare: share },
+            { isUnhealthy: true },
+        ])!;
+        // Links of all hosts are harmed, so none counts as in touch.
+        const end = this.begin(context, site.hostNames, { executor: front.executor.id, ...faults });
+        const restore = front.addFaults(faults);
+        await wait(this.pickMs(random, 1_000, 12_000));
+        restore();
+        end();
+    }
+}
+
+/** An executor that crashes and starts again under its id. */
+export class RestartedExecutor extends Trouble {
+    readonly name = "restarted-executor";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { site, random, wait } = context;
+        const front = random.pickOne(site.executors)!;
+        const ms = this.pickMs(random, 20, 4_000);
+        if (front.executor.life !== undefined) {
+            site.record.write("trouble", { name: this.name, executor: front.executor.id, ms });
+            front.endLife();
+            await wait(ms);
+            front.executor.beginLife();
+        }
+    }
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,44 @@
+/**
+ * Plays runs: `main.js --seed N --program PATH [--shape NAME] [--duration S] [--hosts N] [--output FOLDER]`. Prints one line
+ * a run. Exits with 1 if a rule was broken.
+ */
+import { isAbsolute, resolve } from "node:path";
+import { parseArgs } from "node:util";
+import { isShapeName, shapes } from "./shapes.js";
+import { SoakRun } from "./soak-run.js";
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: "1" },
+        program: { type: "string", default: "target/waxwing-node.cjs" },
+        shape: { type: "string", default: "mixed" },
+        duration: { type: "string", default: "48" },
+        calm: { type: "string", default: "32" },
+        hosts: { type: "string", default: "6" },
+        output: { type: "string" },
+    },
+});
+const { shape, output, program } = values;
+if (!isShapeName(shape)) {
+    process.stderr.write(`soak: there is no shape ${shape}; shapes are ${Object.keys(shapes).join(", ")}\n`);
+    process.exit(2);
+}
+["SIGINT" as const, "SIGTERM" as const].forEach(signal => process.on(signal, () => process.exit(2)));
+const result = await new SoakRun({
+    seed: Number(values.seed),
+    program: isAbsolute(program) ? program : resolve(program),
+    shape: shapes[shape],
+    troubleMs: Number(values.duration) * 1_000,
+    calmMs: Number(values.calm) * 1_000,
+    hosts: Number(values.hosts),
+    outputDirectory: output === undefined ? undefined : resolve(output),
+}).run();
+const broken = Object.entries(result.breaks).filter(([, texts]) => texts.length > 0);
+const counts = broken.map(([rule, texts]) => `${rule} ${texts.length}`).join(", ");
+process.stdout.write(
+    `${shape} seed ${values.seed}: ${result.jobs} jobs, ${result.accepted} accepted, ${result.runs} runs: ${
+        counts || "no rule broken"
+    }\n`,
+);
+broken.forEach(([rule, texts]) => texts.slice(0, 5).forEach(text => process.stdout.write(`    ${rule}: ${text}\n`)));
+process.exit(broken.length > 0 ? 1 : 0);
--- /dev/null
+++ b/packages/soak/src/run-record.ts
@@ -0,0 +1,114 @@
+/**
+ * What the stand-ins saw in one run: runs of tasks, jobs with every attempt to submit them, disruptions, and processes
+ * that ended. The checks read nothing else.
+ */
+import { writeFileSync } from "node:fs";
+import type { JobStep } from "./protocol.js";
+
+/** How a run ended. */
+export type RunEndKind = "done" | "failed" | "stopped" | "lapsed" | "crashed";
+
+/** A task that an executor has started. */
+export interface RecordedRun {
+    readonly executor: string;
+    readonly task: string;
+    readonly job: string;
+    readonly run: number;
+    readonly token: number;
+    /** The host that sent the order. */
+    readonly sender: string;
+    readonly spec: string;
+    /** Whether the executor carried out the order seconds after it arrived. */
+    readonly isLate: boolean;
+    readonly startedAt: number;
+    endedAt?: number;
+    end?: RunEndKind;
+    /** When the end was acknowledged. */
+    acknowledgedAt?: number;
+    /** Whether the executor's lease lapsed between the end and its acknowledgement. */
+    hasLapsed: boolean;
+}
+
+/** One attempt to hand a job in. `status` is 0 without an answer. */
+export interface SubmitAttempt {
+    readonly host: string;
+    readonly sentAt: number;
+    readonly status: number;
+}
+
+/** A job of a caller. */
+export interface RecordedJob {
+    readonly id: string;
+    readonly spec: string;
+    readonly steps: readonly JobStep[];
+    readonly attempts: SubmitAttempt[];
+    acceptedAt?: number;
+    cancelSentAt?: number;
+    cancelledAt?: number;
+    /** When a host first showed the job as succeeded. */
+    succeededAt?: number;
+    /** States that hosts showed, with the time of each change. */
+    readonly states: { readonly at: number; readonly host: string; readonly state: string; }[];
+}
+
+/** A request that got no answer. */
+export interface UnansweredRequest {
+    readonly host: string;
+    readonly sentAt: number;
+    readonly tookMs: number;
+    readonly what: string;
+}
+
+/** A time in which a host was disturbed. */
+interface Disruption {
+    readonly host: string;
+    readonly from: number;
+    to: number;
+}
+
+/** The record of one run. Times are milliseconds since its begin. */
+export class RunRecord {
+    readonly runs: RecordedRun[] = [];
+    readonly jobs = new Map<string, RecordedJob>();
+    readonly unanswered: UnansweredRequest[] = [];
+    /** Processes that ended without being told to. */
+    readonly faults: { readonly host: string; readonly at: number; readonly description: string; }[] = [];
+    /** Starts that brought an executor over its capacity. */
+    readonly overloads: string[] = [];
+    private readonly disruptions: Disruption[] = [];
+    private readonly lines: string[] = [];
+    private readonly beganAt = performance.now();
+
+    get now(): number {
+        return performance.now() - this.beganAt;
+    }
+
+    write(event: string, fields: Readonly<Record<string, unknown>> = {}): void {
+        const values = Object.entries(fields).map(([name, value]) =>
+            `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`
+        );
+        this.lines.push(`${(this.now / 1_000).toFixed(3).padStart(8)} ${event} ${values.join(" ")}`.trimEnd());
+    }
+
+    /** Notes that hosts are disturbed until the returned function is called. */
+    beginDisruption(hosts: readonly string[]): () => void {
+        const begun = hosts.map(host => ({ host, from: this.now, to: Infinity }));
+        this.disruptions.push(...begun);
+        return () => {
+            begun.forEach(disruption => {
+                disruption.to = this.now;
+            });
+        };
+    }
+
+    /** Whether a host was undisturbed in the `spanMs` before a time. */
+    isInTouch(host: string, at: number, spanMs: number): boolean {
+        return !this.disruptions.some(({ host: disturbed, from, to }) =>
+            disturbed === host && from <= at && to >= at - spanMs
+        );
+    }
+
+    writeTo(file: string): void {
+        writeFileSync(file, `${this.lines.join("\n")}\n`);
+    }
+}
--- /dev/null
+++ b/packages/soak/src/shapes.ts
@@ -0,0 +1,100 @@
+/** Kinds of runs: which troubles they draw, and which jobs. */
+import { FaultyExecutor, RestartedExecutor } from "./executor-troubles.js";
+import { HungUpHost, KilledHost, OwnerLostWithWrites, PausedHosts, TerminatedHost } from "./host-troubles.js";
+import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
+import type { Trouble } from "./trouble.js";
+import type { WorkloadOptions } from "./workload.js";
+import { CutZone } from "./zone-troubles.js";
+
+/** Troubles, each as often as its weight says, and jobs. */
+export interface Shape {
+    readonly troubles: readonly (readonly [Trouble, number])[];
+    readonly workload: WorkloadOptions;
+    readonly executors: number;
+    /** Troubles at the same time. */
+    readonly lanes: number;
+}
+
+const cutZone = new CutZone();
+const pausedHosts = new PausedHosts();
+const killedHost = new KilledHost();
+const terminatedHost = new TerminatedHost();
+const hungUpHost = new HungUpHost();
+const ownerLostWithWrites = new OwnerLostWithWrites();
+const storeAway = new StoreAway();
+const storeAnswersLost = new StoreAnswersLost();
+const storeWritesLate = new StoreWritesLate();
+const faultyExecutor = new FaultyExecutor();
+const restartedExecutor = new RestartedExecutor();
+
+/** The shapes by name. */
+export const shapes = {
+    /** All troubles. */
+    mixed: {
+        troubles: [
+            [cutZone, 2],
+            [pausedHosts, 2],
+            [killedHost, 2],
+            [terminatedHost, 1],
+            [hungUpHost, 1],
+            [ownerLostWithWrites, 2],
+            [storeAway, 2],
+            [storeAnswersLost, 2],
+            [storeWritesLate, 2],
+            [faultyExecutor, 4],
+            [restartedExecutor, 2],
+        ],
+        workload: {},
+        executors: 8,
+        lanes: 4,
+    },
+    /** Zones that are cut off, with owners that pause: two owners at once, with tasks that wait for room. */
+    cuts: {
+        troubles: [[cutZone, 4], [pausedHosts, 1], [killedHost, 1], [restartedExecutor, 1]],
+        workload: { cancelShare: 0.3 },
+        executors: 4,
+        lanes: 2,
+    },
+    /** More ends than a listing holds while the store is away. */
+    listings: {
+        troubles: [[storeAway, 4], [storeWritesLate, 2], [cutZone, 1], [killedHost, 1], [pausedHosts, 1]],
+        workload: { jobsPerSecond: 3, burstShare: 0.5 },
+        executors: 3,
+        lanes: 2,
+    },
+    /** Writes and calls that are carried out late, and answers that are lost. */
+    late: {
+        troubles: [
+            [storeWritesLate, 4],
+            [storeAnswersLost, 2],
+            [faultyExecutor, 3],
+            [ownerLostWithWrites, 3],
+            [restartedExecutor, 1],
+            [pausedHosts, 1],
+        ],
+        workload: { jobsPerSecond: 4 },
+        executors: 8,
+        lanes: 4,
+    },
+    /** Owners that end or pause while ends are being stored. */
+    owners: {
+        troubles: [
+            [ownerLostWithWrites, 4],
+            [killedHost, 2],
+            [terminatedHost, 2],
+            [pausedHosts, 2],
+            [storeAnswersLost, 1],
+        ],
+        workload: { jobsPerSecond: 4, burstShare: 0.1 },
+        executors: 6,
+        lanes: 3,
+    },
+} satisfies Record<string, Shape>;
+
+/** Name of a shape. */
+export type ShapeName = keyof typeof shapes;
+
+/** Returns whether a text is the name of a shape. */
+export function isShapeName(name: string): name is ShapeName {
+    return Object.hasOwn(shapes, name);
+}
--- /dev/null
+++ b/packages/soak/src/site.ts
@@ -0,0 +1,45 @@
+/** The parts of a run that troubles act on. */
+import type { RandomSource } from "@waxwingroute/core";
+import type { ExecutorFront } from "./executor-front.js";
+import type { HostProcess } from "./host-process.js";
+import type { PeerLink } from "./peer-link.js";
+import type { RunRecord } from "./run-record.js";
+import type { StoreFront } from "./store-front.js";
+
+/** The hosts, executors, store and links of a run. */
+export class Site {
+    constructor(
+        readonly record: RunRecord,
+        readonly hosts: readonly HostProcess[],
+        readonly stores: readonly StoreFront[],
+        readonly executors: readonly ExecutorFront[],
+        readonly links: readonly PeerLink[],
+        /** Zones that are cut off at present, whose executors cannot register themselves. */
+        readonly cutZones: Set<string>,
+    ) {}
+
+    /** Returns the host that sent the last order, which is the owner of the cell as the executors see it. */
+    findOwner(): HostProcess | undefined {
+        const sender = this.record.runs.at(-1)?.sender;
+        return this.hosts.find(host => host.name === sender);
+    }
+
+    /** Returns the owner in `ownerShare` of the draws, otherwise any host. */
+    chooseHost(random: RandomSource, ownerShare: number): HostProcess {
+        const owner = random.getFloat() < ownerShare ? this.findOwner() : undefined;
+        return owner ?? random.pickOne(this.hosts)!;
+    }
+
+    /** Returns the store's addresses for the named hosts. */
+    listStores(hosts: readonly string[]): StoreFront[] {
+        return this.stores.filter(store => hosts.includes(store.host));
+    }
+
+    get hostNames(): string[] {
+        return this.hosts.map(host => host.name);
+    }
+
+    get zones(): string[] {
+        return [...new Set(this.hosts.map(host => host.zone))];
+    }
+}
--- /dev/null
+++ b/packages/soak/src/soak-run.ts
@@ -0,0 +1,261 @@
+/** One run: starts the stand-ins and hosts, plays troubles for a time and calm after it, and checks the rules. */
+import type { RandomSource } from "@waxwingroute/core";
+import { SeededRandom } from "@waxwingroute/core";
+import { mkdirSync, mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Callers } from "./callers.js";
+import type { Breaks, RuleBounds } from "./checks.js";
+import { checkRules } from "./checks.js";
+import { ExecutorFront } from "./executor-front.js";
+import { Executor } from "./executor.js";
+import { findHostIp, HostProcess } from "./host-process.js";
+import { PeerLink } from "./peer-link.js";
+import { configurationKey, encodeConfiguration, peerPort } from "./protocol.js";
+import { RunRecord } from "./run-record.js";
+import type { Shape } from "./shapes.js";
+import { Site } from "./site.js";
+import { StoreFront } from "./store-front.js";
+import { StoreState } from "./store-state.js";
+import type { Trouble } from "./trouble.js";
+
+/** What is played. */
+export interface SoakOptions {
+    readonly seed: number;
+    /** Path of the bundle or compiled program of a host. */
+    readonly program: string;
+    readonly shape: Shape;
+    /** Time with trouble, ms. Default 48,000. */
+    readonly troubleMs?: number;
+    /** Longest calm after it, ms; it ends earlier once all jobs are finished. Default 32,000. */
+    readonly calmMs?: number;
+    /** Number of hosts, in two zones. Default 6. */
+    readonly hosts?: number;
+    /** Folder for the record and the logs; without it, none are kept. */
+    readonly outputDirectory?: string;
+}
+
+/** The verdict of a run. */
+export interface SoakResult {
+    readonly breaks: Breaks;
+    readonly jobs: number;
+    readonly accepted: number;
+    readonly runs: number;
+}
+
+const zones = ["glasgow-a", "dundee-a"];
+const defaultHosts = 6;
+const defaultTroubleMs = 48_000;
+const defaultCalmMs = 32_000;
+/** Longest time until all hosts are ready, ms. */
+const readyTimeoutMs = 30_000;
+/** Longest pause between two troubles of a lane, ms. */
+const maxPauseMs = 1_500;
+/** Bounds that the platform states, and the attempts that the queue allows. */
+const bounds: RuleBounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3 };
+const queue = {
+    hostName: "mats.example",
+    prefix: "/cut/",
+    service: "mat-orders",
+    apiKey: "key-quotes-1",
+    maxAttempts: bounds.maxAttempts,
+};
+const executorCpu = 16_000;
+const executorMemoryMb = 32_768;
+
+/** Plays one run. The processes that it starts are ended when it returns or throws. */
+export class SoakRun {
+    private readonly record = new RunRecord();
+    private readonly store = new StoreState();
+    private readonly closables: { close(): void; }[] = [];
+    private hosts: HostProcess[] = [];
+    private readonly directory = mkdtempSync(join(tmpdir(), "waxwing-soak-"));
+    private endTrouble: (() => void) | undefined;
+
+    constructor(private readonly options: SoakOptions) {}
+
+    async run(): Promise<SoakResult> {
+        const killAll = () => this.hosts.forEach(host => host.sendSignal("SIGKILL"));
+        process.on("exit", killAll);
+        try {
+            return await this.runAll();
+        }
+        finally {
+            await Promise.all(this.hosts.map(host => host.kill()));
+            process.off("exit", killAll);
+            this.closables.forEach(closable => closable.close());
+            rmSync(this.directory, { recursive: true, force: true });
+            if (this.options.outputDirectory !== undefined) {
+                this.record.writeTo(join(this.options.outputDirectory, "record.txt"));
+            }
+        }
+    }
+
+    private async runAll(): Promise<SoakResult> {
+        const { seed, shape, troubleMs = defaultTroubleMs, calmMs = defaultCalmMs } = this.options;
+        const { record } = this;
+        const site = await this.createSite();
+        const callers = new Callers({
+            hosts: site.hosts,
+            queue,
+            random: new SeededRandom(seed * 101 + 1),
+            record,
+            workload: shape.workload,
+        });
+        this.closables.push(callers);
+        const calling = callers.run();
+        await wait(2_000);
+        const troubles = this.runTroubles(site, shape, troubleMs);
+        await troubles;
+        const calmFrom = record.now;
+        record.write("calm", {});
+        await callers.stop();
+        await calling;
+        const isOpen = (
+            job: { readonly acceptedAt?: number; readonly states: readonly { readonly state: string; }[]; },
+        ) => job.acceptedAt !== undefined
+            && !["succeeded", "failed", "cancelled"].includes(job.states.at(-1)?.state ?? "");
+        // At least the time in which a cancelled task must end.
+        const leastCalm = wait(bounds.contactMs + 2 * (bounds.cancelMs + bounds.stopMs));
+        await callers.askForAll(isOpen, calmFrom + calmMs);
+        await leastCalm;
+        const executors = site.executors.map(front => front.executor);
+        const breaks = checkRules({ record, executors, bounds, calmFrom });
+        for (const [rule, texts] of Object.entries(breaks)) {
+            texts.forEach(text => record.write("BROKEN", { rule, text }));
+        }
+        const jobs = [...record.jobs.values()];
+        return {
+            breaks,
+            jobs: jobs.length,
+            accepted: jobs.filter(job => job.acceptedAt !== undefined).length,
+            runs: record.runs.length,
+        };
+    }
+
+    private async runTroubles(site: Site, shape: Shape, ms: number): Promise<void> {
+        const isOver = new Promise<void>(resolve => {
+            this.endTrouble = resolve;
+            setTimeout(resolve, ms);
+        });
+        const endsAt = this.record.now + ms;
+        const waitUntilOver = (duration: number) => Promise.race([wait(duration), isOver]);
+        const lanes = Array.from({ length: shape.lanes }, async (_, lane) => {
+            const random = new SeededRandom(this.options.seed * 101 + 10 + lane);
+            while (this.record.now < endsAt) {
+                await pickTrouble(random, shape).run({ site, random, wait: waitUntilOver });
+                await waitUntilOver(random.getFloat() * maxPauseMs);
+            }
+        });
+        await Promise.all(lanes);
+    }
+
+    private async createSite(): Promise<Site> {
+        const { shape, hosts: hostCount = defaultHosts, seed, program, outputDirectory } = this.options;
+        const { record, store } = this;
+        if (outputDirectory !== undefined) {
+            mkdirSync(outputDirectory, { recursive: true });
+        }
+        store.put(configurationKey, encodeConfiguration(queue));
+        const names = Array.from({ length: hostCount }, (_, index) => ({
+            name: `edge-${zones[index % zones.length]}-${index + 1}`,
+            zone: zones[index % zones.length]!,
+        }));
+        const random = new SeededRandom(seed * 101 + 2);
+        const cutZones = new Set<string>();
+        const executors: ExecutorFront[] = [];
+        const executorAddresses: string[] = [];
+        for (let index = 0; index < shape.executors; index++) {
+            const zone = zones[index % zones.length]!;
+            const address = `127.254.254.${index + 1}:9000`;
+            const executor = new Executor({
+                id: `i-${zone}-${index + 1}`,
+                service: queue.service,
+                zone,
+                address,
+                cpu: executorCpu,
+                memoryMb: executorMemoryMb,
+                store,
+                record,
+                canRegister: () => !cutZones.has(zone),
+            });
+            const front = new ExecutorFront(executor, random, record);
+            await front.open(names.map(({ name }) => name));
+            this.closables.push(front);
+            executors.push(front);
+            executorAddresses.push(address);
+            executor.beginLife();
+        }
+        const ips: string[] = [];
+        const stores: StoreFront[] = [];
+        for (const { name } of names) {
+            ips.push(await findHostIp());
+            stores.push(await StoreFront.open(name, store, random, record));
+        }
+        this.closables.push(...stores, store);
+        const links: PeerLink[] = [];
+        for (const [index, { name: to }] of names.entries()) {
+            for (const { name: from } of names) {
+                if (from !== to) {
+                    const link = new PeerLink(from, to, { ip: ips[index]!, port: peerPort });
+                    await link.open();
+                    links.push(link);
+                }
+            }
+        }
+        this.closables.push(...links);
+        this.hosts = names.map(({ name, zone }, index) => {
+            const redirects: [string, string][] = executors.map((
+                front,
+                number,
+            ) => [executorAddresses[number]!, front.getAddress(name)]);
+            links.filter(link => link.from === name).forEach(link => {
+                const target = names.findIndex(row => row.name === link.to);
+                redirects.push([`${ips[target]!}:${peerPort}`, link.address]);
+            });
+            return new HostProcess({
+                name,
+                zone,
+                ip: ips[index]!,
+                program,
+                storeAddress: stores[index]!.address,
+                seeds: ips.slice(0, index).map(ip => `${ip}:8180`),
+                directory: this.directory,
+                logDirectory: outputDirectory,
+                redirects: Object.fromEntries(redirects),
+                record,
+                onListening: isListening =>
+                    links.filter(link => link.to === name).forEach(link => void link.setTargetUp(isListening)),
+            });
+        });
+        this.hosts.forEach(host => host.start());
+        await waitUntilAllReady(this.hosts);
+        return new Site(record, this.hosts, stores, executors, links, cutZones);
+    }
+}
+
+function pickTrouble(random: RandomSource, { troubles }: Shape): Trouble {
+    const total = troubles.reduce((sum, [, weight]) => sum + weight, 0);
+    let rest = random.getFloat() * total;
+    for (const [trouble, weight] of troubles) {
+        rest -= weight;
+        if (rest < 0) {
+            return trouble;
+        }
+    }
+    return troubles[0]![0];
+}
+
+async function waitUntilAllReady(hosts: readonly HostProcess[]): Promise<void> {
+    const endsAt = performance.now() + readyTimeoutMs;
+    while (!(await Promise.all(hosts.map(host => host.isReady()))).every(isReady => isReady)) {
+        if (performance.now() > endsAt) {
+            throw new Error("the hosts were not ready in time");
+        }
+        await wait(100);
+    }
+}
+
+function wait(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
