--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -8,6 +8,7 @@
 import type { CellHostOptions } from "@waxwingroute/cell";
 import { isNetworkAddress, SystemClock, SystemRandom, toId } from "@waxwingroute/core";
 import type { Clock, NetworkAddress } from "@waxwingroute/core";
+import { HostLimits, RefusalLog } from "@waxwingroute/host-limits";
 import {
     HttpAdvisor,
     HttpExecutorConnector,
@@ -79,10 +80,19 @@
     process.on("unhandledRejection", reason => logAndExit("rejection", reason));
 }
 
+/** Creates the limits of the host; each part of the program that others fill gets its share of them. */
+function createLimits(settings: PlatformSettings): HostLimits {
+    return new HostLimits({ maxDescriptors: settings.maxDescriptors });
+}
+
 /** Updates the gauges once a second, so that a scrape of the metrics puts no load on the cell. */
-async function updateGauges(cell: CellHost, metrics: PrometheusMetrics, clock: Clock): Promise<void> {
+async function updateGauges(
+    sources: readonly { listGauges(): Readonly<Record<string, number>>; }[],
+    metrics: PrometheusMetrics,
+    clock: Clock,
+): Promise<void> {
     for (;;) {
-        for (const [name, value] of Object.entries(cell.listGauges())) {
+        for (const [name, value] of sources.flatMap(source => Object.entries(source.listGauges()))) {
             metrics.setGauge(name, value);
         }
         metrics.setGauge("resident_bytes", process.memoryUsage.rss());
@@ -118,6 +128,12 @@
     const eventLog = new EventLog({ writer: logger, metrics, getNow: () => clock.getNow() });
     const supervisor = new Supervisor({ logger: eventLog, clock });
     const address = toId<NetworkAddress>(`${settings.ip}:${settings.peerPort}`);
+    const limits = createLimits(settings);
+    const refusals = new RefusalLog({
+        clock,
+        logger,
+        count: reason => metrics.increment("rejected_calls", { reason }),
+    });
     const isSlowHost = settings.cpuShare * settings.coreSpeed < slowHostCores;
     const cell = new CellHost({
         host: settings.host,
@@ -125,7 +141,10 @@
         seeds: listSeeds(settings, logger),
         store: new HttpLeaseStore({ address: settings.storeAddress, clock }),
         codec: new StoreCodec(),
-        connector: new HttpExecutorConnector(clock),
+        connector: new HttpExecutorConnector(
+            clock,
+            (executors, wanted) => limits.descriptors.computeConnectionsPerExecutor(executors, wanted),
+        ),
         advisor: new HttpAdvisor({ address: settings.advisorAddress ?? settings.storeAddress, clock }),
         clock,
         random: new SystemRandom(),
@@ -144,10 +163,18 @@
             }
         },
     });
-    const jobServer = new JobServer({ address: settings.callerAddress, gateway: cell, supervisor });
+    const jobServer = new JobServer({
+        address: settings.callerAddress,
+        gateway: cell,
+        supervisor,
+        clock,
+        maxConnections: limits.descriptors.shares.callers,
+        onRefuse: (reason, fields) => refusals.record(reason, fields),
+    });
     const readinessServer = new ReadinessServer({
         address: settings.readinessAddress,
-        listProblems: () => cell.listProblems(),
+        listProblems: () => [...cell.listProblems(), ...jobServer.listProblems()],
+        maxConnections: limits.descriptors.shares.readiness,
     });
     await cell.start();
     await jobServer.listen();
@@ -156,7 +183,7 @@
     supervisor.startLoop({
         operation: "gauges",
         isStopped: () => false,
-        run: () => updateGauges(cell, metrics, clock),
+        run: () => updateGauges([cell, jobServer, limits], metrics, clock),
     });
     logger.write("info", "host started", { address, callers: settings.callerAddress, store: settings.storeAddress });
     process.on("SIGHUP", () => logger.write("info", "settings changed; they take effect at the next start"));
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -8,6 +8,11 @@
 /** Upper bounds of the latency buckets, ms: from one call over loopback to the longest deadline of a caller. */
 const latencyBucketsMs = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000];
 
+/** Maximum number of open connections: one reads the metrics now and then. */
+const maxConnections = 8;
+/** Maximum time for receiving a request, ms. */
+const requestTimeoutMs = 3_000;
+
 type Labels = Readonly<Record<string, string>>;
 
 /**
@@ -54,7 +59,12 @@
 
     /** Serves the metrics at every path of the address. */
     listen(address: string, port: number): Promise<void> {
-        const server = createServer((_request, response) => {
+        const timeouts = {
+            connectionsCheckingInterval: 1_000,
+            headersTimeout: requestTimeoutMs,
+            requestTimeout: requestTimeoutMs,
+        };
+        const server = createServer(timeouts, (_request, response) => {
             this.render().then(text => {
                 response.writeHead(200, { "content-type": this.registry.contentType });
                 response.end(text);
@@ -63,6 +73,7 @@
                 response.end(`the metrics cannot be rendered: ${String(error)}\n`);
             });
         });
+        server.maxConnections = maxConnections;
         this.server = server;
         return new Promise((resolve, reject) => {
             server.once("error", reject);
