--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -5,6 +5,7 @@
 import type { CellHostOptions } from "@waxwingroute/cell";
 import { isNetworkAddress, SystemRandom, toId } from "@waxwingroute/core";
 import type { Clock, NetworkAddress } from "@waxwingroute/core";
+import { HostLimits, RefusalLog } from "@waxwingroute/host-limits";
 import {
     HttpAdvisor,
     HttpExecutorConnector,
@@ -58,18 +59,34 @@
     private readonly jobServer: JobServer;
     private readonly readinessServer: ReadinessServer;
     private readonly address: NetworkAddress;
+    private readonly limits: HostLimits;
     private graceMs: number;
     private isStopping = false;
 
     constructor(private readonly options: NodeHostOptions) {
-        const { settings, supervisor } = options;
+        const { clock, logger, metrics, settings, supervisor } = options;
         this.graceMs = settings.graceSeconds * 1_000;
         this.address = toId<NetworkAddress>(`${settings.ip}:${settings.peerPort}`);
-        this.cell = new CellHost(createCellOptions(options, this.address));
-        this.jobServer = new JobServer({ address: settings.callerAddress, gateway: this.cell, supervisor });
+        this.limits = new HostLimits({ maxDescriptors: settings.maxDescriptors });
+        const { shares } = this.limits.descriptors;
+        const refusals = new RefusalLog({
+            clock,
+            logger,
+            count: reason => metrics.increment("rejected_calls", { reason }),
+        });
+        this.cell = new CellHost(createCellOptions(options, this.address, this.limits));
+        this.jobServer = new JobServer({
+            address: settings.callerAddress,
+            gateway: this.cell,
+            supervisor,
+            clock,
+            maxConnections: shares.callers,
+            onRefuse: (reason, fields) => refusals.record(reason, fields),
+        });
         this.readinessServer = new ReadinessServer({
             address: settings.readinessAddress,
-            listProblems: () => this.cell.listProblems(),
+            listProblems: () => [...this.cell.listProblems(), ...this.jobServer.listProblems()],
+            maxConnections: shares.readiness,
         });
     }
 
@@ -155,8 +172,8 @@
     private async updateGauges(): Promise<void> {
         const { clock, metrics } = this.options;
         for (;;) {
-            for (const [name, value] of Object.entries(this.cell.listGauges())) {
-                metrics.setGauge(name, value);
+            for (const source of [this.cell, this.jobServer, this.limits]) {
+                Object.entries(source.listGauges()).forEach(([name, value]) => metrics.setGauge(name, value));
             }
             metrics.setGauge("resident_bytes", process.memoryUsage.rss());
             const startedAt = clock.getNow();
@@ -166,7 +183,7 @@
     }
 }
 
-function createCellOptions(options: NodeHostOptions, address: NetworkAddress): CellHostOptions {
+function createCellOptions(options: NodeHostOptions, address: NetworkAddress, limits: HostLimits): CellHostOptions {
     const { clock, logger, metrics, settings, supervisor } = options;
     const isSlowHost = settings.cpuShare * settings.coreSpeed < slowHostCores;
     return {
@@ -175,7 +192,10 @@
         seeds: listSeeds(settings, logger),
         store: new HttpLeaseStore({ address: settings.storeAddress, clock }),
         codec: new StoreCodec(),
-        connector: new HttpExecutorConnector(clock),
+        connector: new HttpExecutorConnector(
+            clock,
+            (executors, wanted) => limits.descriptors.computeConnectionsPerExecutor(executors, wanted),
+        ),
         advisor: new HttpAdvisor({ address: settings.advisorAddress ?? settings.storeAddress, clock }),
         clock,
         random: new SystemRandom(),
