--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -25,6 +25,17 @@
         });
     }
 
+    for (const seed of seeds) {
+        it(`starts nothing of a cancelled job and leaves no room unused after answers were lost (seed ${seed})`, async () => {
+            // Guards against cancellations that are forgotten, and against jobs that stand because of runs that do not exist.
+            const result = await runRandomFaults(seed, { hasCancellations: true });
+            expect(result.violations).toEqual([]);
+            expect(result.unfinished).toEqual([]);
+            expect(result.startsOfCancelledJobs).toEqual([]);
+            expect(result.standingTasks).toEqual(0);
+        });
+    }
+
     for (const seed of seeds.slice(0, maxCrashSeeds)) {
         it(`finishes all other jobs beside some that crash their executors, and gives these up (seed ${seed})`, async () => {
             // Guards against jobs that are given up for crashes of their neighbours, and against a collapse by crashes.
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -26,6 +26,8 @@
 export const limitedTeam = toId<TeamId>("trials");
 const limitedCpuMillis = 8_000;
 const executorCpuMillis = 4_000;
+/** Number of the tasks of `createStep` that an executor can run at a time. */
+export const tasksPerExecutor = 4;
 const pool = toId<PoolId>("workers");
 /** Longest lease of the fake executors, ms. */
 const maxLeaseMs = 6_000;
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -57,6 +57,8 @@
     isPartitioned = false;
     /** Calls are carried out, and their answers are lost. */
     losesAnswers = false;
+    /** No stop reaches it. */
+    losesStops = false;
     /** Orders get no answer and are carried out late. */
     isDelayingOrders = false;
     /** Connections are refused at once while the process is down; otherwise calls get no answer. */
@@ -302,7 +304,11 @@
         return this.send(orderTimeoutMs, true, () => this.executor.acceptStart(order));
     }
 
-    override stop(order: StopOrder): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+    override async stop(order: StopOrder): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        if (this.executor.losesStops) {
+            await this.executor.options.clock.wait(orderTimeoutMs);
+            return Err(createFailure(executorFailures.unanswered, "the stop was lost", "mayHaveRun"));
+        }
         return this.send(orderTimeoutMs, true, () => this.executor.acceptStop(order));
     }
 
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -1,6 +1,7 @@
 /** Runs a simulated cell with random jobs and faults, to search many seeds for violations. */
-import { SeededRandom } from "@waxwingroute/core";
-import { CellSimulation, limitedTeam, testTeam } from "./cell-simulation.js";
+import type { JobId } from "@waxwingroute/core";
+import { SeededRandom, toId } from "@waxwingroute/core";
+import { CellSimulation, limitedTeam, tasksPerExecutor, testTeam } from "./cell-simulation.js";
 
 /** What one seed has shown. */
 export interface RandomFaultsResult {
@@ -9,6 +10,10 @@
     /** Jobs that were accepted and have not succeeded at the end. */
     readonly unfinished: readonly string[];
     readonly starts: number;
+    /** Tasks that were started too long after the cancellation of their job was stored. */
+    readonly startsOfCancelledJobs: readonly string[];
+    /** Tasks of a job that needs all executors, submitted at the end, that did not start in time. */
+    readonly standingTasks: number;
     /** Tasks that crash their executors with the number of their starts in the phase without faults. */
     readonly crashingStarts: ReadonlyMap<string, number>;
     readonly logLines: readonly string[];
@@ -31,8 +36,22 @@
 export interface RandomFaultsOptions {
     /** Whether every eighth job has tasks that crash each executor that starts them. Default: no. */
     readonly hasCrashingJobs?: boolean;
+    /**
+     * Whether every second job is cancelled, executors also lose answers, and a job that needs all executors is submitted
+     * at the end. Default: no.
+     */
+    readonly hasCancellations?: boolean;
 }
 
+/** Time within which tasks start for which there is room, ms: a rule of the platform. */
+const startMs = 3_000;
+/** Name of the job that needs all executors. */
+const lastJob = "all-executors";
+/** Time after the acknowledged cancellation of a job within which its tasks may start, ms: a rule of the platform. */
+const cancelMs = 3_000;
+/** Longest time from the submission of a job until it is cancelled, ms. */
+const maxCancelDelayMs = 800;
+
 /** Time from the start of a crashing task until its executor crashes, ms. */
 const crashAfterMs = 10;
 
@@ -40,19 +59,25 @@
 export async function runRandomFaults(seed: number, options: RandomFaultsOptions = {}): Promise<RandomFaultsResult> {
     const random = new SeededRandom(seed);
     const crashingStarts = new Map<string, number>();
+    const cancelled = new Map<string, number>();
+    const startsOfCancelledJobs: string[] = [];
     let isCalm = false;
     const cell = new CellSimulation({
         hosts: 3,
         executors: options.hasCrashingJobs === true ? executorsWithCrashes : executorsWithoutCrashes,
         seed,
         planRun: (task, run) => ({
-            crashAfterMs: recordCrashingStart(task),
-            workMs: 100 + (hashText(`${task}#${run}`) % 2_500),
+            crashAfterMs: recordStart(task),
+            workMs: task.startsWith(lastJob) ? 2 * startMs : 100 + (hashText(`${task}#${run}`) % 2_500),
             // Failures are rare, so that no job uses up its attempts.
             outcome: hashText(`${task}!${run}`) % 40 === 0 && run % 10_000 === 1 ? "failed" : "done",
         }),
     });
-    function recordCrashingStart(task: string): number | undefined {
+    function recordStart(task: string): number | undefined {
+        const afterMs = cell.clock.getNow() - (cancelled.get(task.split(".")[0]!) ?? Infinity);
+        if (afterMs > cancelMs) {
+            startsOfCancelledJobs.push(`${task} ${afterMs} ms after the cancellation`);
+        }
         if (options.hasCrashingJobs !== true || !isCrashingJob(task.split(".")[0]!)) {
             return undefined;
         }
@@ -63,26 +88,79 @@
     await cell.advance(2_000);
     for (let elapsed = 0; elapsed < faultPhaseMs; elapsed += actionIntervalMs) {
         submitRandomJob(cell, random, `j${elapsed}`, accepted);
-        applyRandomFault(cell, random);
+        if (options.hasCancellations === true) {
+            loseAnswers(cell, random);
+            if (elapsed / actionIntervalMs % 2 === 0) {
+                scheduleCancellation(cell, random, `j${elapsed}`, cancelled);
+            }
+        }
+        // A takeover ends what an owner remembers wrongly, so the second half is played with one owner.
+        if (options.hasCancellations !== true || elapsed < faultPhaseMs / 2) {
+            applyRandomFault(cell, random);
+        }
+        else if (elapsed - actionIntervalMs < faultPhaseMs / 2) {
+            endFaults(cell);
+        }
         await cell.advance(actionIntervalMs);
     }
     endFaults(cell);
     isCalm = true;
     await cell.advance(calmPhaseMs);
     const unfinished = accepted.filter(name =>
-        cell.getState(name) !== "succeeded" && !(options.hasCrashingJobs === true && isCrashingJob(name))
+        cell.getState(name) !== "succeeded" && !cancelled.has(name)
+        && !(options.hasCrashingJobs === true && isCrashingJob(name))
     );
+    const standingTasks = options.hasCancellations === true ? await countStandingTasks(cell) : 0;
     cell.close();
     return {
         seed,
         violations: cell.checker.violations,
         unfinished,
+        startsOfCancelledJobs,
+        standingTasks,
         starts: cell.checker.startCount,
         crashingStarts,
         logLines: cell.logLines,
     };
 }
 
+/** Lets some executors carry out orders for a moment, at once or late, whose answers are lost. */
+function loseAnswers(cell: CellSimulation, random: SeededRandom): void {
+    for (const executor of cell.executors) {
+        const kind = random.getInteger(4);
+        executor.losesAnswers = kind === 0;
+        executor.isDelayingOrders = kind === 1;
+        cell.clock.schedule(random.getInteger(actionIntervalMs), () => {
+            executor.losesAnswers = false;
+            executor.isDelayingOrders = false;
+        });
+    }
+}
+
+function scheduleCancellation(
+    cell: CellSimulation,
+    random: SeededRandom,
+    name: string,
+    cancelled: Map<string, number>,
+): void {
+    const host = random.pickOne(cell.hosts)!;
+    cell.clock.schedule(random.getInteger(maxCancelDelayMs), () => {
+        cancelled.set(name, Infinity);
+        void host.intake.cancel(toId<JobId>(name)).then(result => {
+            cancelled.set(name, result.ok ? cell.clock.getNow() : Infinity);
+        });
+    });
+}
+
+/** Submits a job that needs all executors and returns how many of its tasks do not start in time. */
+async function countStandingTasks(cell: CellSimulation): Promise<number> {
+    const taskCount = cell.executors.length * tasksPerExecutor;
+    const before = cell.checker.startCount;
+    void cell.submit(cell.owner!, lastJob, [{ taskCount, estimateMs: 1_000 }]);
+    await cell.advance(startMs);
+    return taskCount - (cell.checker.startCount - before);
+}
+
 function isCrashingJob(name: string): boolean {
     return hashText(name) % 8 === 0;
 }
@@ -149,6 +227,7 @@
     cell.executors.forEach(executor => {
         executor.isPartitioned = false;
         executor.isDelayingOrders = false;
+        executor.losesAnswers = false;
     });
 }
 
