--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -102,6 +102,9 @@
 /** Pause between renewals while received ends cannot be committed, ms. */
 const uncommittedPauseMs = 200;
 
+/** Outcomes of runs that an executor does not list as ended. */
+type UnlistedOutcome = "notStarted" | "ticketRefused" | "lost" | "crashed" | "suspected";
+
 /** Exchanges renewals, listings and orders with one executor until it is closed. */
 export class ExecutorSession {
     private readonly trackedRuns = new Map<string, TrackedRun>();
@@ -233,7 +236,8 @@
         });
         if (started.val.verdict === "notRun") {
             this.trackedRuns.delete(toRunKey(tracked));
-            this.reportEnd(tracked, "notStarted");
+            const isTicketRefused = started.val.code === executorFailures.ticketRefused;
+            this.reportEnd(tracked, isTicketRefused ? "ticketRefused" : "notStarted");
             this.reportIfFenced(started);
             if (started.val.code === executorFailures.unreachable) {
                 this.recordUnreachable(started.val);
@@ -535,7 +539,7 @@
         listener.onRunsLost(executor, reason);
     }
 
-    private reportEnd(tracked: TrackedRun, outcome: "notStarted" | "lost" | "crashed" | "suspected"): void {
+    private reportEnd(tracked: TrackedRun, outcome: UnlistedOutcome): void {
         const { executor, listener, logger } = this.options;
         if (outcome === "lost") {
             logger.write("warn", "run disappeared from its executor", {
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -81,6 +81,8 @@
     fenced: "executor-fenced",
     /** The executor refused the call and did not act on it. */
     refused: "executor-refused",
+    /** The executor refused a start because its ticket is not valid, and did not act on it. */
+    ticketRefused: "executor-ticket-refused",
     /** Another executor, or another incarnation of this one, has this address. */
     replaced: "executor-replaced",
     unreachable: "executor-unreachable",
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -89,7 +89,7 @@
     for (let elapsed = 0; elapsed < faultPhaseMs; elapsed += actionIntervalMs) {
         submitRandomJob(cell, random, `j${elapsed}`, accepted);
         if (options.hasCancellations === true) {
-            loseAnswers(cell, random);
+            dropAnswers(cell, random);
             if (elapsed / actionIntervalMs % 2 === 0) {
                 scheduleCancellation(cell, random, `j${elapsed}`, cancelled);
             }
@@ -125,7 +125,7 @@
 }
 
 /** Lets some executors carry out orders for a moment, at once or late, whose answers are lost. */
-function loseAnswers(cell: CellSimulation, random: SeededRandom): void {
+function dropAnswers(cell: CellSimulation, random: SeededRandom): void {
     for (const executor of cell.executors) {
         const kind = random.getInteger(4);
         executor.losesAnswers = kind === 0;
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -98,6 +98,15 @@
     recordGrantRate(queue, newlyAsked, granted);
 }
 
+/** Forgets a ticket that the executor has refused, so that the advisor is asked for a new one. The grant is kept. */
+export function recordTicketRefusal(step: StepRow, executor: ExecutorId): void {
+    const ticket = step.advice.tickets.get(executor);
+    if (ticket !== undefined) {
+        step.advice.tickets.set(executor, { ...ticket, validUntil: 0 });
+        step.advice.evaluateAt = 0;
+    }
+}
+
 function recordGrantRate(queue: QueueRow, newlyAsked: readonly ExecutorId[], granted: ReadonlySet<ExecutorId>): void {
     if (newlyAsked.length > 0) {
         const share = newlyAsked.filter(executor => granted.has(executor)).length / newlyAsked.length;
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -1,5 +1,6 @@
 /** Applies the end of a run to its task, step and job. */
 import { match, P } from "ts-pattern";
+import { recordTicketRefusal } from "./advice-system.js";
 import { recordCrash, recordCrashRate } from "./crash-system.js";
 import { recordRefusedStart, recordRunOutcome } from "./health-system.js";
 import { countOccurrences, isStepDone, openReadySteps } from "./job-rows.js";
@@ -55,6 +56,11 @@
                 endJob(state, task.step.occurrence.job, "failed");
             }
         })
+        .with("ticketRefused", () => {
+            if (row !== undefined) {
+                recordTicketRefusal(task.step, row.executor);
+            }
+        })
         .with(P.union("stopped", "lapsed", "memberEnded", "incomplete", "lost", "notStarted"), () => undefined)
         .exhaustive();
     if (task.step.spec.isGang && outcome !== "done") {
--- a/packages/workflow/src/standing-steps_test.ts
+++ b/packages/workflow/src/standing-steps_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { createQueue, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
 import { StandingSimulation } from "./testing/standing-simulation.js";
 
 /** Seeds that CI runs; `WAXWING_SEEDS=<first>-<last>` runs others by hand. */
@@ -20,3 +21,22 @@
         }
     }
 });
+
+describe("a start that an executor refuses because its ticket is of an earlier life of the executor", () => {
+    const advice = { callMs: 20, perExecutorMs: 1, validMs: 60_000 };
+
+    it("makes the scheduler ask for a new ticket, and keeps no other step from the executor", () => {
+        // Guards against starts with a ticket that is refused again and again until it would have expired.
+        const fixture = new SchedulerFixture(1, [createQueue("queue", { advice }), createQueue("open")]);
+        fixture.submit("a", [createStep()]);
+        fixture.grantAdvice(() => true);
+        const [refused] = fixture.tick().starts;
+        fixture.endRun(refused!, "ticketRefused");
+        fixture.submit("b", [createStep()], "open");
+        fixture.now += 20;
+        expect(fixture.tick().starts.map(({ task }) => task as string)).toEqual(["b.0.0.0"]);
+        fixture.now += 200;
+        expect(fixture.grantAdvice(() => true).length).toEqual(1);
+        expect(fixture.tick().starts.map(({ task }) => task as string)).toEqual(["a.0.0.0"]);
+    });
+});
--- a/packages/workflow/src/testing/standing-simulation.ts
+++ b/packages/workflow/src/testing/standing-simulation.ts
@@ -102,7 +102,7 @@
                 this.unavailable.add(index);
                 this.fixture.putExecutor(index, this.random.getInteger(3) === 0 ? "leaving" : "unreachable");
                 if (this.random.getInteger(2) === 0) {
-                    this.loseRuns(index);
+                    this.dropRuns(index);
                 }
             }
         }
@@ -132,7 +132,7 @@
     }
 
     /** Ends the runs of an executor that has restarted. */
-    private loseRuns(index: number): void {
+    private dropRuns(index: number): void {
         const executor = toId<ExecutorId>(`e${index}`);
         this.fixture.scheduler.recordRunsLost(this.fixture.now, executor);
         for (const [key, { start }] of this.runs) {
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -141,7 +141,8 @@
 
 /**
  * How a run ended. `lapsed`: its lease expired. `memberEnded`: another member of the gang ended. `incomplete`: the gang
- * was not complete in time. `lost`: the executor was lost or restarted. `notStarted`: the start was refused. `crashed`:
+ * was not complete in time. `lost`: the executor was lost or restarted. `notStarted`: the start was refused.
+ * `ticketRefused`: the start was refused for its ticket, which is of an earlier life of the executor or too old. `crashed`:
  * the executor crashed before it had listed the run, the only such run on it. `suspected`: the same, with other such runs.
  */
 export type RunOutcome =
@@ -153,6 +154,7 @@
     | "incomplete"
     | "lost"
     | "notStarted"
+    | "ticketRefused"
     | "crashed"
     | "suspected";
 
