--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -93,6 +93,9 @@
     /** Entries that name no executor to use, with the reasons that were logged. */
     private readonly skippedEntries = new Map<string, string>();
     private isClosed = false;
+    private isRosterInFlight = false;
+    /** Whether the roster has changed since its last write was begun. */
+    private isRosterStale = false;
     private lastReadAt: number;
     private ignoreMissingUntil = 0;
     private fencingToken: number;
@@ -304,7 +307,10 @@
         }
     }
 
-    /** Stores the roster if it has changed. Executors that become `open` can take work once it is stored. */
+    /**
+     * Stores the roster if it has changed. Executors that become `open` can take work once it is stored. One write is in
+     * flight at a time; changes meanwhile are stored together by the next one.
+     */
     private updateRoster(): void {
         const changed = new Map<ExecutorRecord, RosterStatus>();
         for (const record of this.records.values()) {
@@ -313,9 +319,7 @@
                 changed.set(record, wanted);
             }
         }
-        if (changed.size === 0) {
-            return;
-        }
+        this.isRosterStale ||= changed.size > 0;
         for (const [record, wanted] of changed) {
             // Closing an executor takes effect at once. Opening it takes effect when stored, so that no run starts on
             // an executor that the next owner would not find in the roster.
@@ -323,15 +327,23 @@
                 record.rosterStatus = wanted;
             }
         }
-        this.storeRoster(changed, () => {
-            for (const [record, wanted] of changed) {
-                if (wanted === "open" && this.computeRosterStatus(record) === "open") {
-                    record.rosterStatus = "open";
-                    this.updateScheduler(record.executor);
-                }
+        if (this.isRosterStale && !this.isRosterInFlight) {
+            this.isRosterStale = false;
+            this.isRosterInFlight = true;
+            this.storeRoster(changed, () => this.handleRosterStored(changed));
+        }
+    }
+
+    private handleRosterStored(changed: ReadonlyMap<ExecutorRecord, RosterStatus>): void {
+        this.isRosterInFlight = false;
+        for (const [record, wanted] of changed) {
+            if (wanted === "open" && this.computeRosterStatus(record) === "open") {
+                record.rosterStatus = "open";
+                this.updateScheduler(record.executor);
             }
-            this.options.onChange();
-        });
+        }
+        this.options.onChange();
+        this.updateRoster();
     }
 
     private computeRosterStatus(record: ExecutorRecord): RosterStatus {
