--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -102,6 +102,7 @@
     private owner: CellOwner | undefined;
     private pendingTerm: OwnershipTerm | undefined;
     private retentionMs: number;
+    private isTracking = false;
     private isStopping = false;
 
     constructor(private readonly options: CellHostOptions) {
@@ -179,14 +180,20 @@
         this.addSeeds(options.seeds);
     }
 
-    /** Starts the RPC server and all loops, unless the host is stopped meanwhile. */
+    /**
+     * Starts the RPC server and all loops, unless the host is stopped meanwhile. Rejects if the address is taken; then it
+     * may be called again. The configuration is read in any case, because callers can be served without the RPC server.
+     */
     async start(): Promise<void> {
+        if (!this.isTracking) {
+            this.isTracking = true;
+            this.tracker.start();
+        }
         await this.server.listen();
         if (this.isStopping) {
             return;
         }
         const isStopped = () => this.isStopping;
-        this.tracker.start();
         this.ownership.start();
         this.options.supervisor.startLoop({ operation: "owner client", isStopped, run: () => this.ownerClient.run() });
         this.options.supervisor.startLoop({
--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -15,7 +15,8 @@
     StoreCodec,
 } from "@waxwingroute/platform-adapter";
 import type { PlatformSettings } from "@waxwingroute/platform-adapter";
-import type { LogWriter, PrometheusMetrics, ShutdownStep, Supervisor } from "@waxwingroute/telemetry";
+import { PortBinder } from "@waxwingroute/telemetry";
+import type { LogWriter, ProgramPort, PrometheusMetrics, ShutdownStep, Supervisor } from "@waxwingroute/telemetry";
 import type { SettingsTarget } from "./settings-reloader.js";
 
 /** Fraction of the grace period in which callers with open connections are served. */
@@ -40,6 +41,12 @@
 /** Time in which the load balancer detects that the host is not ready, ms: two of its probes. */
 const balancerDetectionMs = 2_200;
 
+/**
+ * How much longer than the grace period and the reuse of an address together a port is tried, ms. The platform allows a
+ * process 1 s more than its grace period, and the next attempt comes up to 0.1 s later.
+ */
+const portTimeoutMarginMs = 1_500;
+
 /** Settings and services of a `NodeHost`. */
 export interface NodeHostOptions {
     readonly settings: PlatformSettings;
@@ -58,6 +65,7 @@
     private readonly jobServer: JobServer;
     private readonly readinessServer: ReadinessServer;
     private readonly address: NetworkAddress;
+    private readonly binder: PortBinder;
     private graceMs: number;
     private isStopping = false;
 
@@ -69,7 +77,16 @@
         this.jobServer = new JobServer({ address: settings.callerAddress, gateway: this.cell, supervisor });
         this.readinessServer = new ReadinessServer({
             address: settings.readinessAddress,
-            listProblems: () => this.cell.listProblems(),
+            listProblems: () => [
+                ...this.cell.listProblems(),
+                ...this.binder.listUnbound().map(({ name }) => `the port of ${name} is not bound yet`),
+            ],
+            onError: error => supervisor.start("readiness connections", {}, () => Promise.reject(error)),
+        });
+        this.binder = new PortBinder({
+            clock: options.clock,
+            logger: options.logger,
+            getTimeoutMs: () => this.graceMs + settings.addressReuseSeconds * 1_000 + portTimeoutMarginMs,
         });
     }
 
@@ -78,31 +95,53 @@
         return this.graceMs * shutdownTimeFraction;
     }
 
-    /** Starts the parts one after the other, until the host is stopped. */
-    async start(): Promise<void> {
+    /**
+     * Starts the parts and waits until their ports are bound. Returns the names of needed ports that could not be bound,
+     * unless the host is stopped. The parts do not wait for each other.
+     */
+    async start(): Promise<readonly string[]> {
         const { logger, metrics, settings, supervisor } = this.options;
-        const starts = [
-            () => this.cell.start(),
-            () => this.jobServer.listen(),
-            () => this.readinessServer.listen(),
-            () => metrics.listen(settings.ip, metricsPort),
+        if (this.isStopping) {
+            return [];
+        }
+        supervisor.startLoop({ operation: "gauges", isStopped: () => false, run: () => this.updateGauges() });
+        const metricsAddress = `${settings.ip}:${metricsPort}`;
+        const onError = (error: Error) => supervisor.start("metrics connections", {}, () => Promise.reject(error));
+        supervisor.start("metrics port", {}, () =>
+            this.binder.bind({
+                name: "metrics",
+                address: metricsAddress,
+                isNeeded: false,
+                listen: () => metrics.listen(settings.ip, metricsPort, onError),
+            }));
+        const ports: ProgramPort[] = [
+            {
+                name: "readiness",
+                address: settings.readinessAddress,
+                isNeeded: true,
+                listen: () => this.readinessServer.listen(),
+            },
+            { name: "peers", address: this.address, isNeeded: true, listen: () => this.cell.start() },
+            {
+                name: "callers",
+                address: settings.callerAddress,
+                isNeeded: true,
+                listen: () => this.jobServer.listen(),
+            },
         ];
-        for (const start of starts) {
-            if (this.isStopping) {
-                return;
-            }
-            await start();
+        const areBound = await Promise.all(ports.map(port => this.binder.bind(port)));
+        if (this.isStopping) {
+            return [];
         }
-        supervisor.startLoop({
-            operation: "gauges",
-            isStopped: () => false,
-            run: () => this.updateGauges(),
-        });
-        logger.write("info", "host started", {
-            address: this.address,
-            callers: settings.callerAddress,
-            store: settings.storeAddress,
-        });
+        const unbound = ports.filter((_, index) => areBound[index] === false);
+        if (unbound.length === 0) {
+            logger.write("info", "host started", {
+                address: this.address,
+                callers: settings.callerAddress,
+                store: settings.storeAddress,
+            });
+        }
+        return unbound.map(port => `${port.name} (${port.address})`);
     }
 
     /** Lists the steps of a shutdown in order. */
@@ -113,6 +152,7 @@
                 name: "release the cell",
                 run: () => {
                     this.isStopping = true;
+                    this.binder.stop();
                     return this.cell.resign();
                 },
             },
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -73,7 +73,7 @@
     const eventLog = new EventLog({ writer: logger, metrics, getNow: () => clock.getNow() });
     const supervisor = new Supervisor({ logger: eventLog, clock });
     const host = new NodeHost({ settings, clock, logger: eventLog, metrics, supervisor });
-    installGracefulShutdown({
+    const shutdown = installGracefulShutdown({
         signals,
         logger,
         getTimeoutMs: () => host.shutdownTimeoutMs,
@@ -93,5 +93,8 @@
         "unused",
         signal => eventLog.write("info", "signal ignored", { signal, reason: "it has no meaning" }),
     );
-    await host.start();
+    const unboundPorts = await host.start();
+    if (unboundPorts.length > 0) {
+        shutdown.fail(`ports cannot be bound: ${unboundPorts.join(", ")}`);
+    }
 }
--- a/packages/node/src/testing/node-process.ts
+++ b/packages/node/src/testing/node-process.ts
@@ -44,9 +44,9 @@
         execFileSync(process.execPath, ["scripts/bundle.js", this.directory], { cwd: root });
     }
 
-    /** Prepares a host on an address of its own; its process starts with `start`. */
-    addHost(): NodeProcess {
-        const host = new NodeProcess(this.directory, this.processes.length);
+    /** Prepares a host on an address of its own, or on that of `predecessor`; its process starts with `start`. */
+    addHost(predecessor?: NodeProcess): NodeProcess {
+        const host = new NodeProcess(this.directory, this.processes.length, predecessor?.ip);
         this.processes.push(host);
         return host;
     }
@@ -60,14 +60,17 @@
 
 /** The process of a host. */
 export class NodeProcess {
-    readonly ip = `127.${pickNumber()}.${pickNumber()}.${pickNumber()}`;
     readonly settingsFile: string;
     readonly settings: Readonly<Record<string, unknown>>;
     private child: ChildProcess | undefined;
     private output = "";
     private end: ProcessEnd | undefined;
 
-    constructor(private readonly directory: string, number: number) {
+    constructor(
+        private readonly directory: string,
+        number: number,
+        readonly ip = `127.${pickNumber()}.${pickNumber()}.${pickNumber()}`,
+    ) {
         this.settingsFile = join(directory, `settings-${number}.json`);
         this.settings = {
             host: `host-${number}`,
--- a/packages/telemetry/src/graceful-shutdown.ts
+++ b/packages/telemetry/src/graceful-shutdown.ts
@@ -1,7 +1,7 @@
 /**
  * Graceful shutdown on SIGTERM or SIGINT.
  */
-import type { Logger } from "./logger.js";
+import type { LogFields, Logger } from "./logger.js";
 import { ProcessSignals } from "./process-signals.js";
 
 /** One step of a shutdown, for example "stop accepting requests". The name is logged. */
@@ -21,34 +21,54 @@
     readonly signals?: ProcessSignals;
 }
 
+/** An installed shutdown. */
+export interface GracefulShutdown {
+    /** Runs the steps because the program cannot go on, and exits with 1. Does nothing if they run already. */
+    fail(reason: string): void;
+}
+
 /**
  * Runs the steps once, on the first SIGTERM or SIGINT. Exits with 0 if all succeed in time, otherwise with 1. A signal
  * that `signals` has kept starts the steps before this function returns, so that a program can install the shutdown
  * before it starts its parts. Each step must do nothing if its part has not started.
  */
-export function installGracefulShutdown(options: GracefulShutdownOptions): void {
+export function installGracefulShutdown(options: GracefulShutdownOptions): GracefulShutdown {
     const { logger, signals = new ProcessSignals() } = options;
     let hasStarted = false;
+    const start = (cause: LogFields, canSucceed: boolean) => {
+        hasStarted = true;
+        void runSteps(options, cause, canSucceed);
+    };
     signals.handle("stop", signal => {
         if (hasStarted) {
             logger.write("info", "signal ignored", { signal, reason: "the shutdown has begun" });
             return;
         }
-        hasStarted = true;
-        void runSteps(options, signal);
+        start({ signal }, true);
     });
+    return {
+        fail: reason => {
+            if (!hasStarted) {
+                start({ reason }, false);
+            }
+        },
+    };
 }
 
-async function runSteps({ logger, getTimeoutMs, steps }: GracefulShutdownOptions, signal: string): Promise<void> {
+async function runSteps(
+    { logger, getTimeoutMs, steps }: GracefulShutdownOptions,
+    cause: LogFields,
+    canSucceed: boolean,
+): Promise<void> {
     const timeoutMs = getTimeoutMs();
-    logger.write("info", "shutdown begins", { signal, boundMs: timeoutMs });
+    logger.write("info", "shutdown begins", { ...cause, boundMs: timeoutMs });
     const startedAt = performance.now();
     const timeoutTimer = setTimeout(() => {
         logger.write("error", "shutdown exceeded its bound", { boundMs: timeoutMs });
         logger.flush();
         process.exit(1);
     }, timeoutMs);
-    let isClean = true;
+    let isClean = canSucceed;
     for (const step of steps) {
         try {
             await step.run();
--- a/packages/telemetry/src/health-server.ts
+++ b/packages/telemetry/src/health-server.ts
@@ -6,6 +6,7 @@
  */
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { bindServer } from "./bind-server.js";
 
 /** Settings of a `HealthServer`. */
 export interface HealthServerOptions {
@@ -34,10 +35,7 @@
 
     listen(): Promise<void> {
         const { address, port } = this.options;
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, address, () => resolve());
-        });
+        return bindServer(this.server, { address, port, onError: () => undefined });
     }
 
     close(): Promise<void> {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,12 +1,16 @@
 /** Logs, metrics, health endpoints and graceful shutdown for all programs. */
+export { bindServer } from "./bind-server.js";
+export type { BindServerOptions } from "./bind-server.js";
 export { EventLog } from "./event-log.js";
 export type { EventLogOptions } from "./event-log.js";
 export { installGracefulShutdown } from "./graceful-shutdown.js";
-export type { GracefulShutdownOptions, ShutdownStep } from "./graceful-shutdown.js";
+export type { GracefulShutdown, GracefulShutdownOptions, ShutdownStep } from "./graceful-shutdown.js";
 export { HealthServer } from "./health-server.js";
 export type { HealthServerOptions } from "./health-server.js";
 export { createLogger, Logger } from "./logger.js";
 export type { LogFields, LoggerOptions, LogLevel, LogWriter } from "./logger.js";
+export { PortBinder } from "./port-binder.js";
+export type { PortBinderOptions, ProgramPort } from "./port-binder.js";
 export { ProcessSignals } from "./process-signals.js";
 export type { SignalListener, SignalPurpose, SignalSource } from "./process-signals.js";
 export { PrometheusMetrics } from "./prometheus-metrics.js";
--- a/packages/telemetry/src/prometheus-metrics.ts
+++ b/packages/telemetry/src/prometheus-metrics.ts
@@ -4,6 +4,7 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { bindServer } from "./bind-server.js";
 
 /** Upper bounds of the latency buckets, ms: from one call over loopback to the longest deadline of a caller. */
 const latencyBucketsMs = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000];
@@ -52,9 +53,9 @@
         return this.registry.metrics();
     }
 
-    /** Serves the metrics at every path of the address. */
-    listen(address: string, port: number): Promise<void> {
-        const server = createServer((_request, response) => {
+    /** Serves the metrics at every path of the address. After a failure, it may be called again. */
+    listen(address: string, port: number, onError: (error: Error) => void = () => undefined): Promise<void> {
+        this.server ??= createServer((_request, response) => {
             this.render().then(text => {
                 response.writeHead(200, { "content-type": this.registry.contentType });
                 response.end(text);
@@ -63,11 +64,7 @@
                 response.end(`the metrics cannot be rendered: ${String(error)}\n`);
             });
         });
-        this.server = server;
-        return new Promise((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(port, address, () => resolve());
-        });
+        return bindServer(this.server, { address, port, onError });
     }
 
     close(): void {
--- a/packages/transport/src/rpc-server.ts
+++ b/packages/transport/src/rpc-server.ts
@@ -8,9 +8,11 @@
     ServerWritableStream,
     ServiceDefinition,
     UntypedHandleCall,
+    UntypedServiceImplementation,
 } from "@grpc/grpc-js";
 import { createFailure } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
+import { createServer } from "node:net";
 import { decodeMessage, encodeMessage } from "./codec.js";
 import type { StreamMethod, UnaryMethod, WireReply } from "./service.js";
 
@@ -61,14 +63,15 @@
  * ```
  */
 export class RpcServer implements ServiceRegistry {
-    private readonly server: Server;
+    private readonly services: {
+        readonly definition: ServiceDefinition;
+        readonly handlers: UntypedServiceImplementation;
+    }[] = [];
+    private server: Server;
+    private hasFailed = false;
 
     constructor(private readonly options: RpcServerOptions) {
-        const maxMessageBytes = options.maxMessageBytes ?? 8 * 1024 * 1024;
-        this.server = new Server({
-            "grpc.max_receive_message_length": maxMessageBytes,
-            "grpc.max_send_message_length": maxMessageBytes,
-        });
+        this.server = this.createServer();
     }
 
     /** Adds a service. Must be called before `listen`. */
@@ -97,23 +100,47 @@
                 ? createUnaryHandler(handler as (request: unknown) => Promise<Result<unknown, Failure>>)
                 : createStreamHandler(handler);
         }
+        this.services.push({ definition, handlers: implementation });
         this.server.addService(definition, implementation);
     }
 
-    /** Starts to listen and returns the port. */
-    listen(): Promise<number> {
+    /**
+     * Starts to listen and returns the port. Rejects if the address cannot be bound, with the `code` of the system's error
+     * if there is one; then it may be called again.
+     */
+    async listen(): Promise<number> {
+        if (this.hasFailed) {
+            // The library writes a line to standard error for each failure.
+            await checkAddress(this.options.address);
+        }
         return new Promise((resolve, reject) => {
             this.server.bindAsync(this.options.address, ServerCredentials.createInsecure(), (error, port) => {
                 if (error === null) {
                     resolve(port);
+                    return;
                 }
-                else {
-                    reject(new Error(`cannot listen on ${this.options.address}: ${error.message}`));
-                }
+                this.hasFailed = true;
+                // The library remembers a failed address, and would fail at once when it is asked to bind it again.
+                this.server.forceShutdown();
+                this.server = this.createServer();
+                const code = /\bE[A-Z]{4,}\b/.exec(error.message)?.[0];
+                reject(
+                    Object.assign(new Error(`cannot listen on ${this.options.address}: ${error.message}`), { code }),
+                );
             });
         });
     }
 
+    private createServer(): Server {
+        const maxMessageBytes = this.options.maxMessageBytes ?? 8 * 1024 * 1024;
+        const server = new Server({
+            "grpc.max_receive_message_length": maxMessageBytes,
+            "grpc.max_send_message_length": maxMessageBytes,
+        });
+        this.services.forEach(({ definition, handlers }) => server.addService(definition, handlers));
+        return server;
+    }
+
     /** Refuses new calls, waits up to `boundMs` for the calls in progress, then aborts those that remain. */
     shutdown(boundMs: number): Promise<void> {
         return new Promise(resolve => {
@@ -129,6 +156,18 @@
     }
 }
 
+/** Binds an address and frees it at once. Rejects with the system's error if it cannot be bound. */
+function checkAddress(address: string): Promise<void> {
+    const separator = address.lastIndexOf(":");
+    return new Promise((resolve, reject) => {
+        const server = createServer();
+        server.once("error", reject);
+        server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => {
+            server.close(() => resolve());
+        });
+    });
+}
+
 function createUnaryHandler(handler: (request: unknown) => Promise<Result<unknown, Failure>>): UntypedHandleCall {
     return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<WireReply>) => {
         handler(call.request).then(
