--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -4,7 +4,7 @@
 import { findHost, listHosts, loadSettings } from "@waxwingroute/settings";
 import type { HostLocation, HostSettings, Settings } from "@waxwingroute/settings";
 import { createLogger, HealthServer, installGracefulShutdown, StatsdMetrics } from "@waxwingroute/telemetry";
-import type { Logger, ShutdownStep } from "@waxwingroute/telemetry";
+import type { Logger, ProcessSignals, ShutdownStep } from "@waxwingroute/telemetry";
 import { defineCommand, runMain } from "citty";
 
 /** Version of all programs. */
@@ -42,8 +42,11 @@
     start(context: DaemonContext): Promise<RunningDaemon>;
 }
 
-/** Parses the command line, loads the settings and runs a program until a signal stops it. */
-export function runDaemon(options: DaemonOptions): void {
+/**
+ * Parses the command line, loads the settings and runs a program until a signal stops it. A signal that comes during the
+ * start stops the program when it has started.
+ */
+export function runDaemon(options: DaemonOptions, signals: ProcessSignals): void {
     const command = defineCommand({
         meta: { name: options.program, version, description: options.description },
         args: {
@@ -67,7 +70,7 @@
                 process.stdout.write(`${args.settings}: settings are valid for host "${location.host}"\n`);
                 process.exit(exitCodes.done);
             }
-            await startDaemon(options, settings, location);
+            await startDaemon(options, signals, settings, location);
         },
     });
     void runMain(command);
@@ -88,7 +91,12 @@
     return { settings: loaded.val, location };
 }
 
-async function startDaemon(options: DaemonOptions, settings: Settings, location: HostLocation): Promise<void> {
+async function startDaemon(
+    options: DaemonOptions,
+    signals: ProcessSignals,
+    settings: Settings,
+    location: HostLocation,
+): Promise<void> {
     const { program } = options;
     const logger = await createLogger({
         program,
@@ -114,6 +122,7 @@
             { name: "metrics", run: () => metrics.close() },
         ];
         installGracefulShutdown({
+            signals,
             logger,
             getTimeoutMs: () => settings.shutdown.boundMs,
             steps: [...daemon.shutdownSteps, ...closingSteps],
@@ -125,6 +134,9 @@
         process.stderr.write(`${program}: ${String(error)}\n`);
         process.exit(exitCodes.failed);
     }
+    const ignore = (signal: string, reason: string) => logger.write("info", "signal ignored", { signal, reason });
+    signals.handle("reload", signal => ignore(signal, "changed settings take effect at the next start"));
+    signals.handle("unused", signal => ignore(signal, "it has no meaning"));
     process.on("unhandledRejection", reason => {
         logger.write("error", "unhandled rejection", {
             error: reason instanceof Error ? reason.stack : String(reason),
