--- a/packages/entry/src/body-reader.ts
+++ b/packages/entry/src/body-reader.ts
@@ -3,42 +3,12 @@
  */
 import { Err, Ok } from "@waxwingroute/core";
 import type { Result } from "@waxwingroute/core";
+import { BodyBuffer } from "@waxwingroute/host-limits";
+import type { BodyRefusal, ByteBudget } from "@waxwingroute/host-limits";
 import type { IncomingMessage } from "node:http";
 import { createHttpFailure } from "./http-failure.js";
 import type { HttpFailure } from "./http-failure.js";
 
-/** Bounds the memory that all bodies in progress use together. */
-export class ByteBudget {
-    private used = 0;
-
-    constructor(private readonly limitBytes: number) {}
-
-    get usedBytes(): number {
-        return this.used;
-    }
-
-    /** Reserves bytes if the limit allows it; returns whether it did. */
-    tryReserve(bytes: number): boolean {
-        if (this.used + bytes > this.limitBytes) {
-            return false;
-        }
-        this.used += bytes;
-        return true;
-    }
-
-    /**
-     * Reserves bytes that are already in memory, even above the limit; new bodies are then refused until bytes are
-     * released.
-     */
-    reserve(bytes: number): void {
-        this.used += bytes;
-    }
-
-    release(bytes: number): void {
-        this.used -= bytes;
-    }
-}
-
 /** Bounds on reading the body of one request. */
 export interface BodyReadOptions {
     readonly maxBytes: number;
@@ -49,62 +19,18 @@
     readonly signal: AbortSignal;
 }
 
-/**
- * Collects chunks in one growing buffer, because a list of many small chunks takes far more memory than their bytes.
- * Memory is reserved as bytes arrive, because a caller that announces a long body and sends nothing must not keep
- * others out.
- */
-class BodyBuffer {
-    private buffer: Buffer = Buffer.alloc(0);
-    private length = 0;
-
-    constructor(private readonly budget: ByteBudget, private readonly options: BodyReadOptions) {}
-
-    /** Adds a chunk; returns a failure if a limit does not allow it. */
-    append(chunk: Buffer): HttpFailure | undefined {
-        const neededBytes = this.length + chunk.byteLength;
-        if (neededBytes > this.options.maxBytes) {
-            return createBodyTooLargeFailure(this.options.maxBytes);
-        }
-        if (neededBytes > this.buffer.byteLength) {
-            const expected = this.options.contentLength ?? this.options.maxBytes;
-            const capacity = Math.min(
-                Math.max(neededBytes, 2 * this.buffer.byteLength),
-                Math.max(neededBytes, expected),
-            );
-            if (!this.budget.tryReserve(capacity - this.buffer.byteLength)) {
-                return createHttpFailure(
-                    503,
-                    "bodies-full",
-                    "the bodies of the requests in progress use all the memory that is reserved for bodies",
-                );
-            }
-            const larger = this.length === 0 ? chunk : Buffer.allocUnsafeSlow(capacity);
-            this.buffer.copy(larger, 0, 0, this.length);
-            this.buffer = larger;
-        }
-        if (this.buffer !== chunk) {
-            chunk.copy(this.buffer, this.length);
-        }
-        this.length = neededBytes;
-        return undefined;
-    }
-
-    /** Returns the body, whose bytes remain reserved, and releases the unused rest of the buffer. */
-    finish(): Buffer {
-        this.budget.release(this.buffer.byteLength - this.length);
-        return this.buffer.subarray(0, this.length);
-    }
-
-    release(): void {
-        this.budget.release(this.buffer.byteLength);
-    }
-}
-
 function createBodyTooLargeFailure(maxBytes: number): HttpFailure {
     return createHttpFailure(413, "body-too-large", `the body is larger than ${maxBytes} bytes`);
 }
 
+function createRefusalFailure(refusal: BodyRefusal, maxBytes: number): HttpFailure {
+    return refusal === "tooLarge" ? createBodyTooLargeFailure(maxBytes) : createHttpFailure(
+        503,
+        "bodies-full",
+        "the bodies of the requests in progress use all the memory that is reserved for bodies",
+    );
+}
+
 /**
  * Reads the whole body of a request. On success the bytes of the body remain reserved, and the code that called this
  * function must release them; on failure nothing remains reserved. Failures: 400, 408, 413, 503, all `notRun`.
@@ -118,16 +44,16 @@
         return Promise.resolve(Err(createBodyTooLargeFailure(options.maxBytes)));
     }
     return new Promise(resolve => {
-        const body = new BodyBuffer(budget, options);
+        const body = new BodyBuffer({ budget, maxBytes: options.maxBytes, statedBytes: options.contentLength });
         const refuse = (failure: HttpFailure) => {
             removeListeners();
             body.release();
             resolve(Err(failure));
         };
         const onData = (chunk: Buffer) => {
-            const failure = body.append(chunk);
-            if (failure !== undefined) {
-                refuse(failure);
+            const refusal = body.append(chunk);
+            if (refusal !== undefined) {
+                refuse(createRefusalFailure(refusal, options.maxBytes));
             }
         };
         const onEnd = () => {
--- a/packages/entry/src/entry-server.ts
+++ b/packages/entry/src/entry-server.ts
@@ -1,12 +1,12 @@
 /**
  * The HTTP server that accepts requests from callers.
  */
+import { ByteBudget } from "@waxwingroute/host-limits";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
 import { match } from "ts-pattern";
-import { ByteBudget } from "./body-reader.js";
 import { EventLoopDelayMonitor } from "./event-loop-delay-monitor.js";
 import { HttpExchange } from "./http-exchange.js";
 import { createHttpFailure } from "./http-failure.js";
--- a/packages/entry/src/http-exchange.ts
+++ b/packages/entry/src/http-exchange.ts
@@ -3,10 +3,10 @@
  */
 import { Err, Ok } from "@waxwingroute/core";
 import type { QueueId, RequestKey, Result, TeamId } from "@waxwingroute/core";
+import type { ByteBudget } from "@waxwingroute/host-limits";
 import type { Answer } from "@waxwingroute/routing";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { readBody } from "./body-reader.js";
-import type { ByteBudget } from "./body-reader.js";
 import { createHttpFailure, toHttpStatus } from "./http-failure.js";
 import type { HttpFailure } from "./http-failure.js";
 import { parseApiKey, parseHeaders, parseRoute } from "./request-parser.js";
--- a/packages/host-limits/src/process-limits.ts
+++ b/packages/host-limits/src/process-limits.ts
@@ -1,5 +1,6 @@
-/** Reads the limits that the operating system sets for this process. */
+/** Reads what this process uses, and the limits that the operating system sets for it. */
 import { readdirSync, readFileSync } from "node:fs";
+import type { MemoryUsage } from "./memory-budget.js";
 
 /**
  * Returns the maximum number of open descriptors, or `undefined` if it is unlimited or the system does not tell. Takes
@@ -25,3 +26,9 @@
         return undefined;
     }
 }
+
+/** Returns the memory of this process. */
+export function readMemoryUsage(): MemoryUsage {
+    const { rss, heapTotal, heapUsed, external } = process.memoryUsage();
+    return { residentBytes: rss, reservedBytes: heapTotal + external, usedBytes: heapUsed + external };
+}
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -47,6 +47,8 @@
 const slowHostLeaseMs = 1_500;
 /** Interval between updates of the gauges, ms. */
 const gaugeIntervalMs = 1_000;
+/** The platform does not say which of the two units it means; this is the smaller one. */
+const bytesPerMb = 1_000_000;
 /** Time in which the load balancer detects that the host is not ready, ms: two of its probes. */
 const balancerDetectionMs = 2_200;
 
@@ -81,8 +83,12 @@
 }
 
 /** Creates the limits of the host; each part of the program that others fill gets its share of them. */
-function createLimits(settings: PlatformSettings): HostLimits {
-    return new HostLimits({ maxDescriptors: settings.maxDescriptors });
+function createLimits(settings: PlatformSettings, clock: Clock): HostLimits {
+    return new HostLimits({
+        clock,
+        maxMemoryBytes: settings.memoryMb * bytesPerMb,
+        maxDescriptors: settings.maxDescriptors,
+    });
 }
 
 /** Updates the gauges once a second, so that a scrape of the metrics puts no load on the cell. */
@@ -95,7 +101,6 @@
         for (const [name, value] of sources.flatMap(source => Object.entries(source.listGauges()))) {
             metrics.setGauge(name, value);
         }
-        metrics.setGauge("resident_bytes", process.memoryUsage.rss());
         const startedAt = clock.getNow();
         await clock.wait(gaugeIntervalMs);
         metrics.setGauge("timer_delay_ms", Math.round(clock.getNow() - startedAt - gaugeIntervalMs));
@@ -128,7 +133,7 @@
     const eventLog = new EventLog({ writer: logger, metrics, getNow: () => clock.getNow() });
     const supervisor = new Supervisor({ logger: eventLog, clock });
     const address = toId<NetworkAddress>(`${settings.ip}:${settings.peerPort}`);
-    const limits = createLimits(settings);
+    const limits = createLimits(settings, clock);
     const refusals = new RefusalLog({
         clock,
         logger,
@@ -169,6 +174,7 @@
         supervisor,
         clock,
         maxConnections: limits.descriptors.shares.callers,
+        memory: limits.memory,
         onRefuse: (reason, fields) => refusals.record(reason, fields),
     });
     const readinessServer = new ReadinessServer({
