--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -39,6 +39,8 @@
 const slowHostLeaseMs = 1_500;
 /** Interval between updates of the gauges, ms. */
 const gaugeIntervalMs = 1_000;
+/** The platform does not say which of the two units it means; this is the smaller one. */
+const bytesPerMb = 1_000_000;
 /** Time in which the load balancer detects that the host is not ready, ms: two of its probes. */
 const balancerDetectionMs = 2_200;
 
@@ -75,7 +77,11 @@
         const { clock, logger, metrics, settings, supervisor } = options;
         this.graceMs = settings.graceSeconds * 1_000;
         this.address = toId<NetworkAddress>(`${settings.ip}:${settings.peerPort}`);
-        this.limits = new HostLimits({ maxDescriptors: settings.maxDescriptors });
+        this.limits = new HostLimits({
+            clock,
+            maxMemoryBytes: settings.memoryMb * bytesPerMb,
+            maxDescriptors: settings.maxDescriptors,
+        });
         const { shares } = this.limits.descriptors;
         const refusals = new RefusalLog({
             clock,
@@ -89,6 +95,7 @@
             supervisor,
             clock,
             maxConnections: shares.callers,
+            memory: this.limits.memory,
             onRefuse: (reason, fields) => refusals.record(reason, fields),
         });
         this.readinessServer = new ReadinessServer({
@@ -216,7 +223,6 @@
             for (const source of [this.cell, this.jobServer, this.limits]) {
                 Object.entries(source.listGauges()).forEach(([name, value]) => metrics.setGauge(name, value));
             }
-            metrics.setGauge("resident_bytes", process.memoryUsage.rss());
             const startedAt = clock.getNow();
             await clock.wait(gaugeIntervalMs);
             metrics.setGauge("timer_delay_ms", Math.round(clock.getNow() - startedAt - gaugeIntervalMs));
