--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -64,6 +64,8 @@
     readonly stopMs: number;
     /** How machines are serviced; absent where the cell does not do that. */
     readonly maintenance?: Omit<CellMaintenanceOptions, "holder">;
+    /** Maximum size of the messages that wait for other hosts that read slowly, bytes. Default 64 MiB. */
+    readonly maxPeerBacklogBytes?: number;
     /** Called after each direct call to the store, for metrics. */
     readonly onStoreCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
 }
@@ -172,7 +174,7 @@
                 onOwnerSeen: (owner, storedEpoch) => this.followOwner(owner, storedEpoch),
             },
         });
-        this.server = new RpcServer({ address });
+        this.server = new RpcServer({ address, maxWaitingBytes: options.maxPeerBacklogBytes });
         this.addService();
         options.seeds.forEach(seed => this.peers.add(seed));
     }
@@ -223,6 +225,7 @@
             known_jobs: this.replica.size,
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
+            peer_backlog_bytes: this.server.waitingBytes,
             unexpected_errors: this.options.supervisor.failureCount,
         };
     }
--- a/packages/host-limits/src/memory-budget.ts
+++ b/packages/host-limits/src/memory-budget.ts
@@ -27,6 +27,8 @@
 
 /** Part of the memory for the bodies of requests that are being read or carried out. */
 const bodyFraction = 1 / 8;
+/** Part of the memory for messages that wait for other hosts. */
+const peerBacklogFraction = 1 / 16;
 /** Fraction of resident memory at which garbage is collected; V8 knows only the limit of its heap. */
 const collectFraction = 0.7;
 /** Growth since the last collection, as a fraction of the limit, without which another one would free little. */
@@ -54,6 +56,8 @@
 export class MemoryBudget {
     /** Bodies of requests. */
     readonly bodies: ByteBudget;
+    /** Maximum size of the messages that wait for other hosts, bytes. */
+    readonly peerBacklogBytes: number;
     /** Memory of the program outside the heap and buffers: code, stacks, libraries. */
     private readonly runtimeBytes: number;
     private usage: MemoryUsage;
@@ -64,6 +68,7 @@
 
     constructor(private readonly options: MemoryBudgetOptions) {
         this.bodies = new ByteBudget(Math.floor(options.maxBytes * bodyFraction));
+        this.peerBacklogBytes = Math.floor(options.maxBytes * peerBacklogFraction);
         this.usage = options.readUsage();
         this.sampledAt = options.clock.getNow();
         this.runtimeBytes = Math.max(0, this.usage.residentBytes - this.usage.reservedBytes);
--- a/packages/node/src/node-program.ts
+++ b/packages/node/src/node-program.ts
@@ -160,6 +160,7 @@
         stopMs: settings.stopMs,
         acquireDelayMs: isSlowHost ? slowHostAcquireDelayMs : 0,
         ownershipLeaseMs: Math.max(isSlowHost ? slowHostLeaseMs : ownershipLeaseMs, settings.minStoreLeaseMs),
+        maxPeerBacklogBytes: limits.memory.peerBacklogBytes,
         maintenance: createMaintenanceOptions(settings, clock),
         onStoreCall: (operation, isAnswered, tookMs) => {
             // A watch spends most of its time waiting for a change.
--- a/packages/transport/src/rpc-server.ts
+++ b/packages/transport/src/rpc-server.ts
@@ -13,6 +13,7 @@
 import type { Failure, Result } from "@waxwingroute/core";
 import { decodeMessage, encodeMessage } from "./codec.js";
 import type { StreamMethod, UnaryMethod, WireReply } from "./service.js";
+import { StreamBacklog } from "./stream-backlog.js";
 
 /** The server's side of a stream of messages. */
 export interface StreamWriter<Response> {
@@ -46,8 +47,15 @@
     readonly address: string;
     /** Maximum size of a message in bytes, in both directions; default 8 MiB. */
     readonly maxMessageBytes?: number;
+    /**
+     * Maximum size of the messages that wait for the readers of all streams, in bytes; default 64 MiB. Beyond it, the
+     * stream whose reader is furthest behind is ended.
+     */
+    readonly maxWaitingBytes?: number;
 }
 
+const defaultMaxWaitingBytes = 64 * 1024 * 1024;
+
 /**
  * The gRPC server of a process.
  *
@@ -62,8 +70,10 @@
  */
 export class RpcServer implements ServiceRegistry {
     private readonly server: Server;
+    private readonly backlog: StreamBacklog;
 
     constructor(private readonly options: RpcServerOptions) {
+        this.backlog = new StreamBacklog(options.maxWaitingBytes ?? defaultMaxWaitingBytes);
         const maxMessageBytes = options.maxMessageBytes ?? 8 * 1024 * 1024;
         this.server = new Server({
             "grpc.max_receive_message_length": maxMessageBytes,
@@ -86,7 +96,10 @@
                 responseStream: method.kind === "stream",
                 requestSerialize: (message: unknown) => encodeMessage(message),
                 requestDeserialize: (bytes: Buffer) => decodeMessage(method.request, bytes),
-                responseSerialize: (message: unknown) => encodeMessage(message),
+                // Messages of a stream are encoded before they wait, so that their size is known.
+                responseSerialize: method.kind === "stream"
+                    ? (bytes: Buffer) => bytes
+                    : (message: unknown) => encodeMessage(message),
                 responseDeserialize: (bytes: Buffer) => bytes,
             };
             const handler = handlers[name as keyof Methods] as (
@@ -95,11 +108,16 @@
             ) => unknown;
             implementation[name] = method.kind === "unary"
                 ? createUnaryHandler(handler as (request: unknown) => Promise<Result<unknown, Failure>>)
-                : createStreamHandler(handler);
+                : createStreamHandler(handler, this.backlog);
         }
         this.server.addService(definition, implementation);
     }
 
+    /** Bytes of the messages that wait for the readers of streams. */
+    get waitingBytes(): number {
+        return this.backlog.waitingBytes;
+    }
+
     /** Starts to listen and returns the port. */
     listen(): Promise<number> {
         return new Promise((resolve, reject) => {
@@ -141,13 +159,24 @@
     };
 }
 
-function createStreamHandler(handler: (request: unknown, writer: StreamWriter<unknown>) => void): UntypedHandleCall {
-    return (call: ServerWritableStream<unknown, unknown>) => {
+function createStreamHandler(
+    handler: (request: unknown, writer: StreamWriter<unknown>) => void,
+    backlog: StreamBacklog,
+): UntypedHandleCall {
+    return (call: ServerWritableStream<unknown, Buffer>) => {
         let isOpen = true;
+        const stream = {
+            abort: () => {
+                const details = "the reader of the stream is too far behind";
+                call.destroy(Object.assign(new Error(details), { code: status.RESOURCE_EXHAUSTED, details }));
+                close();
+            },
+        };
         const callbacks: (() => void)[] = [];
         const close = () => {
             if (isOpen) {
                 isOpen = false;
+                backlog.remove(stream);
                 callbacks.forEach(callback => callback());
             }
         };
@@ -160,7 +189,11 @@
             },
             send: message => {
                 if (isOpen) {
-                    call.write(message);
+                    const bytes = encodeMessage(message);
+                    // A short message keeps the whole buffer of its encoder.
+                    const size = bytes.buffer.byteLength;
+                    call.write(bytes, () => backlog.release(stream, size));
+                    backlog.add(stream, size);
                 }
             },
             end: () => call.end(),
--- a/packages/transport/src/rpc_test.ts
+++ b/packages/transport/src/rpc_test.ts
@@ -1,9 +1,12 @@
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import { expect } from "earl";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
 import { describe, it } from "node:test";
 import { z } from "zod";
 import { RpcClient } from "./rpc-client.js";
 import { RpcServer } from "./rpc-server.js";
+import type { StreamWriter } from "./rpc-server.js";
 import { createStreamMethod, createUnaryMethod } from "./service.js";
 
 const methods = {
@@ -41,6 +44,73 @@
     }
 }
 
+const bulk = { send: createStreamMethod("Test/Bulk", z.object({}), z.object({ body: z.instanceof(Uint8Array) })) };
+
+describe("RpcServer", () => {
+    // Guards against a host that stops reading, while the messages for it fill the memory of the owner.
+    it("ends the stream whose reader does not read, and no other", async () => {
+        const server = new RpcServer({ address: "127.0.0.1:0", maxWaitingBytes: 1_000_000 });
+        const writers: StreamWriter<{ body: Uint8Array; }>[] = [];
+        server.addService(bulk, { send: (_request, writer) => void writers.push(writer) });
+        const port = await server.listen();
+        const link = await openLink(port);
+        const reader = new RpcClient({ address: `127.0.0.1:${port}` });
+        const stalled = new RpcClient({ address: `127.0.0.1:${link.port}` });
+        let received = 0;
+        reader.openStream(bulk.send, {}, { onMessage: () => received += 1, onEnd: () => {} });
+        await waitUntil(() => writers.length === 1);
+        stalled.openStream(bulk.send, {}, { onMessage: () => {}, onEnd: () => {} });
+        await waitUntil(() => writers.length === 2);
+        link.stopReading();
+        let highest = 0;
+        for (let index = 0; index < 400; index += 1) {
+            writers.forEach(writer => writer.send({ body: new Uint8Array(10_000) }));
+            highest = Math.max(highest, server.waitingBytes);
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+        await waitUntil(() => received === 400);
+        expect(writers.map(writer => writer.isOpen)).toEqual([true, false]);
+        expect(highest <= 1_000_000).toEqual(true);
+        expect(server.waitingBytes).toEqual(0);
+        reader.close();
+        stalled.close();
+        link.close();
+        await server.shutdown(0);
+    });
+});
+
+/** Opens a port that passes everything to and from another one, until it stops reading from it. */
+async function openLink(target: number) {
+    const sockets: Socket[] = [];
+    const link: Server = createServer(socket => {
+        const onward = connect(target, "127.0.0.1");
+        sockets.push(socket, onward);
+        [socket, onward].forEach(end => end.on("error", () => {}));
+        socket.pipe(onward).pipe(socket);
+    });
+    await new Promise<void>(resolve => {
+        link.listen(0, "127.0.0.1", resolve);
+    });
+    return {
+        port: (link.address() as AddressInfo).port,
+        stopReading: () =>
+            sockets.forEach(socket => {
+                socket.unpipe();
+                socket.pause();
+            }),
+        close: () => {
+            sockets.forEach(socket => socket.destroy());
+            link.close();
+        },
+    };
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
 describe("RpcClient with RpcServer", () => {
     describe("streams", () => {
         // Guards against one message that cannot be processed and ends the whole process.
