--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -65,6 +65,8 @@
     readonly stopMs: number;
     /** How machines are serviced; absent where the cell does not do that. */
     readonly maintenance?: Omit<CellMaintenanceOptions, "holder">;
+    /** Maximum size of the messages that wait for other hosts that read slowly, bytes. Default 64 MiB. */
+    readonly maxPeerBacklogBytes?: number;
     /** Called after each direct call to the store, for metrics. */
     readonly onStoreCall?: (operation: StoreRequest["kind"], isAnswered: boolean, tookMs: number) => void;
 }
@@ -176,7 +178,7 @@
                 onOwnerSeen: (owner, storedEpoch) => this.followOwner(owner, storedEpoch),
             },
         });
-        this.server = new RpcServer({ address });
+        this.server = new RpcServer({ address, maxWaitingBytes: options.maxPeerBacklogBytes });
         this.addService();
         this.addSeeds(options.seeds);
     }
@@ -249,6 +251,7 @@
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
             ...this.owner?.waitingGauges ?? createWaitingGauges(undefined),
+            peer_backlog_bytes: this.server.waitingBytes,
             unexpected_errors: this.options.supervisor.failureCount,
         };
     }
--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -253,6 +253,7 @@
         stopMs: settings.stopMs,
         acquireDelayMs: isSlowHost ? slowHostAcquireDelayMs : 0,
         ownershipLeaseMs: Math.max(isSlowHost ? slowHostLeaseMs : ownershipLeaseMs, settings.minStoreLeaseMs),
+        maxPeerBacklogBytes: limits.memory.peerBacklogBytes,
         maintenance: createMaintenanceOptions(settings, clock),
         onStoreCall: (operation, isAnswered, tookMs) => {
             // A watch spends most of its time waiting for a change.
