--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -224,6 +224,7 @@
             known_jobs: this.replica.size,
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
+            unopened_executors: this.owner?.unopenedExecutorCount ?? 0,
             ...this.owner?.waitingGauges ?? createWaitingGauges(undefined),
             unexpected_errors: this.options.supervisor.failureCount,
         };
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -232,6 +232,11 @@
         return this.journal.backlog;
     }
 
+    /** Number of executors that could take work and wait until the stored roster lists them. */
+    get unopenedExecutorCount(): number {
+        return this.registry.unopenedCount;
+    }
+
     /** Number of steps that could start and do not, by the name of the gauge of their reason. */
     get waitingGauges(): Readonly<Record<string, number>> {
         return this.waitingLog.gauges;
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -137,6 +137,13 @@
         this.records.forEach(record => record.session.close());
     }
 
+    /** Number of executors that could take work and wait until the stored roster lists them as `open`. */
+    get unopenedCount(): number {
+        return [...this.records.values()].filter(record =>
+            record.rosterStatus !== "open" && this.computeRosterStatus(record) === "open"
+        ).length;
+    }
+
     getSession(executor: ExecutorId): ExecutorSession | undefined {
         return this.records.get(executor)?.session;
     }
