--- a/packages/cell/src/testing/memory-lease-store.ts
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -143,8 +143,8 @@
 }
 
 /**
- * `answerLost`: commits are carried out but not answered. `late`: commits are carried out after a delay and not
- * answered.
+ * `answerLost`: writes are carried out but not answered. `late`: writes are carried out after a delay and not
+ * answered. Writes are commits, and grants and renewals of leases.
  */
 export type CommitFault = "none" | "answerLost" | "late";
 
@@ -154,8 +154,10 @@
     commitFault: CommitFault = "none";
     /** Latency of a call, ms. */
     latencyMs = 4;
-    /** Delay of commits with the fault `late`, ms. */
+    /** Delay of writes with the fault `late`, ms. */
     lateMs = 2_000;
+    /** Returns the delay of the next write with the fault `late`, ms. Default: `lateMs`. */
+    chooseLateMs = (): number => this.lateMs;
 
     constructor(readonly data: MemoryStoreData) {
         super();
@@ -174,9 +176,9 @@
         if (mode === "silent") {
             return this.dropAnswer(timeoutMs);
         }
-        if (request.kind === "commit" && this.commitFault !== "none") {
+        if (isWrite(request) && this.commitFault !== "none") {
             if (this.commitFault === "late") {
-                clock.schedule(this.lateMs, () => void this.data.execute(request));
+                clock.schedule(this.chooseLateMs(), () => void this.data.execute(request));
             }
             else {
                 this.data.execute(request);
@@ -218,3 +220,7 @@
         });
     }
 }
+
+function isWrite({ kind }: StoreRequest): boolean {
+    return kind === "commit" || kind === "grantLease" || kind === "renewLease";
+}
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -24,6 +24,9 @@
 const executorsWithoutCrashes = 4;
 /** A third of the smallest number that the platform plays: each crash takes one away for seconds. */
 const executorsWithCrashes = 11;
+/** Shortest and longest delay of writes that the store carries out late, ms. */
+const minLateMs = 100;
+const maxLateMs = 15_000;
 /** Interval between steps of the phase with faults, each of which submits a job and applies a fault, ms. */
 const actionIntervalMs = 400;
 
@@ -60,6 +63,9 @@
         return crashAfterMs;
     }
     const accepted: string[] = [];
+    cell.hosts.forEach(host => {
+        host.store.chooseLateMs = () => minLateMs * (maxLateMs / minLateMs) ** random.getFloat();
+    });
     await cell.advance(2_000);
     for (let elapsed = 0; elapsed < faultPhaseMs; elapsed += actionIntervalMs) {
         submitRandomJob(cell, random, `j${elapsed}`, accepted);
