--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -403,7 +403,7 @@
             cell.data.mode = "silent";
             await cell.advance(4_000);
             cell.data.mode = "up";
-            await cell.advanceUntil(() => cell.logLines.some(line => line.includes('"isContinued":true')), 2_000);
+            await cell.advanceUntil(() => cell.logLines.some(line => line.includes("\"isContinued\":true")), 2_000);
             for (const name of ["a", "b", "c"]) {
                 void cell.submit(cell.hosts[0]!, name, [{ taskCount: 3 }]);
                 await cell.advance(200);
