--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -174,6 +174,7 @@
             listener: this,
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
+            longestLeaseMs: maxLeaseMs,
             authority: this.authority,
             isPoolKnown: pool => this.configuration.pools.has(pool) || this.scheduler.isPoolUsed(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -491,6 +491,21 @@
             cell.close();
         });
 
+        it("gets no second run of its tasks while it loses all answers from its restart on", async () => {
+            // Guards against leases that end later than the owner counts on: a restarted executor takes a lease end for
+            // one of its new clock, and grants the longest lease.
+            const cell = await openCell({ executors: 2, planRun: () => ({ workMs: 20_000, outcome: "done" }) });
+            const [restarted] = cell.executors;
+            restarted!.kill();
+            restarted!.isLosingAnswers = true;
+            void cell.submit(cell.owner!, "a", [{ taskCount: 4, estimateMs: 20_000 }]);
+            await cell.advance(15_000);
+            restarted!.isLosingAnswers = false;
+            expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 60_000)).toEqual(true);
+            expect(cell.checker.violations).toEqual([]);
+            cell.close();
+        });
+
         it("gets no second run of a task whose start is unanswered and carried out late", async () => {
             // Guards against treating an unanswered start as one that was not carried out.
             const cell = await openCell();
--- a/packages/cell/src/executor-leases.ts
+++ b/packages/cell/src/executor-leases.ts
@@ -5,6 +5,18 @@
 /** Added to every wait for a lease to expire, ms, for messages that are still in flight. */
 const leaseMarginMs = 250;
 
+/** The clock and the lengths of leases. */
+export interface ExecutorLeasesOptions {
+    readonly clock: Clock;
+    /** Longest lease that the owner requests, ms. */
+    readonly maxLeaseMs: number;
+    /**
+     * Longest lease that an executor grants, ms. One that has restarted takes a lease end of its earlier clock for one
+     * that is far ahead, and grants as long.
+     */
+    readonly longestLeaseMs: number;
+}
+
 /** The leases that this owner has requested from one executor, and the last known reading of its clock. */
 export class ExecutorLeases {
     /** Last reading of the executor's clock; `undefined` before the first. */
@@ -12,8 +24,10 @@
     private clockReadAt = 0;
     /** Latest lease end that was requested, in time of the executor's clock. */
     private lastDeadlineMs = 0;
+    /** Time by which leases have ended that an executor which restarted unnoticed can have granted. */
+    private restartLeasesEndAt = -Infinity;
 
-    constructor(private readonly clock: Clock, private readonly maxLeaseMs: number) {}
+    constructor(private readonly options: ExecutorLeasesOptions) {}
 
     get isClockKnown(): boolean {
         return this.clockMs !== undefined;
@@ -25,16 +39,20 @@
      * since.
      */
     hasExpired(earlierOrdersEndAt: number): boolean {
+        const now = this.options.clock.getNow();
+        if (now < this.restartLeasesEndAt) {
+            return false;
+        }
         if (this.clockMs === undefined) {
-            const longestMs = this.maxLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
-            return this.clock.getNow() - earlierOrdersEndAt > longestMs;
+            const longestMs = this.options.maxLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+            return now - earlierOrdersEndAt > longestMs;
         }
         return this.estimateClock(this.clockMs) > Math.max(this.lastDeadlineMs, this.clockMs) + leaseMarginMs;
     }
 
     recordClock(clockMs: number): void {
         this.clockMs = clockMs;
-        this.clockReadAt = this.clock.getNow();
+        this.clockReadAt = this.options.clock.getNow();
     }
 
     /** Returns whether a reading is lower than the last one, which shows that the executor has restarted. */
@@ -42,9 +60,24 @@
         return this.clockMs !== undefined && clockMs < this.clockMs;
     }
 
-    /** Forgets the leases of an earlier incarnation of the executor. */
+    /**
+     * Forgets the leases of an earlier incarnation of the executor. The present one may have taken lease ends that were
+     * meant for the earlier one.
+     */
     reset(): void {
         this.lastDeadlineMs = 0;
+        this.recordPossibleRestart();
+    }
+
+    /** Records that an executor which has restarted unnoticed may just have granted a lease. */
+    recordPossibleRestart(): void {
+        const { clock, longestLeaseMs } = this.options;
+        this.restartLeasesEndAt = clock.getNow() + longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+    }
+
+    /** Records that the executor has not restarted, by a listing. */
+    recordSameIncarnation(): void {
+        this.restartLeasesEndAt = -Infinity;
     }
 
     /**
@@ -52,13 +85,13 @@
      * requested.
      */
     extend(): number {
-        const deadlineMs = Math.floor(this.estimateClock(this.clockMs ?? 0) + this.maxLeaseMs);
+        const deadlineMs = Math.floor(this.estimateClock(this.clockMs ?? 0) + this.options.maxLeaseMs);
         this.lastDeadlineMs = Math.max(this.lastDeadlineMs, deadlineMs);
         return deadlineMs;
     }
 
     /** Returns the lowest reading that the executor's clock can have now. */
     private estimateClock(lastReadingMs: number): number {
-        return lastReadingMs + (this.clock.getNow() - this.clockReadAt) * (1 - clockRateBound);
+        return lastReadingMs + (this.options.clock.getNow() - this.clockReadAt) * (1 - clockRateBound);
     }
 }
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -32,6 +32,8 @@
     readonly listener: SessionListener;
     readonly fencingToken: number;
     readonly maxLeaseMs: number;
+    /** Longest lease that executors grant, ms. */
+    readonly longestLeaseMs: number;
     readonly authority: OrderAuthority;
     /** Returns whether the configuration names the pool; executors of other pools are not used. */
     readonly isPoolKnown: (pool: PoolId) => boolean;
@@ -372,7 +374,7 @@
             this.executorsOfEarlierOwner.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
         }
-        const { authority, clock, connector, listener, logger, maxLeaseMs, supervisor } = this.options;
+        const { authority, clock, connector, listener, logger, longestLeaseMs, maxLeaseMs, supervisor } = this.options;
         const session = new ExecutorSession({
             executor,
             client: connector.open({ executor, address }),
@@ -382,6 +384,7 @@
             listener,
             fencingToken: this.fencingToken,
             maxLeaseMs,
+            longestLeaseMs,
             authority,
             needsFrequentListings: id => this.options.scheduler.needsFrequentReports(id),
         });
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -63,8 +63,10 @@
     readonly supervisor: Supervisor;
     readonly listener: SessionListener;
     readonly fencingToken: number;
-    /** Longest lease that the executor grants, ms. */
+    /** Longest lease that the owner requests, ms. */
     readonly maxLeaseMs: number;
+    /** Longest lease that the executor grants, ms. */
+    readonly longestLeaseMs: number;
     readonly authority: OrderAuthority;
     /**
      * Returns whether the executor has to be listed several times a second, because tasks are throttled by its load.
@@ -123,7 +125,7 @@
     private wakeUp: (() => void) | undefined;
 
     constructor(private readonly options: ExecutorSessionOptions) {
-        this.leases = new ExecutorLeases(options.clock, options.maxLeaseMs);
+        this.leases = new ExecutorLeases(options);
         this.fencingToken = options.fencingToken;
     }
 
@@ -210,7 +212,10 @@
         tracked.changedAt = clock.getNow();
         if (started.ok) {
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
-            this.isIncarnationKnown &&= !this.leases.isClockReset(started.val.clockMs);
+            if (this.leases.isClockReset(started.val.clockMs)) {
+                this.isIncarnationKnown = false;
+                this.leases.recordPossibleRestart();
+            }
             tracked.state = "answered";
             listener.onStarted(executor, tracked.task, tracked.run);
             if (decision.isProbe) {
@@ -235,6 +240,7 @@
             }
         }
         else {
+            this.recordIfRestartPossible(started.val);
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             tracked.state = "unanswered";
@@ -325,6 +331,9 @@
             }
         }
         else {
+            if (deadlineMs !== undefined) {
+                this.recordIfRestartPossible(renewed.val);
+            }
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             this.handleFailedRenewal(renewed.val);
@@ -358,6 +367,9 @@
             this.ends.reset();
             this.leases.reset();
         }
+        else if (this.startedAtWallMs !== undefined) {
+            this.leases.recordSameIncarnation();
+        }
         this.startedAtWallMs = listing.startedAtWallMs;
         this.isIncarnationKnown = true;
         const isRegained = !this.hasKnownRuns || this.failures >= failuresBeforeUnreachable;
@@ -466,6 +478,12 @@
         }
     }
 
+    private recordIfRestartPossible({ code }: Failure): void {
+        if (code === executorFailures.unansweredNew) {
+            this.leases.recordPossibleRestart();
+        }
+    }
+
     /** Gives the executor no work until it answers a renewal: it takes no connection, so each start would be refused. */
     private recordUnreachable(failure: Failure): void {
         this.recordFailures(Math.max(this.failures + 1, failuresBeforeUnreachable), failure);
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -85,6 +85,8 @@
     replaced: "executor-replaced",
     unreachable: "executor-unreachable",
     unanswered: "executor-unanswered",
+    /** As `unanswered`, and the executor may have restarted between its last listing and the arrival of the call. */
+    unansweredNew: "executor-unanswered-new",
 } as const;
 
 /** Client of one executor. Its failures have a code of `executorFailures` and a verdict that is exact. */
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -55,6 +55,8 @@
 export class FakeExecutor {
     /** No call reaches it and no answer leaves it. */
     isPartitioned = false;
+    /** Calls are carried out, and no answer leaves it. */
+    isLosingAnswers = false;
     /** Orders get no answer and are carried out late. */
     isDelayingOrders = false;
     /** Connections are refused at once while the process is down; otherwise calls get no answer. */
@@ -157,7 +159,7 @@
         this.advance();
         const result = execute();
         await clock.wait(latencyMs);
-        return this.isPartitioned || this.startedAtWallMs !== incarnation
+        return this.isPartitioned || this.isLosingAnswers || this.startedAtWallMs !== incarnation
             ? Err(createFailure(executorFailures.unanswered, "the executor has not answered in time", "mayHaveRun"))
             : result;
     }
@@ -286,6 +288,9 @@
 const orderTimeoutMs = 700;
 
 class FakeTaskExecutor extends TaskExecutor {
+    /** The life of the executor that sent the last listing. */
+    private listedLife: number | undefined;
+
     constructor(private readonly executor: FakeExecutor, private readonly isReachable: () => boolean) {
         super();
     }
@@ -318,6 +323,7 @@
                 );
             }
             const result = await this.send(timeoutMs, false, () => this.executor.acceptRenewal(current));
+            this.listedLife = result.ok ? result.val.startedAtWallMs : this.listedLife;
             // The acknowledgement applies only to ends that were listed when the call arrived.
             current = { ...renewal, acknowledged: 0 };
             if (!result.ok || this.executor.hasEnds || clock.getNow() >= deadline) {
@@ -342,7 +348,11 @@
                 createFailure(executorFailures.unanswered, "the executor has not answered in time", "mayHaveRun"),
             );
         }
-        return this.executor.exchange(timeoutMs, isOrder, execute);
+        const result = await this.executor.exchange(timeoutMs, isOrder, execute);
+        const mayBeNew = this.executor.startedAtWallMs !== this.listedLife;
+        return !result.ok && result.val.code === executorFailures.unanswered && mayBeNew
+            ? Err(createFailure(executorFailures.unansweredNew, result.val.message, "mayHaveRun"))
+            : result;
     }
 }
 
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -5,6 +5,7 @@
 import { Err, Ok, SystemClock } from "@waxwingroute/core";
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import { Agent, request as createRequest } from "node:http";
+import type { Socket } from "node:net";
 import { headerNames } from "./wire.js";
 
 /** A call that ended with or without a response, for metering. */
@@ -72,6 +73,8 @@
     readonly kind: "invalidRequest" | "unreachable" | "timedOut" | "cutShort" | "tooLarge";
     /** `false` only if no byte of the request left this process. */
     readonly wasSent: boolean;
+    /** When the connection was made, by the clock of the client; `undefined` if there was none. */
+    readonly connectedAt: number | undefined;
     /** Description of the failure. Callers log it in the field `reason`, so its wording must not change. */
     readonly message: string;
 }
@@ -81,6 +84,8 @@
     private readonly clock: Clock;
     private readonly agent: Agent;
     private readonly baseUrl: URL;
+    /** When each connection was made. */
+    private readonly connectionTimes = new WeakMap<Socket, number>();
 
     constructor(private readonly service: string, private readonly options: HttpClientOptions) {
         this.clock = options.clock ?? new SystemClock();
@@ -110,7 +115,10 @@
     async send(request: HttpRequest): Promise<Result<HttpResponse, TransportFailure>> {
         const startedAt = this.clock.getNow();
         const body = request.body === undefined ? undefined : Buffer.from(request.body);
-        const exchange = new Exchange(this.options.maxResponseBytes ?? 67_108_864);
+        const exchange = new Exchange(
+            this.options.maxResponseBytes ?? 67_108_864,
+            socket => this.trackConnection(socket),
+        );
         const timeoutMs = request.timeoutMs ?? this.timeoutMs;
         // Timers run before sockets are read. In a process that was busy, an answer may have arrived in time, so it is
         // read before the call is given up.
@@ -131,6 +139,13 @@
         return result;
     }
 
+    /** Returns when a connected socket was connected. */
+    private trackConnection(socket: Socket): number {
+        const connectedAt = this.connectionTimes.get(socket) ?? this.clock.getNow();
+        this.connectionTimes.set(socket, connectedAt);
+        return connectedAt;
+    }
+
     /**
      * Closes the connections without a call. Connections that were opened together often go silent together, and each
      * would cost another call its whole time-out.
@@ -171,11 +186,14 @@
 /** One request and its response. The first of the response, an error and the time-out decides the result. */
 class Exchange {
     bytesReceived = 0;
-    private wasSent = false;
+    private connectedAt: number | undefined;
     private clientRequest: ClientRequest | undefined;
     private resolve: ((result: Result<HttpResponse, TransportFailure>) => void) | undefined;
 
-    constructor(private readonly maxResponseBytes: number) {}
+    constructor(
+        private readonly maxResponseBytes: number,
+        private readonly trackConnection: (socket: Socket) => number,
+    ) {}
 
     /** Whether the request went over a connection that had served others before. */
     get isConnectionReused(): boolean {
@@ -200,17 +218,17 @@
                 // Node.js writes nothing before the connection is made, so after an earlier failure nothing was sent.
                 if (socket.connecting) {
                     socket.once("connect", () => {
-                        this.wasSent = true;
+                        this.connectedAt = this.trackConnection(socket);
                     });
                 }
                 else {
-                    this.wasSent = true;
+                    this.connectedAt = this.trackConnection(socket);
                 }
             });
             this.clientRequest.on("response", response => this.readResponse(response));
             this.clientRequest.on(
                 "error",
-                error => this.fail(this.wasSent ? "cutShort" : "unreachable", error.message),
+                error => this.fail(this.connectedAt === undefined ? "unreachable" : "cutShort", error.message),
             );
             this.clientRequest.on(
                 "close",
@@ -257,7 +275,8 @@
         if (this.resolve === undefined) {
             return;
         }
-        this.settle(Err({ kind, wasSent: this.wasSent, message }));
+        const { connectedAt } = this;
+        this.settle(Err({ kind, wasSent: connectedAt !== undefined, connectedAt, message }));
     }
 
     private settle(result: Result<HttpResponse, TransportFailure>): void {
