--- a/packages/soak/src/peer-link.ts
+++ b/packages/soak/src/peer-link.ts
@@ -14,7 +14,13 @@
     private readonly cuts = new Set<object>();
     private isTargetUp = false;
 
-    constructor(readonly from: string, readonly to: string, private readonly target: { ip: string; port: number; }) {}
+    /** `ip`: a loopback address of this run only, so that no other process takes the port while the target is gone. */
+    constructor(
+        readonly from: string,
+        readonly to: string,
+        private readonly ip: string,
+        private readonly target: { readonly ip: string; readonly port: number; },
+    ) {}
 
     async open(): Promise<void> {
         await this.listen();
@@ -23,7 +29,7 @@
     }
 
     get address(): string {
-        return `127.0.0.1:${this.port}`;
+        return `${this.ip}:${this.port}`;
     }
 
     /** Listens while the target does, so that connections are refused while it is gone. */
@@ -76,7 +82,7 @@
         this.server = server;
         return new Promise((resolve, reject) => {
             server.once("error", reject);
-            server.listen(this.port, "127.0.0.1", () => resolve());
+            server.listen(this.port, this.ip, () => resolve());
         });
     }
 
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -194,10 +194,11 @@
         }
         this.closables.push(...stores, store);
         const links: PeerLink[] = [];
+        const linkIp = await findHostIp();
         for (const [index, { name: to }] of names.entries()) {
             for (const { name: from } of names) {
                 if (from !== to) {
-                    const link = new PeerLink(from, to, { ip: ips[index]!, port: peerPort });
+                    const link = new PeerLink(from, to, linkIp, { ip: ips[index]!, port: peerPort });
                     await link.open();
                     links.push(link);
                 }
