--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -93,9 +93,10 @@
     /** Executors that restart before their owner notices, and then are silent. */
     restarts: {
         troubles: [[restartedSilentExecutor, 4], [restartedExecutor, 1], [killedHost, 1]],
-        workload: { jobsPerSecond: 6, cancelShare: 0.1 },
-        executors: 6,
-        lanes: 2,
+        // Tasks that take longer than the lease of a silent executor.
+        workload: { jobsPerSecond: 2, cancelShare: 0.1, taskMs: [1_000, 8_000] },
+        executors: 8,
+        lanes: 3,
     },
 } satisfies Record<string, Shape>;
 
--- a/packages/soak/src/workload.ts
+++ b/packages/soak/src/workload.ts
@@ -41,12 +41,16 @@
     readonly burstShare?: number;
     /** Share of jobs that are cancelled. Default 0.2. */
     readonly cancelShare?: number;
+    /** Mean run times of tasks, ms, of which each job has one. Default 150 to 6,000. */
+    readonly taskMs?: readonly number[];
 }
 
+const defaultTaskMs = [150, 400, 1_000, 2_500, 6_000];
+
 /** Draws a job. */
 export function pickJob(
     random: RandomSource,
-    { burstShare = 0 }: WorkloadOptions,
+    { burstShare = 0, taskMs = defaultTaskMs }: WorkloadOptions,
 ): Omit<RecordedJob, "attempts" | "states"> {
     const id = random.getHex(16);
     if (random.getFloat() < burstShare) {
@@ -54,7 +58,7 @@
         const step = { count, cpu: 250, memoryMb: 64, estimateMs: 50, after: [] };
         return { id, spec: `ms=${30 + random.getInteger(60)} of ${id}`, steps: [step] };
     }
-    const ms = [150, 400, 1_000, 2_500, 6_000][random.getInteger(5)]!;
+    const ms = random.pickOne(taskMs)!;
     const fail = random.getFloat() < 0.15 ? 20 : 0;
     const steps = Array.from({ length: 1 + random.getInteger(3) }, (_, number): JobStep => ({
         count: 1 + random.getInteger(8),
