--- a/packages/cell/src/executor-leases.ts
+++ b/packages/cell/src/executor-leases.ts
@@ -24,8 +24,10 @@
     private clockReadAt = 0;
     /** Latest lease end that was requested, in time of the executor's clock. */
     private lastDeadlineMs = 0;
-    /** Time by which leases have ended that an executor which restarted unnoticed can have granted. */
+    /** Time by which leases have ended that the executor granted for lease ends of an earlier clock. */
     private restartLeasesEndAt = -Infinity;
+    /** As `restartLeasesEndAt`, if the executor has restarted since its last listing. */
+    private possibleRestartLeasesEndAt = -Infinity;
 
     constructor(private readonly options: ExecutorLeasesOptions) {}
 
@@ -40,7 +42,7 @@
      */
     hasExpired(earlierOrdersEndAt: number): boolean {
         const now = this.options.clock.getNow();
-        if (now < this.restartLeasesEndAt) {
+        if (now < Math.max(this.restartLeasesEndAt, this.possibleRestartLeasesEndAt)) {
             return false;
         }
         if (this.clockMs === undefined) {
@@ -66,18 +68,27 @@
      */
     reset(): void {
         this.lastDeadlineMs = 0;
-        this.recordPossibleRestart();
+        this.recordOldCall();
     }
 
-    /** Records that an executor which has restarted unnoticed may just have granted a lease. */
+    /** Records that an executor may just have carried out a call that was meant for an earlier incarnation. */
+    recordOldCall(): void {
+        this.restartLeasesEndAt = this.computeLongestEnd();
+    }
+
+    /** Records that the executor may have restarted since its last listing and then carried out a call. */
     recordPossibleRestart(): void {
-        const { clock, longestLeaseMs } = this.options;
-        this.restartLeasesEndAt = clock.getNow() + longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+        this.possibleRestartLeasesEndAt = this.computeLongestEnd();
     }
 
-    /** Records that the executor has not restarted, by a listing. */
+    /** Records a listing of the known incarnation, so that the executor had not restarted. */
     recordSameIncarnation(): void {
-        this.restartLeasesEndAt = -Infinity;
+        this.possibleRestartLeasesEndAt = -Infinity;
+    }
+
+    private computeLongestEnd(): number {
+        const { clock, longestLeaseMs } = this.options;
+        return clock.getNow() + longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
     }
 
     /**
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -205,7 +205,11 @@
             this.reportEnd(tracked, "notStarted");
             return;
         }
+        const { startedAtWallMs } = this;
         const started = await supervisor.call("start", { executor, task: order.task }, () => client.start(order));
+        if (startedAtWallMs !== this.startedAtWallMs) {
+            this.leases.recordOldCall();
+        }
         if (this.isClosed || !this.trackedRuns.has(toRunKey(tracked))) {
             return;
         }
@@ -214,7 +218,7 @@
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
             if (this.leases.isClockReset(started.val.clockMs)) {
                 this.isIncarnationKnown = false;
-                this.leases.recordPossibleRestart();
+                this.leases.recordOldCall();
             }
             tracked.state = "answered";
             listener.onStarted(executor, tracked.task, tracked.run);
