--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -177,6 +177,7 @@
             fencingToken: term.epoch,
             maxLeaseMs: Math.min(maxLeaseMs, executorLeaseMs),
             stopMs: options.stopMs,
+            longestLeaseMs: maxLeaseMs,
             authority: this.authority,
             isPoolKnown: pool => this.configuration.pools.has(pool) || this.scheduler.isPoolUsed(pool),
             storeRoster: (write, onStored) => this.journal.recordWrite(write, onStored),
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -34,6 +34,8 @@
     readonly maxLeaseMs: number;
     /** See `ExecutorSessionOptions`. */
     readonly stopMs: number;
+    /** Longest lease that executors grant, ms. */
+    readonly longestLeaseMs: number;
     readonly authority: OrderAuthority;
     /** Returns whether the configuration names the pool; executors of other pools are not used. */
     readonly isPoolKnown: (pool: PoolId) => boolean;
@@ -393,7 +395,8 @@
             this.executorsOfEarlierOwner.delete(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address");
         }
-        const { authority, clock, connector, listener, logger, maxLeaseMs, stopMs, supervisor } = this.options;
+        const { authority, clock, connector, listener, logger, longestLeaseMs, maxLeaseMs, stopMs, supervisor } =
+            this.options;
         const session = new ExecutorSession({
             executor,
             client: connector.open({ executor, address }),
@@ -404,6 +407,7 @@
             fencingToken: this.fencingToken,
             maxLeaseMs,
             stopMs,
+            longestLeaseMs,
             authority,
             needsFrequentListings: id => this.options.scheduler.needsFrequentReports(id),
         });
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -63,10 +63,12 @@
     readonly supervisor: Supervisor;
     readonly listener: SessionListener;
     readonly fencingToken: number;
-    /** Longest lease that the executor grants, ms. */
+    /** Longest lease that the owner requests, ms. */
     readonly maxLeaseMs: number;
     /** Longest time from the order to stop a run until it has ended, ms. */
     readonly stopMs: number;
+    /** Longest lease that the executor grants, ms. */
+    readonly longestLeaseMs: number;
     readonly authority: OrderAuthority;
     /**
      * Returns whether the executor has to be listed several times a second, because tasks are throttled by its load.
@@ -128,7 +130,7 @@
     private wakeUp: (() => void) | undefined;
 
     constructor(private readonly options: ExecutorSessionOptions) {
-        this.leases = new ExecutorLeases(options.clock, options.maxLeaseMs);
+        this.leases = new ExecutorLeases(options);
         this.fencingToken = options.fencingToken;
     }
 
@@ -209,7 +211,11 @@
             this.reportEnd(tracked, "notStarted");
             return;
         }
+        const { startedAtWallMs } = this;
         const started = await supervisor.call("start", { executor, task: order.task }, () => client.start(order));
+        if (startedAtWallMs !== this.startedAtWallMs) {
+            this.leases.recordOldCall();
+        }
         if (this.isClosed || !this.trackedRuns.has(toRunKey(tracked))) {
             return;
         }
@@ -218,7 +224,10 @@
         const isStopped = tracked.state === "stopped";
         if (started.ok) {
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
-            this.isIncarnationKnown &&= !this.leases.isClockReset(started.val.clockMs);
+            if (this.leases.isClockReset(started.val.clockMs)) {
+                this.isIncarnationKnown = false;
+                this.leases.recordOldCall();
+            }
             tracked.state = isStopped ? "stopped" : "answered";
             listener.onStarted(executor, tracked.task, tracked.run);
             if (decision.isProbe) {
@@ -244,6 +253,7 @@
             }
         }
         else {
+            this.recordIfRestartPossible(started.val);
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             tracked.state = isStopped ? "stopped" : "unanswered";
@@ -340,6 +350,9 @@
             }
         }
         else {
+            if (deadlineMs !== undefined) {
+                this.recordIfRestartPossible(renewed.val);
+            }
             this.isIncarnationKnown = false;
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             this.handleFailedRenewal(renewed.val);
@@ -373,6 +386,9 @@
             this.ends.reset();
             this.leases.reset();
         }
+        else if (this.startedAtWallMs !== undefined) {
+            this.leases.recordSameIncarnation();
+        }
         this.startedAtWallMs = listing.startedAtWallMs;
         this.isIncarnationKnown = true;
         const isRegained = !this.hasKnownRuns || this.failures >= failuresBeforeUnreachable;
@@ -486,6 +502,12 @@
         }
     }
 
+    private recordIfRestartPossible({ code }: Failure): void {
+        if (code === executorFailures.unansweredNew) {
+            this.leases.recordPossibleRestart();
+        }
+    }
+
     /** Gives the executor no work until it answers a renewal: it takes no connection, so each start would be refused. */
     private recordUnreachable(failure: Failure): void {
         this.recordFailures(Math.max(this.failures + 1, failuresBeforeUnreachable), failure);
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -68,6 +68,7 @@
         fencingToken: 1,
         maxLeaseMs: 4_500,
         stopMs,
+        longestLeaseMs: 6_000,
         authority: { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 },
         needsFrequentListings: () => false,
     });
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -296,6 +296,9 @@
 const orderTimeoutMs = 700;
 
 class FakeTaskExecutor extends TaskExecutor {
+    /** The life of the executor that sent the last listing. */
+    private listedLife: number | undefined;
+
     constructor(private readonly executor: FakeExecutor, private readonly isReachable: () => boolean) {
         super();
     }
@@ -332,6 +335,7 @@
                 );
             }
             const result = await this.send(timeoutMs, false, () => this.executor.acceptRenewal(current));
+            this.listedLife = result.ok ? result.val.startedAtWallMs : this.listedLife;
             // The acknowledgement applies only to ends that were listed when the call arrived.
             current = { ...renewal, acknowledged: 0 };
             if (!result.ok || this.executor.hasEnds || clock.getNow() >= deadline) {
@@ -356,7 +360,11 @@
                 createFailure(executorFailures.unanswered, "the executor has not answered in time", "mayHaveRun"),
             );
         }
-        return this.executor.exchange(timeoutMs, isOrder, execute);
+        const result = await this.executor.exchange(timeoutMs, isOrder, execute);
+        const mayBeNew = this.executor.startedAtWallMs !== this.listedLife;
+        return !result.ok && result.val.code === executorFailures.unanswered && mayBeNew
+            ? Err(createFailure(executorFailures.unansweredNew, result.val.message, "mayHaveRun"))
+            : result;
     }
 }
 
--- a/packages/soak/src/peer-link.ts
+++ b/packages/soak/src/peer-link.ts
@@ -5,6 +5,9 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 
+/** Pause after a port could not be taken, ms. */
+const retryMs = 20;
+
 /** One direction of calls between two hosts. */
 export class PeerLink {
     private server: Server | undefined;
@@ -14,7 +17,13 @@
     private readonly cuts = new Set<object>();
     private isTargetUp = false;
 
-    constructor(readonly from: string, readonly to: string, private readonly target: { ip: string; port: number; }) {}
+    /** `ip`: a loopback address of this run only, so that no other process takes the port while the target is gone. */
+    constructor(
+        readonly from: string,
+        readonly to: string,
+        private readonly ip: string,
+        private readonly target: { readonly ip: string; readonly port: number; },
+    ) {}
 
     async open(): Promise<void> {
         await this.listen();
@@ -23,7 +32,7 @@
     }
 
     get address(): string {
-        return `127.0.0.1:${this.port}`;
+        return `${this.ip}:${this.port}`;
     }
 
     /** Listens while the target does, so that connections are refused while it is gone. */
@@ -74,9 +83,17 @@
     private listen(): Promise<void> {
         const server = createServer(socket => this.accept(socket));
         this.server = server;
-        return new Promise((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(this.port, "127.0.0.1", () => resolve());
+        return new Promise(resolve => {
+            // The port may still be in use by the server that was closed just before.
+            server.on("error", () => {
+                setTimeout(() => {
+                    if (this.server === server) {
+                        server.listen(this.port, this.ip);
+                    }
+                }, retryMs);
+            });
+            server.once("listening", () => resolve());
+            server.listen(this.port, this.ip);
         });
     }
 
