--- a/packages/host-limits/src/descriptor-budget.ts
+++ b/packages/host-limits/src/descriptor-budget.ts
@@ -29,7 +29,7 @@
 /** Descriptors that Node.js itself holds; 28 were counted in an idle host. */
 const runtimeDescriptors = 32;
 /** Connections with one partner each, whose clients and servers have these numbers as their bounds. */
-const fixedShares = { store: 16, advisor: 8, machines: 4, readiness: 8, metrics: 8 } as const;
+const fixedShares = { store: 16, advisor: 8, machines: 4, readiness: 32, metrics: 8 } as const;
 /** A host has one connection in each direction with each of up to 96 others, and opens new ones beside silent ones. */
 const maxPeers = 256;
 const peerFraction = 1 / 8;
