--- a/packages/soak/src/peer-link.ts
+++ b/packages/soak/src/peer-link.ts
@@ -126,7 +126,8 @@
         });
         from.on("error", () => {
             from.destroy();
-            to.resetAndDestroy();
+            // A reset would leave the handle open if the end of the stream is on its way.
+            to.destroy();
         });
         from.once("close", () => {
             this.sockets.delete(from);
