--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -121,6 +121,8 @@
     private hasKnownRuns = false;
     /** Whether the last call confirmed that the executor has not restarted since the processed ends were numbered. */
     private isIncarnationKnown = false;
+    /** Number of calls after which the executor may have restarted. A listing that was requested before one shows nothing. */
+    private incarnationDoubts = 0;
     private fencingToken: number;
     /**
      * Whether the executor has restarted since this owner last certainly owned the cell. It has then forgotten the token
@@ -225,7 +227,7 @@
         if (started.ok) {
             // Each incarnation of the executor has a new clock, so a lower reading shows a restart.
             if (this.leases.isClockReset(started.val.clockMs)) {
-                this.isIncarnationKnown = false;
+                this.recordIncarnationDoubt();
                 this.leases.recordOldCall();
             }
             tracked.state = isStopped ? "stopped" : "answered";
@@ -254,7 +256,7 @@
         }
         else {
             this.recordIfRestartPossible(started.val);
-            this.isIncarnationKnown = false;
+            this.recordIncarnationDoubt();
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             tracked.state = isStopped ? "stopped" : "unanswered";
             this.wakeUp?.();
@@ -335,7 +337,7 @@
         // After a restart the executor numbers its ends from 1 again, and an old number would acknowledge new ends. So
         // none is acknowledged until a listing has shown the executor's start time.
         const acknowledged = this.isIncarnationKnown ? this.ends.acknowledged : 0;
-        const { fencingToken } = this;
+        const { fencingToken, incarnationDoubts } = this;
         const renewed = await client.renew(
             { fencingToken, acknowledged, deadlineMs, waitMs },
             waitMs + answerMarginMs,
@@ -344,7 +346,7 @@
             return;
         }
         if (renewed.ok) {
-            this.acceptListing(renewed.val, sentAt);
+            this.acceptListing(renewed.val, sentAt, incarnationDoubts === this.incarnationDoubts);
             if (isStillPending && this.ends.isPending) {
                 await this.waitForWake(uncommittedPauseMs);
             }
@@ -353,7 +355,7 @@
             if (deadlineMs !== undefined) {
                 this.recordIfRestartPossible(renewed.val);
             }
-            this.isIncarnationKnown = false;
+            this.recordIncarnationDoubt();
             this.failingSince = Math.min(this.failingSince, clock.getNow());
             this.handleFailedRenewal(renewed.val);
             this.reportIfFenced(renewed, fencingToken);
@@ -374,7 +376,13 @@
         return this.trackedRuns.size > 0 ? maxBusyWaitMs : maxIdleWaitMs;
     }
 
-    private acceptListing(listing: ExecutorListing, sentAt: number): void {
+    private recordIncarnationDoubt(): void {
+        this.isIncarnationKnown = false;
+        this.incarnationDoubts += 1;
+    }
+
+    /** `isLatest`: no call since the request of the listing leaves open whether the executor has restarted. */
+    private acceptListing(listing: ExecutorListing, sentAt: number, isLatest: boolean): void {
         const { executor, listener, logger } = this.options;
         this.leases.recordClock(listing.clockMs);
         const { isLeaseValid } = this.options.authority;
@@ -386,11 +394,11 @@
             this.ends.reset();
             this.leases.reset();
         }
-        else if (this.startedAtWallMs !== undefined) {
+        else if (this.startedAtWallMs !== undefined && isLatest) {
             this.leases.recordSameIncarnation();
         }
         this.startedAtWallMs = listing.startedAtWallMs;
-        this.isIncarnationKnown = true;
+        this.isIncarnationKnown = isLatest;
         const isRegained = !this.hasKnownRuns || this.failures >= failuresBeforeUnreachable;
         this.failures = 0;
         this.failingSince = Infinity;
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -45,33 +45,79 @@
     }
 }
 
-class SessionFixture {
+/**
+ * An executor whose listing is answered late. Meanwhile it restarts, gets a start whose answer is lost, and falls silent
+ * for all but the next listing.
+ */
+class LateListingExecutor extends StubbornExecutor {
+    readonly acknowledgements: number[] = [];
+    isLate = false;
+    isSilent = false;
+
+    override async start(): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        return Err(createFailure(executorFailures.unansweredNew, "the connection was reset", "mayHaveRun"));
+    }
+
+    override async renew(renewal: LeaseRenewal): Promise<Result<ExecutorListing, Failure>> {
+        this.acknowledgements.push(renewal.acknowledged);
+        const listing = await super.renew(renewal);
+        if (this.isSilent) {
+            return Err(createFailure(executorFailures.unanswered, "no answer", "mayHaveRun"));
+        }
+        if (this.isLate) {
+            await this.lateClock.wait(400);
+            this.isSilent = true;
+        }
+        return listing.ok
+            ? Ok({
+                ...listing.val,
+                running: [],
+                ended: [{ sequence: 1, task: toId<TaskKey>("b.0.0.0"), run: 1, outcome: "done", checkpoint: "" }],
+            })
+            : listing;
+    }
+
+    constructor(private readonly lateClock: ManualClock) {
+        super(lateClock);
+    }
+}
+
+class SessionFixture<Executor extends StubbornExecutor = StubbornExecutor> {
     readonly clock = new ManualClock(1_000);
-    readonly executor = new StubbornExecutor(this.clock);
+    readonly lost: number[] = [];
+    readonly executor: Executor;
     readonly ends: string[] = [];
-    readonly session = new ExecutorSession({
-        executor: toId<ExecutorId>("e0"),
-        client: this.executor,
-        clock: this.clock,
-        logger: { write: () => undefined },
-        supervisor: createStrictSupervisor(this.clock),
-        listener: {
-            onReachable: () => undefined,
-            onUnreachable: () => undefined,
-            onRunsLost: () => undefined,
-            onStarted: () => undefined,
-            onRunning: () => undefined,
-            onEnded: ({ outcome }) => this.ends.push(outcome),
-            onUntrackedRun: () => true,
-            onFenced: () => undefined,
-        },
-        fencingToken: 1,
-        maxLeaseMs: 4_500,
-        stopMs,
-        longestLeaseMs: 6_000,
-        authority: { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 },
-        needsFrequentListings: () => false,
-    });
+    readonly session: ExecutorSession;
+
+    constructor(createExecutor: (clock: ManualClock) => Executor) {
+        this.executor = createExecutor(this.clock);
+        this.session = new ExecutorSession({
+            executor: toId<ExecutorId>("e0"),
+            client: this.executor,
+            clock: this.clock,
+            logger: { write: () => undefined },
+            supervisor: createStrictSupervisor(this.clock),
+            listener: {
+                onReachable: () => undefined,
+                onUnreachable: () => undefined,
+                onRunsLost: () => this.lost.push(this.clock.getNow()),
+                onStarted: () => undefined,
+                onRunning: () => undefined,
+                onEnded: ({ outcome }, acknowledge) => {
+                    this.ends.push(outcome);
+                    acknowledge?.();
+                },
+                onUntrackedRun: () => true,
+                onFenced: () => undefined,
+            },
+            fencingToken: 1,
+            maxLeaseMs: 4_500,
+            stopMs,
+            longestLeaseMs: 6_000,
+            authority: { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 },
+            needsFrequentListings: () => false,
+        });
+    }
 
     async startAndStopRun(): Promise<void> {
         this.session.start();
@@ -85,7 +131,7 @@
     describe("a run that goes on after its stop", () => {
         it("is stopped again while it is listed later than it must have ended", async () => {
             // Guards against a run of a cancelled job that goes on because its stop was answered once.
-            const fixture = new SessionFixture();
+            const fixture = new SessionFixture(clock => new StubbornExecutor(clock));
             await fixture.startAndStopRun();
             expect(fixture.executor.stopTimes.length).toEqual(1);
             await fixture.clock.advance(3 * stopMs);
@@ -105,7 +151,7 @@
 
         it("is stopped again if its stop was refused for an old fencing token", async () => {
             // Guards against a run that an owner no longer stops after it has acquired the cell again.
-            const fixture = new SessionFixture();
+            const fixture = new SessionFixture(clock => new StubbornExecutor(clock));
             fixture.executor.stopFailure = createFailure(executorFailures.fenced, "an older token", "notRun");
             await fixture.startAndStopRun();
             fixture.executor.stopFailure = undefined;
@@ -115,4 +161,44 @@
             fixture.session.close();
         });
     });
+
+    describe("a listing that was requested before a call which a restarted executor may have got", () => {
+        const prepare = async () => {
+            const fixture = new SessionFixture(clock => new LateListingExecutor(clock));
+            fixture.session.start();
+            await fixture.clock.advance(2_000);
+            fixture.executor.isLate = true;
+            fixture.session.startRun({
+                executor: toId<ExecutorId>("e0"),
+                task,
+                run: 1,
+                payload: "",
+                checkpoint: "",
+                ticket: undefined,
+                isProbe: false,
+            } as never);
+            await fixture.clock.advance(10);
+            return { fixture, startedAt: fixture.clock.getNow(), before: fixture.executor.acknowledgements.length };
+        };
+
+        it("does not let the next renewal acknowledge ends by the numbers of the earlier life", async () => {
+            // Guards against an end of the new life that is forgotten unread, so that its task is lost or runs twice.
+            const { fixture, before } = await prepare();
+            while (fixture.executor.acknowledgements.length === before) {
+                await fixture.clock.advance(10);
+            }
+            expect(fixture.executor.acknowledgements[before]).toEqual(0);
+            fixture.session.close();
+        });
+
+        it("does not withdraw the wait for the longest lease of the new life", async () => {
+            // Guards against tasks that start elsewhere while a restarted executor still runs them.
+            const { fixture, startedAt } = await prepare();
+            while (fixture.lost.length === 0) {
+                await fixture.clock.advance(10);
+            }
+            expect(fixture.lost[0]! - startedAt).toBeGreaterThan(6_000);
+            fixture.session.close();
+        });
+    });
 });
