--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -193,6 +193,7 @@
             changedAt: clock.getNow(),
             stop: "none",
             stopAnsweredAt: 0,
+            hasBegun: false,
             isListed: false,
             isProbe: decision.isProbe,
             sentAt: clock.getNow(),
@@ -231,6 +232,7 @@
                 this.leases.recordOldCall();
             }
             tracked.state = isStopped ? "stopped" : "answered";
+            tracked.hasBegun = true;
             listener.onStarted(executor, tracked.task, tracked.run);
             if (decision.isProbe) {
                 supervisor.start("probe", { executor, task: tracked.task }, () => this.confirmProbe(tracked));
@@ -447,6 +449,7 @@
                 changedAt: clock.getNow(),
                 stop: "none",
                 stopAnsweredAt: 0,
+                hasBegun: true,
                 isListed: true,
                 isProbe: false,
                 sentAt: clock.getNow(),
@@ -457,6 +460,7 @@
             return;
         }
         tracked.isListed = true;
+        tracked.hasBegun = true;
         if (tracked.state === "unanswered") {
             tracked.state = "answered";
             tracked.changedAt = clock.getNow();
@@ -549,10 +553,15 @@
     private dropRunsOfEarlierIncarnation(): void {
         markCrashSuspects(this.trackedRuns.values(), this.failingSince);
         for (const [key, tracked] of this.trackedRuns) {
-            if (tracked.state === "answered" || tracked.state === "stopped") {
+            if (tracked.hasBegun) {
                 this.trackedRuns.delete(key);
                 this.reportEnd(tracked, tracked.crashOutcome ?? "lost");
             }
+            else if (tracked.state === "stopped") {
+                // The new incarnation knows nothing of the stop.
+                tracked.state = "unanswered";
+                tracked.stop = "none";
+            }
         }
     }
 
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -82,6 +82,25 @@
     }
 }
 
+/** An executor that answers stops, loses the answers to starts, and restarts when `life` grows. */
+class RestartingExecutor extends StubbornExecutor {
+    life = 1;
+    isListing = true;
+
+    override async start(): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        return Err(createFailure(executorFailures.unansweredNew, "no answer", "mayHaveRun"));
+    }
+
+    override async renew(renewal: LeaseRenewal): Promise<Result<ExecutorListing, Failure>> {
+        const listing = await super.renew(renewal);
+        return !this.isListing
+            ? Err(createFailure(executorFailures.unanswered, "no answer", "mayHaveRun"))
+            : listing.ok
+            ? Ok({ ...listing.val, startedAtWallMs: this.life })
+            : listing;
+    }
+}
+
 class SessionFixture<Executor extends StubbornExecutor = StubbornExecutor> {
     readonly clock = new ManualClock(1_000);
     readonly lost: number[] = [];
@@ -201,4 +220,27 @@
             fixture.session.close();
         });
     });
+
+    describe("a start without an answer whose stop the earlier life of its executor has answered", () => {
+        it("is stopped in the new life too before its run counts as ended", async () => {
+            // Guards against a start that reaches the new life late, while its task already runs elsewhere.
+            const fixture = new SessionFixture(clock => new RestartingExecutor(clock));
+            const { clock, executor, session } = fixture;
+            executor.isRunning = false;
+            session.start();
+            await clock.advance(2_000);
+            executor.isListing = false;
+            session.startRun({ task, run: 1, payload: "", checkpoint: "", isProbe: false } as never);
+            await clock.advance(10);
+            session.startStop(task, 1);
+            await clock.advance(10);
+            expect([executor.stopTimes.length, fixture.ends]).toEqual([1, []]);
+            executor.life = 2;
+            executor.isListing = true;
+            await clock.advance(3_000);
+            expect(fixture.ends.length).toEqual(1);
+            expect(executor.stopTimes.length).toBeGreaterThan(1);
+            session.close();
+        });
+    });
 });
--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -20,6 +20,8 @@
     stop: "none" | "sending" | "answered";
     /** When a stop was last answered. */
     stopAnsweredAt: number;
+    /** Whether the executor has confirmed or listed the run, so that its start is not on the way any more. */
+    hasBegun: boolean;
     /** Whether the executor has listed the run. */
     isListed: boolean;
     readonly isProbe: boolean;
