--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -184,11 +184,15 @@
     /** Commits a batch, with retries until it is stored or the journal is closed. */
     private async store(batch: Batch): Promise<void> {
         this.inFlight += 1;
-        for (let attempt = 0; !this.isClosed && !await this.commit(batch, attempt); attempt++) {
-            await this.options.clock.wait(retryMs);
+        try {
+            for (let attempt = 0; !this.isClosed && !await this.commit(batch, attempt); attempt++) {
+                await this.options.clock.wait(retryMs);
+            }
+        }
+        finally {
+            this.inFlight -= 1;
+            this.schedule();
         }
-        this.inFlight -= 1;
-        this.schedule();
     }
 
     private takeBatch(): Batch {
@@ -293,9 +297,9 @@
                 this.removeEmptyBatch(key);
             }
         }
-        batch.ownerWrites.forEach(pending => pending.onStored());
-        batch.runEnds.forEach(pending => pending.onStored());
-        batch.jobEnds.forEach(pending => pending.onStored());
+        for (const { onStored } of [...batch.ownerWrites, ...batch.runEnds, ...batch.jobEnds]) {
+            this.options.supervisor.run("stored record", { batch: batch.number }, onStored);
+        }
     }
 
     private trackBatch(key: string, ends: readonly RunEnd[]): void {
