--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -322,6 +322,13 @@
                 removals: [],
             },
         }, callTimeoutMs);
+        if (this.isStopped) {
+            // The host has resigned while the commit was on its way. Without an answer, it may have been carried out.
+            if (!this.isAborted) {
+                await this.release(lease);
+            }
+            return false;
+        }
         if (!committed.ok || committed.val.kind === "conflict") {
             this.options.logger.write("info", "cell ownership not acquired", {
                 epoch,
@@ -329,13 +336,6 @@
             });
             return false;
         }
-        if (this.isStopped) {
-            // The host has resigned while the commit was on its way.
-            if (!this.isAborted) {
-                await this.release(lease);
-            }
-            return false;
-        }
         this.leaseClock.recordRenewal(sentAt);
         this.beginTerm(this.toTerm({ epoch, lease }, committed.val.revision, view), isContinued);
         return true;
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -314,6 +314,25 @@
             [host, other].forEach(({ ownership }) => ownership.abort());
         });
 
+        it("gives the cell back if the host has resigned meanwhile and the answer is lost", async () => {
+            // Guards against a cell that no host can own until the lease of a host ends that has stopped.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            host.store.latencyMs = 100;
+            while (fixture.data.leases.size === 0) {
+                await fixture.clock.advance(10);
+            }
+            host.store.commitFault = "answerLost";
+            await fixture.clock.advance(60);
+            void host.ownership.stop();
+            await fixture.clock.advance(50);
+            host.store.commitFault = "none";
+            await fixture.clock.advance(1_000);
+            fixture.data.expireLeases();
+            expect(host.events).toEqual([]);
+            expect(fixture.data.items.has("waxwing/lead/owner")).toEqual(false);
+        });
+
         it("gives the cell back if the host has resigned meanwhile", async () => {
             // Guards against a host that stops and becomes the owner by an answer that arrives after it has resigned.
             const fixture = new Fixture();
