--- a/packages/host-limits/src/memory-budget.ts
+++ b/packages/host-limits/src/memory-budget.ts
@@ -31,7 +31,10 @@
 const peerBacklogFraction = 1 / 16;
 /** Fraction of resident memory at which garbage is collected; V8 knows only the limit of its heap. */
 const collectFraction = 0.7;
-/** Growth since the last collection, as a fraction of the limit, without which another one would free little. */
+/**
+ * Growth since the last collection, as a fraction of the limit, without which another one would free little: of resident
+ * memory, or of the memory in use where submissions would be refused for it.
+ */
 const collectGrowthFraction = 0.05;
 /** Minimum time between two collections, ms. One of a heap of 190 MB takes 220 to 290 ms. */
 const collectIntervalMs = 2_000;
@@ -64,6 +67,7 @@
     private sampledAt: number;
     private collectedAt = -Infinity;
     private collectedResidentBytes = 0;
+    private collectedUsedBytes = 0;
     private collectedCount = 0;
 
     constructor(private readonly options: MemoryBudgetOptions) {
@@ -92,11 +96,14 @@
     /** Whether there is memory for a call of this kind. */
     allows(kind: CallKind): boolean {
         this.updateUsage();
+        return kind === "submission"
+            ? this.hasSubmissionMemory()
+            : this.usage.residentBytes < this.options.maxBytes * callFraction;
+    }
+
+    private hasSubmissionMemory(): boolean {
         const { maxBytes } = this.options;
         const { residentBytes, usedBytes } = this.usage;
-        if (kind === "other") {
-            return residentBytes < maxBytes * callFraction;
-        }
         const isUsedHigh = this.runtimeBytes + usedBytes >= maxBytes * highUsedFraction;
         return residentBytes < maxBytes * (isUsedHigh ? highResidentFraction : submissionFraction);
     }
@@ -113,17 +120,21 @@
             this.collectedCount += 1;
             this.collectedAt = clock.getNow();
             this.collectedResidentBytes = this.usage.residentBytes;
+            this.collectedUsedBytes = this.usage.usedBytes;
         }
         this.sampledAt = clock.getNow();
     }
 
     private needsCollection(): boolean {
         const { clock, maxBytes } = this.options;
-        const { residentBytes } = this.usage;
+        const { residentBytes, usedBytes } = this.usage;
         // Memory that was given back since is no growth.
         this.collectedResidentBytes = Math.min(this.collectedResidentBytes, residentBytes);
-        return residentBytes >= maxBytes * collectFraction
-            && residentBytes - this.collectedResidentBytes >= maxBytes * collectGrowthFraction
+        this.collectedUsedBytes = Math.min(this.collectedUsedBytes, usedBytes);
+        const minGrowth = maxBytes * collectGrowthFraction;
+        const hasGrown = residentBytes - this.collectedResidentBytes >= minGrowth
+            || !this.hasSubmissionMemory() && usedBytes - this.collectedUsedBytes >= minGrowth;
+        return residentBytes >= maxBytes * collectFraction && hasGrown
             && clock.getNow() - this.collectedAt >= collectIntervalMs;
     }
 }
--- a/packages/host-limits/src/memory-budget_test.ts
+++ b/packages/host-limits/src/memory-budget_test.ts
@@ -62,6 +62,22 @@
         });
     });
 
+    describe("a heap that fills with garbage inside memory that it already has", () => {
+        // Guards against a host that refuses jobs, and leaves the load balancer, for garbage that nobody collects.
+        it("is collected before submissions are refused for it", async () => {
+            residentMb = 82;
+            usedMb = 35;
+            await clock.advance(100);
+            expect([budget.allows("submission"), budget.collections]).toEqual([true, 1]);
+            usedMb = 55;
+            garbageMb = 20;
+            await clock.advance(60_000);
+            budget.allows("submission");
+            await clock.advance(60_000);
+            expect([budget.allows("submission"), budget.collections]).toEqual([true, 2]);
+        });
+    });
+
     describe("getResidentBytes", () => {
         // Guards against a process that ends at the platform's limit while V8 sees no need to collect.
         it("collects garbage before anything is refused", async () => {
