--- a/packages/node/src/settings-reloader.ts
+++ b/packages/node/src/settings-reloader.ts
@@ -58,7 +58,7 @@
 
     constructor(private readonly options: SettingsReloaderOptions) {
         this.current = options.initial;
-        this.readVersion = options.source.getVersion();
+        this.readVersion = options.source.lastReadVersion ?? options.source.getVersion();
     }
 
     /** The settings that were last read and are valid, among them fields that take effect at the next start. */
@@ -108,9 +108,8 @@
     private readAgain(isRequested: boolean): void {
         const { clock, logger, source } = this.options;
         this.readAt = clock.getNow();
-        // Before the read: a change during it leads to another read.
-        this.readVersion = source.getVersion();
         const read = source.read();
+        this.readVersion = source.lastReadVersion;
         if (!read.ok) {
             const { code, message } = read.val;
             if (isRequested || message !== this.lastProblem) {
--- a/packages/node/src/settings-reloader_test.ts
+++ b/packages/node/src/settings-reloader_test.ts
@@ -58,6 +58,21 @@
             ]);
         });
 
+        // Guards against a change that is never applied because it comes while the host loads its parts.
+        it("between the first read and the start of the checks is found without a signal", async () => {
+            const clock = new ManualClock();
+            const source = new MemorySettingsSource();
+            const initial = source.read().unwrap();
+            source.set(createSettings({ graceSeconds: 9 }));
+            const logger = { write: () => undefined };
+            const supervisor = new Supervisor({ clock, logger });
+            const reloader = new SettingsReloader({ source, initial, targets: [], clock, logger, supervisor });
+            reloader.start();
+            await clock.advance(5_000);
+            expect(reloader.settings.graceSeconds).toEqual(9);
+            reloader.stop();
+        });
+
         // Guards against a change that is missed because no signal announces it.
         it("is found without a signal, and reported once", async () => {
             const { clock, source } = fixture;
--- a/packages/node/src/settings-source.ts
+++ b/packages/node/src/settings-source.ts
@@ -8,8 +8,20 @@
 
 /** A source of settings that may change while the host runs. */
 export abstract class SettingsSource {
+    private readVersion: string | undefined;
+
+    /** Version before the last read, so that a change during or after that read can be told; `undefined` before the first. */
+    get lastReadVersion(): string | undefined {
+        return this.readVersion;
+    }
+
     /** Reads and validates the settings. */
-    abstract read(): Result<PlatformSettings, Failure>;
+    read(): Result<PlatformSettings, Failure> {
+        this.readVersion = this.getVersion();
+        return this.readSettings();
+    }
+
+    protected abstract readSettings(): Result<PlatformSettings, Failure>;
     /** Returns a value that differs after each change, without reading the settings; `undefined` if it is not known. */
     abstract getVersion(): string | undefined;
 }
@@ -20,7 +32,7 @@
         super();
     }
 
-    override read(): Result<PlatformSettings, Failure> {
+    protected override readSettings(): Result<PlatformSettings, Failure> {
         return loadPlatformSettings(this.file);
     }
 
--- a/packages/node/src/testing/memory-settings-source.ts
+++ b/packages/node/src/testing/memory-settings-source.ts
@@ -40,7 +40,7 @@
         this.version += 1;
     }
 
-    override read(): Result<PlatformSettings, Failure> {
+    protected override readSettings(): Result<PlatformSettings, Failure> {
         this.readCount += 1;
         return this.result;
     }
