--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -6,7 +6,7 @@
 import type { ExecutorId } from "@waxwingroute/core";
 import { countFreeSlots, hasValidTicket, isEligible, needsAdvice } from "./candidates.js";
 import type { RankedStep } from "./rank.js";
-import type { ExecutorRow, QueueRow, StepRow } from "./rows.js";
+import type { ExecutorRow, QueueRow, RunRow, StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import { countFits, getChargedResources } from "./state.js";
 import type { AdviceGrant, AdviceRequest, AdviceSendResult } from "./types.js";
@@ -87,7 +87,7 @@
     const newlyAsked = asked.filter(executor => !step.advice.tickets.has(executor));
     const granted = new Set(grants.map(grant => grant.executor));
     grants.forEach(({ executor, ticket }) => {
-        step.advice.tickets.set(executor, { ticket, validUntil: now + validMs });
+        step.advice.tickets.set(executor, { ticket, receivedAt: now, validUntil: now + validMs });
         step.advice.newlyGranted.push(executor);
     });
     step.advice.evaluateAt = now + minRequestIntervalMs;
@@ -98,10 +98,13 @@
     recordGrantRate(queue, newlyAsked, granted);
 }
 
-/** Forgets a ticket that the executor has refused, so that the advisor is asked for a new one. The grant is kept. */
-export function recordTicketRefusal(step: StepRow, executor: ExecutorId): void {
+/**
+ * Forgets the ticket of a run that its executor has refused, so that the advisor is asked for a new one. The grant is
+ * kept. A ticket that has arrived since the start is another one.
+ */
+export function recordTicketRefusal({ executor, startedAt, task: { step } }: RunRow): void {
     const ticket = step.advice.tickets.get(executor);
-    if (ticket !== undefined) {
+    if (ticket !== undefined && ticket.receivedAt <= startedAt) {
         step.advice.tickets.set(executor, { ...ticket, validUntil: 0 });
         step.advice.evaluateAt = 0;
     }
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -58,7 +58,7 @@
         })
         .with("ticketRefused", () => {
             if (row !== undefined) {
-                recordTicketRefusal(task.step, row.executor);
+                recordTicketRefusal(row);
             }
         })
         .with(P.union("stopped", "lapsed", "memberEnded", "incomplete", "lost", "notStarted"), () => undefined)
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -57,6 +57,13 @@
     checkpoint: string;
 }
 
+/** The right to start tasks of one step on one executor. */
+export interface AdviceTicket {
+    readonly ticket: string;
+    readonly receivedAt: number;
+    readonly validUntil: number;
+}
+
 /** The advisor's answers for one step. */
 export interface AdviceState {
     isRequestPending: boolean;
@@ -66,7 +73,7 @@
     /** No request is sent before this time. */
     retryAt: number;
     /** Executors that the advisor granted, also those whose ticket has expired. */
-    readonly tickets: Map<ExecutorId, { readonly ticket: string; readonly validUntil: number; }>;
+    readonly tickets: Map<ExecutorId, AdviceTicket>;
     readonly refused: Set<ExecutorId>;
     /** Executors granted since the step was last placed. */
     newlyGranted: ExecutorId[];
--- a/packages/workflow/src/standing-steps_test.ts
+++ b/packages/workflow/src/standing-steps_test.ts
@@ -39,4 +39,20 @@
         expect(fixture.grantAdvice(() => true).length).toEqual(1);
         expect(fixture.tick().starts.map(({ task }) => task as string)).toEqual(["a.0.0.0"]);
     });
+
+    it("does not end the new ticket if it is answered after that has arrived", () => {
+        // Guards against calls for advice and refusals that follow one another for each start with the old ticket.
+        const fixture = new SchedulerFixture(1, [createQueue("queue", { advice })]);
+        fixture.submit("a", [createStep({ taskCount: 2 })]);
+        fixture.grantAdvice(() => true);
+        const { starts } = fixture.tick();
+        expect(starts.length).toEqual(2);
+        fixture.endRun(starts[0]!, "ticketRefused");
+        fixture.now += 200;
+        expect(fixture.grantAdvice(() => true).length).toEqual(1);
+        fixture.endRun(starts[1]!, "ticketRefused");
+        fixture.now += 200;
+        expect(fixture.grantAdvice(() => true).length).toEqual(0);
+        expect(fixture.tick().starts.length).toEqual(2);
+    });
 });
