--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -346,10 +346,17 @@
     private handleRosterStored(changed: ReadonlyMap<ExecutorRecord, RosterStatus>): void {
         this.isRosterInFlight = false;
         for (const [record, wanted] of changed) {
-            if (wanted === "open" && this.computeRosterStatus(record) === "open") {
+            if (wanted !== "open") {
+                continue;
+            }
+            if (this.records.get(record.executor) === record && this.computeRosterStatus(record) === "open") {
                 record.rosterStatus = "open";
                 this.updateScheduler(record.executor);
             }
+            else {
+                // It closed while it was stored as open.
+                this.isRosterStale = true;
+            }
         }
         this.options.onChange();
         this.updateRoster();
