--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -115,11 +115,12 @@
     async send(request: HttpRequest): Promise<Result<HttpResponse, TransportFailure>> {
         const startedAt = this.clock.getNow();
         const body = request.body === undefined ? undefined : Buffer.from(request.body);
+        const timeoutMs = request.timeoutMs ?? this.timeoutMs;
         const exchange = new Exchange(
             this.options.maxResponseBytes ?? 67_108_864,
             socket => this.trackConnection(socket),
+            () => this.clock.getNow() >= startedAt + timeoutMs,
         );
-        const timeoutMs = request.timeoutMs ?? this.timeoutMs;
         // Timers run before sockets are read. In a process that was busy, an answer may have arrived in time, so it is
         // read before the call is given up.
         const timer = this.clock.schedule(timeoutMs, () => setImmediate(() => exchange.expire(timeoutMs)));
@@ -193,6 +194,7 @@
     constructor(
         private readonly maxResponseBytes: number,
         private readonly trackConnection: (socket: Socket) => number,
+        private readonly isOver: () => boolean,
     ) {}
 
     /** Whether the request went over a connection that had served others before. */
@@ -217,12 +219,10 @@
             this.clientRequest.on("socket", socket => {
                 // Node.js writes nothing before the connection is made, so after an earlier failure nothing was sent.
                 if (socket.connecting) {
-                    socket.once("connect", () => {
-                        this.connectedAt = this.trackConnection(socket);
-                    });
+                    socket.prependOnceListener("connect", () => this.recordConnection(socket));
                 }
                 else {
-                    this.connectedAt = this.trackConnection(socket);
+                    this.recordConnection(socket);
                 }
             });
             this.clientRequest.on("response", response => this.readResponse(response));
@@ -238,6 +238,16 @@
         });
     }
 
+    /** Called before the request is written. In a process that was paused, its time may be over. */
+    private recordConnection(socket: Socket): void {
+        if (this.isOver()) {
+            socket.destroy();
+        }
+        else {
+            this.connectedAt = this.trackConnection(socket);
+        }
+    }
+
     expire(timeoutMs: number): void {
         this.fail("timedOut", `no whole response within ${timeoutMs} ms`);
         this.clientRequest?.destroy();
