Log the state of the calls to the advisor while steps wait for it

No logic changes.

`advice` lines also have the expected work, the work queued before it and the time-out. `step waits` lines have the time for which a call has been due; sent by no round, it grows, while an evaluation that finds no call necessary sets it back. `waxwing explain` prints the new lines, and orders suspended and resumed.

--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -5,6 +5,7 @@
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { AdviceGrant, AdviceRequest, AdviceRules, AdviceSendResult, StepKey } from "@waxwingroute/workflow";
+import { AdviceStatistics } from "./advice-statistics.js";
 import type { Advisor } from "./advisor.js";
 
 /** A host of the cell through which the advisor is asked. */
@@ -47,25 +48,70 @@
     overheadMs: number;
     /** No call is sent before this time, because the last one failed. */
     backoffUntil: number;
+    failuresInRow: number;
+    /** Times at which the calls without an answer were sent. */
+    readonly sentTimes: Set<{ readonly sentAt: number; }>;
+}
+
+/** What the dispatcher holds about a host, for logs and gauges; times in ms. */
+export interface AdviceHostState {
+    readonly name: string;
+    readonly outstandingMs: number;
+    readonly calls: number;
+    readonly longCalls: number;
+    /** Time since the oldest call without an answer was sent; `undefined`: there is none. */
+    readonly oldestCallMs: number | undefined;
+    /** Time for which the host gets no call. */
+    readonly backoffMs: number;
+    readonly overheadMs: number;
+    readonly failuresInRow: number;
 }
 
 /** Chooses a host for each request to the advisor and tracks the outstanding work of each host. */
 export class AdviceDispatcher {
+    readonly statistics: AdviceStatistics;
     private readonly rows = new Map<string, HostRow>();
 
-    constructor(private readonly options: AdviceDispatcherOptions) {}
+    constructor(private readonly options: AdviceDispatcherOptions) {
+        this.statistics = new AdviceStatistics(options.clock.getNow());
+    }
 
     addHost(host: AdviceHost): void {
-        this.rows.set(host.name, { host, backlogMs: 0, longCalls: 0, overheadMs: 0, backoffUntil: 0 });
+        this.rows.set(host.name, {
+            host,
+            backlogMs: 0,
+            longCalls: 0,
+            overheadMs: 0,
+            backoffUntil: 0,
+            failuresInRow: 0,
+            sentTimes: new Set(),
+        });
+        this.measureUse();
     }
 
     /** Removes a host, unless another one was added under its name since. */
     removeHost(host: AdviceHost): void {
         if (this.rows.get(host.name)?.host === host) {
             this.rows.delete(host.name);
+            this.measureUse();
         }
     }
 
+    /** Returns the state of each host. */
+    listHostStates(): AdviceHostState[] {
+        const now = this.options.clock.getNow();
+        return [...this.rows.values()].map(row => ({
+            name: row.host.name,
+            outstandingMs: row.backlogMs,
+            calls: row.sentTimes.size,
+            longCalls: row.longCalls,
+            oldestCallMs: findOldestCall(row, now),
+            backoffMs: Math.max(0, row.backoffUntil - now),
+            overheadMs: row.overheadMs,
+            failuresInRow: row.failuresInRow,
+        }));
+    }
+
     /**
      * Sends a request to the advisor if a host is free for it. Returns `noHost` if none is free at all, and
      * `postponed` if only short calls may be sent now.
@@ -107,11 +153,20 @@
         const queuedMs = row.backlogMs;
         row.backlogMs += workMs;
         row.longCalls += longCallCount;
+        const sent = { sentAt };
+        row.sentTimes.add(sent);
+        this.statistics.recordSent();
+        this.measureUse();
+        const timeoutMs = row.backlogMs + answerMarginMs;
         const answer = await supervisor.call(
             "advice",
             { step },
-            () => row.host.advisor.ask(step, executors, row.backlogMs + answerMarginMs),
+            () => row.host.advisor.ask(step, executors, timeoutMs),
         );
+        row.sentTimes.delete(sent);
+        row.failuresInRow = answer.ok ? 0 : row.failuresInRow + 1;
+        this.statistics.recordEnd(answer.ok ? undefined : answer.val.code);
+        this.measureUse();
         row.backlogMs -= workMs;
         row.longCalls -= longCallCount;
         const overheadMs = Math.max(0, clock.getNow() - sentAt - queuedMs - workMs);
@@ -126,9 +181,23 @@
             granted: answer.ok ? answer.val.length : undefined,
             code: answer.ok ? undefined : answer.val.code,
             tookMs: Math.round(clock.getNow() - sentAt),
+            workMs: Math.round(workMs),
+            queuedMs: Math.round(queuedMs),
+            timeoutMs: Math.round(timeoutMs),
         });
         onAnswer(step, executors, answer);
     }
+
+    private measureUse(): void {
+        const inUse = [...this.rows.values()].filter(row => row.sentTimes.size > 0).length;
+        this.statistics.updateUse(this.options.clock.getNow(), this.rows.size, inUse);
+    }
+}
+
+function findOldestCall(row: HostRow, now: number): number | undefined {
+    return row.sentTimes.size === 0
+        ? undefined
+        : now - Math.min(...[...row.sentTimes].map(({ sentAt }) => sentAt));
 }
 
 /** Returns the host with the earliest expected answer. */
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -8,6 +8,7 @@
 import { isConnectionRefused, RpcServer } from "@waxwingroute/transport";
 import type { StreamWriter } from "@waxwingroute/transport";
 import type { JobChange, JobSpec, JobState } from "@waxwingroute/workflow";
+import { createAdviceGauges } from "./advice-log.js";
 import type { Advisor } from "./advisor.js";
 import { Announcer } from "./announcer.js";
 import type { CellMaintenanceOptions } from "./cell-owner.js";
@@ -251,7 +252,7 @@
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
             unopened_executors: this.owner?.unopenedExecutorCount ?? 0,
-            ...this.owner?.waitingGauges ?? createWaitingGauges(undefined),
+            ...this.owner?.waitingGauges ?? { ...createWaitingGauges(undefined), ...createAdviceGauges(undefined) },
             peer_backlog_bytes: this.server.waitingBytes,
             unexpected_errors: this.options.supervisor.failureCount,
         };
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -10,6 +10,7 @@
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type {
     AdviceGrant,
+    AdviceSendResult,
     JobChange,
     ListedRun,
     RunEnd,
@@ -20,6 +21,7 @@
 import { parseTaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import type { AdviceHost } from "./advice-dispatcher.js";
 import { AdviceDispatcher } from "./advice-dispatcher.js";
+import { AdviceLog } from "./advice-log.js";
 import type { CellConfiguration } from "./configuration.js";
 import { ExecutorRegistry } from "./executor-registry.js";
 import type { SessionListener } from "./executor-session.js";
@@ -110,6 +112,7 @@
     private readonly feed: JobFeed;
     private readonly maintenance: MaintenanceDriver | undefined;
     private readonly authority: OwnerAuthority;
+    private readonly adviceLog: AdviceLog;
     private readonly waitingLog: WaitingLog;
     private configuration: CellConfiguration;
     private isClosed = false;
@@ -196,7 +199,18 @@
             supervisor,
             onAnswer: (step, candidates, grants) => this.acceptAdvice(step, candidates, grants),
         });
-        this.waitingLog = new WaitingLog({ scheduler: this.scheduler, clock, logger });
+        this.adviceLog = new AdviceLog({
+            dispatcher: this.advice,
+            clock,
+            logger,
+            canOrder: () => this.authority.canOrder,
+        });
+        this.waitingLog = new WaitingLog({
+            scheduler: this.scheduler,
+            clock,
+            logger,
+            onSample: sample => this.adviceLog.record(sample),
+        });
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
@@ -238,9 +252,12 @@
         return this.registry.unopenedCount;
     }
 
-    /** Number of steps that could start and do not, by the name of the gauge of their reason. */
+    /**
+     * Number of steps that could start and do not, by the name of the gauge of their reason, and the gauges of the calls
+     * to the advisor.
+     */
     get waitingGauges(): Readonly<Record<string, number>> {
-        return this.waitingLog.gauges;
+        return { ...this.waitingLog.gauges, ...this.adviceLog.gauges };
     }
 
     /** Number of jobs in the scheduler. */
@@ -520,10 +537,14 @@
     }
 
     private askAdvice(now: number): void {
+        const results = new Set<AdviceSendResult>();
         this.scheduler.sendAdviceRequests(now, request => {
             const rules = this.scheduler.getQueueRules(request.queue)?.advice;
-            return rules === undefined ? "postponed" : this.advice.send(request, rules);
+            const result = rules === undefined ? "postponed" : this.advice.send(request, rules);
+            results.add(result);
+            return result;
         });
+        this.advice.statistics.recordRound(results);
     }
 
     private acceptAdvice(
--- /dev/null
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -0,0 +1,88 @@
+/** A dispatcher with a fake advisor service, a manual clock and a log that is kept, for tests. */
+import type { ExecutorId, QueueId } from "@waxwingroute/core";
+import { ManualClock, toId } from "@waxwingroute/core";
+import type { LogFields } from "@waxwingroute/telemetry";
+import type { AdviceRules, AdviceSendResult, StepKey } from "@waxwingroute/workflow";
+import type { AdviceHost } from "../advice-dispatcher.js";
+import { AdviceDispatcher } from "../advice-dispatcher.js";
+import { FakeAdviceService } from "./fake-advisor.js";
+import { createStrictSupervisor } from "./strict-supervisor.js";
+
+/** An answer that the dispatcher has passed on. */
+export interface RecordedAnswer {
+    readonly step: StepKey;
+    readonly isGranted: boolean;
+    readonly at: number;
+}
+
+/** The rules of calls by the first letter of their step. */
+export const fixtureRules: Readonly<Record<string, AdviceRules>> = {
+    /** Short calls of 10 ms. */
+    s: { callMs: 9, perExecutorMs: 1, validMs: 2_000 },
+    /** Long calls of 400 ms. */
+    l: { callMs: 399, perExecutorMs: 1, validMs: 2_000 },
+};
+
+/** Sends requests through a dispatcher with hosts `h0`, `h1` and so on. */
+export class AdviceFixture {
+    readonly clock = new ManualClock(1_000);
+    readonly service: FakeAdviceService;
+    readonly dispatcher: AdviceDispatcher;
+    readonly lines: { readonly message: string; readonly fields: LogFields; }[] = [];
+    readonly answers: RecordedAnswer[] = [];
+    private hosts: AdviceHost[] = [];
+
+    constructor(hosts: number, latencyMs = 5) {
+        const { clock } = this;
+        this.service = new FakeAdviceService({ clock, getRules, isGranted: () => true, latencyMs });
+        const logger = {
+            write: (_level: string, message: string, fields: LogFields = {}) => {
+                this.lines.push({ message, fields });
+            },
+        };
+        this.dispatcher = new AdviceDispatcher({
+            clock,
+            logger,
+            supervisor: createStrictSupervisor(clock),
+            onAnswer: (step, _executors, grants) => {
+                this.answers.push({ step, isGranted: grants.ok, at: clock.getNow() });
+            },
+        });
+        for (let index = 0; index < hosts; index++) {
+            this.addHost(`h${index}`);
+        }
+    }
+
+    /** Adds a host, again if there is one of this name. */
+    addHost(name: string): void {
+        const host = { name, advisor: this.service.getAdvisor(name) };
+        this.hosts.push(host);
+        this.dispatcher.addHost(host);
+    }
+
+    removeHost(name: string): void {
+        this.hosts.filter(host => host.name === name).forEach(host => this.dispatcher.removeHost(host));
+        this.hosts = this.hosts.filter(host => host.name !== name);
+    }
+
+    /** Sends a request about one executor; the first letter of the step chooses its rules. */
+    send(step: string): AdviceSendResult {
+        const key = toId<StepKey>(step);
+        const request = { step: key, queue: toId<QueueId>("queue"), executors: [toId<ExecutorId>("e0")] };
+        return this.dispatcher.send(request, getRules(key));
+    }
+
+    /** Returns the state of a host as the dispatcher has it. */
+    getHost(name: string): ReturnType<AdviceDispatcher["listHostStates"]>[number] {
+        return this.dispatcher.listHostStates().find(host => host.name === name)!;
+    }
+
+    /** Returns the lines of one kind. */
+    listLines(message: string): LogFields[] {
+        return this.lines.filter(line => line.message === message).map(({ fields }) => fields);
+    }
+}
+
+function getRules(step: StepKey): AdviceRules {
+    return fixtureRules[step[0]!]!;
+}
--- a/packages/cell/src/waiting-log.ts
+++ b/packages/cell/src/waiting-log.ts
@@ -12,6 +12,8 @@
     readonly scheduler: WorkflowScheduler;
     readonly clock: Clock;
     readonly logger: LogWriter;
+    /** Called with each sample, once a second. */
+    readonly onSample: (sample: WaitingSample) => void;
 }
 
 /** Interval between samples, ms. */
@@ -47,9 +49,10 @@
         const { clock, scheduler } = this.options;
         this.latest = scheduler.sampleWaitingSteps(clock.getNow());
         this.latest.news.forEach(step => this.writeStep(step));
+        this.options.onSample(this.latest);
     }
 
-    private writeStep({ step, task, waitingTasks, cause, sinceMs, reasonSinceMs }: WaitingStep): void {
+    private writeStep({ step, task, waitingTasks, cause, sinceMs, reasonSinceMs, adviceDueMs }: WaitingStep): void {
         const { reason, executors, freeSlots, adviceInFlightMs, adviceAgeMs } = cause;
         const counts = Object.entries(executors).filter(([, count]) => count > 0);
         this.options.logger.write("info", "step waits", {
@@ -63,6 +66,7 @@
             executors: counts.map(([name, count]) => `${name}:${count}`).join(","),
             adviceInFlightMs: roundAge(adviceInFlightMs),
             adviceAgeMs: roundAge(adviceAgeMs),
+            adviceDueMs: reason === "adviceNotAsked" || reason === "ticketExpired" ? roundAge(adviceDueMs) : undefined,
         });
     }
 }
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -2,7 +2,8 @@
  * `waxwing explain`: the timeline of one job, from the logs of several processes.
  *
  * Prints the lines that name the job, its steps or its tasks, ordered by time, together with cluster events that can
- * explain a delay: changes of ownership, of the configuration and of the connection to the store.
+ * explain a delay: changes of ownership, of the configuration and of the connection to the store, and the state of the
+ * calls to the advisor while steps wait for it.
  */
 import { defineCommand } from "citty";
 import type { CommandDef } from "citty";
@@ -12,6 +13,7 @@
 
 /** Messages of cluster events that can delay any job. */
 const contextMessages = new Set([
+    "advice calls",
     "all executors settled",
     "cell ownership acquired",
     "cell ownership lost",
@@ -21,6 +23,8 @@
     "executor does not answer",
     "executors settled",
     "host started",
+    "orders resumed",
+    "orders suspended",
     "runs lost",
     "shutdown begins",
     "store does not serve this host",
@@ -117,10 +121,14 @@
         const reason = String(fields.reason);
         const since = (timeMs - firstMs - Number(fields.reasonSinceMs)) / 1_000;
         return `task ${String(fields.task)} could start, waits for ${reasonTexts[reason] ?? reason} (${reason}) `
-            + `since ${since.toFixed(3)}\n`;
+            + `since ${since.toFixed(3)}${formatDueCall(fields.adviceDueMs)}\n`;
     }).join("");
 }
 
+function formatDueCall(adviceDueMs: unknown): string {
+    return typeof adviceDueMs === "number" ? `, a call has been due for ${(adviceDueMs / 1_000).toFixed(3)} s` : "";
+}
+
 /** Builds the command `waxwing explain`. */
 export function createExplainCommand(io: ProgramIo): CommandDef {
     return defineCommand({
--- a/packages/cli/src/commands/explain_test.ts
+++ b/packages/cli/src/commands/explain_test.ts
@@ -23,10 +23,19 @@
         ...[["dd44.0.0", "adviceInFlight"], ["dd44.0.1", "noRoom"]].map(([step, reason]) =>
             formatLogLine(5_000, "a", "step waits", { step, task: `${step}.0`, reason, reasonSinceMs: 1_500 })
         ),
+        formatLogLine(5_500, "a", "advice calls", { rounds: 40, roundsWithoutHost: 40, usePercent: 98 }),
         formatLogLine(6_000, "a", "start", { task: "dd44.0.0.0", executor: "e1", run: 1 }),
     ].join("\n"),
 };
 
+files["unasked.log"] = formatLogLine(5_000, "a", "step waits", {
+    step: "ee55.0.0",
+    task: "ee55.0.0.0",
+    reason: "adviceNotAsked",
+    reasonSinceMs: 3_000,
+    adviceDueMs: 2_900,
+});
+
 async function run(commandLine: string): Promise<{ exitCode: number; out: string; error: string; }> {
     let out = "";
     let error = "";
@@ -77,4 +86,14 @@
         expect(missing.exitCode).toEqual(2);
         expect(missing.error.includes("--logs")).toEqual(true);
     });
+
+    it("prints the state of the calls to the advisor, and for how long the call of a waiting step has been due", async () => {
+        const waits = await run("explain dd44 --logs waits.log");
+        expect(waits.out.includes("advice calls: rounds=40 roundsWithoutHost=40 usePercent=98")).toEqual(true);
+        const unasked = await run("explain ee55 --logs unasked.log");
+        expect(unasked.out.trimEnd().endsWith("(adviceNotAsked) since -3.000, a call has been due for 2.900 s"))
+            .toEqual(
+                true,
+            );
+    });
 });
--- a/packages/workflow/src/waiting-reasons_test.ts
+++ b/packages/workflow/src/waiting-reasons_test.ts
@@ -182,6 +182,17 @@
         expect(fixture.scheduler.sampleWaitingSteps(fixture.now).counts.size).toEqual(0);
     });
 
+    it("says for how long a request has been due that no round has sent, and not while the rounds reach the step", () => {
+        const fixture = submitTo(createFixture(2, advised));
+        fixture.wait(3);
+        const unreached = fixture.scheduler.sampleWaitingSteps(fixture.now).adviceOverdue;
+        expect(unreached).toEqual({ steps: 1, longestMs: 2_000 });
+        fixture.grantAdvice(() => false);
+        fixture.wait(1);
+        fixture.scheduler.sendAdviceRequests(fixture.now, () => "noHost");
+        expect(fixture.scheduler.sampleWaitingSteps(fixture.now).adviceOverdue.steps).toEqual(0);
+    });
+
     it("is decided for a bounded number of steps in one sample, and for all of them in turn", () => {
         const fixture = createFixture(400);
         for (let index = 0; index < 400; index++) {
--- a/packages/workflow/src/waiting-steps.ts
+++ b/packages/workflow/src/waiting-steps.ts
@@ -2,6 +2,7 @@
  * Tracks the open steps whose tasks did not start for some time, and why. Examining a step costs as much as placing it,
  * so each sample examines a bounded number of them in rotation and keeps the reasons of the others.
  */
+import { needsAdvice } from "./candidates.js";
 import type { StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import type { StepKey, TaskKey } from "./types.js";
@@ -19,6 +20,15 @@
     readonly sinceMs: number;
     /** Time since the reason was first seen, ms. */
     readonly reasonSinceMs: number;
+    /** Time for which a request to the advisor could have been sent and was not, ms; `undefined`: none is due. */
+    readonly adviceDueMs: number | undefined;
+}
+
+/** Waiting steps for which a request to the advisor has been due for a second or longer. */
+export interface OverdueAdvice {
+    readonly steps: number;
+    /** Longest time for which one of them has been due, ms. */
+    readonly longestMs: number;
 }
 
 /** What one sample found. */
@@ -28,6 +38,7 @@
     readonly counts: ReadonlyMap<WaitingReason, number>;
     /** Number of steps that wait and were not examined yet. */
     readonly notExamined: number;
+    readonly adviceOverdue: OverdueAdvice;
 }
 
 interface TrackedStep {
@@ -74,7 +85,7 @@
                 counts.set(reason, (counts.get(reason) ?? 0) + 1);
             }
         }
-        return { news, counts, notExamined };
+        return { news, counts, notExamined, adviceOverdue: findOverdueAdvice(state, now, due) };
     }
 
     private updateTracked(state: SchedulerState, now: number): void {
@@ -127,10 +138,35 @@
             cause,
             sinceMs: now - row.since,
             reasonSinceMs: now - row.reasonSince,
+            adviceDueMs: computeAdviceDue(state, now, step, row),
         }];
     }
 }
 
+function findOverdueAdvice(
+    state: SchedulerState,
+    now: number,
+    waiting: readonly [StepRow, TrackedStep][],
+): OverdueAdvice {
+    let steps = 0;
+    let longestMs = 0;
+    for (const [step, row] of waiting) {
+        const dueMs = computeAdviceDue(state, now, step, row) ?? 0;
+        steps += dueMs >= minWaitMs ? 1 : 0;
+        longestMs = Math.max(longestMs, dueMs);
+    }
+    return { steps, longestMs };
+}
+
+/** An evaluation that finds no request necessary postpones the next one, so only steps that no round reaches stay due. */
+function computeAdviceDue(state: SchedulerState, now: number, step: StepRow, row: TrackedStep): number | undefined {
+    const { evaluateAt, isRequestPending, retryAt } = step.advice;
+    const dueSince = Math.max(row.since, retryAt, evaluateAt);
+    return isRequestPending || step.waitingCount === 0 || dueSince > now || !needsAdvice(state, step)
+        ? undefined
+        : now - dueSince;
+}
+
 function hasUnknownTask(step: StepRow): boolean {
     return step.tasks.some(task => task.state === "unknown");
 }
