Keep the work of calls that were given up in the account of their host

Callers saw jobs that stood while the owner asked the same urgent steps again and again and got no answer.

Cause: the advisor goes on with a call whose caller has given up, but the dispatcher forgot the work at the time-out, and the whole account when a host subscribed again. The time-out was the expected work and 1 s, so no answer of an advisor that was five times slower than declared could arrive: each call was given up, worked on to its end for nothing, and sent again.

Change: AdviceAccount holds, for each host by name, the time at which the advisor is expected to be done with all it was sent. It outlives a time-out, and a host that is removed and added again. It measures overhead and pace (how many times slower than declared the advisor is) apart; the time-out is the queued and declared work at that pace and 1 s, with a pace of 8 at most. A time-out doubles the pace that it shows, unless the advisor would have to be slower than 8 times: then the call counts as lost.

An advisor that is more than 8 times slower than declared still gets no answer through.

--- /dev/null
+++ b/packages/cell/src/advice-account.ts
@@ -0,0 +1,131 @@
+/**
+ * What the advisor is expected to hold of the calls that one host has sent. The advisor works on the calls of a host one
+ * after another, and goes on with a call whose caller has given up, so the account counts the time at which the advisor
+ * is done, and keeps it after a time-out.
+ *
+ * The time of a call beyond its declared work has two parts: the overhead, such as the round trip, which does not depend
+ * on the work, and the pace, the factor by which the advisor is slower than declared.
+ */
+
+/** A call that was sent. */
+export interface SentCall {
+    readonly sentAt: number;
+    /** Declared work, ms. */
+    readonly workMs: number;
+    readonly isLong: boolean;
+    /** Work of earlier calls that the advisor is expected to have left when the call is sent, ms. */
+    readonly queuedMs: number;
+    /** Time after which the call is given up, ms. */
+    readonly timeoutMs: number;
+    /** Expected time until the advisor is done with the call, ms. */
+    readonly expectedMs: number;
+}
+
+/** Longest time beyond the declared work that counts as overhead, ms: a round trip between regions, and short pauses. */
+const maxOverheadMs = 200;
+/** Weight of the newest call in the moving average of the overhead. */
+const overheadWeight = 0.2;
+/** Largest pace; an advisor that is slower counts as one that does not answer. */
+const maxPace = 8;
+/** Added to the expected work of the advisor to get the time-out of a call, ms. */
+const answerMarginMs = 1_000;
+/** A failure this much before the time-out counts as one at the time-out, ms: timers of other processes are not exact. */
+const timerToleranceMs = 5;
+
+/** The calls of one host, and how fast the advisor works on them. */
+export class AdviceAccount {
+    readonly calls = new Set<SentCall>();
+    failuresInRow = 0;
+    /** No call is sent before this time, because the last one failed. */
+    backoffUntil = 0;
+    private averageOverheadMs = 0;
+    private averagePace = 1;
+    /** When the advisor is expected to be done with all calls, those that were given up included. */
+    private doneAt = 0;
+
+    /** Duration of a call beyond the expected work of the advisor, as an exponential moving average, ms. */
+    get overheadMs(): number {
+        return this.averageOverheadMs;
+    }
+
+    /** Factor by which the advisor is slower than declared; 1 or more. */
+    get pace(): number {
+        return this.averagePace;
+    }
+
+    /** Number of long calls without an answer yet. */
+    get longCalls(): number {
+        return [...this.calls].filter(({ isLong }) => isLong).length;
+    }
+
+    /** Returns the expected work of the advisor for calls without an answer and for calls that were given up, ms. */
+    getOutstandingMs(now: number): number {
+        const unansweredMs = [...this.calls].reduce((sum, { workMs }) => sum + workMs, 0);
+        return Math.max(unansweredMs, this.doneAt - now, 0);
+    }
+
+    /** Returns whether nothing of the account matters any more. */
+    isSettled(now: number): boolean {
+        return this.calls.size === 0 && this.doneAt <= now;
+    }
+
+    /** Adds a call that is sent now. */
+    recordSent(now: number, workMs: number, isLong: boolean): SentCall {
+        const queuedMs = Math.max(0, this.doneAt - now);
+        const expectedMs = queuedMs + workMs * this.pace;
+        const call = { sentAt: now, workMs, isLong, queuedMs, expectedMs, timeoutMs: expectedMs + answerMarginMs };
+        this.doneAt = now + expectedMs;
+        this.calls.add(call);
+        return call;
+    }
+
+    /** Records an answer. The advisor is done with the call and all earlier ones. */
+    recordAnswer(now: number, call: SentCall): void {
+        this.calls.delete(call);
+        this.failuresInRow = 0;
+        this.doneAt = now + this.sumLaterWork(call) * this.pace;
+        this.measure(now, call);
+    }
+
+    /** Records that the advisor has not taken the call: it refused it, or was not reached. */
+    recordRejected(now: number, call: SentCall): void {
+        this.calls.delete(call);
+        this.failuresInRow += 1;
+        this.doneAt = Math.max(now, this.doneAt - (call.expectedMs - call.queuedMs));
+    }
+
+    /**
+     * Records that a call was given up or its answer was lost. The advisor may still work on it. Unless it would have to be
+     * slower than the largest pace, it counts as slower from now on, and the next time-out is longer.
+     */
+    recordUnanswered(now: number, call: SentCall): void {
+        this.calls.delete(call);
+        this.failuresInRow += 1;
+        const elapsedMs = now - call.sentAt;
+        const slowness = (elapsedMs - this.overheadMs) / call.expectedMs;
+        if (elapsedMs < call.timeoutMs - timerToleranceMs || this.pace * slowness > maxPace) {
+            return;
+        }
+        // Twice the pace that would have led to an answer at the time-out, so that few calls are lost until one has an answer.
+        const slowerPace = Math.min(maxPace, 2 * slowness * this.pace);
+        const expectedMs = call.expectedMs * slowerPace / this.pace;
+        this.doneAt = Math.max(this.doneAt, call.sentAt + expectedMs);
+        this.averagePace = Math.max(this.pace, slowerPace);
+    }
+
+    private sumLaterWork(call: SentCall): number {
+        const later = [...this.calls].filter(({ sentAt }) => sentAt >= call.sentAt);
+        return later.reduce((sum, { workMs }) => sum + workMs, 0);
+    }
+
+    private measure(now: number, { queuedMs, sentAt, workMs }: SentCall): void {
+        const excessMs = Math.max(0, now - sentAt - queuedMs - workMs);
+        if (excessMs <= maxOverheadMs) {
+            this.averageOverheadMs += overheadWeight * (excessMs - this.averageOverheadMs);
+        }
+        const measured = excessMs <= maxOverheadMs ? 1 : 1 + (excessMs - this.overheadMs) / workMs;
+        // A short call says little about the pace: most of its time is overhead.
+        const weight = workMs / (workMs + maxOverheadMs);
+        this.averagePace += weight * (Math.min(maxPace, Math.max(1, measured)) - this.pace);
+    }
+}
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -5,7 +5,10 @@
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { AdviceGrant, AdviceRequest, AdviceRules, AdviceSendResult, StepKey } from "@waxwingroute/workflow";
-import { AdviceStatistics } from "./advice-statistics.js";
+import type { SentCall } from "./advice-account.js";
+import { AdviceAccount } from "./advice-account.js";
+import type { AdviceOutcome } from "./advice-statistics.js";
+import { AdviceStatistics, classifyOutcome } from "./advice-statistics.js";
 import type { Advisor } from "./advisor.js";
 
 /** A host of the cell through which the advisor is asked. */
@@ -33,24 +36,10 @@
 const longCallMs = 50;
 /** Time for which a host gets no call after a failed one, ms. */
 const backoffMs = 2_000;
-/** Weight of the newest call in the moving average of a host's overhead. */
-const overheadWeight = 0.2;
-/** Added to the expected work of the advisor to get the time-out of a call, ms. */
-const answerMarginMs = 1_000;
 
 interface HostRow {
-    host: AdviceHost;
-    /** Expected work of the advisor for calls without an answer yet, ms. */
-    backlogMs: number;
-    /** Number of long calls without an answer yet. */
-    longCalls: number;
-    /** Duration of a call beyond the expected work of the advisor, as an exponential moving average, ms. */
-    overheadMs: number;
-    /** No call is sent before this time, because the last one failed. */
-    backoffUntil: number;
-    failuresInRow: number;
-    /** Times at which the calls without an answer were sent. */
-    readonly sentTimes: Set<{ readonly sentAt: number; }>;
+    readonly host: AdviceHost;
+    readonly account: AdviceAccount;
 }
 
 /** What the dispatcher holds about a host, for logs and gauges; times in ms. */
@@ -64,6 +53,8 @@
     /** Time for which the host gets no call. */
     readonly backoffMs: number;
     readonly overheadMs: number;
+    /** Factor by which the advisor is slower than declared. */
+    readonly pace: number;
     readonly failuresInRow: number;
 }
 
@@ -71,21 +62,21 @@
 export class AdviceDispatcher {
     readonly statistics: AdviceStatistics;
     private readonly rows = new Map<string, HostRow>();
+    /** By the name of the host, also of removed hosts as long as the advisor may work on their calls. */
+    private readonly accounts = new Map<string, AdviceAccount>();
 
     constructor(private readonly options: AdviceDispatcherOptions) {
         this.statistics = new AdviceStatistics(options.clock.getNow());
     }
 
+    /** Adds a host, or replaces the one of its name. What the advisor holds of earlier calls stays in its account. */
     addHost(host: AdviceHost): void {
-        this.rows.set(host.name, {
-            host,
-            backlogMs: 0,
-            longCalls: 0,
-            overheadMs: 0,
-            backoffUntil: 0,
-            failuresInRow: 0,
-            sentTimes: new Set(),
-        });
+        this.pruneAccounts();
+        const account = this.accounts.get(host.name) ?? new AdviceAccount();
+        account.failuresInRow = 0;
+        account.backoffUntil = 0;
+        this.accounts.set(host.name, account);
+        this.rows.set(host.name, { host, account });
         this.measureUse();
     }
 
@@ -100,15 +91,16 @@
     /** Returns the state of each host. */
     listHostStates(): AdviceHostState[] {
         const now = this.options.clock.getNow();
-        return [...this.rows.values()].map(row => ({
-            name: row.host.name,
-            outstandingMs: row.backlogMs,
-            calls: row.sentTimes.size,
-            longCalls: row.longCalls,
-            oldestCallMs: findOldestCall(row, now),
-            backoffMs: Math.max(0, row.backoffUntil - now),
-            overheadMs: row.overheadMs,
-            failuresInRow: row.failuresInRow,
+        return [...this.rows.values()].map(({ account, host }) => ({
+            name: host.name,
+            outstandingMs: account.getOutstandingMs(now),
+            calls: account.calls.size,
+            longCalls: account.longCalls,
+            oldestCallMs: findOldestCall(account, now),
+            backoffMs: Math.max(0, account.backoffUntil - now),
+            overheadMs: account.overheadMs,
+            pace: account.pace,
+            failuresInRow: account.failuresInRow,
         }));
     }
 
@@ -119,15 +111,17 @@
     send(request: AdviceRequest, rules: AdviceRules): AdviceSendResult {
         const workMs = rules.callMs + rules.perExecutorMs * request.executors.length;
         const isLong = workMs > longCallMs;
-        const free = this.listFreeHosts();
+        const now = this.options.clock.getNow();
+        const free = this.listFreeHosts(now);
         if (free.length === 0) {
             return "noHost";
         }
         if (isLong && !this.allowsLongCall()) {
             return "postponed";
         }
-        const row = isLong ? pickForLongCall(free) : pickForShortCall(free);
-        this.options.supervisor.start("advice", { step: request.step }, () => this.ask(row, request, workMs));
+        const row = isLong ? pickForLongCall(free) : pickForShortCall(free, now);
+        const call = row.account.recordSent(now, workMs, isLong);
+        this.options.supervisor.start("advice", { step: request.step }, () => this.ask(row, request, call));
         return "sent";
     }
 
@@ -136,50 +130,38 @@
      * at least one. A single host may always be given long calls.
      */
     private allowsLongCall(): boolean {
-        const withoutLong = [...this.rows.values()].filter(row => row.longCalls === 0).length;
+        const withoutLong = [...this.rows.values()].filter(({ account }) => account.longCalls === 0).length;
         return this.rows.size === 1 || withoutLong > Math.max(1, Math.floor(this.rows.size / 4));
     }
 
-    private listFreeHosts(): HostRow[] {
-        const now = this.options.clock.getNow();
-        return [...this.rows.values()].filter(row => row.backlogMs < maxBacklogMs && row.backoffUntil <= now);
+    private listFreeHosts(now: number): HostRow[] {
+        return [...this.rows.values()].filter(({ account }) =>
+            account.getOutstandingMs(now) < maxBacklogMs && account.backoffUntil <= now
+        );
     }
 
-    private async ask(row: HostRow, request: AdviceRequest, workMs: number): Promise<void> {
+    private async ask(row: HostRow, request: AdviceRequest, call: SentCall): Promise<void> {
         const { clock, logger, onAnswer, supervisor } = this.options;
         const { step, executors } = request;
-        const sentAt = clock.getNow();
-        const longCallCount = workMs > longCallMs ? 1 : 0;
-        const queuedMs = row.backlogMs;
-        row.backlogMs += workMs;
-        row.longCalls += longCallCount;
-        const sent = { sentAt };
-        row.sentTimes.add(sent);
+        const { queuedMs, sentAt, timeoutMs, workMs } = call;
         this.statistics.recordSent();
         this.measureUse();
-        const timeoutMs = row.backlogMs + answerMarginMs;
         const answer = await supervisor.call(
             "advice",
             { step },
             () => row.host.advisor.ask(step, executors, timeoutMs),
         );
-        row.sentTimes.delete(sent);
-        row.failuresInRow = answer.ok ? 0 : row.failuresInRow + 1;
-        this.statistics.recordEnd(answer.ok ? undefined : answer.val.code);
+        const code = answer.ok ? undefined : answer.val.code;
+        const outcome = classifyOutcome(code);
+        this.statistics.recordEnd(outcome);
+        this.recordEnd(row.account, call, outcome);
         this.measureUse();
-        row.backlogMs -= workMs;
-        row.longCalls -= longCallCount;
-        const overheadMs = Math.max(0, clock.getNow() - sentAt - queuedMs - workMs);
-        row.overheadMs += overheadWeight * (overheadMs - row.overheadMs);
-        if (!answer.ok) {
-            row.backoffUntil = clock.getNow() + backoffMs;
-        }
         logger.write("info", "advice", {
             step,
             caller: row.host.name,
             named: executors.length,
             granted: answer.ok ? answer.val.length : undefined,
-            code: answer.ok ? undefined : answer.val.code,
+            code,
             tookMs: Math.round(clock.getNow() - sentAt),
             workMs: Math.round(workMs),
             queuedMs: Math.round(queuedMs),
@@ -188,21 +170,44 @@
         onAnswer(step, executors, answer);
     }
 
+    private recordEnd(account: AdviceAccount, call: SentCall, outcome: AdviceOutcome): void {
+        const now = this.options.clock.getNow();
+        if (outcome === "answered") {
+            account.recordAnswer(now, call);
+            return;
+        }
+        account.backoffUntil = now + backoffMs;
+        if (outcome === "refused" || outcome === "unreachable") {
+            account.recordRejected(now, call);
+        }
+        else {
+            account.recordUnanswered(now, call);
+        }
+    }
+
+    private pruneAccounts(): void {
+        const now = this.options.clock.getNow();
+        for (const [name, account] of this.accounts) {
+            if (!this.rows.has(name) && account.isSettled(now)) {
+                this.accounts.delete(name);
+            }
+        }
+    }
+
     private measureUse(): void {
-        const inUse = [...this.rows.values()].filter(row => row.sentTimes.size > 0).length;
+        const inUse = [...this.rows.values()].filter(({ account }) => account.calls.size > 0).length;
         this.statistics.updateUse(this.options.clock.getNow(), this.rows.size, inUse);
     }
 }
 
-function findOldestCall(row: HostRow, now: number): number | undefined {
-    return row.sentTimes.size === 0
-        ? undefined
-        : now - Math.min(...[...row.sentTimes].map(({ sentAt }) => sentAt));
+function findOldestCall({ calls }: AdviceAccount, now: number): number | undefined {
+    return calls.size === 0 ? undefined : now - Math.min(...[...calls].map(({ sentAt }) => sentAt));
 }
 
 /** Returns the host with the earliest expected answer. */
-function pickForShortCall(free: readonly HostRow[]): HostRow {
-    return free.reduce((best, row) => row.backlogMs + row.overheadMs < best.backlogMs + best.overheadMs ? row : best);
+function pickForShortCall(free: readonly HostRow[], now: number): HostRow {
+    const estimateAnswerMs = ({ account }: HostRow) => account.getOutstandingMs(now) + account.overheadMs;
+    return free.reduce((best, row) => estimateAnswerMs(row) < estimateAnswerMs(best) ? row : best);
 }
 
 /**
@@ -211,9 +216,9 @@
  */
 function pickForLongCall(free: readonly HostRow[]): HostRow {
     return free.reduce((best, row) => {
-        if (row.longCalls !== best.longCalls) {
-            return row.longCalls < best.longCalls ? row : best;
+        if (row.account.longCalls !== best.account.longCalls) {
+            return row.account.longCalls < best.account.longCalls ? row : best;
         }
-        return row.overheadMs > best.overheadMs ? row : best;
+        return row.account.overheadMs > best.account.overheadMs ? row : best;
     });
 }
--- a/packages/cell/src/advice-log.ts
+++ b/packages/cell/src/advice-log.ts
@@ -49,7 +49,7 @@
         if (hasWaits || this.hadWaits) {
             const { logged } = this;
             const outcomes = adviceOutcomes.map(
-                outcome => [outcome, counts.outcomes[outcome] - logged.outcomes[outcome]]
+                outcome => [outcome, counts.outcomes[outcome] - logged.outcomes[outcome]],
             );
             logger.write("info", "advice calls", {
                 overdueSteps: sample.adviceOverdue.steps,
@@ -117,6 +117,7 @@
             `oldest:${Math.round(host.oldestCallMs ?? 0)}`,
             `backoff:${Math.round(host.backoffMs)}`,
             `overhead:${Math.round(host.overheadMs)}`,
+            `pace:${host.pace.toFixed(1)}`,
             `failures:${host.failuresInRow}`,
         ].join(",")
     );
--- a/packages/cell/src/advice-statistics.ts
+++ b/packages/cell/src/advice-statistics.ts
@@ -38,9 +38,8 @@
         this.counts.sent += 1;
     }
 
-    /** Records the end of a call; `code` is that of its failure. */
-    recordEnd(code: string | undefined): void {
-        this.counts.outcomes[classifyOutcome(code)] += 1;
+    recordEnd(outcome: AdviceOutcome): void {
+        this.counts.outcomes[outcome] += 1;
     }
 
     /** Records the results of all requests of one round. */
@@ -80,7 +79,8 @@
     };
 }
 
-function classifyOutcome(code: string | undefined): AdviceOutcome {
+/** Returns how a call ended; `code` is that of its failure. */
+export function classifyOutcome(code: string | undefined): AdviceOutcome {
     switch (code) {
         case undefined:
             return "answered";
--- a/packages/cell/src/testing/advice-fixture.ts
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -72,6 +72,31 @@
         return this.dispatcher.send(request, getRules(key));
     }
 
+    /**
+     * Keeps requests of one kind due, as the scheduler does, for `durationMs`: at most `maxPending` steps have a call in
+     * flight. Returns the most calls that the advisor held for one host at a time.
+     */
+    async sendRepeatedly(kind: string, durationMs: number, maxPending = 1): Promise<number> {
+        let mostQueued = 0;
+        let sent = 0;
+        const answeredBefore = this.answers.length;
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+            while (
+                sent - (this.answers.length - answeredBefore) < maxPending && this.send(`${kind}${sent}`) === "sent"
+            ) {
+                sent += 1;
+            }
+            await this.clock.advance(10);
+            const queued = this.hosts.map(({ name }) => this.service.getAdvisor(name).queueLength);
+            mostQueued = Math.max(mostQueued, ...queued);
+        }
+        return mostQueued;
+    }
+
+    countGranted(): number {
+        return this.answers.filter(({ isGranted }) => isGranted).length;
+    }
+
     /** Returns the state of a host as the dispatcher has it. */
     getHost(name: string): ReturnType<AdviceDispatcher["listHostStates"]>[number] {
         return this.dispatcher.listHostStates().find(host => host.name === name)!;
