Send calls to the advisor through hosts without failures first

Callers saw calls to the advisor lost one after another while one host had no way to it and others were idle.

Cause: long calls go to the host with the largest overhead, which keeps near hosts free for short ones, and failures played no part in the choice. A far host that loses its way got the next long call after each backoff. (The overhead itself no longer rises with a failed call since the account counts answered calls only.)

Change: among the free hosts, those with the fewest failures in a row are considered. An answer, or a new subscription of the host, clears them.

Evidence: four hosts, one 100 ms farther, whose advisor is silent or refuses for 20 s, two calls of 400 ms at a time.

--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -119,7 +119,8 @@
         if (isLong && !this.allowsLongCall()) {
             return "postponed";
         }
-        const row = isLong ? pickForLongCall(free) : pickForShortCall(free, now);
+        const reliable = selectReliable(free);
+        const row = isLong ? pickForLongCall(reliable) : pickForShortCall(reliable, now);
         const call = row.account.recordSent(now, workMs, isLong);
         this.options.supervisor.start("advice", { step: request.step }, () => this.ask(row, request, call));
         return "sent";
@@ -204,6 +205,12 @@
     return calls.size === 0 ? undefined : now - Math.min(...[...calls].map(({ sentAt }) => sentAt));
 }
 
+/** Returns the hosts with the fewest failures in a row, so that a broken way is tried only when no other host is free. */
+function selectReliable(free: readonly HostRow[]): HostRow[] {
+    const fewest = Math.min(...free.map(({ account }) => account.failuresInRow));
+    return free.filter(({ account }) => account.failuresInRow === fewest);
+}
+
 /** Returns the host with the earliest expected answer. */
 function pickForShortCall(free: readonly HostRow[], now: number): HostRow {
     const estimateAnswerMs = ({ account }: HostRow) => account.getOutstandingMs(now) + account.overheadMs;
--- a/packages/cell/src/advice-dispatcher_test.ts
+++ b/packages/cell/src/advice-dispatcher_test.ts
@@ -52,4 +52,30 @@
         expect(fixture.countGranted()).toEqual(1);
         expect(fixture.send("l2")).toEqual("sent");
     });
+
+    describe("with a broken way to the advisor", () => {
+        for (const mode of ["silent", "refusing"] as const) {
+            it(`sends calls through other hosts first while the advisor is ${mode} for one`, async () => {
+                // Guards against a failed call that counts as distance, so that the broken way gets the next long call.
+                const fixture = new AdviceFixture(4);
+                fixture.addHost("h0", 100);
+                await fixture.sendRepeatedly("l", 3_000, 2);
+                fixture.service.getAdvisor("h0").mode = mode;
+                await fixture.sendRepeatedly("l", 20_000, 2);
+                const failed = fixture.listLines("advice").filter(({ code }) => code !== undefined);
+                expect(failed.map(({ caller }) => caller)).toEqual(["h0"]);
+            });
+        }
+
+        it("is used again once no other host is free, and after it has answered like the others", async () => {
+            const fixture = new AdviceFixture(2);
+            fixture.service.getAdvisor("h0").mode = "refusing";
+            fixture.send("s1");
+            await fixture.clock.advance(100);
+            expect(fixture.getHost("h0").failuresInRow).toEqual(1);
+            fixture.service.getAdvisor("h0").mode = "up";
+            await fixture.sendRepeatedly("s", 3_000, 20);
+            expect(fixture.getHost("h0").failuresInRow).toEqual(0);
+        });
+    });
 });
--- a/packages/cell/src/testing/advice-fixture.ts
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -5,6 +5,7 @@
 import type { AdviceRules, AdviceSendResult, StepKey } from "@waxwingroute/workflow";
 import type { AdviceHost } from "../advice-dispatcher.js";
 import { AdviceDispatcher } from "../advice-dispatcher.js";
+import { Advisor } from "../advisor.js";
 import { FakeAdviceService } from "./fake-advisor.js";
 import { createStrictSupervisor } from "./strict-supervisor.js";
 
@@ -53,9 +54,10 @@
         }
     }
 
-    /** Adds a host, again if there is one of this name. */
-    addHost(name: string): void {
-        const host = { name, advisor: this.service.getAdvisor(name) };
+    /** Adds a host, again if there is one of this name. `delayMs` is added to the way of each call, ms. */
+    addHost(name: string, delayMs = 0): void {
+        const advisor = this.service.getAdvisor(name);
+        const host = { name, advisor: delayMs === 0 ? advisor : new DelayedAdvisor(advisor, this.clock, delayMs) };
         this.hosts.push(host);
         this.dispatcher.addHost(host);
     }
@@ -108,6 +110,22 @@
     }
 }
 
+/** An advisor that is reached through a far host. */
+class DelayedAdvisor extends Advisor {
+    constructor(
+        private readonly advisor: Advisor,
+        private readonly clock: ManualClock,
+        private readonly delayMs: number,
+    ) {
+        super();
+    }
+
+    override async ask(...call: Parameters<Advisor["ask"]>): ReturnType<Advisor["ask"]> {
+        await this.clock.wait(this.delayMs);
+        return this.advisor.ask(...call);
+    }
+}
+
 function getRules(step: StepKey): AdviceRules {
     return fixtureRules[step[0]!]!;
 }
