Soak: play advice and gangs

A stand-in of the advice service handles one call at a time for each calling host, lets 32 wait and goes on with calls whose callers have given up. Each host reaches it at an address of its own, which can be silent, refuse, lose answers or be five times slower, for one host, a zone or all. Executors check the tickets, and let the members of a gang wait for each other. Three queues with advice differ in size, urgency and rate. New shapes: `advice` and `hot`, with owners that are paused one after the other; `mixed` draws a part of its jobs from the queues with advice. New checks: GANG, and LOST for jobs that stand in the calm with room twice over on granted executors. Each run prints the longest wait of a step for its first call.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -5,26 +5,30 @@
 import type { RandomSource } from "@waxwingroute/core";
 import type { Agent } from "node:http";
 import type { HostProcess } from "./host-process.js";
-import type { QueueConfiguration } from "./protocol.js";
 import { decodeJobState, encodeJob } from "./protocol.js";
+import { findQueue } from "./queues.js";
 import { createAgent, sendRequest } from "./request.js";
 import type { CallerAnswer } from "./request.js";
 import type { RecordedJob, RunRecord } from "./run-record.js";
+import type { SiteConfiguration } from "./types.js";
 import type { WorkloadOptions } from "./workload.js";
-import { pickJob } from "./workload.js";
+import { computeJobRate, pickJob } from "./workload.js";
 
 /** Time that callers wait for an answer, ms. */
 const timeoutMs = 3_000;
 /** Most attempts to submit a job. */
 const maxAttempts = 12;
-const callerCount = 10;
-const defaultJobsPerSecond = 3;
+/** Callers at least, and for each job a second. */
+const minCallers = 10;
+const callersPerRate = 2;
 const defaultCancelShare = 0.2;
 
 /** The hosts, queue and jobs of the callers. */
 export interface CallersOptions {
     readonly hosts: readonly HostProcess[];
-    readonly queue: QueueConfiguration;
+    readonly site: SiteConfiguration;
+    /** Number of executors, which limits the size of gangs. */
+    readonly executorCount: number;
     readonly random: RandomSource;
     readonly record: RunRecord;
     readonly workload: WorkloadOptions;
@@ -43,15 +47,15 @@
         return this.host.name;
     }
 
-    async send(method: string, id: string, content?: unknown): Promise<CallerAnswer> {
-        const { queue, record } = this.options;
+    async send(method: string, { id, queue }: RecordedJob, content?: unknown): Promise<CallerAnswer> {
+        const { site, record } = this.options;
         const sentAt = record.now;
         const { host } = this;
         const answer = await sendRequest({
             address: host.callerAddress,
             method,
-            path: `${queue.prefix}${id}`,
-            headers: { "host": queue.hostName, "api-key": queue.apiKey, "x-deadline-ms": String(timeoutMs) },
+            path: `${findQueue(queue)!.prefix}${id}`,
+            headers: { "host": site.hostName, "api-key": site.apiKey, "x-deadline-ms": String(timeoutMs) },
             content,
             timeoutMs,
             agent: this.agent,
@@ -93,16 +97,19 @@
     private readonly pending = new Set<Promise<void>>();
 
     constructor(private readonly options: CallersOptions) {
-        this.callers = Array.from({ length: callerCount }, () => new Caller(options));
+        const { workload } = options;
+        const rate = Math.max(workload.jobsPerSecond ?? 0, workload.peakJobsPerSecond ?? 0);
+        const count = Math.max(minCallers, Math.ceil(rate * callersPerRate));
+        this.callers = Array.from({ length: count }, () => new Caller(options));
     }
 
     /** Sends requests until `stop`. */
     async run(): Promise<void> {
-        const { random, workload: { jobsPerSecond = defaultJobsPerSecond } } = this.options;
+        const { random, record, workload } = this.options;
         while (!this.isStopped) {
             this.start(this.handleJob());
             this.start(this.askForJob());
-            await wait(random.getFloat() * 2_000 / jobsPerSecond);
+            await wait(random.getFloat() * 2_000 / computeJobRate(workload, record.now));
         }
     }
 
@@ -124,9 +131,11 @@
             if (open.length === 0) {
                 return;
             }
-            for (let index = 0; index < open.length; index += callerCount) {
+            for (let index = 0; index < open.length; index += this.callers.length) {
                 await Promise.all(
-                    open.slice(index, index + callerCount).map((job, number) => this.ask(this.callers[number]!, job)),
+                    open.slice(index, index + this.callers.length).map((job, number) =>
+                        this.ask(this.callers[number]!, job)
+                    ),
                 );
             }
             await wait(500);
@@ -144,8 +153,8 @@
 
     /** Submits a job, and later cancels some. */
     private async handleJob(): Promise<void> {
-        const { random, record, workload } = this.options;
-        const job: RecordedJob = { ...pickJob(random, workload), attempts: [], states: [] };
+        const { random, record, workload, executorCount } = this.options;
+        const job: RecordedJob = { ...pickJob(random, workload, executorCount), attempts: [], states: [] };
         const mustCancel = random.getFloat() < (workload.cancelShare ?? defaultCancelShare);
         const cancelDelayMs = random.getFloat() * 4_000;
         record.jobs.set(job.id, job);
@@ -165,7 +174,7 @@
             const host = caller.hostName;
             const attempt = { host, sentAt, status: 0 };
             job.attempts.push(attempt);
-            const { status } = await caller.send("POST", job.id, content);
+            const { status } = await caller.send("POST", job, content);
             attempt.status = status;
             if (status >= 200 && status < 300) {
                 job.acceptedAt = record.now;
@@ -187,7 +196,7 @@
         const { record } = this.options;
         job.cancelSentAt = record.now;
         while (job.cancelledAt === undefined && !this.isStopped) {
-            const { status } = await this.pickCaller().send("DELETE", job.id);
+            const { status } = await this.pickCaller().send("DELETE", job);
             if (status >= 200 && status < 300 || status === 410) {
                 job.cancelledAt = record.now;
                 return;
@@ -207,7 +216,7 @@
     private async ask(caller: Caller, job: RecordedJob): Promise<void> {
         const { record } = this.options;
         const host = caller.hostName;
-        const { status, content } = await caller.send("GET", job.id);
+        const { status, content } = await caller.send("GET", job);
         const state = status === 410 ? "unknown" : decodeJobState(content);
         if (state === undefined) {
             return;
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,6 +1,8 @@
 /** Checks of the rules against the record of the stand-ins. Each returns one text for each break. */
-import type { Executor } from "./executor.js";
+import { FleetRoom, hasRoomTwice } from "./fleet-room.js";
+import type { FleetExecutor, GrantPolicy } from "./fleet-room.js";
 import type { RecordedJob, RecordedRun, RunRecord } from "./run-record.js";
+import { maxStandingMs } from "./standing-watch.js";
 import { findStepOfTask, getStepNumber } from "./workload.js";
 
 /** Bounds that the platform states for its rules. */
@@ -18,7 +20,10 @@
 /** What a check looks at. */
 export interface CheckInput {
     readonly record: RunRecord;
-    readonly executors: readonly Executor[];
+    readonly executors: readonly FleetExecutor[];
+    readonly policy: GrantPolicy;
+    /** Jobs that stood in the calm; one text for each. */
+    readonly standing: readonly string[];
     readonly bounds: RuleBounds;
     /** When the last disruption ended, ms since the begin. */
     readonly calmFrom: number;
@@ -29,8 +34,6 @@
 
 /** Margin for timers of this process, which runs beside load, ms. */
 const timerMarginMs = 500;
-/** How long a job may have nothing running though it could, ms. */
-const idleMs = 3_000;
 /** Time after a job was shown as succeeded from which no task of it starts, ms. */
 const noteMs = 1_000;
 
@@ -43,6 +46,7 @@
         REFUSED: findRefused(input),
         LIMIT: input.record.overloads,
         BUDGET: findBudget(input),
+        GANG: findGang(input),
         ORDER: findOrder(input),
         MIXED: findMixed(input),
         FAULT: input.record.faults.map(fault => `${fault.description} at ${formatTime(fault.at)}`),
@@ -156,6 +160,15 @@
     return broken;
 }
 
+/** Members of a gang that waited in vain for the others, though nothing was disturbed. */
+function findGang({ record, bounds }: CheckInput): string[] {
+    return record.runs.filter(run => {
+        const isCancelled = (record.jobs.get(run.job)?.cancelSentAt ?? Infinity) <= (run.endedAt ?? Infinity);
+        return run.end === "alone" && !isCancelled && !run.isLate
+            && record.isUndisturbed(run.startedAt - bounds.contactMs, run.endedAt!);
+    }).map(run => `${describeRun(run)} waited alone until ${formatTime(run.endedAt!)}`);
+}
+
 function findOrder({ record }: CheckInput): string[] {
     const doneAt = new Map<string, number>();
     for (const run of record.runs) {
@@ -201,13 +214,19 @@
     });
 }
 
+/** Returns how often a step has failed: each failed run of a gang counts once, otherwise the worst task counts. */
+function countFailures(job: RecordedJob, number: number, failed: readonly RecordedRun[]): number {
+    if (job.steps[number]!.isGang === true) {
+        return new Set(failed.map(({ run }) => run)).size;
+    }
+    return Math.max(0, ...[...collectByTask(failed).values()].map(list => list.length));
+}
+
 /** Accepted jobs that nobody cancelled and that are not finished after the calm, or were shown as unknown or without cause. */
-function findLost({ record, executors, bounds, calmFrom }: CheckInput): string[] {
+function findLost({ record, executors, policy, standing, bounds, calmFrom }: CheckInput): string[] {
     const byTask = collectByTask(record.runs);
-    const broken: string[] = [];
-    const free = executors.map(executor => executor.room);
-    const isBusy = executors.reduce((sum, executor) => sum + executor.room.cpu / executor.cpuCapacity, 0)
-        < executors.length / 2;
+    const broken = [...standing];
+    const fleet = new FleetRoom(executors, policy);
     for (const job of record.jobs.values()) {
         if (job.acceptedAt === undefined || job.cancelSentAt !== undefined) {
             continue;
@@ -224,16 +243,24 @@
             broken.push(`${job.id} is shown as cancelled, which nobody did`);
         }
         else if (state === "failed") {
-            const hasCause = runs.some(list => list.filter(run => run.end === "failed").length >= bounds.maxAttempts);
+            const hasCause = job.steps.some((_, number) => {
+                const failed = runs.flat().filter(({ task, end }) =>
+                    getStepNumber(task) === number && end === "failed"
+                );
+                return countFailures(job, number, failed) >= bounds.maxAttempts;
+            });
             if (!hasCause) {
                 broken.push(`${job.id} is shown as failed without cause`);
             }
         }
         else if (state !== "succeeded") {
             const lastEnd = Math.max(0, ...runs.flat().map(run => run.endedAt ?? Infinity));
-            const step = job.steps[0]!;
-            const hasRoom = free.some(room => room.cpu >= 2 * step.cpu && room.memoryMb >= 2 * step.memoryMb);
-            if (lastEnd + idleMs < record.now && hasRoom && !isBusy) {
+            const isStepDone = (number: number) =>
+                runs.flat().filter(({ task, end }) => getStepNumber(task) === number && end === "done").length
+                    >= job.steps[number]!.count;
+            const number = Math.max(0, job.steps.findIndex((_, index) => !isStepDone(index)));
+            const hasRoom = hasRoomTwice(fleet.countRoom(`${job.id}.0.${number}`, job.steps[number]!));
+            if (lastEnd + maxStandingMs < record.now && hasRoom && !fleet.isHalfUsed) {
                 broken.push(
                     `${job.id} is ${state ?? "never shown"}, accepted at ${
                         formatTime(job.acceptedAt)
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -5,6 +5,7 @@
 import { RunRecord } from "./run-record.js";
 
 const bounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3 };
+const policy = { allows: () => true };
 const step = { count: 1, cpu: 500, memoryMb: 256, estimateMs: 100, after: [] };
 
 function createRun(changes: Partial<RecordedRun>): RecordedRun {
@@ -28,6 +29,7 @@
     const record = new RunRecord();
     record.jobs.set("a", {
         id: "a",
+        queue: "plain",
         spec: "ms=100",
         steps: [step, { ...step, after: [0] }],
         attempts: [{ host: "h1", sentAt: 0, status: 200 }],
@@ -35,7 +37,7 @@
         ...changes,
     });
     record.runs.push(...runs.map(createRun));
-    const breaks = checkRules({ record, executors: [], bounds, calmFrom: 100_000 });
+    const breaks = checkRules({ record, executors: [], policy, standing: [], bounds, calmFrom: 100_000 });
     return Object.entries(breaks).flatMap(([rule, texts]) => texts.length > 0 ? [rule] : []);
 }
 
--- a/packages/soak/src/executor-front.ts
+++ b/packages/soak/src/executor-front.ts
@@ -6,9 +6,9 @@
 import type { Executor } from "./executor.js";
 import { JsonServer } from "./json-server.js";
 import type { JsonCall } from "./json-server.js";
-import type { ExecutorReply } from "./protocol.js";
 import { decodeExecutorRequest, encodeExecutorReply, instanceHeader } from "./protocol.js";
 import type { RunRecord } from "./run-record.js";
+import type { ExecutorReply } from "./types.js";
 
 /** The faults of an executor. Shares are from 0 to 1 and by default 0. */
 export interface ExecutorFaults {
--- a/packages/soak/src/executor-troubles.ts
+++ b/packages/soak/src/executor-troubles.ts
@@ -36,10 +36,11 @@
         const front = random.pickOne(site.executors)!;
         const ms = this.pickMs(random, 20, 4_000);
         if (front.executor.life !== undefined) {
-            site.record.write("trouble", { name: this.name, executor: front.executor.id, ms });
+            const end = this.begin(context, [], { executor: front.executor.id, ms });
             front.endLife();
             await wait(ms);
             front.executor.beginLife();
+            end();
         }
     }
 }
--- a/packages/soak/src/executor.ts
+++ b/packages/soak/src/executor.ts
@@ -2,11 +2,13 @@
  * Stand-in of an executor: starts what it is told to start, keeps leases, lists runs and ends, and registers itself. The
  * spec of a job gives the run time of its tasks and the share of runs that fail.
  */
-import type { ExecutorReply, ExecutorRequest } from "./protocol.js";
+import type { AdviceService } from "./advice-service.js";
+import type { Gangs } from "./gangs.js";
 import { encodeExecutorEntry, toExecutorKey } from "./protocol.js";
 import type { RecordedRun, RunEndKind, RunRecord } from "./run-record.js";
 import type { StoreState } from "./store-state.js";
-import { computeWork, findStepOfTask, getJobOfTask } from "./workload.js";
+import type { ExecutorReply, ExecutorRequest, JobStep } from "./types.js";
+import { computeWork, findStepOfTask, getJobOfTask, getStepOfTask } from "./workload.js";
 
 /** Ends that one listing holds at most. */
 const maxListedEnds = 500;
@@ -33,6 +35,9 @@
     readonly memoryMb: number;
     readonly store: StoreState;
     readonly record: RunRecord;
+    /** Checks the tickets of starts. */
+    readonly advice: AdviceService;
+    readonly gangs: Gangs;
     /** Whether its entries reach the store now. */
     readonly canRegister: () => boolean;
 }
@@ -42,6 +47,8 @@
     readonly cpu: number;
     readonly memoryMb: number;
     readonly workMs: number;
+    /** `undefined` while the members of a gang wait for each other. */
+    workBeganAt: number | undefined;
 }
 
 interface ListedEnd {
@@ -126,8 +133,12 @@
         this.timers.forEach(timer => clearTimeout(timer));
         this.timers.clear();
         this.waiting.clear();
-        this.active.forEach(({ row }) => this.recordEnd(row, "crashed"));
+        const ended = [...this.active.values()];
         this.active.clear();
+        ended.forEach(({ row }) => {
+            this.recordEnd(row, "crashed");
+            this.options.gangs.remove(toGangKey(row), row.task);
+        });
     }
 
     close(): void {
@@ -199,7 +210,7 @@
     }
 
     private start(request: ExecutorRequest, sender: string, isLate: boolean): ExecutorReply {
-        const { task, run, spec, leaseEndsAt, token } = request;
+        const { task, run, spec, leaseEndsAt, token, ticket } = request;
         const present = this.active.get(task)?.row.run;
         if (present === run) {
             return { kind: "done" };
@@ -211,8 +222,13 @@
         if (leaseEndsAt !== undefined && leaseEndsAt < this.clock) {
             return { kind: "rejected", reason: "late" };
         }
+        const { record, advice } = this.options;
+        if (!advice.isValid(ticket, getStepOfTask(task), this)) {
+            record.ticketRefusals += 1;
+            record.write("start-refused", { executor: this.id, task, run, ticket, sender });
+            return { kind: "rejected", reason: "ticket" };
+        }
         this.extendLease(leaseEndsAt);
-        const { record } = this.options;
         const job = getJobOfTask(task);
         const row: RecordedRun = {
             executor: this.id,
@@ -227,18 +243,43 @@
             hasLapsed: false,
         };
         const step = findStepOfTask(record.jobs.get(job), task);
-        const work = computeWork(spec, task, run);
         record.runs.push(row);
         record.write("start", { executor: this.id, task, run, token, sender, isLate });
-        this.active.set(task, { row, cpu: step?.cpu ?? 0, memoryMb: step?.memoryMb ?? 0, workMs: work.ms });
+        this.begin(row, step);
         const { room } = this;
         if (room.cpu < 0 || room.memoryMb < 0) {
             record.overloads.push(`${task}: run ${run} on ${this.id} leaves ${room.cpu} cpu, ${room.memoryMb} MB`);
         }
-        this.schedule(work.ms, () => this.end(row, work.isFailure ? "failed" : "done"));
         return { kind: "done" };
     }
 
+    /** Lets a run work, or wait for the other members of its gang. */
+    private begin(row: RecordedRun, step: JobStep | undefined): void {
+        const { record, gangs } = this.options;
+        const { task, run, spec } = row;
+        const isGang = step?.isGang === true;
+        const work = computeWork(spec, isGang ? getStepOfTask(task) : task, run);
+        const active: ActiveRun = {
+            row,
+            cpu: step?.cpu ?? 0,
+            memoryMb: step?.memoryMb ?? 0,
+            workMs: work.ms,
+            workBeganAt: isGang ? undefined : record.now,
+        };
+        this.active.set(task, active);
+        if (!isGang) {
+            this.schedule(work.ms, () => this.end(row, work.isFailure ? "failed" : "done"));
+            return;
+        }
+        const gang = { key: toGangKey(row), size: step.count, workMs: work.ms, isFailure: work.isFailure };
+        gangs.add(gang, task, {
+            onComplete: () => {
+                active.workBeganAt = record.now;
+            },
+            onEnd: kind => this.end(row, kind),
+        });
+    }
+
     private stop({ task, run }: ExecutorRequest): ExecutorReply {
         this.endedRuns.set(task, Math.max(this.endedRuns.get(task) ?? 0, run));
         const present = this.active.get(task);
@@ -278,10 +319,10 @@
     private list(): ExecutorReply {
         return {
             kind: "listing",
-            running: [...this.active.values()].map(({ row: { task, run, startedAt }, workMs }) => ({
+            running: [...this.active.values()].map(({ row: { task, run }, workMs, workBeganAt = Infinity }) => ({
                 task,
                 run,
-                percent: Math.min(99, Math.floor((this.options.record.now - startedAt) / workMs * 100)),
+                percent: Math.max(0, Math.min(99, Math.floor((this.options.record.now - workBeganAt) / workMs * 100))),
             })),
             finished: this.finished.slice(0, maxListedEnds).map(({ number, row: { task, run, end } }) => ({
                 number,
@@ -302,6 +343,7 @@
         this.finished.push({ number: this.nextEndNumber, row });
         this.nextEndNumber += 1;
         [...this.waiting].forEach(wake => wake());
+        this.options.gangs.remove(toGangKey(row), row.task);
     }
 
     private recordEnd(row: RecordedRun, kind: RunEndKind): void {
@@ -329,3 +371,8 @@
         return timer;
     }
 }
+
+/** Returns the name of one run of a gang, which its members share. */
+function toGangKey({ task, run }: RecordedRun): string {
+    return `${getStepOfTask(task)}#${run}`;
+}
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -17,6 +17,7 @@
     readonly ip: string;
     readonly program: string;
     readonly storeAddress: string;
+    readonly adviceAddress: string;
     readonly seeds: readonly string[];
     /** Temporary folder of the run. */
     readonly directory: string;
@@ -68,7 +69,7 @@
     private turn: Promise<void> = Promise.resolve();
 
     constructor(private readonly options: HostProcessOptions) {
-        const { name, zone, ip, storeAddress, seeds, directory } = options;
+        const { name, zone, ip, storeAddress, adviceAddress, seeds, directory } = options;
         this.name = name;
         this.zone = zone;
         this.ip = ip;
@@ -85,6 +86,7 @@
                 readinessAddress: this.readinessAddress,
                 seeds,
                 storeAddress,
+                adviceAddress,
                 memoryMb,
                 graceSeconds,
             }),
--- a/packages/soak/src/host-troubles.ts
+++ b/packages/soak/src/host-troubles.ts
@@ -123,3 +123,23 @@
         });
     }
 }
+
+/** Pauses one owner after the other for longer than its lease, so that the cell changes hands several times in a row. */
+export class PausedOwners extends Trouble {
+    readonly name = "paused-owners";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { site, random, wait } = context;
+        const times = 1 + random.getInteger(3);
+        for (let time = 0; time < times; time++) {
+            const host = site.findOwner() ?? site.hosts[0]!;
+            const ms = this.pickMs(random, 3_500, 7_500);
+            const end = this.begin(context, [host.name], { ms });
+            host.sendSignal("SIGSTOP");
+            await wait(ms);
+            host.sendSignal("SIGCONT");
+            end();
+            await wait(this.pickMs(random, 500, 2_500));
+        }
+    }
+}
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,10 +1,12 @@
 /**
- * Plays runs: `main.js --seed N --program PATH [--shape NAME] [--duration S] [--hosts N] [--output FOLDER]`. Prints one line
+ * Plays runs: `main.js --seed N --program PATH [--shape NAME] [--rate N] [--executors N] [--duration S]
+ * [--hosts N] [--output FOLDER]`. Prints one line
  * a run. Exits with 1 if a rule was broken.
  */
 import { isAbsolute, resolve } from "node:path";
 import { parseArgs } from "node:util";
 import { isShapeName, shapes } from "./shapes.js";
+import type { Shape } from "./shapes.js";
 import { SoakRun } from "./soak-run.js";
 
 const { values } = parseArgs({
@@ -14,6 +16,8 @@
         shape: { type: "string", default: "mixed" },
         duration: { type: "string", default: "48" },
         calm: { type: "string", default: "32" },
+        rate: { type: "string" },
+        executors: { type: "string" },
         hosts: { type: "string", default: "6" },
         output: { type: "string" },
     },
@@ -24,10 +28,17 @@
     process.exit(2);
 }
 ["SIGINT" as const, "SIGTERM" as const].forEach(signal => process.on(signal, () => process.exit(2)));
+const shapeOptions: Shape = shapes[shape];
+const { workload, executors } = shapeOptions;
+const rate = values.rate === undefined ? undefined : Number(values.rate);
 const result = await new SoakRun({
     seed: Number(values.seed),
     program: isAbsolute(program) ? program : resolve(program),
-    shape: shapes[shape],
+    shape: {
+        ...shapeOptions,
+        executors: Number(values.executors ?? executors),
+        workload: rate === undefined ? workload : { ...workload, jobsPerSecond: rate, peakJobsPerSecond: rate },
+    },
     troubleMs: Number(values.duration) * 1_000,
     calmMs: Number(values.calm) * 1_000,
     hosts: Number(values.hosts),
@@ -35,10 +46,27 @@
 }).run();
 const broken = Object.entries(result.breaks).filter(([, texts]) => texts.length > 0);
 const counts = broken.map(([rule, texts]) => `${rule} ${texts.length}`).join(", ");
+const { advice, longestFirstCall } = result;
 process.stdout.write(
-    `${shape} seed ${values.seed}: ${result.jobs} jobs, ${result.accepted} accepted, ${result.runs} runs: ${
+    `${shape} seed ${values.seed}: ${result.jobs} jobs, ${result.accepted} accepted, ${result.open} open, ${result.runs} runs: ${
         counts || "no rule broken"
     }\n`,
 );
+if (longestFirstCall !== undefined) {
+    const { step, queue, readyAt, waitMs, isAsked } = longestFirstCall;
+    process.stdout.write(
+        `    advice: ${advice.calls} calls, worked on for ${
+            toSeconds(advice.workMs)
+        } s, ${advice.refused} refused, ${`${result.ticketRefusals} starts refused`}; longest stand in the calm ${
+            toSeconds(result.longestStandingMs)
+        } s\n    ${shape}: longest wait for a first call ${toSeconds(waitMs)} s (${step} of ${queue}, ready at ${
+            toSeconds(readyAt)
+        } s${isAsked ? "" : ", never asked"})\n`,
+    );
+}
 broken.forEach(([rule, texts]) => texts.slice(0, 5).forEach(text => process.stdout.write(`    ${rule}: ${text}\n`)));
 process.exit(broken.length > 0 ? 1 : 0);
+
+function toSeconds(ms: number): string {
+    return (ms / 1_000).toFixed(1);
+}
--- a/packages/soak/src/protocol.ts
+++ b/packages/soak/src/protocol.ts
@@ -3,7 +3,20 @@
  * names.
  */
 
-import type { StoredItem, StoreReply, StoreRequest } from "./types.js";
+import type {
+    AdviceReply,
+    AdviceRequest,
+    ExecutorEntry,
+    ExecutorIdentity,
+    ExecutorReply,
+    ExecutorRequest,
+    HostSettings,
+    JobStep,
+    SiteConfiguration,
+    StoredItem,
+    StoreReply,
+    StoreRequest,
+} from "./types.js";
 
 /** A reply as it is sent. */
 export interface WireReply {
@@ -130,21 +143,6 @@
     }
 }
 
-/** A call of an executor. */
-export interface ExecutorRequest {
-    readonly kind: "start" | "stop" | "hold" | "pace" | "unknown";
-    /** The executor for which the call is meant. */
-    readonly executor: string;
-    readonly token: number;
-    readonly task: string;
-    readonly run: number;
-    readonly spec: string;
-    /** End of the lease on the executor's clock, ms; `undefined` if the call does not extend it. */
-    readonly leaseEndsAt: number | undefined;
-    readonly acknowledged: number;
-    readonly waitMs: number;
-}
-
 /** Decodes a call of an executor. */
 export function decodeExecutorRequest(target: string, instance: string, body: unknown): ExecutorRequest {
     const fields = toFields(body);
@@ -164,32 +162,35 @@
         leaseEndsAt: fields.deadline_ms === undefined ? undefined : Number(fields.deadline_ms),
         acknowledged: toNumber(fields.acked),
         waitMs: toNumber(fields.wait_ms),
+        ticket: toText(fields.ticket),
     };
 }
 
-/** Header that names the executor for which a call is meant. */
-export const instanceHeader = "x-expected-instance";
+/** Decodes a call of the advice service. */
+export function decodeAdviceRequest(body: unknown): AdviceRequest {
+    const { step, workers } = toFields(body);
+    return { step: toText(step), executors: Array.isArray(workers) ? workers.map(toText) : [] };
+}
 
-/** What an executor says of its clock and life in every answer. */
-export interface ExecutorIdentity {
-    readonly clock: number;
-    readonly bornAt: number;
+/** Encodes a reply of the advice service. */
+export function encodeAdviceReply(reply: AdviceReply): WireReply {
+    switch (reply.kind) {
+        case "grants":
+            return {
+                status: 200,
+                content: { granted: reply.grants.map(({ executor, ticket }) => [executor, ticket]) },
+            };
+        case "full":
+            return { status: 429, content: {} };
+        case "unavailable":
+            return { status: 503, content: {} };
+        case "invalid":
+            return { status: 400, content: {} };
+    }
 }
 
-/** A reply of an executor. */
-export type ExecutorReply =
-    | { readonly kind: "done" | "wrongInstance" | "unhealthy" | "unknown"; }
-    | { readonly kind: "rejected"; readonly reason: "fence" | "old" | "late"; }
-    | {
-        readonly kind: "listing";
-        readonly running: readonly { readonly task: string; readonly run: number; readonly percent: number; }[];
-        readonly finished: readonly {
-            readonly number: number;
-            readonly task: string;
-            readonly run: number;
-            readonly how: string;
-        }[];
-    };
+/** Header that names the executor for which a call is meant. */
+export const instanceHeader = "x-expected-instance";
 
 /** Encodes a reply of an executor. */
 export function encodeExecutorReply(reply: ExecutorReply, { clock, bornAt }: ExecutorIdentity): WireReply {
@@ -217,16 +218,6 @@
     }
 }
 
-/** What an executor registers in the store. */
-export interface ExecutorEntry extends ExecutorIdentity {
-    readonly service: string;
-    readonly address: string;
-    readonly zone: string;
-    readonly sequence: number;
-    readonly cpu: number;
-    readonly memoryMb: number;
-}
-
 /** Returns the key and the text of an executor's entry. */
 export function encodeExecutorEntry(
     id: string,
@@ -255,27 +246,17 @@
     return `servers/${id}`;
 }
 
-/** A step of a job that callers submit. */
-export interface JobStep {
-    readonly count: number;
-    /** Thousandths of a core. */
-    readonly cpu: number;
-    readonly memoryMb: number;
-    readonly estimateMs: number;
-    /** Earlier steps that must be done. */
-    readonly after: readonly number[];
-}
-
 /** Returns the body of a submission. */
 export function encodeJob(spec: string, steps: readonly JobStep[]): unknown {
     return {
         spec,
-        steps: steps.map(({ count, cpu, memoryMb, estimateMs, after }) => ({
+        steps: steps.map(({ count, cpu, memoryMb, estimateMs, after, isGang }) => ({
             count,
             cpu,
             mem_mb: memoryMb,
             estimate_ms: estimateMs,
             ...after.length > 0 ? { after } : {},
+            ...isGang ? { gang: true } : {},
         })),
     };
 }
@@ -286,51 +267,33 @@
     return typeof state === "string" ? state : undefined;
 }
 
-/** The queue, service and tenant of a run. */
-export interface QueueConfiguration {
-    readonly hostName: string;
-    readonly prefix: string;
-    readonly service: string;
-    readonly apiKey: string;
-    readonly maxAttempts: number;
-}
-
 /** Returns the text of the operator's configuration. */
-export function encodeConfiguration({ hostName, prefix, service, apiKey, maxAttempts }: QueueConfiguration): string {
+export function encodeConfiguration(site: SiteConfiguration): string {
+    const { hostName, service, apiKey, maxAttempts, queues } = site;
     return JSON.stringify({
         version: 1,
-        routes: [{
-            name: "soak",
+        routes: queues.map(({ name, prefix, priority, targetLatencyMs, stretchFactor, advice }) => ({
+            name,
             host: hostName,
             prefix,
             kind: "non_idempotent",
             timeout_ms: 3_000,
-            target_latency_ms: 3_000,
-            priority: 1,
+            target_latency_ms: targetLatencyMs,
+            priority,
             service,
             max_attempts: maxAttempts,
-            stretch_factor: 4,
+            stretch_factor: stretchFactor,
             public: false,
-        }],
+            ...advice === undefined ? {} : {
+                advice: { decide_ms: advice.callMs, period_ms: advice.perExecutorMs, valid_ms: advice.validMs },
+            },
+        })),
         services: [{ name: service, rejects_overload: false }],
         tenants: [{ name: "quotes", api_keys: [apiKey], weight: 100, cap: { cpu: 0, mem_mb: 0, gpu: 0 } }],
         limits: { max_body_bytes: 262_144 },
     });
 }
 
-/** What the settings file of a host contains. */
-export interface HostSettings {
-    readonly name: string;
-    readonly zone: string;
-    readonly ip: string;
-    readonly callerAddress: string;
-    readonly readinessAddress: string;
-    readonly seeds: readonly string[];
-    readonly storeAddress: string;
-    readonly memoryMb: number;
-    readonly graceSeconds: number;
-}
-
 /** Port on which hosts call each other. */
 export const peerPort = 7_420;
 
@@ -344,6 +307,7 @@
         listen_addrs: { frontend: settings.callerAddress, readiness: settings.readinessAddress },
         seeds: settings.seeds,
         platform: { address: settings.storeAddress, ttl_min_ms: 1_000 },
+        advice: settings.adviceAddress,
         cloud_api: { address: settings.storeAddress, duties: [] },
         limits: { cpu_shares: 0.675, cores: 1, memory_mb: settings.memoryMb },
         bounds: { lease_ms: 3_000, hold_max_ms: 6_000, stop_ms: 900, status_s: 120, grace_s: settings.graceSeconds },
--- a/packages/soak/src/run-record.ts
+++ b/packages/soak/src/run-record.ts
@@ -3,10 +3,10 @@
  * that ended. The checks read nothing else.
  */
 import { writeFileSync } from "node:fs";
-import type { JobStep } from "./protocol.js";
+import type { JobStep } from "./types.js";
 
 /** How a run ended. */
-export type RunEndKind = "done" | "failed" | "stopped" | "lapsed" | "crashed";
+export type RunEndKind = "done" | "failed" | "stopped" | "lapsed" | "crashed" | "broken" | "alone";
 
 /** A task that an executor has started. */
 export interface RecordedRun {
@@ -39,6 +39,8 @@
 /** A job of a caller. */
 export interface RecordedJob {
     readonly id: string;
+    /** Name of the queue. */
+    readonly queue: string;
     readonly spec: string;
     readonly steps: readonly JobStep[];
     readonly attempts: SubmitAttempt[];
@@ -61,9 +63,10 @@
     readonly what: string;
 }
 
-/** A time in which a host was disturbed. */
+/** A time in which a part was disturbed. */
 interface Disruption {
-    readonly host: string;
+    /** Without it, no host was disturbed, but another part. */
+    readonly host: string | undefined;
     readonly from: number;
     to: number;
 }
@@ -77,6 +80,10 @@
     readonly faults: { readonly host: string; readonly at: number; readonly description: string; }[] = [];
     /** Starts that brought an executor over its capacity. */
     readonly overloads: string[] = [];
+    /** Starts that an executor refused because of their tickets. */
+    ticketRefusals = 0;
+    /** When a host first asked the advice service about a step, whether or not the call arrived. */
+    readonly firstAdviceCalls = new Map<string, number>();
     private readonly disruptions: Disruption[] = [];
     private readonly lines: string[] = [];
     private readonly beganAt = performance.now();
@@ -92,9 +99,13 @@
         this.lines.push(`${(this.now / 1_000).toFixed(3).padStart(8)} ${event} ${values.join(" ")}`.trimEnd());
     }
 
-    /** Notes that hosts are disturbed until the returned function is called. */
+    /** Notes that hosts, or with an empty list other parts only, are disturbed until the returned function is called. */
     beginDisruption(hosts: readonly string[]): () => void {
-        const begun = hosts.map(host => ({ host, from: this.now, to: Infinity }));
+        const begun = (hosts.length > 0 ? hosts : [undefined]).map((host): Disruption => ({
+            host,
+            from: this.now,
+            to: Infinity,
+        }));
         this.disruptions.push(...begun);
         return () => {
             begun.forEach(disruption => {
@@ -110,6 +121,11 @@
         );
     }
 
+    /** Whether no part was disturbed between two times. */
+    isUndisturbed(since: number, until: number): boolean {
+        return !this.disruptions.some(({ from, to }) => from <= until && to >= since);
+    }
+
     writeTo(file: string): void {
         writeFileSync(file, `${this.lines.join("\n")}\n`);
     }
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -1,6 +1,14 @@
 /** Kinds of runs: which troubles they draw, and which jobs. */
+import { AdviceAnswersLost, AdviceRefusing, AdviceSilent, AdviceSlow } from "./advice-troubles.js";
 import { FaultyExecutor, RestartedExecutor, RestartedSilentExecutor } from "./executor-troubles.js";
-import { HungUpHost, KilledHost, OwnerLostWithWrites, PausedHosts, TerminatedHost } from "./host-troubles.js";
+import {
+    HungUpHost,
+    KilledHost,
+    OwnerLostWithWrites,
+    PausedHosts,
+    PausedOwners,
+    TerminatedHost,
+} from "./host-troubles.js";
 import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
 import type { Trouble } from "./trouble.js";
 import type { WorkloadOptions } from "./workload.js";
@@ -16,6 +24,7 @@
 }
 
 const cutZone = new CutZone();
+const pausedOwners = new PausedOwners();
 const pausedHosts = new PausedHosts();
 const killedHost = new KilledHost();
 const terminatedHost = new TerminatedHost();
@@ -27,6 +36,25 @@
 const faultyExecutor = new FaultyExecutor();
 const restartedExecutor = new RestartedExecutor();
 const restartedSilentExecutor = new RestartedSilentExecutor();
+const adviceSilent = new AdviceSilent();
+const adviceAnswersLost = new AdviceAnswersLost();
+const adviceRefusing = new AdviceRefusing();
+const adviceSlow = new AdviceSlow();
+
+/** Troubles of runs with advice: owners that change, beside a service that fails for a host, a zone or all. */
+const adviceTroubles: Shape["troubles"] = [
+    [adviceSilent, 2],
+    [adviceAnswersLost, 2],
+    [adviceRefusing, 2],
+    [adviceSlow, 2],
+    [pausedOwners, 3],
+    [pausedHosts, 2],
+    [killedHost, 2],
+    [terminatedHost, 1],
+    [cutZone, 1],
+    [storeAnswersLost, 1],
+    [restartedExecutor, 2],
+];
 
 /** The shapes by name. */
 export const shapes = {
@@ -44,8 +72,10 @@
             [storeWritesLate, 2],
             [faultyExecutor, 4],
             [restartedExecutor, 2],
+            [adviceSilent, 1],
+            [adviceSlow, 1],
         ],
-        workload: {},
+        workload: { advisedShare: 0.3 },
         executors: 8,
         lanes: 4,
     },
@@ -98,6 +128,20 @@
         executors: 8,
         lanes: 3,
     },
+    /** Jobs with advice and gangs under changing owners. */
+    advice: {
+        troubles: adviceTroubles,
+        workload: { jobsPerSecond: 14, advisedShare: 1, cancelShare: 0.05 },
+        executors: 24,
+        lanes: 4,
+    },
+    /** The same with as many jobs as the executors and the advice service bear, and bursts. */
+    hot: {
+        troubles: adviceTroubles,
+        workload: { jobsPerSecond: 24, peakJobsPerSecond: 36, advisedShare: 1, cancelShare: 0.05 },
+        executors: 30,
+        lanes: 4,
+    },
 } satisfies Record<string, Shape>;
 
 /** Name of a shape. */
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -1,5 +1,6 @@
 /** The parts of a run that troubles act on. */
 import type { RandomSource } from "@waxwingroute/core";
+import type { AdviceFront } from "./advice-front.js";
 import type { ExecutorFront } from "./executor-front.js";
 import type { HostProcess } from "./host-process.js";
 import type { PeerLink } from "./peer-link.js";
@@ -12,6 +13,7 @@
         readonly record: RunRecord,
         readonly hosts: readonly HostProcess[],
         readonly stores: readonly StoreFront[],
+        readonly advisors: readonly AdviceFront[],
         readonly executors: readonly ExecutorFront[],
         readonly links: readonly PeerLink[],
         /** Zones that are cut off at present, whose executors cannot register themselves. */
@@ -35,6 +37,11 @@
         return this.stores.filter(store => hosts.includes(store.host));
     }
 
+    /** Returns the advice service's addresses for the named hosts. */
+    listAdvisors(hosts: readonly string[]): AdviceFront[] {
+        return this.advisors.filter(advisor => hosts.includes(advisor.host));
+    }
+
     get hostNames(): string[] {
         return this.hosts.map(host => host.name);
     }
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -1,23 +1,31 @@
 /** One run: starts the stand-ins and hosts, plays troubles for a time and calm after it, and checks the rules. */
-import type { RandomSource } from "@waxwingroute/core";
 import { SeededRandom } from "@waxwingroute/core";
 import { mkdirSync, mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { AdviceFront } from "./advice-front.js";
+import { AdviceService } from "./advice-service.js";
 import { Callers } from "./callers.js";
 import type { Breaks, RuleBounds } from "./checks.js";
 import { checkRules } from "./checks.js";
 import { ExecutorFront } from "./executor-front.js";
 import { Executor } from "./executor.js";
+import { listFirstCallWaits } from "./first-calls.js";
+import type { FirstCallWait } from "./first-calls.js";
+import { Gangs } from "./gangs.js";
 import { findHostIp, HostProcess } from "./host-process.js";
 import { PeerLink } from "./peer-link.js";
 import { configurationKey, encodeConfiguration, peerPort } from "./protocol.js";
+import { advisedQueues, plainQueue } from "./queues.js";
+import type { RecordedJob } from "./run-record.js";
 import { RunRecord } from "./run-record.js";
 import type { Shape } from "./shapes.js";
 import { Site } from "./site.js";
+import { StandingWatch } from "./standing-watch.js";
 import { StoreFront } from "./store-front.js";
 import { StoreState } from "./store-state.js";
-import type { Trouble } from "./trouble.js";
+import type { SiteConfiguration } from "./types.js";
+import { executorCpu, pickWeighted } from "./workload.js";
 
 /** What is played. */
 export interface SoakOptions {
@@ -41,6 +49,16 @@
     readonly jobs: number;
     readonly accepted: number;
     readonly runs: number;
+    /** Accepted jobs that nobody cancelled and that were not finished at the end. */
+    readonly open: number;
+    /** The longest wait of a step for the first call of the advice service about it. */
+    readonly longestFirstCall: FirstCallWait | undefined;
+    /** The longest time that a job stood in the calm, ms. */
+    readonly longestStandingMs: number;
+    /** Calls that the advice service handled, its work for them, and calls that it refused because too many waited. */
+    readonly advice: AdviceService["totals"];
+    /** Starts that executors refused because of their tickets. */
+    readonly ticketRefusals: number;
 }
 
 const zones = ["glasgow-a", "dundee-a"];
@@ -53,26 +71,37 @@
 const maxPauseMs = 1_500;
 /** Bounds that the platform states, and the attempts that the queue allows. */
 const bounds: RuleBounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3 };
-const queue = {
+const configuration: SiteConfiguration = {
     hostName: "mats.example",
-    prefix: "/cut/",
     service: "mat-orders",
     apiKey: "key-quotes-1",
     maxAttempts: bounds.maxAttempts,
+    queues: [plainQueue, ...advisedQueues],
 };
-const executorCpu = 16_000;
+/** Longest waits for a first call that the record lists. */
+const listedWaits = 20;
 const executorMemoryMb = 32_768;
 
 /** Plays one run. The processes that it starts are ended when it returns or throws. */
 export class SoakRun {
     private readonly record = new RunRecord();
     private readonly store = new StoreState();
+    private readonly executors: ExecutorFront[] = [];
+    private readonly gangs = new Gangs(this.record);
+    private readonly advice: AdviceService;
     private readonly closables: { close(): void; }[] = [];
     private hosts: HostProcess[] = [];
     private readonly directory = mkdtempSync(join(tmpdir(), "waxwing-soak-"));
     private endTrouble: (() => void) | undefined;
 
-    constructor(private readonly options: SoakOptions) {}
+    constructor(private readonly options: SoakOptions) {
+        this.advice = new AdviceService({
+            seed: options.seed,
+            record: this.record,
+            listExecutors: () => this.executors.map(front => front.executor),
+        });
+        this.closables.push(this.advice, this.gangs);
+    }
 
     async run(): Promise<SoakResult> {
         const killAll = () => this.hosts.forEach(host => host.sendSignal("SIGKILL"));
@@ -97,7 +126,8 @@
         const site = await this.createSite();
         const callers = new Callers({
             hosts: site.hosts,
-            queue,
+            site: configuration,
+            executorCount: shape.executors,
             random: new SeededRandom(seed * 101 + 1),
             record,
             workload: shape.workload,
@@ -111,16 +141,23 @@
         record.write("calm", {});
         await callers.stop();
         await calling;
-        const isOpen = (
-            job: { readonly acceptedAt?: number; readonly states: readonly { readonly state: string; }[]; },
-        ) => job.acceptedAt !== undefined
-            && !["succeeded", "failed", "cancelled"].includes(job.states.at(-1)?.state ?? "");
+        const executors = site.executors.map(front => front.executor);
+        const watch = new StandingWatch({
+            record,
+            executors,
+            policy: this.advice,
+            maxAttempts: bounds.maxAttempts,
+        });
+        this.closables.push(watch);
+        watch.start(Math.max(0, calmFrom + bounds.contactMs - record.now));
         // At least the time in which a cancelled task must end.
         const leastCalm = wait(bounds.contactMs + 2 * (bounds.cancelMs + bounds.stopMs));
         await callers.askForAll(isOpen, calmFrom + calmMs);
         await leastCalm;
-        const executors = site.executors.map(front => front.executor);
-        const breaks = checkRules({ record, executors, bounds, calmFrom });
+        const standing = watch.listBreaks();
+        const breaks = checkRules({ record, executors, policy: this.advice, standing, bounds, calmFrom });
+        const waits = listFirstCallWaits(record);
+        waits.slice(0, listedWaits).forEach(row => record.write("first-call-wait", { ...row }));
         for (const [rule, texts] of Object.entries(breaks)) {
             texts.forEach(text => record.write("BROKEN", { rule, text }));
         }
@@ -130,6 +167,11 @@
             jobs: jobs.length,
             accepted: jobs.filter(job => job.acceptedAt !== undefined).length,
             runs: record.runs.length,
+            open: jobs.filter(job => isOpen(job) && job.cancelSentAt === undefined).length,
+            longestFirstCall: waits[0],
+            longestStandingMs: watch.longestMs,
+            advice: this.advice.totals,
+            ticketRefusals: record.ticketRefusals,
         };
     }
 
@@ -143,7 +185,7 @@
         const lanes = Array.from({ length: shape.lanes }, async (_, lane) => {
             const random = new SeededRandom(this.options.seed * 101 + 10 + lane);
             while (this.record.now < endsAt) {
-                await pickTrouble(random, shape).run({ site, random, wait: waitUntilOver });
+                await pickWeighted(random, shape.troubles).run({ site, random, wait: waitUntilOver });
                 await waitUntilOver(random.getFloat() * maxPauseMs);
             }
         });
@@ -156,27 +198,29 @@
         if (outputDirectory !== undefined) {
             mkdirSync(outputDirectory, { recursive: true });
         }
-        store.put(configurationKey, encodeConfiguration(queue));
+        store.put(configurationKey, encodeConfiguration(configuration));
         const names = Array.from({ length: hostCount }, (_, index) => ({
             name: `edge-${zones[index % zones.length]}-${index + 1}`,
             zone: zones[index % zones.length]!,
         }));
         const random = new SeededRandom(seed * 101 + 2);
         const cutZones = new Set<string>();
-        const executors: ExecutorFront[] = [];
+        const { executors } = this;
         const executorAddresses: string[] = [];
         for (let index = 0; index < shape.executors; index++) {
             const zone = zones[index % zones.length]!;
             const address = `127.254.254.${index + 1}:9000`;
             const executor = new Executor({
                 id: `i-${zone}-${index + 1}`,
-                service: queue.service,
+                service: configuration.service,
                 zone,
                 address,
                 cpu: executorCpu,
                 memoryMb: executorMemoryMb,
                 store,
                 record,
+                advice: this.advice,
+                gangs: this.gangs,
                 canRegister: () => !cutZones.has(zone),
             });
             const front = new ExecutorFront(executor, random, record);
@@ -188,11 +232,13 @@
         }
         const ips: string[] = [];
         const stores: StoreFront[] = [];
+        const advisors: AdviceFront[] = [];
         for (const { name } of names) {
             ips.push(await findHostIp());
             stores.push(await StoreFront.open(name, store, random, record));
+            advisors.push(await AdviceFront.open(name, this.advice, record));
         }
-        this.closables.push(...stores, store);
+        this.closables.push(...stores, ...advisors, store);
         const links: PeerLink[] = [];
         const linkIp = await findHostIp();
         for (const [index, { name: to }] of names.entries()) {
@@ -220,6 +266,7 @@
                 ip: ips[index]!,
                 program,
                 storeAddress: stores[index]!.address,
+                adviceAddress: advisors[index]!.address,
                 seeds: ips.slice(0, index).map(ip => `${ip}:8180`),
                 directory: this.directory,
                 logDirectory: outputDirectory,
@@ -231,20 +278,12 @@
         });
         this.hosts.forEach(host => host.start());
         await waitUntilAllReady(this.hosts);
-        return new Site(record, this.hosts, stores, executors, links, cutZones);
+        return new Site(record, this.hosts, stores, advisors, executors, links, cutZones);
     }
 }
 
-function pickTrouble(random: RandomSource, { troubles }: Shape): Trouble {
-    const total = troubles.reduce((sum, [, weight]) => sum + weight, 0);
-    let rest = random.getFloat() * total;
-    for (const [trouble, weight] of troubles) {
-        rest -= weight;
-        if (rest < 0) {
-            return trouble;
-        }
-    }
-    return troubles[0]![0];
+function isOpen({ acceptedAt, states }: RecordedJob): boolean {
+    return acceptedAt !== undefined && !["succeeded", "failed", "cancelled"].includes(states.at(-1)?.state ?? "");
 }
 
 async function waitUntilAllReady(hosts: readonly HostProcess[]): Promise<void> {
--- a/packages/soak/src/workload.ts
+++ b/packages/soak/src/workload.ts
@@ -1,13 +1,23 @@
 /** The jobs of a run: what they consist of, and what their tasks do on an executor. */
 import type { RandomSource } from "@waxwingroute/core";
-import type { JobStep } from "./protocol.js";
+import { advisedQueues, plainQueue } from "./queues.js";
+import type { Size } from "./queues.js";
 import type { RecordedJob } from "./run-record.js";
+import type { JobStep } from "./types.js";
+
+/** Thousandths of a core of each executor. */
+export const executorCpu = 16_000;
 
 /** Returns the job of a task; tasks are named JOB.OCCURRENCE.STEP.INDEX. */
 export function getJobOfTask(task: string): string {
     return task.split(".")[0]!;
 }
 
+/** Returns the name of a task's step. */
+export function getStepOfTask(task: string): string {
+    return task.slice(0, task.lastIndexOf("."));
+}
+
 /** Returns the number of a task's step. */
 export function getStepNumber(task: string): number {
     return Number(task.split(".")[2]);
@@ -33,30 +43,47 @@
     return { ms: Math.round(base * (0.5 + hash % 1_000 / 1_000)), isFailure: hash % 100 < failPercent };
 }
 
-/** Sizes of jobs. */
+/** The jobs that callers submit. */
 export interface WorkloadOptions {
     /** Jobs a second. Default 3. */
     readonly jobsPerSecond?: number;
-    /** Share of jobs with hundreds of short tasks. Default 0. */
+    /** Jobs a second in the last third of each 15 s. Default `jobsPerSecond`. */
+    readonly peakJobsPerSecond?: number;
+    /** Share of jobs for the queues with advice. Default 0. */
+    readonly advisedShare?: number;
+    /** Share of the other jobs that have hundreds of short tasks. Default 0. */
     readonly burstShare?: number;
     /** Share of jobs that are cancelled. Default 0.2. */
     readonly cancelShare?: number;
-    /** Mean run times of tasks, ms, of which each job has one. Default 150 to 6,000. */
+    /** Mean run times of the other tasks, ms, of which each job has one. Default 150 to 6,000. */
     readonly taskMs?: readonly number[];
 }
 
+/** What callers submit. */
+export type JobDraft = Pick<RecordedJob, "id" | "queue" | "spec" | "steps">;
+
 const defaultTaskMs = [150, 400, 1_000, 2_500, 6_000];
+const defaultJobsPerSecond = 3;
+const peakIntervalMs = 15_000;
 
-/** Draws a job. */
-export function pickJob(
-    random: RandomSource,
-    { burstShare = 0, taskMs = defaultTaskMs }: WorkloadOptions,
-): Omit<RecordedJob, "attempts" | "states"> {
+/** Returns the jobs a second at a time since the begin. */
+export function computeJobRate(options: WorkloadOptions, nowMs: number): number {
+    const { jobsPerSecond = defaultJobsPerSecond, peakJobsPerSecond = jobsPerSecond } = options;
+    return nowMs % peakIntervalMs >= peakIntervalMs * 2 / 3 ? peakJobsPerSecond : jobsPerSecond;
+}
+
+/** Draws a job. `executorCount` limits the size of gangs, which need room for all members at once. */
+export function pickJob(random: RandomSource, options: WorkloadOptions, executorCount: number): JobDraft {
+    const { advisedShare = 0, burstShare = 0, taskMs = defaultTaskMs } = options;
+    if (advisedShare > 0 && random.getFloat() < advisedShare) {
+        return pickAdvisedJob(random, executorCount);
+    }
     const id = random.getHex(16);
+    const queue = plainQueue.name;
     if (random.getFloat() < burstShare) {
         const count = 200 + random.getInteger(200);
         const step = { count, cpu: 250, memoryMb: 64, estimateMs: 50, after: [] };
-        return { id, spec: `ms=${30 + random.getInteger(60)} of ${id}`, steps: [step] };
+        return { id, queue, spec: `ms=${30 + random.getInteger(60)} of ${id}`, steps: [step] };
     }
     const ms = random.pickOne(taskMs)!;
     const fail = random.getFloat() < 0.15 ? 20 : 0;
@@ -67,5 +94,46 @@
         estimateMs: ms,
         after: number === 0 ? [] : [number - 1],
     }));
-    return { id, spec: `ms=${ms} fail=${fail} of ${id}`, steps };
+    return { id, queue, spec: `ms=${ms} fail=${fail} of ${id}`, steps };
+}
+
+function pickAdvisedJob(random: RandomSource, executorCount: number): JobDraft {
+    const id = random.getHex(16);
+    const queue = pickWeighted(random, advisedQueues.map(row => [row, row.weight]));
+    const ms = Math.max(50, pickSize(random, queue.workMs));
+    const stepCount = random.getFloat() < queue.secondStepShare ? 2 : 1;
+    const steps = Array.from({ length: stepCount }, (_, number): JobStep => {
+        const cpu = Math.max(100, pickSize(random, queue.cpu));
+        const isGang = random.getFloat() < queue.gangShare;
+        const count = Math.max(1, pickSize(random, queue.tasks));
+        // A gang that needs more than half of what is granted would wait for an empty fleet.
+        const places = Math.floor(executorCpu / cpu) * Math.max(2, queue.advice.grantShare * executorCount);
+        return {
+            count: isGang ? Math.max(1, Math.min(count, Math.floor(places / 2))) : count,
+            cpu,
+            memoryMb: 256,
+            estimateMs: Math.round(ms * (0.8 + 0.4 * random.getFloat())),
+            after: number === 0 ? [] : [number - 1],
+            ...isGang ? { isGang } : {},
+        };
+    });
+    return { id, queue: queue.name, spec: `ms=${ms} fail=2 of ${id}`, steps };
+}
+
+/** Draws from a log-normal distribution. */
+function pickSize(random: RandomSource, { mean, spread, most }: Size): number {
+    const normal = Math.sqrt(-2 * Math.log(1 - random.getFloat())) * Math.cos(2 * Math.PI * random.getFloat());
+    return Math.min(most, Math.round(mean * Math.exp(spread * normal - spread * spread / 2)));
+}
+
+/** Draws a row as often as its weight says. */
+export function pickWeighted<T>(random: RandomSource, rows: readonly (readonly [T, number])[]): T {
+    let rest = random.getFloat() * rows.reduce((sum, [, weight]) => sum + weight, 0);
+    for (const [row, weight] of rows) {
+        rest -= weight;
+        if (rest < 0) {
+            return row;
+        }
+    }
+    return rows[0]![0];
 }
