--- a/packages/soak/src/advice-front.ts
+++ b/packages/soak/src/advice-front.ts
@@ -72,6 +72,7 @@
         const { step } = request;
         const sentAt = record.now;
         record.firstAdviceCalls.set(step, record.firstAdviceCalls.get(step) ?? sentAt);
+        record.adviceCallTimes.push(sentAt);
         record.write("advice-call", { host, step, named: request.executors.length, mode });
         if (mode === "refusing") {
             call.reply(encodeAdviceReply({ kind: "unavailable" }));
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -25,8 +25,15 @@
 }
 
 /** Returns the names of the rules that a record breaks. */
-function listBroken(runs: readonly Partial<RecordedRun>[], changes: Partial<RecordedJob> = {}): string[] {
+function listBroken(
+    runs: readonly Partial<RecordedRun>[],
+    changes: Partial<RecordedJob> = {},
+    disturbedHosts?: readonly string[],
+): string[] {
     const record = new RunRecord();
+    if (disturbedHosts !== undefined) {
+        record.beginDisruption(disturbedHosts);
+    }
     record.jobs.set("a", {
         id: "a",
         queue: "plain",
@@ -95,6 +102,16 @@
         expect(listBroken([...failures, { run: 4, startedAt: 600, endedAt: 700, end: "done" }])).toEqual(["BUDGET"]);
     });
 
+    it("report a member of a gang that waited alone, but not beside a disruption or a cancelling", () => {
+        const alone = { startedAt: 50_000, endedAt: 53_000, end: "alone" } as const;
+        expect(listBroken([alone])).toEqual(["GANG"]);
+        expect(listBroken([{ ...alone, isLate: true }])).toEqual([]);
+        expect(listBroken([alone], { cancelSentAt: 52_000 })).toEqual([]);
+        expect(listBroken([alone], { cancelSentAt: 54_000 })).toEqual(["GANG"]);
+        // The record of the fixture begins now, so a disruption from now on lies near an early run.
+        expect(listBroken([{ ...alone, startedAt: 0, endedAt: 3_000 }], {}, ["h2"])).toEqual([]);
+    });
+
     it("report an accepted job that is cancelled or failed without cause", () => {
         const accepted = { acceptedAt: 10 };
         const show = (state: string) => ({ ...accepted, states: [{ at: 100, host: "h1", state }] });
--- a/packages/soak/src/first-calls.ts
+++ b/packages/soak/src/first-calls.ts
@@ -2,6 +2,9 @@
 import { findQueue } from "./queues.js";
 import type { RecordedJob, RunRecord } from "./run-record.js";
 
+/** Calls with less time between them belong to one span in which hosts call the service, ms. */
+const maxCallGapMs = 500;
+
 /** One step of a job that was accepted. */
 export interface FirstCallWait {
     readonly step: string;
@@ -9,6 +12,8 @@
     /** When the step could run, ms since the begin: at the acceptance, or once the steps before it were done. */
     readonly readyAt: number;
     readonly waitMs: number;
+    /** The part of the wait in which hosts called the service, that is about other steps, ms. */
+    readonly passedOverMs: number;
     /** Whether the service was asked; otherwise the wait lasted until the end of the run. */
     readonly isAsked: boolean;
 }
@@ -35,8 +40,14 @@
             const isLeftOut = readyAt === Infinity || until > (job.cancelSentAt ?? Infinity)
                 || askedAt === undefined && isFailed;
             if (!isLeftOut) {
-                const waitMs = Math.max(0, until - readyAt);
-                waits.push({ step, queue: job.queue, readyAt, waitMs, isAsked: askedAt !== undefined });
+                waits.push({
+                    step,
+                    queue: job.queue,
+                    readyAt,
+                    waitMs: Math.max(0, until - readyAt),
+                    passedOverMs: computeCallingMs(record.adviceCallTimes, readyAt, until),
+                    isAsked: askedAt !== undefined,
+                });
             }
         }
     }
@@ -53,3 +64,12 @@
     );
     return Math.max(job.acceptedAt!, ...ends);
 }
+
+/** Returns how much of a span hosts called the service. `times` is in order. */
+function computeCallingMs(times: readonly number[], from: number, until: number): number {
+    const inside = times.filter(time => time >= from && time <= until);
+    return inside.reduce((sum, time, index) => {
+        const gapMs = time - (inside[index - 1] ?? time);
+        return gapMs <= maxCallGapMs ? sum + gapMs : sum;
+    }, 0);
+}
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -5,6 +5,7 @@
  */
 import { isAbsolute, resolve } from "node:path";
 import { parseArgs } from "node:util";
+import type { FirstCallWait } from "./first-calls.js";
 import { isShapeName, shapes } from "./shapes.js";
 import type { Shape } from "./shapes.js";
 import { SoakRun } from "./soak-run.js";
@@ -46,27 +47,33 @@
 }).run();
 const broken = Object.entries(result.breaks).filter(([, texts]) => texts.length > 0);
 const counts = broken.map(([rule, texts]) => `${rule} ${texts.length}`).join(", ");
-const { advice, longestFirstCall } = result;
+const { advice, longestFirstCall, longestPassedOver } = result;
 process.stdout.write(
     `${shape} seed ${values.seed}: ${result.jobs} jobs, ${result.accepted} accepted, ${result.open} open, ${result.runs} runs: ${
         counts || "no rule broken"
     }\n`,
 );
-if (longestFirstCall !== undefined) {
-    const { step, queue, readyAt, waitMs, isAsked } = longestFirstCall;
-    process.stdout.write(
-        `    advice: ${advice.calls} calls, worked on for ${
-            toSeconds(advice.workMs)
-        } s, ${advice.refused} refused, ${`${result.ticketRefusals} starts refused`}; longest stand in the calm ${
-            toSeconds(result.longestStandingMs)
-        } s\n    ${shape}: longest wait for a first call ${toSeconds(waitMs)} s (${step} of ${queue}, ready at ${
-            toSeconds(readyAt)
-        } s${isAsked ? "" : ", never asked"})\n`,
-    );
-}
+process.stdout.write(
+    `    advice: ${advice.calls} calls, worked on for ${
+        toSeconds(advice.workMs)
+    } s, ${advice.refused} refused, ${`${result.ticketRefusals} starts refused`}; longest stand in the calm ${
+        toSeconds(result.longestStandingMs)
+    } s\n`,
+);
+printWait("longest wait for a first call", longestFirstCall);
+printWait("longest passed over by others", longestPassedOver);
 broken.forEach(([rule, texts]) => texts.slice(0, 5).forEach(text => process.stdout.write(`    ${rule}: ${text}\n`)));
 process.exit(broken.length > 0 ? 1 : 0);
 
+function printWait(title: string, wait: FirstCallWait | undefined): void {
+    if (wait !== undefined) {
+        const { step, queue, readyAt, waitMs, passedOverMs, isAsked } = wait;
+        const times = `${toSeconds(waitMs)} s, of them ${toSeconds(passedOverMs)} s with calls about others`;
+        const details = `${step} of ${queue}, ready at ${toSeconds(readyAt)} s${isAsked ? "" : ", never asked"}`;
+        process.stdout.write(`    ${shape}: ${title} ${times} (${details})\n`);
+    }
+}
+
 function toSeconds(ms: number): string {
     return (ms / 1_000).toFixed(1);
 }
--- a/packages/soak/src/run-record.ts
+++ b/packages/soak/src/run-record.ts
@@ -84,6 +84,8 @@
     ticketRefusals = 0;
     /** When a host first asked the advice service about a step, whether or not the call arrived. */
     readonly firstAdviceCalls = new Map<string, number>();
+    /** When hosts called the advice service, ms since the begin. */
+    readonly adviceCallTimes: number[] = [];
     private readonly disruptions: Disruption[] = [];
     private readonly lines: string[] = [];
     private readonly beganAt = performance.now();
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -53,6 +53,8 @@
     readonly open: number;
     /** The longest wait of a step for the first call of the advice service about it. */
     readonly longestFirstCall: FirstCallWait | undefined;
+    /** The step that waited longest while hosts called the service about others. */
+    readonly longestPassedOver: FirstCallWait | undefined;
     /** The longest time that a job stood in the calm, ms. */
     readonly longestStandingMs: number;
     /** Calls that the advice service handled, its work for them, and calls that it refused because too many waited. */
@@ -158,6 +160,10 @@
         const breaks = checkRules({ record, executors, policy: this.advice, standing, bounds, calmFrom });
         const waits = listFirstCallWaits(record);
         waits.slice(0, listedWaits).forEach(row => record.write("first-call-wait", { ...row }));
+        const longestPassedOver = waits.reduce<FirstCallWait | undefined>(
+            (longest, row) => row.passedOverMs > (longest?.passedOverMs ?? 0) ? row : longest,
+            undefined,
+        );
         for (const [rule, texts] of Object.entries(breaks)) {
             texts.forEach(text => record.write("BROKEN", { rule, text }));
         }
@@ -169,6 +175,7 @@
             runs: record.runs.length,
             open: jobs.filter(job => isOpen(job) && job.cancelSentAt === undefined).length,
             longestFirstCall: waits[0],
+            longestPassedOver,
             longestStandingMs: watch.longestMs,
             advice: this.advice.totals,
             ticketRefusals: record.ticketRefusals,
