Count the runs of ended jobs toward the limit of their team under the next owner

Cause: the stored end of a job named neither its team nor its tasks. The next owner charged listed runs of such a job to the executor only, and runs on silent executors to nobody.

Evidence: ended-jobs_test cancels a job of eight tasks, the limit of its team, ends the owner, and submits eight more. Before the change both cases broke the limit, with stops that are lost and with executors that are cut off (16,000 of 8,000 thousandths).

Change: an end is stored with the team and the tasks that have a run or may have one (field remaining, in ranges). The next owner keeps these tasks as unknown ones of an ended job: they count toward the limit until every executor has listed its runs or lost its leases, and a listed run is charged to team and executor until it has ended. A listed run of which nothing is known, because its record has expired or was stored by an earlier version, may be of any team: what its executor has free counts toward the limits of all teams until the run has ended. Nothing else starts there meanwhile, so that is an upper bound.

Earlier versions decode the new records as before: they read state and queue and ignore other fields (store-keys_test).

--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -82,7 +82,7 @@
 
     /** Reports the scheduler's changes for callers. The end of a job is reported once it is stored. */
     recordChanges(changes: readonly JobChange[]): void {
-        const { journal, logger, onChanges } = this.options;
+        const { journal, logger, onChanges, scheduler } = this.options;
         const open = changes.filter(change => isOpenState(change.state));
         if (open.length > 0) {
             onChanges(open);
@@ -90,7 +90,8 @@
         for (const change of changes.filter(({ state }) => !isOpenState(state))) {
             const { job, state } = change;
             const hasStoredCancellation = this.cancelled.has(job);
-            journal.recordFinished({ ...change, hasStoredCancellation }, () => {
+            const remaining = scheduler.findRemainingTasks(job);
+            journal.recordFinished({ ...change, remaining, hasStoredCancellation }, () => {
                 this.finishedStates.set(job, state);
                 if (this.cancelled.delete(job) && !hasStoredCancellation) {
                     journal.removeKeys([toCancelKey(job)]);
@@ -143,7 +144,13 @@
             if (this.cancelledEarly.delete(job)) {
                 this.options.journal.removeKeys([toCancelKey(job)]);
             }
-            this.options.onChanges([{ job, queue: record.queue, state: record.state }]);
+            const { queue, remaining, state } = record;
+            if (remaining !== undefined) {
+                const { team, tasks } = remaining;
+                this.options.scheduler.addEndedJob({ job, queue, team, state, remaining: tasks });
+                this.forgetFinished(job);
+            }
+            this.options.onChanges([{ job, queue, state }]);
         }
     }
 
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -5,12 +5,13 @@
  * the job's record by its final state. Every transaction is conditional on the owner key, so a replaced owner writes
  * nothing.
  */
-import type { Clock, JobId, QueueId } from "@waxwingroute/core";
+import type { Clock, JobId } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
-import type { JobState, RunEnd } from "@waxwingroute/workflow";
+import type { RunEnd } from "@waxwingroute/workflow";
 import { parseTaskKey } from "@waxwingroute/workflow";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
 import type { OwnershipTerm } from "./lease-ownership.js";
+import type { FinishedJobRecord } from "./store-keys.js";
 import { encodeFinishedJob, encodeRunEnds, ownerKey, toCancelKey, toJobKey, toRunEndsKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
 import { maxTransactionEntries } from "./store.js";
@@ -31,10 +32,8 @@
 }
 
 /** A job that has ended, with its final state. */
-export interface FinishedJob {
+export interface FinishedJob extends Omit<FinishedJobRecord, "kind"> {
     readonly job: JobId;
-    readonly queue: QueueId;
-    readonly state: JobState;
     /** Whether a cancellation of the job is stored, which is removed with the end of the job. */
     readonly hasStoredCancellation: boolean;
 }
@@ -221,9 +220,9 @@
         const key = toRunEndsKey(this.term.epoch, batch.number);
         const writes: StoreWrite[] = [
             ...batch.ownerWrites.map(pending => pending.write),
-            ...batch.jobEnds.map(({ finished: { job, state, queue } }) => ({
-                key: toJobKey(job),
-                value: encodeFinishedJob(state, queue),
+            ...batch.jobEnds.map(({ finished }) => ({
+                key: toJobKey(finished.job),
+                value: encodeFinishedJob(finished),
             })),
         ];
         if (openEnds.length > 0) {
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -2,7 +2,15 @@
 import type { ExecutorId, JobId, NetworkAddress, QueueId, TeamId } from "@waxwingroute/core";
 import { createFailure, Err, isNetworkAddress, Ok, toId } from "@waxwingroute/core";
 import type { Failure, Result } from "@waxwingroute/core";
-import type { JobSpec, JobState, QueueRules, RunEnd, RunOutcome, TaskKey } from "@waxwingroute/workflow";
+import type {
+    JobSpec,
+    JobState,
+    QueueRules,
+    RemainingTasks,
+    RunEnd,
+    RunOutcome,
+    TaskKey,
+} from "@waxwingroute/workflow";
 import { z } from "zod";
 import type { MachineId } from "./machine-manager.js";
 import type { StoreItem } from "./store.js";
@@ -38,7 +46,19 @@
         readonly queueRules?: QueueRules;
         readonly spec: JobSpec;
     }
-    | { readonly kind: "finished"; readonly state: JobState; readonly queue: QueueId; };
+    | FinishedJobRecord;
+
+/** The final state of a job. */
+export interface FinishedJobRecord {
+    readonly kind: "finished";
+    readonly state: JobState;
+    readonly queue: QueueId;
+    /**
+     * The team of the job and the tasks of which executors could hold runs when it ended; absent if there were none, and
+     * in records of earlier versions.
+     */
+    readonly remaining?: { readonly team: TeamId; readonly tasks: readonly RemainingTasks[]; };
+}
 
 /** The owner of the cell as `ownerKey` holds it. */
 export interface OwnerRecord {
@@ -94,8 +114,27 @@
 const rosterSchema = z.array(
     z.object({ executor: z.string(), address: addressSchema, tasks: z.array(z.string()).optional() }),
 );
+const countSchema = z.number().int().min(0);
+/** The largest number of tasks that a step of a job can have; it bounds what a stored range expands to. */
+const maxTaskIndex = 99_999;
+const rangeSchema = z.tuple([countSchema, countSchema.max(maxTaskIndex)]);
+/** Occurrence, step, the resources of each task, and ranges of indexes. */
+const remainingSchema = z.tuple([
+    countSchema,
+    countSchema.max(maxTaskIndex),
+    z.number(),
+    z.number(),
+    z.number(),
+    z.array(rangeSchema),
+]);
+const finishedSchema = z.object({
+    state: z.enum(["succeeded", "failed", "cancelled"]),
+    queue: z.string(),
+    // A later version may store it in another form; the state of the job counts all the same.
+    remaining: z.object({ team: z.string(), tasks: z.array(remainingSchema) }).optional().catch(undefined),
+});
 const jobSchema = z.union([
-    z.object({ state: z.enum(["succeeded", "failed", "cancelled"]), queue: z.string() }),
+    finishedSchema,
     z.object({
         queue: z.string(),
         team: z.string(),
@@ -160,9 +199,44 @@
     });
 }
 
-/** Returns the stored form of a finished job. */
-export function encodeFinishedJob(state: JobState, queue: QueueId): string {
-    return JSON.stringify({ state, queue });
+/** Returns the stored form of a finished job. Earlier versions ignore the remaining tasks. */
+export function encodeFinishedJob({ state, queue, remaining }: Omit<FinishedJobRecord, "kind">): string {
+    return JSON.stringify({
+        state,
+        queue,
+        remaining: remaining === undefined ? undefined : {
+            team: remaining.team,
+            tasks: remaining.tasks.map(({ occurrence, step, resources, indexes }) => [
+                occurrence,
+                step,
+                resources.cpuMillis,
+                resources.memoryMb,
+                resources.accelerators,
+                toRanges(indexes),
+            ]),
+        },
+    });
+}
+
+/** Returns ascending numbers as ranges of consecutive ones, the first and the last of each. */
+function toRanges(numbers: readonly number[]): [number, number][] {
+    const ranges: [number, number][] = [];
+    for (const number of numbers) {
+        const last = ranges.at(-1);
+        if (last?.[1] === number - 1) {
+            last[1] = number;
+        }
+        else {
+            ranges.push([number, number]);
+        }
+    }
+    return ranges;
+}
+
+function fromRanges(ranges: readonly (readonly [number, number])[]): number[] {
+    return ranges.flatMap(([first, last]) =>
+        Array.from({ length: Math.max(0, last - first + 1) }, (_, offset) => first + offset)
+    );
 }
 
 /** Decodes the record of an accepted or finished job. */
@@ -173,7 +247,7 @@
     }
     const value = parsed.val;
     return "state" in value
-        ? Ok({ kind: "finished" as const, state: value.state, queue: toId<QueueId>(value.queue) })
+        ? Ok(decodeFinishedJob(value))
         : Ok({
             kind: "accepted" as const,
             queue: toId<QueueId>(value.queue),
@@ -185,6 +259,24 @@
         });
 }
 
+function decodeFinishedJob(value: z.infer<typeof finishedSchema>): FinishedJobRecord {
+    const { remaining } = value;
+    return {
+        kind: "finished",
+        state: value.state,
+        queue: toId<QueueId>(value.queue),
+        remaining: remaining === undefined ? undefined : {
+            team: toId<TeamId>(remaining.team),
+            tasks: remaining.tasks.map(([occurrence, step, cpuMillis, memoryMb, accelerators, ranges]) => ({
+                occurrence,
+                step,
+                resources: { cpuMillis, memoryMb, accelerators },
+                indexes: fromRanges(ranges),
+            })),
+        },
+    };
+}
+
 /** Returns the stored form of the owner record. */
 export function encodeOwner(record: OwnerRecord): string {
     return JSON.stringify(record);
--- a/packages/cell/src/store-keys_test.ts
+++ b/packages/cell/src/store-keys_test.ts
@@ -2,7 +2,7 @@
 import { toId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { decodeJobRecord, encodeAcceptedJob } from "./store-keys.js";
+import { decodeJobRecord, encodeAcceptedJob, encodeFinishedJob } from "./store-keys.js";
 import { createStep, testRules } from "./testing/cell-simulation.js";
 
 describe("the stored form of an accepted job", () => {
@@ -26,3 +26,33 @@
         expect(decoded.kind === "accepted" ? decoded.queueRules : testRules).toEqual(undefined);
     });
 });
+
+describe("the stored form of a finished job", () => {
+    const finished = { state: "cancelled", queue: toId<QueueId>("orders") } as const;
+    const resources = { cpuMillis: 500, memoryMb: 200, accelerators: 1 };
+
+    it("keeps its team and the tasks of which runs may go on", () => {
+        // Guards against a successor that does not charge these runs to the team.
+        const tasks = [
+            { occurrence: 0, step: 2, resources, indexes: [0, 1, 2, 7, 9, 10] },
+            { occurrence: 4, step: 0, resources, indexes: [5] },
+        ];
+        const remaining = { team: toId<TeamId>("sales"), tasks };
+        const decoded = decodeJobRecord(encodeFinishedJob({ ...finished, remaining })).unwrap();
+        expect(decoded).toEqual({ kind: "finished", ...finished, remaining });
+    });
+
+    it("can be without them, as earlier versions store it", () => {
+        const text = JSON.stringify(finished);
+        expect(encodeFinishedJob(finished)).toEqual(text);
+        expect(decodeJobRecord(text).unwrap()).toEqual({ kind: "finished", ...finished, remaining: undefined });
+    });
+
+    it("stays that of a finished job for earlier versions, which know its state and queue only", () => {
+        const remaining = { team: toId<TeamId>("sales"), tasks: [] };
+        const stored = JSON.parse(encodeFinishedJob({ ...finished, remaining })) as Record<string, unknown>;
+        expect([stored["state"], stored["queue"]]).toEqual([finished.state, finished.queue]);
+        // Earlier versions take a value with these fields for an accepted job.
+        expect(["team", "at", "spec"].filter(field => field in stored)).toEqual([]);
+    });
+});
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -12,12 +12,13 @@
  * const { starts } = scheduler.tick(now);
  * ```
  */
-import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
+import type { ExecutorId, JobId, QueueId, TeamId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
 import { recordSilence, recordSurvivedStart } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
+import { addEndedJob, listRemainingTasks } from "./ended-jobs.js";
 import { stopRunsOfLeavingExecutors } from "./evacuation-system.js";
 import { addOccurrence, countOccurrences, createJobRow, takeRateToken } from "./job-rows.js";
 import { parseTaskKey } from "./keys.js";
@@ -32,12 +33,14 @@
     AdviceGrant,
     AdviceRequest,
     AdviceSendResult,
+    EndedJob,
     ExecutorUpdate,
     JobState,
     JobSubmission,
     ListedRun,
     PoolId,
     QueueRules,
+    RemainingTasks,
     RunEnd,
     SchedulerOptions,
     SchedulerRules,
@@ -172,6 +175,20 @@
         }
     }
 
+    /** Charges what is left of a job that an earlier owner ended, unless the job is already known. */
+    addEndedJob(ended: EndedJob): void {
+        if (!this.state.jobs.has(ended.job)) {
+            addEndedJob(this.state, ended);
+        }
+    }
+
+    /** Returns the tasks of a job of which executors may hold runs, and its team; `undefined` if there are none. */
+    findRemainingTasks(job: JobId): { readonly team: TeamId; readonly tasks: readonly RemainingTasks[]; } | undefined {
+        const row = this.state.jobs.get(job);
+        const tasks = row === undefined ? [] : listRemainingTasks(row);
+        return row === undefined || tasks.length === 0 ? undefined : { team: row.team.id, tasks };
+    }
+
     /** Cancels a job unless it has ended. Returns its state afterwards, or `undefined` if the job is not known. */
     cancelJob(job: JobId): JobState | undefined {
         const row = this.state.jobs.get(job);
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -42,6 +42,8 @@
     hasReleasedUnknownTasks = false;
     /** Whether some task may be in the state `unknown`. */
     hasUnknownTasks = false;
+    /** Whether `TeamRow.unknownUsage` of some team may not be 0. */
+    hasUnknownUsage = false;
     /** Number of probes in flight. */
     probeCount = 0;
     /** Run numbers of this owner are above this number. */
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -75,6 +75,25 @@
     readonly queueRules?: QueueRules;
 }
 
+/** Tasks of one step of an ended job of which executors may still hold runs. */
+export interface RemainingTasks {
+    readonly occurrence: number;
+    readonly step: number;
+    /** What each of the tasks is charged. */
+    readonly resources: ResourceVector;
+    readonly indexes: readonly number[];
+}
+
+/** A job that an earlier owner ended while executors may still have held runs of it. */
+export interface EndedJob {
+    readonly job: JobId;
+    readonly queue: QueueId;
+    readonly team: TeamId;
+    /** How it ended. */
+    readonly state: JobState;
+    readonly remaining: readonly RemainingTasks[];
+}
+
 /** Cost of a call to the advisor of a queue, which says where a step may run, and validity of its answers. */
 export interface AdviceRules {
     /** Fixed time of one call, ms. */
--- a/packages/workflow/src/unknown-tasks-system.ts
+++ b/packages/workflow/src/unknown-tasks-system.ts
@@ -2,29 +2,56 @@
  * Accounts for tasks that an earlier owner may have started on executors that have not answered yet. Until such a task
  * is listed or its lease has expired, it counts toward the limit of its team like a running task, but all such tasks of
  * a team together count for no more than the capacity of the unreachable executors.
+ *
+ * A listed run whose job is not known may belong to any team. Nothing else starts on its executor, and what is free
+ * there counts toward the limits of all teams.
  */
 import type { ResourceVector } from "@waxwingroute/core";
 import { addResources, resourceNames, zeroResources } from "@waxwingroute/core";
-import type { JobRow, TaskRow, TeamRow } from "./rows.js";
+import type { ExecutorRow, JobRow, TaskRow, TeamRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
-import { getChargedResources } from "./state.js";
+import { getChargedResources, getFreeResources } from "./state.js";
 
-/** Recomputes `TeamRow.unknownUsage`. Does nothing once no task is `unknown`, to keep ticks cheap. */
+/** Recomputes `TeamRow.unknownUsage`. Looks at the jobs only while a task is `unknown`, to keep ticks cheap. */
 export function updateUnknownUsage(state: SchedulerState): void {
-    if (!state.hasUnknownTasks) {
+    const ofAnyTeam = computeUsageOfUnknownTeams(state);
+    if (!state.hasUnknownTasks && !state.hasUnknownUsage && ofAnyTeam === zeroResources) {
         return;
     }
+    const sums = state.hasUnknownTasks ? sumUnknownTasks(state) : new Map<TeamRow, ResourceVector>();
+    const unreachableCapacity = computeUnreachableCapacity(state);
+    for (const team of state.teams.values()) {
+        const ofTeam = computeMinimum(sums.get(team) ?? zeroResources, unreachableCapacity);
+        team.unknownUsage = addResources(ofTeam, ofAnyTeam);
+    }
+    state.hasUnknownTasks = sums.size > 0;
+    state.hasUnknownUsage = state.hasUnknownTasks || ofAnyTeam !== zeroResources;
+}
+
+function sumUnknownTasks(state: SchedulerState): Map<TeamRow, ResourceVector> {
     const sums = new Map<TeamRow, ResourceVector>();
     for (const job of state.jobs.values()) {
         for (const task of listUnknownTasks(job)) {
             sums.set(job.team, addResources(sums.get(job.team) ?? zeroResources, getChargedResources(task.step)));
         }
     }
-    const unreachableCapacity = computeUnreachableCapacity(state);
-    for (const team of state.teams.values()) {
-        team.unknownUsage = computeMinimum(sums.get(team) ?? zeroResources, unreachableCapacity);
+    return sums;
+}
+
+/** Returns an upper bound of what listed runs use whose teams are not known. */
+function computeUsageOfUnknownTeams(state: SchedulerState): ResourceVector {
+    let usage = zeroResources;
+    for (const executor of state.executors.values()) {
+        if (executor.runsOfUnknownTasks.size > 0) {
+            const free = hasKnownCapacity(executor) ? getFreeResources(executor) : unboundedResources;
+            usage = addResources(usage, computeMaximum(free, zeroResources));
+        }
     }
-    state.hasUnknownTasks = sums.size > 0;
+    return usage;
+}
+
+function hasKnownCapacity({ capacity }: ExecutorRow): boolean {
+    return resourceNames.some(name => capacity[name] > 0);
 }
 
 /** Returns the tasks of a job in the state `unknown`. */
@@ -39,8 +66,7 @@
     let capacity = zeroResources;
     for (const executor of state.executors.values()) {
         if (!executor.isReachable) {
-            const isKnown = resourceNames.some(name => executor.capacity[name] > 0);
-            capacity = addResources(capacity, isKnown ? executor.capacity : unboundedResources);
+            capacity = addResources(capacity, hasKnownCapacity(executor) ? executor.capacity : unboundedResources);
         }
     }
     return capacity;
@@ -55,3 +81,11 @@
         accelerators: Math.min(first.accelerators, second.accelerators),
     };
 }
+
+function computeMaximum(first: ResourceVector, second: ResourceVector): ResourceVector {
+    return {
+        cpuMillis: Math.max(first.cpuMillis, second.cpuMillis),
+        memoryMb: Math.max(first.memoryMb, second.memoryMb),
+        accelerators: Math.max(first.accelerators, second.accelerators),
+    };
+}
