--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -352,6 +352,7 @@
             team,
             acceptedAtWallMs: clock.getWallTime(),
             queueRules: this.tracker.current?.findRules(target.queue),
+            queueRulesVersion: this.tracker.current?.configuration.version,
             spec,
         });
         const tookMs = Math.round(clock.getNow() - startedAt);
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -182,6 +182,7 @@
             team: record.team,
             spec: record.spec,
             queueRules: record.queueRules,
+            queueRulesVersion: record.queueRulesVersion,
             acceptedAt: now - ageMs,
             mayHaveStarted: record.epoch < firstEpoch && !hasReleasedTasks(),
         });
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -44,6 +44,8 @@
         readonly epoch: number;
         /** Rules of the queue at the acceptance; the queue may be removed before the job has ended. */
         readonly queueRules?: QueueRules;
+        /** Version of the configuration that has these rules; absent in records of earlier versions. */
+        readonly queueRulesVersion?: number;
         readonly spec: JobSpec;
     }
     | FinishedJobRecord;
@@ -141,6 +143,7 @@
         at: z.number(),
         epoch: z.number().default(0),
         rules: z.custom<QueueRules>(isQueueRules).optional(),
+        rulesVersion: z.number().optional(),
         spec: z.custom<JobSpec>(isJobSpec),
     }),
 ]);
@@ -195,6 +198,7 @@
         at: record.acceptedAtWallMs,
         epoch: record.epoch,
         rules: record.queueRules,
+        rulesVersion: record.queueRulesVersion,
         spec: record.spec,
     });
 }
@@ -255,6 +259,7 @@
             acceptedAtWallMs: value.at,
             epoch: value.epoch,
             queueRules: value.rules,
+            queueRulesVersion: value.rulesVersion,
             spec: value.spec,
         });
 }
--- a/packages/cell/src/store-keys_test.ts
+++ b/packages/cell/src/store-keys_test.ts
@@ -17,8 +17,10 @@
 
     it("keeps the rules of its queue", () => {
         // Guards against a job that the next owner cannot schedule, because its queue has been removed meanwhile.
-        const decoded = decodeJobRecord(encodeAcceptedJob({ ...accepted, queueRules: testRules })).unwrap();
+        const record = { ...accepted, queueRules: testRules, queueRulesVersion: 7 };
+        const decoded = decodeJobRecord(encodeAcceptedJob(record)).unwrap();
         expect(decoded.kind === "accepted" ? decoded.queueRules : undefined).toEqual(testRules);
+        expect(decoded.kind === "accepted" ? decoded.queueRulesVersion : undefined).toEqual(7);
     });
 
     it("can be without them, as earlier versions store it", () => {
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -211,6 +211,8 @@
 /** A queue and what was learned from its runs. */
 export interface QueueRow {
     rules: QueueRules;
+    /** Version of the configuration that has the rules, if they were stored with a job; infinite if they were declared. */
+    rulesVersion: number;
     /** Moving average of measured run time divided by the estimate. */
     estimateRatio: number;
     /** Moving average of the share of executors that the advisor granted when it was first asked about them. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -87,12 +87,18 @@
     /** Applies the declared queues and teams. A queue or team that is missing from `rules` keeps its last rules. */
     applyRules(rules: SchedulerRules): void {
         for (const queue of rules.queues) {
-            this.ensureQueue(queue).rules = queue;
+            const row = this.ensureQueue(queue);
+            row.rules = queue;
+            row.rulesVersion = Infinity;
         }
         rules.teams.forEach(team => {
             this.state.getTeam(team.team).rules = team;
         });
-        // A queue may have got another pool.
+        this.recordPoolChanges();
+    }
+
+    /** Lets steps be evaluated again on all executors, because a queue may have got another pool. */
+    private recordPoolChanges(): void {
         for (const executor of this.state.executors.values()) {
             this.state.recordRoomGain(executor);
         }
@@ -111,12 +117,27 @@
     private ensureQueue(rules: QueueRules): QueueRow {
         return this.state.queues.ensure(rules.queue, () => ({
             rules,
+            rulesVersion: 0,
             estimateRatio: 1,
             grantRate: 0.5,
             crashRate: 0,
         }));
     }
 
+    /** Applies the rules with which a job was stored, if its queue is known from such jobs only. The newest count. */
+    private applyStoredRules(rules: QueueRules, version: number): void {
+        const row = this.ensureQueue(rules);
+        if (version < row.rulesVersion) {
+            return;
+        }
+        const hasOtherPool = row.rules.pool !== rules.pool;
+        row.rules = rules;
+        row.rulesVersion = version;
+        if (hasOtherPool) {
+            this.recordPoolChanges();
+        }
+    }
+
     /** Adds or changes an executor. Its runs are kept. */
     updateExecutor(update: ExecutorUpdate): void {
         const row = this.state.executors.ensure(update.executor, () => createExecutorRow(update));
@@ -164,7 +185,7 @@
             return;
         }
         if (submission.queueRules !== undefined) {
-            this.ensureQueue(submission.queueRules);
+            this.applyStoredRules(submission.queueRules, submission.queueRulesVersion ?? 0);
         }
         const team = this.state.getTeam(submission.team);
         const job = createJobRow(submission, team, takeRateToken(team, now));
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -73,6 +73,8 @@
     readonly mayHaveStarted: boolean;
     /** Rules of the queue at the acceptance, used if the queue has been removed since. Default: the job then waits. */
     readonly queueRules?: QueueRules;
+    /** Version of the configuration that has these rules. Default 0: not known. */
+    readonly queueRulesVersion?: number;
 }
 
 /** Tasks of one step of an ended job of which executors may still hold runs. */
