--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -12,12 +12,13 @@
  * const { starts } = scheduler.tick(now);
  * ```
  */
-import type { ExecutorId, JobId, QueueId } from "@waxwingroute/core";
+import type { ExecutorId, JobId, QueueId, TeamId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
 import { recordSilence, recordSurvivedStart } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
+import { addEndedJob, listRemainingTasks } from "./ended-jobs.js";
 import { stopRunsOfLeavingExecutors } from "./evacuation-system.js";
 import { addOccurrence, countOccurrences, createJobRow, takeRateToken } from "./job-rows.js";
 import { parseTaskKey } from "./keys.js";
@@ -32,12 +33,14 @@
     AdviceGrant,
     AdviceRequest,
     AdviceSendResult,
+    EndedJob,
     ExecutorUpdate,
     JobState,
     JobSubmission,
     ListedRun,
     PoolId,
     QueueRules,
+    RemainingTasks,
     RunEnd,
     SchedulerOptions,
     SchedulerRules,
@@ -84,12 +87,18 @@
     /** Applies the declared queues and teams. A queue or team that is missing from `rules` keeps its last rules. */
     applyRules(rules: SchedulerRules): void {
         for (const queue of rules.queues) {
-            this.ensureQueue(queue).rules = queue;
+            const row = this.ensureQueue(queue);
+            row.rules = queue;
+            row.rulesVersion = Infinity;
         }
         rules.teams.forEach(team => {
             this.state.getTeam(team.team).rules = team;
         });
-        // A queue may have got another pool.
+        this.recordPoolChanges();
+    }
+
+    /** Lets steps be evaluated again on all executors, because a queue may have got another pool. */
+    private recordPoolChanges(): void {
         for (const executor of this.state.executors.values()) {
             this.state.recordRoomGain(executor);
         }
@@ -108,12 +117,27 @@
     private ensureQueue(rules: QueueRules): QueueRow {
         return this.state.queues.ensure(rules.queue, () => ({
             rules,
+            rulesVersion: 0,
             estimateRatio: 1,
             grantRate: 0.5,
             crashRate: 0,
         }));
     }
 
+    /** Applies the rules with which a job was stored, if its queue is known from such jobs only. The newest count. */
+    private applyStoredRules(rules: QueueRules, version: number): void {
+        const row = this.ensureQueue(rules);
+        if (version < row.rulesVersion) {
+            return;
+        }
+        const hasOtherPool = row.rules.pool !== rules.pool;
+        row.rules = rules;
+        row.rulesVersion = version;
+        if (hasOtherPool) {
+            this.recordPoolChanges();
+        }
+    }
+
     /** Adds or changes an executor. Its runs are kept. */
     updateExecutor(update: ExecutorUpdate): void {
         const row = this.state.executors.ensure(update.executor, () => createExecutorRow(update));
@@ -161,7 +185,7 @@
             return;
         }
         if (submission.queueRules !== undefined) {
-            this.ensureQueue(submission.queueRules);
+            this.applyStoredRules(submission.queueRules, submission.queueRulesVersion ?? 0);
         }
         const team = this.state.getTeam(submission.team);
         const job = createJobRow(submission, team, takeRateToken(team, now));
@@ -172,6 +196,20 @@
         }
     }
 
+    /** Charges what is left of a job that an earlier owner ended, unless the job is already known. */
+    addEndedJob(ended: EndedJob): void {
+        if (!this.state.jobs.has(ended.job)) {
+            addEndedJob(this.state, ended);
+        }
+    }
+
+    /** Returns the tasks of a job of which executors may hold runs, and its team; `undefined` if there are none. */
+    findRemainingTasks(job: JobId): { readonly team: TeamId; readonly tasks: readonly RemainingTasks[]; } | undefined {
+        const row = this.state.jobs.get(job);
+        const tasks = row === undefined ? [] : listRemainingTasks(row);
+        return row === undefined || tasks.length === 0 ? undefined : { team: row.team.id, tasks };
+    }
+
     /** Cancels a job unless it has ended. Returns its state afterwards, or `undefined` if the job is not known. */
     cancelJob(job: JobId): JobState | undefined {
         const row = this.state.jobs.get(job);
