Bound the time that a step waits for a call to the advisor

Callers saw jobs stand with adviceNotAsked for 17 to 28 s after a takeover, and some after the traffic had ended (LOST).

Cause: the advisor's time is scarce and was given out in strict order of urgency. Each round began again with the most urgent step, so that a step of a late or less urgent queue waited for as long as others needed calls, first or repeated ones. Hosts that are kept free of long calls lengthened the wait: with two hosts only half of the advisor's time was used.

Change: the calls are shared between two classes of steps (AdviceOrder). Those that have waited for 2 s are served in the order in which their waits began, the others by urgency, and while both wait, each class gets half of the expected work. A wait goes on while no executor has room. No host is kept free of the calls of overdue steps. A queue of which one call was postponed is not evaluated again in the round.

--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -68,7 +68,7 @@
 
     /**
      * Sends a request to the advisor if a host is free for it. Returns `noHost` if none is free at all, and
-     * `postponed` if only short calls may be sent now.
+     * `postponed` if only short calls and those of overdue steps may be sent now.
      */
     send(request: AdviceRequest, rules: AdviceRules): AdviceSendResult {
         const workMs = rules.callMs + rules.perExecutorMs * request.executors.length;
@@ -77,7 +77,7 @@
         if (free.length === 0) {
             return "noHost";
         }
-        if (isLong && !this.allowsLongCall()) {
+        if (isLong && !request.isOverdue && !this.allowsLongCall()) {
             return "postponed";
         }
         const row = isLong ? pickForLongCall(free) : pickForShortCall(free);
--- a/packages/cell/src/testing/advice-load.ts
+++ b/packages/cell/src/testing/advice-load.ts
@@ -107,9 +107,12 @@
 /** Draws the jobs that are submitted in each interval. */
 export class AdviceLoad {
     private readonly random: SeededRandom;
+    /** Apart from `random`, so that the jobs of a seed do not depend on what the scheduler decides. */
+    private readonly runRandom: SeededRandom;
 
     constructor(private readonly options: LoadOptions) {
         this.random = new SeededRandom(options.seed);
+        this.runRandom = new SeededRandom(options.seed + 1_000_000);
     }
 
     /** Returns the jobs of an interval. While `isHot`, one team submits many times its usual number. */
@@ -130,7 +133,7 @@
 
     /** Returns the duration of a run: its estimate, a fifth more or less. */
     generateRunMs({ estimateMs }: StepSpec): number {
-        return estimateMs * (0.8 + 0.4 * this.random.getFloat());
+        return estimateMs * (0.8 + 0.4 * this.runRandom.getFloat());
     }
 
     private generateCount(expected: number): number {
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -3,7 +3,8 @@
  * answer is kept: a refused executor is not asked about again, and a granted one only if its ticket has expired while
  * it has free slots.
  */
-import type { ExecutorId } from "@waxwingroute/core";
+import type { ExecutorId, QueueId } from "@waxwingroute/core";
+import { AdviceOrder } from "./advice-order.js";
 import { countFreeSlots, hasValidTicket, isEligible, needsAdvice } from "./candidates.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, QueueRow, RunRow, StepRow } from "./rows.js";
@@ -41,31 +42,57 @@
     readonly grantProbability: number;
 }
 
-/** Passes a request for each step that needs one to `send`, the most urgent step first, until no host is free. */
+/** Passes a request for each step that needs one to `send`, in the order of `AdviceOrder`, until no host is free. */
 export function sendAdviceRequests(
     state: SchedulerState,
     now: number,
     ranked: readonly RankedStep[],
     send: (request: AdviceRequest) => AdviceSendResult,
 ): void {
-    for (const { step } of ranked) {
+    const order = new AdviceOrder(now, listDueSteps(state, now, ranked), state.adviceBalance);
+    for (let next = order.takeNext(); next !== undefined; next = order.takeNext()) {
+        const { isOverdue, step } = next;
         const { advice } = step;
-        const isDue = !advice.isRequestPending && advice.retryAt <= now && advice.evaluateAt <= now;
-        if (!isDue || !needsAdvice(state, step)) {
-            continue;
-        }
         const executors = selectExecutorsToAsk(state, now, step);
-        if (executors.length === 0) {
+        if (executors === undefined || executors.length === 0) {
             advice.evaluateAt = now + evaluationIntervalMs;
+            // A step that lacks room keeps its place, since others may take each room before its call is answered.
+            advice.dueSince = executors === undefined ? undefined : advice.dueSince;
             continue;
         }
-        const result = send({ step: step.key, queue: step.occurrence.job.submission.queue, executors });
-        advice.isRequestPending = result === "sent";
-        advice.requestedAt = result === "sent" ? now : advice.requestedAt;
+        const { queue } = step.occurrence.job.submission;
+        const result = send({ step: step.key, queue, executors, isOverdue });
         if (result === "noHost") {
             return;
         }
+        if (result === "postponed") {
+            order.recordPostponed(next);
+            continue;
+        }
+        advice.isRequestPending = true;
+        advice.requestedAt = now;
+        advice.dueSince = undefined;
+        order.recordSent(next, estimateWorkMs(state, queue, executors.length));
+    }
+}
+
+/** Returns the ranked steps that may need a request, and records for each since when. */
+function listDueSteps(state: SchedulerState, now: number, ranked: readonly RankedStep[]): StepRow[] {
+    const due: StepRow[] = [];
+    for (const { step } of ranked) {
+        const { advice } = step;
+        const isDue = !advice.isRequestPending && advice.retryAt <= now && advice.evaluateAt <= now;
+        if (isDue && needsAdvice(state, step)) {
+            advice.dueSince ??= now;
+            due.push(step);
+        }
     }
+    return due;
+}
+
+function estimateWorkMs(state: SchedulerState, queue: QueueId, executors: number): number {
+    const { callMs = 0, perExecutorMs = 0 } = state.queues.get(queue)?.rules.advice ?? {};
+    return callMs + perExecutorMs * executors;
 }
 
 /** Records the advisor's answer about the executors in `asked`; `grants` is `undefined` if the call failed. */
@@ -119,7 +146,8 @@
     }
 }
 
-function selectExecutorsToAsk(state: SchedulerState, now: number, step: StepRow): ExecutorId[] {
+/** Returns no executors if asking cannot help now, and `undefined` if the tickets suffice for all waiting tasks. */
+function selectExecutorsToAsk(state: SchedulerState, now: number, step: StepRow): ExecutorId[] | undefined {
     const neededSlots = step.waitingCount;
     const options: AskOption[] = [];
     const withoutSlots: ExecutorRow[] = [];
@@ -148,7 +176,10 @@
             withoutSlots.push(executor);
         }
     }
-    if (coveredSlots >= neededSlots || isBlockedGang(step, options, coveredSlots, neededSlots)) {
+    if (coveredSlots >= neededSlots) {
+        return undefined;
+    }
+    if (isBlockedGang(step, options, coveredSlots, neededSlots)) {
         return [];
     }
     const wasAsked = step.advice.tickets.size + step.advice.refused.size > 0;
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -110,6 +110,7 @@
         tasks,
         advice: {
             isRequestPending: false,
+            dueSince: undefined,
             requestedAt: undefined,
             answeredAt: undefined,
             retryAt: 0,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -70,6 +70,8 @@
     /** When the last request was sent, and when the advisor last answered one; `undefined`: never. */
     requestedAt: number | undefined;
     answeredAt: number | undefined;
+    /** Since when the step waits for a request, its tickets do not suffice, and none is in flight; `undefined`: it does not. */
+    dueSince: number | undefined;
     /** No request is sent before this time. */
     retryAt: number;
     /** Executors that the advisor granted, also those whose ticket has expired. */
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -4,6 +4,7 @@
  */
 import type { ExecutorId, JobId, QueueId, ResourceVector, TeamId } from "@waxwingroute/core";
 import { addResources, fitsWithin, subtractResources, Table, zeroResources } from "@waxwingroute/core";
+import type { AdviceBalance } from "./advice-order.js";
 import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow, TeamRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
 import type { JobChange, SchedulerOptions, StartDecision, StopDecision, StopReason } from "./types.js";
@@ -34,6 +35,7 @@
     private readonly avoidedExecutors = new Set<ExecutorRow>();
     /** Where the next advice request begins to take executors without free slots. */
     nextExecutorToAsk = 0;
+    readonly adviceBalance: AdviceBalance = { aheadMs: 0 };
     /** Runs are checked for progress again at this time. */
     nextStallCheckAt = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -216,6 +216,8 @@
     readonly step: StepKey;
     readonly queue: QueueId;
     readonly executors: readonly ExecutorId[];
+    /** Whether the step has waited for so long that no host is kept free of its call for shorter ones. */
+    readonly isOverdue: boolean;
 }
 
 /** `postponed`: this request has to wait, but others can be sent. `noHost`: no host is free for any request now. */
