--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -106,7 +106,7 @@
 
     /**
      * Sends a request to the advisor if a host is free for it. Returns `noHost` if none is free at all, and
-     * `postponed` if only short calls may be sent now.
+     * `postponed` if only short calls and those of overdue steps may be sent now.
      */
     send(request: AdviceRequest, rules: AdviceRules): AdviceSendResult {
         const workMs = rules.callMs + rules.perExecutorMs * request.executors.length;
@@ -116,7 +116,7 @@
         if (free.length === 0) {
             return "noHost";
         }
-        if (isLong && !this.allowsLongCall()) {
+        if (isLong && !request.isOverdue && !this.allowsLongCall()) {
             return "postponed";
         }
         const reliable = selectReliable(free);
