Soak: trouble of the advice service that outlasts the traffic

Cause: the earlier shapes end all troubles with the traffic, so a way to the advice service that fails for some hosts only never met the check for jobs that stand. The platform's rule asks for no calm there.

Change: shape `partial`, in which one trouble of the advice service, for a host or a zone, begins before the traffic ends and lasts until the end of the run; `killed-hosts`, which kills half of the hosts or more at the same moment; option `--lanes`. `hot` has three troubles at a time in place of four, which left no owner for most of the time.

--- a/packages/soak/src/advice-troubles.ts
+++ b/packages/soak/src/advice-troubles.ts
@@ -5,16 +5,30 @@
 import { Trouble } from "./trouble.js";
 import type { TroubleContext } from "./trouble.js";
 
+/** Longer than any run, ms. */
+const longestMs = 3_600_000;
+
+/** Where and how long a fault is in force. */
+export interface AdviceTroubleOptions {
+    /** Whether it lasts as long as it may, and leaves at least one zone out. Default false. */
+    readonly isLasting?: boolean;
+}
+
 /** A fault of the advice service for one host, for one zone or for all. */
 abstract class AdviceTrouble extends Trouble {
+    constructor(private readonly options: AdviceTroubleOptions = {}) {
+        super();
+    }
+
     protected abstract readonly faults: AdviceFaults;
     /** Longest duration, ms. */
     protected abstract readonly maxMs: number;
 
     async run(context: TroubleContext): Promise<void> {
         const { site, random, wait } = context;
-        const hosts = pickHosts(site, random);
-        const ms = this.pickMs(random, 1_000, this.maxMs);
+        const { isLasting = false } = this.options;
+        const hosts = pickHosts(site, random, isLasting ? ["host", "zone"] : ["host", "host", "zone", "all"]);
+        const ms = isLasting ? longestMs : this.pickMs(random, 1_000, this.maxMs);
         const end = this.begin(context, hosts, { ...this.faults, ms });
         const restores = site.listAdvisors(hosts).map(advisor => advisor.addFaults(this.faults));
         await wait(ms);
@@ -23,8 +37,8 @@
     }
 }
 
-function pickHosts(site: Site, random: RandomSource): string[] {
-    const scope = random.pickOne(["host", "host", "zone", "all"] as const)!;
+function pickHosts(site: Site, random: RandomSource, scopes: readonly ("host" | "zone" | "all")[]): string[] {
+    const scope = random.pickOne(scopes)!;
     if (scope === "all") {
         return site.hostNames;
     }
--- a/packages/soak/src/host-troubles.ts
+++ b/packages/soak/src/host-troubles.ts
@@ -47,6 +47,30 @@
     }
 }
 
+/** Kills most or all hosts at the same moment and starts them again. */
+export class KilledHosts extends Trouble {
+    readonly name = "killed-hosts";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { site, random, wait } = context;
+        const first = site.chooseHost(random, ownerShare);
+        const others = site.hosts.filter(host => host !== first);
+        const count = Math.ceil(site.hosts.length * [0.5, 0.7, 1][random.getInteger(3)]!);
+        const hosts = [first, ...others.slice(0, count - 1)];
+        const ms = this.pickMs(random, 500, 2_500);
+        const end = this.begin(context, hosts.map(host => host.name), { ms });
+        await Promise.all(hosts.map(host =>
+            host.takeTurn(async () => {
+                await host.kill();
+                await wait(ms);
+                host.start();
+            })
+        ));
+        await wait(1_500);
+        end();
+    }
+}
+
 /** Tells a host to stop and starts it again once it has. */
 export class TerminatedHost extends Trouble {
     readonly name = "terminated-host";
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,6 +1,6 @@
 /**
  * Plays runs: `main.js --seed N --program PATH [--shape NAME] [--rate N] [--executors N] [--duration S]
- * [--hosts N] [--output FOLDER]`. Prints one line
+ * [--lanes N] [--hosts N] [--output FOLDER]`. Prints one line
  * a run. Exits with 1 if a rule was broken.
  */
 import { isAbsolute, resolve } from "node:path";
@@ -19,6 +19,7 @@
         calm: { type: "string", default: "32" },
         rate: { type: "string" },
         executors: { type: "string" },
+        lanes: { type: "string" },
         hosts: { type: "string", default: "6" },
         output: { type: "string" },
     },
@@ -30,7 +31,7 @@
 }
 ["SIGINT" as const, "SIGTERM" as const].forEach(signal => process.on(signal, () => process.exit(2)));
 const shapeOptions: Shape = shapes[shape];
-const { workload, executors } = shapeOptions;
+const { workload, executors, lanes } = shapeOptions;
 const rate = values.rate === undefined ? undefined : Number(values.rate);
 const result = await new SoakRun({
     seed: Number(values.seed),
@@ -38,6 +39,7 @@
     shape: {
         ...shapeOptions,
         executors: Number(values.executors ?? executors),
+        lanes: Number(values.lanes ?? lanes),
         workload: rate === undefined ? workload : { ...workload, jobsPerSecond: rate, peakJobsPerSecond: rate },
     },
     troubleMs: Number(values.duration) * 1_000,
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -4,6 +4,7 @@
 import {
     HungUpHost,
     KilledHost,
+    KilledHosts,
     OwnerLostWithWrites,
     PausedHosts,
     PausedOwners,
@@ -21,12 +22,15 @@
     readonly executors: number;
     /** Troubles at the same time. */
     readonly lanes: number;
+    /** Troubles of which one begins beside the last of the others and lasts until the end of the run. Default: none. */
+    readonly lasting?: readonly (readonly [Trouble, number])[];
 }
 
 const cutZone = new CutZone();
 const pausedOwners = new PausedOwners();
 const pausedHosts = new PausedHosts();
 const killedHost = new KilledHost();
+const killedHosts = new KilledHosts();
 const terminatedHost = new TerminatedHost();
 const hungUpHost = new HungUpHost();
 const ownerLostWithWrites = new OwnerLostWithWrites();
@@ -50,6 +54,7 @@
     [pausedOwners, 3],
     [pausedHosts, 2],
     [killedHost, 2],
+    [killedHosts, 1],
     [terminatedHost, 1],
     [cutZone, 1],
     [storeAnswersLost, 1],
@@ -140,7 +145,20 @@
         troubles: adviceTroubles,
         workload: { jobsPerSecond: 24, peakJobsPerSecond: 36, advisedShare: 1, cancelShare: 0.05 },
         executors: 30,
-        lanes: 4,
+        lanes: 3,
+    },
+    /** Owners that change, while the advice service stays away from a host or a zone also after the last job. */
+    partial: {
+        troubles: adviceTroubles,
+        workload: { jobsPerSecond: 20, advisedShare: 1, cancelShare: 0.05 },
+        executors: 30,
+        lanes: 3,
+        lasting: [
+            [new AdviceSilent({ isLasting: true }), 1],
+            [new AdviceAnswersLost({ isLasting: true }), 1],
+            [new AdviceRefusing({ isLasting: true }), 1],
+            [new AdviceSlow({ isLasting: true }), 1],
+        ],
     },
 } satisfies Record<string, Shape>;
 
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -69,6 +69,8 @@
 const defaultCalmMs = 32_000;
 /** Longest time until all hosts are ready, ms. */
 const readyTimeoutMs = 30_000;
+/** Share of the time of trouble after which a lasting trouble begins. */
+const lastingFrom = 0.8;
 /** Longest pause between two troubles of a lane, ms. */
 const maxPauseMs = 1_500;
 /** Bounds that the platform states, and the attempts that the queue allows. */
@@ -94,7 +96,7 @@
     private readonly closables: { close(): void; }[] = [];
     private hosts: HostProcess[] = [];
     private readonly directory = mkdtempSync(join(tmpdir(), "waxwing-soak-"));
-    private endTrouble: (() => void) | undefined;
+    private endLasting: () => void = () => undefined;
 
     constructor(private readonly options: SoakOptions) {
         this.advice = new AdviceService({
@@ -137,8 +139,8 @@
         this.closables.push(callers);
         const calling = callers.run();
         await wait(2_000);
-        const troubles = this.runTroubles(site, shape, troubleMs);
-        await troubles;
+        const lasting = this.runLastingTrouble(site, shape, troubleMs * lastingFrom);
+        await this.runTroubles(site, shape, troubleMs);
         const calmFrom = record.now;
         record.write("calm", {});
         await callers.stop();
@@ -156,6 +158,8 @@
         const leastCalm = wait(bounds.contactMs + 2 * (bounds.cancelMs + bounds.stopMs));
         await callers.askForAll(isOpen, calmFrom + calmMs);
         await leastCalm;
+        this.endLasting();
+        await lasting;
         const standing = watch.listBreaks();
         const breaks = checkRules({ record, executors, policy: this.advice, standing, bounds, calmFrom });
         const waits = listFirstCallWaits(record);
@@ -183,10 +187,7 @@
     }
 
     private async runTroubles(site: Site, shape: Shape, ms: number): Promise<void> {
-        const isOver = new Promise<void>(resolve => {
-            this.endTrouble = resolve;
-            setTimeout(resolve, ms);
-        });
+        const isOver = wait(ms);
         const endsAt = this.record.now + ms;
         const waitUntilOver = (duration: number) => Promise.race([wait(duration), isOver]);
         const lanes = Array.from({ length: shape.lanes }, async (_, lane) => {
@@ -199,6 +200,18 @@
         await Promise.all(lanes);
     }
 
+    /** Begins a trouble after a delay, and ends it on `endLasting`. */
+    private async runLastingTrouble(site: Site, { lasting = [] }: Shape, delayMs: number): Promise<void> {
+        if (lasting.length > 0) {
+            const random = new SeededRandom(this.options.seed * 101 + 9);
+            const isOver = new Promise<void>(resolve => {
+                this.endLasting = resolve;
+            });
+            await wait(delayMs);
+            await pickWeighted(random, lasting).run({ site, random, wait: () => isOver });
+        }
+    }
+
     private async createSite(): Promise<Site> {
         const { shape, hosts: hostCount = defaultHosts, seed, program, outputDirectory } = this.options;
         const { record, store } = this;
