--- a/packages/cell/src/testing/advice-fixture.ts
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -70,7 +70,8 @@
     /** Sends a request about one executor; the first letter of the step chooses its rules. */
     send(step: string): AdviceSendResult {
         const key = toId<StepKey>(step);
-        const request = { step: key, queue: toId<QueueId>("queue"), executors: [toId<ExecutorId>("e0")] };
+        const executors = [toId<ExecutorId>("e0")];
+        const request = { step: key, queue: toId<QueueId>("queue"), executors, isOverdue: false };
         return this.dispatcher.send(request, getRules(key));
     }
 
