--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,7 +1,7 @@
 /**
- * Plays runs: `main.js --seed N --program PATH [--shape NAME] [--rate N] [--executors N] [--duration S]
- * [--lanes N] [--hosts N] [--output FOLDER]`. Prints one line
- * a run. Exits with 1 if a rule was broken.
+ * Plays a run: `main.js --seed N --program PATH [--shape NAME] [--rate N] [--executors N] [--lanes N] [--duration S]
+ * [--hosts N] [--output FOLDER]`. Prints the verdict and the longest waits for the advice service. Exits with 1 if a rule
+ * was broken.
  */
 import { isAbsolute, resolve } from "node:path";
 import { parseArgs } from "node:util";
