Keep the advisor at work while only long calls wait for it

Callers saw jobs stand for many seconds while the advisor was idle for a third to a half of the time.

Cause: the outstanding work of a host did not fall with time, so a host with one long call got nothing until its answer was back, round trip included; and a quarter of the hosts was kept free of long calls whether or not short ones came.

Change: the account says when the advisor is expected to be done, so the next call is sent when that is less than a round trip away. While an answer is late, its host gets no further call. Hosts are kept free of long calls only while short ones come, as many as their measured load needs, a quarter at most, and the quarter after each time that no host was free. A round that finds no host free ends before it reaches the short calls, so while none are known one round each 250 ms goes on. A host gets long calls one after another only if enough others are free of them. The line 'advice calls' now shows the work that is left (advice_log_test: 200 ms of a call of 400 ms after 200 ms, was 400).

Evidence: 'keeps the advisor at work' failed before.

--- a/packages/cell/src/advice-account.ts
+++ b/packages/cell/src/advice-account.ts
@@ -17,8 +17,10 @@
     readonly queuedMs: number;
     /** Time after which the call is given up, ms. */
     readonly timeoutMs: number;
-    /** Expected time until the advisor is done with the call, ms. */
-    readonly expectedMs: number;
+    /** When the advisor is expected to be done with the call. */
+    readonly expectedDoneAt: number;
+    /** The pace that was expected, see `AdviceAccount.pace`. */
+    readonly pace: number;
 }
 
 /** Longest time beyond the declared work that counts as overhead, ms: a round trip between regions, and short pauses. */
@@ -60,8 +62,15 @@
 
     /** Returns the expected work of the advisor for calls without an answer and for calls that were given up, ms. */
     getOutstandingMs(now: number): number {
-        const unansweredMs = [...this.calls].reduce((sum, { workMs }) => sum + workMs, 0);
-        return Math.max(unansweredMs, this.doneAt - now, 0);
+        return Math.max(0, this.doneAt - now);
+    }
+
+    /**
+     * Returns whether an answer is late, so that the advisor may hold more work than expected. `toleranceMs` is the time by
+     * which an answer may be late.
+     */
+    hasLateCall(now: number, toleranceMs: number): boolean {
+        return [...this.calls].some(({ expectedDoneAt }) => expectedDoneAt + this.overheadMs + toleranceMs < now);
     }
 
     /** Returns whether nothing of the account matters any more. */
@@ -71,10 +80,19 @@
 
     /** Adds a call that is sent now. */
     recordSent(now: number, workMs: number, isLong: boolean): SentCall {
-        const queuedMs = Math.max(0, this.doneAt - now);
-        const expectedMs = queuedMs + workMs * this.pace;
-        const call = { sentAt: now, workMs, isLong, queuedMs, expectedMs, timeoutMs: expectedMs + answerMarginMs };
-        this.doneAt = now + expectedMs;
+        const { pace } = this;
+        const arrivesAt = now + this.overheadMs / 2;
+        const queuedMs = Math.max(0, this.doneAt - arrivesAt);
+        this.doneAt = arrivesAt + queuedMs + workMs * pace;
+        const call = {
+            sentAt: now,
+            workMs,
+            isLong,
+            queuedMs,
+            expectedDoneAt: this.doneAt,
+            pace,
+            timeoutMs: queuedMs + workMs * pace + answerMarginMs,
+        };
         this.calls.add(call);
         return call;
     }
@@ -83,15 +101,15 @@
     recordAnswer(now: number, call: SentCall): void {
         this.calls.delete(call);
         this.failuresInRow = 0;
-        this.doneAt = now + this.sumLaterWork(call) * this.pace;
         this.measure(now, call);
+        this.doneAt = this.estimateDoneAt(now - this.overheadMs / 2, call);
     }
 
     /** Records that the advisor has not taken the call: it refused it, or was not reached. */
     recordRejected(now: number, call: SentCall): void {
         this.calls.delete(call);
         this.failuresInRow += 1;
-        this.doneAt = Math.max(now, this.doneAt - (call.expectedMs - call.queuedMs));
+        this.doneAt = Math.max(now, this.doneAt - call.workMs * call.pace);
     }
 
     /**
@@ -102,20 +120,24 @@
         this.calls.delete(call);
         this.failuresInRow += 1;
         const elapsedMs = now - call.sentAt;
-        const slowness = (elapsedMs - this.overheadMs) / call.expectedMs;
-        if (elapsedMs < call.timeoutMs - timerToleranceMs || this.pace * slowness > maxPace) {
+        const expectedMs = call.queuedMs + call.workMs * call.pace;
+        const shownPace = call.pace * (elapsedMs - this.overheadMs) / expectedMs;
+        if (elapsedMs < call.timeoutMs - timerToleranceMs || shownPace > maxPace) {
             return;
         }
         // Twice the pace that would have led to an answer at the time-out, so that few calls are lost until one has an answer.
-        const slowerPace = Math.min(maxPace, 2 * slowness * this.pace);
-        const expectedMs = call.expectedMs * slowerPace / this.pace;
-        this.doneAt = Math.max(this.doneAt, call.sentAt + expectedMs);
-        this.averagePace = Math.max(this.pace, slowerPace);
+        this.averagePace = Math.max(this.pace, Math.min(maxPace, 2 * shownPace));
+        const callDoneAt = call.sentAt + expectedMs * this.pace / call.pace;
+        this.doneAt = Math.max(this.doneAt, this.estimateDoneAt(callDoneAt, call));
     }
 
-    private sumLaterWork(call: SentCall): number {
+    /** Returns when the advisor will be done with the calls after `call`, if it is done with `call` at `doneAt`. */
+    private estimateDoneAt(doneAt: number, call: SentCall): number {
         const later = [...this.calls].filter(({ sentAt }) => sentAt >= call.sentAt);
-        return later.reduce((sum, { workMs }) => sum + workMs, 0);
+        return later.reduce(
+            (startAt, { sentAt, workMs }) => Math.max(startAt, sentAt + this.overheadMs / 2) + workMs * this.pace,
+            doneAt,
+        );
     }
 
     private measure(now: number, { queuedMs, sentAt, workMs }: SentCall): void {
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -10,6 +10,7 @@
 import type { AdviceOutcome } from "./advice-statistics.js";
 import { AdviceStatistics, classifyOutcome } from "./advice-statistics.js";
 import type { Advisor } from "./advisor.js";
+import { ShortCallLoad } from "./short-call-load.js";
 
 /** A host of the cell through which the advisor is asked. */
 export interface AdviceHost {
@@ -30,7 +31,10 @@
     ) => void;
 }
 
-/** A host with this much unanswered work is given no further call, ms. About one round trip between regions. */
+/**
+ * A host is given no further call while the advisor is expected to work for longer than this, or than the way of a call
+ * takes, on those it has, ms. About one round trip between regions, so that the advisor is not idle meanwhile.
+ */
 const maxBacklogMs = 90;
 /** Calls with more work than this are long: some hosts are kept free of them, for short calls. In ms. */
 const longCallMs = 50;
@@ -61,12 +65,14 @@
 /** Chooses a host for each request to the advisor and tracks the outstanding work of each host. */
 export class AdviceDispatcher {
     readonly statistics: AdviceStatistics;
+    private readonly shortCallLoad: ShortCallLoad;
     private readonly rows = new Map<string, HostRow>();
     /** By the name of the host, also of removed hosts as long as the advisor may work on their calls. */
     private readonly accounts = new Map<string, AdviceAccount>();
 
     constructor(private readonly options: AdviceDispatcherOptions) {
         this.statistics = new AdviceStatistics(options.clock.getNow());
+        this.shortCallLoad = new ShortCallLoad(options.clock.getNow());
     }
 
     /** Adds a host, or replaces the one of its name. What the advisor holds of earlier calls stays in its account. */
@@ -112,32 +118,45 @@
         const workMs = rules.callMs + rules.perExecutorMs * request.executors.length;
         const isLong = workMs > longCallMs;
         const now = this.options.clock.getNow();
+        if (!isLong) {
+            this.shortCallLoad.recordRequest(now);
+        }
         const free = this.listFreeHosts(now);
         if (free.length === 0) {
-            return "noHost";
+            return this.shortCallLoad.recordExhausted(now) ? "postponed" : "noHost";
         }
-        if (isLong && !this.allowsLongCall()) {
+        const allowed = isLong ? this.selectForLongCalls(free, now) : free;
+        if (allowed.length === 0) {
             return "postponed";
         }
-        const reliable = selectReliable(free);
+        const reliable = selectReliable(allowed);
         const row = isLong ? pickForLongCall(reliable) : pickForShortCall(reliable, now);
         const call = row.account.recordSent(now, workMs, isLong);
+        if (!isLong) {
+            this.shortCallLoad.recordSent(now, workMs);
+        }
         this.options.supervisor.start("advice", { step: request.step }, () => this.ask(row, request, call));
         return "sent";
     }
 
     /**
-     * Returns whether one more long call leaves enough hosts free of long calls: a quarter of them, rounded down, and
-     * at least one. A single host may always be given long calls.
+     * Returns the free hosts that may be given a long call. While short calls come, as many hosts as they need are kept free
+     * of long calls, at most a quarter, rounded down, and at least one. A host whose long call is nearly done may be given
+     * another one if enough others are free of them. A single host may always be given long calls.
      */
-    private allowsLongCall(): boolean {
-        const withoutLong = [...this.rows.values()].filter(({ account }) => account.longCalls === 0).length;
-        return this.rows.size === 1 || withoutLong > Math.max(1, Math.floor(this.rows.size / 4));
+    private selectForLongCalls(free: readonly HostRow[], now: number): HostRow[] {
+        const open = [...this.rows.values()].filter(({ account }) => account.backoffUntil <= now);
+        const withoutLong = open.filter(({ account }) => account.longCalls === 0).length;
+        const mostKept = open.length === 1 ? 0 : Math.max(1, Math.floor(open.length / 4));
+        const kept = this.shortCallLoad.countNeededHosts(now, mostKept);
+        return free.filter(({ account }) => withoutLong > kept || withoutLong === kept && account.longCalls > 0);
     }
 
     private listFreeHosts(now: number): HostRow[] {
         return [...this.rows.values()].filter(({ account }) =>
-            account.getOutstandingMs(now) < maxBacklogMs && account.backoffUntil <= now
+            account.backoffUntil <= now
+            && account.getOutstandingMs(now) < Math.max(maxBacklogMs, account.overheadMs)
+            && !account.hasLateCall(now, maxBacklogMs)
         );
     }
 
--- a/packages/cell/src/advice-dispatcher_test.ts
+++ b/packages/cell/src/advice-dispatcher_test.ts
@@ -78,4 +78,48 @@
             expect(fixture.getHost("h0").failuresInRow).toEqual(0);
         });
     });
+
+    describe("with more long calls than the advisor can serve", () => {
+        it("keeps the advisor at work on all hosts while no short calls come", async () => {
+            // Guards against hosts that are kept free for nothing, and against an idle advisor for each round trip.
+            const fixture = new AdviceFixture(4, 75);
+            await fixture.sendRepeatedly("l", 5_000, 16);
+            const before = fixture.service.counts.workedMs;
+            await fixture.sendRepeatedly("l", 20_000, 16);
+            expect((fixture.service.counts.workedMs - before) / (4 * 20_000) >= 0.9).toEqual(true);
+        });
+
+        it("answers short calls without the wait for a long one while they come", async () => {
+            const fixture = new AdviceFixture(4, 5);
+            const waitsMs = await measureShortCalls(fixture, 200);
+            expect(Math.max(...waitsMs) <= 100).toEqual(true);
+        });
+
+        it("keeps a short call that comes after a time without any waiting for one long call at most", async () => {
+            // Guards against rounds that end at long calls before they reach the short one, and against hosts that get long calls
+            // one after another without being free of them in between.
+            const fixture = new AdviceFixture(4, 5);
+            await fixture.sendRepeatedly("l", 5_000, 16);
+            const [waitMs = Infinity] = await measureShortCalls(fixture, 1);
+            expect(waitMs <= 400 + 250).toEqual(true);
+        });
+    });
 });
+
+/** Asks for a short call every 100 ms, with long calls before it in each round. Returns the times until the answers. */
+async function measureShortCalls(fixture: AdviceFixture, count: number): Promise<number[]> {
+    const waitsMs: number[] = [];
+    for (let index = 0; index < count; index++) {
+        const wantedAt = fixture.clock.getNow();
+        const step = `s${wantedAt}`;
+        let isSent = false;
+        while (!fixture.answers.some(answer => answer.step === step) && fixture.clock.getNow() < wantedAt + 5_000) {
+            const mayGoOn = fixture.sendAll("l", 16);
+            isSent ||= mayGoOn && fixture.send(step) === "sent";
+            await fixture.clock.advance(10);
+        }
+        waitsMs.push(fixture.clock.getNow() - wantedAt);
+        await fixture.sendRepeatedly("l", Math.max(0, wantedAt + 100 - fixture.clock.getNow()), 16);
+    }
+    return waitsMs;
+}
--- a/packages/cell/src/advice-log_test.ts
+++ b/packages/cell/src/advice-log_test.ts
@@ -44,7 +44,7 @@
             expect(hosts.length).toEqual(2);
             expect(hosts[0]!.startsWith("h0,work:0,calls:0,long:0,oldest:0,backoff:1710,")).toEqual(true);
             expect(hosts[0]!.endsWith("failures:1")).toEqual(true);
-            expect(hosts[1]!.startsWith("h1,work:400,calls:1,long:1,oldest:200,backoff:0,")).toEqual(true);
+            expect(hosts[1]!.startsWith("h1,work:200,calls:1,long:1,oldest:200,backoff:0,")).toEqual(true);
         });
 
         it("reports the share of the hosts' time with a call in flight and how the rounds ended", async () => {
--- a/packages/cell/src/testing/advice-fixture.ts
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -32,6 +32,7 @@
     readonly lines: { readonly message: string; readonly fields: LogFields; }[] = [];
     readonly answers: RecordedAnswer[] = [];
     private hosts: AdviceHost[] = [];
+    private sent = 0;
 
     constructor(hosts: number, latencyMs = 5) {
         const { clock } = this;
@@ -71,7 +72,9 @@
     send(step: string): AdviceSendResult {
         const key = toId<StepKey>(step);
         const request = { step: key, queue: toId<QueueId>("queue"), executors: [toId<ExecutorId>("e0")] };
-        return this.dispatcher.send(request, getRules(key));
+        const result = this.dispatcher.send(request, getRules(key));
+        this.sent += result === "sent" ? 1 : 0;
+        return result;
     }
 
     /**
@@ -80,14 +83,8 @@
      */
     async sendRepeatedly(kind: string, durationMs: number, maxPending = 1): Promise<number> {
         let mostQueued = 0;
-        let sent = 0;
-        const answeredBefore = this.answers.length;
         for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
-            while (
-                sent - (this.answers.length - answeredBefore) < maxPending && this.send(`${kind}${sent}`) === "sent"
-            ) {
-                sent += 1;
-            }
+            this.sendAll(kind, maxPending);
             await this.clock.advance(10);
             const queued = this.hosts.map(({ name }) => this.service.getAdvisor(name).queueLength);
             mostQueued = Math.max(mostQueued, ...queued);
@@ -95,6 +92,18 @@
         return mostQueued;
     }
 
+    /**
+     * Sends requests until `maxPending` calls are in flight or one has to wait, like a round of the scheduler. Returns
+     * whether the round may go on to other steps.
+     */
+    sendAll(kind: string, maxPending: number): boolean {
+        let result: AdviceSendResult = "sent";
+        while (result === "sent" && this.sent - this.answers.length < maxPending) {
+            result = this.send(`${kind}${this.sent}`);
+        }
+        return result !== "noHost";
+    }
+
     countGranted(): number {
         return this.answers.filter(({ isGranted }) => isGranted).length;
     }
