Let a new owner confirm its configuration before it starts anything

Callers would see tasks start on executors that their queue had left, when the owner was restarted and its successor had been paused or cut off while the configuration changed (the operators' finding that a server that had left was in use again).

Cause: a host opened the owner with whatever configuration it knew, however old, and heard of the newer one up to a second or a timeout of a read later.

Evidence: cell-host_test, new case: no host can read the configuration while version 2 moves the queue to a pool without executors, the owner resigns, and reads are answered again 0.2 s later.

Change: a host whose configuration is not confirmed reads it before it opens the owner, and waits for the answer for 1 s at most. A host with a confirmed one opens the owner at once, as before.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -445,7 +445,15 @@
             return;
         }
         this.pendingTerm = term;
-        this.openOwner(term);
+        this.options.supervisor.start("start of the owner", {}, () => this.openConfirmedOwner(term));
+    }
+
+    /** Opens the owner once the configuration is confirmed: this host may have been paused or cut off before. */
+    private async openConfirmedOwner(term: OwnershipTerm): Promise<void> {
+        await this.tracker.confirmForOwner();
+        if (this.pendingTerm === term && this.owner === undefined) {
+            this.openOwner(term);
+        }
     }
 
     private openOwner(term: OwnershipTerm): void {
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -1,13 +1,15 @@
 import type { Failure, JobId, NetworkAddress, Result } from "@waxwingroute/core";
-import { createFailure, Err, SeededRandom, SystemClock, toId } from "@waxwingroute/core";
-import type { AdviceGrant, JobState } from "@waxwingroute/workflow";
+import { createFailure, Err, Ok, SeededRandom, SystemClock, toId } from "@waxwingroute/core";
+import type { AdviceGrant, JobState, PoolId } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import type { AddressInfo } from "node:net";
 import { createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { Advisor } from "./advisor.js";
 import { CellHost } from "./cell-host.js";
-import { createStep, TestCodec, testQueue, testTeam } from "./testing/cell-simulation.js";
+import type { CellConfiguration } from "./configuration.js";
+import { storeFailures } from "./store.js";
+import { createStep, TestCodec, testConfiguration, testQueue, testTeam } from "./testing/cell-simulation.js";
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
 import { InvariantChecker } from "./testing/invariant-checker.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
@@ -19,6 +21,18 @@
     }
 }
 
+/** Takes the value of the configuration key for its version. The queue has another pool from version 2 on. */
+class MovingQueueCodec extends TestCodec {
+    override decodeConfiguration(text?: string): Result<CellConfiguration, Failure> {
+        const version = Number(text);
+        const queues = testConfiguration.queues.map(queue => ({
+            ...queue,
+            rules: { ...queue.rules, pool: version < 2 ? queue.rules.pool : toId<PoolId>("other") },
+        }));
+        return Ok({ ...testConfiguration, version, queues });
+    }
+}
+
 const step = createStep({ taskCount: 2, estimateMs: 100 });
 const target = { queue: testQueue, subpath: "job", isPublic: true };
 
@@ -29,6 +43,9 @@
     readonly stores = new Map<CellHost, MemoryLeaseStore>();
     readonly lines: string[] = [];
     workMs = 150;
+    codec = new TestCodec();
+    /** Whether no call of a host that reads or watches the configuration is answered. */
+    isConfigurationHidden = false;
     private readonly checker = new InvariantChecker({
         executorCpuMillis: 4_000,
         teamCpuMillis: new Map(),
@@ -49,24 +66,49 @@
 
     constructor() {
         const writes = [
-            { key: "config", value: "{}" },
+            { key: "config", value: "1" },
             ...this.executors.map((_, index) => ({ key: `executors/${index}`, value: JSON.stringify({ index }) })),
         ];
         this.data.execute({ kind: "commit", transaction: { conditions: [], writes, removals: [] } });
     }
 
+    get startCount(): number {
+        return this.checker.startCount;
+    }
+
+    private hideConfigurationFrom(store: MemoryLeaseStore): void {
+        const call = store.call.bind(store);
+        store.call = async (request, timeoutMs) => {
+            const isOfConfiguration = request.kind === "read" && request.key === "config"
+                || request.kind === "watch" && request.prefix === "config";
+            const wasHidden = this.isConfigurationHidden;
+            const answered = await call(request, timeoutMs);
+            if (!isOfConfiguration || !wasHidden && !this.isConfigurationHidden) {
+                return answered;
+            }
+            await this.clock.wait(3_000);
+            return Err(createFailure(storeFailures.unanswered, "no answer", "mayHaveRun"));
+        };
+    }
+
+    storeConfiguration(version: number): void {
+        const writes = [{ key: "config", value: String(version) }];
+        this.data.execute({ kind: "commit", transaction: { conditions: [], writes, removals: [] } });
+    }
+
     get violations(): readonly string[] {
         return this.checker.violations;
     }
 
     async open(name: string): Promise<CellHost> {
         const store = new MemoryLeaseStore(this.data);
+        this.hideConfigurationFrom(store);
         const host = new CellHost({
             host: name,
             address: toId<NetworkAddress>(`127.0.0.1:${await findFreePort()}`),
             seeds: [],
             store,
-            codec: new TestCodec(),
+            codec: this.codec,
             connector: new FakeConnector(new Map(this.executors.map(row => [row.options.address, row]))),
             advisor: new NoAdvisor(),
             clock: this.clock,
@@ -198,4 +240,27 @@
         expect(postponed.verdict).toEqual("notRun");
         fixture.stores.get(host)!.mode = "up";
     });
+
+    // Guards against executors that are used again after a takeover though the queue had left them, because the next owner
+    // was paused or cut off when the configuration changed.
+    it("starts nothing by an old configuration after it has become the owner", async () => {
+        fixture = new Fixture();
+        fixture.codec = new MovingQueueCodec();
+        const hosts = [await fixture.open("a"), await fixture.open("b")];
+        const first = await fixture.awaitOwner();
+        const second = hosts.find(host => host !== first)!;
+        await fixture.clock.wait(500);
+        fixture.isConfigurationHidden = true;
+        await fixture.clock.wait(2_200);
+        fixture.storeConfiguration(2);
+        expect(second.listGauges()["configuration_version"]).toEqual(1);
+        await first.resign();
+        expect((await fixture.submit(second, "0000000000000006")).ok).toEqual(true);
+        await fixture.clock.wait(200);
+        fixture.isConfigurationHidden = false;
+        expect(await fixture.awaitOwner() === second).toEqual(true);
+        await fixture.clock.wait(2_000);
+        expect(second.listGauges()["configuration_version"]).toEqual(2);
+        expect(fixture.startCount).toEqual(0);
+    });
 });
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -44,6 +44,8 @@
 const maxReadsInFlight = 4;
 /** Longest time for which a caller waits until the configuration is confirmed, ms. */
 const confirmTimeoutMs = 400;
+/** Longest time for which a new owner waits for the same, ms: as long as a takeover waits for the earlier lease. */
+const ownerConfirmTimeoutMs = 1_000;
 
 /** Reads and watches the configuration key, and keeps the newest version that can be decoded. */
 export class ConfigurationTracker {
@@ -109,7 +111,7 @@
         if (this.isConfirmed || this.isUnconfirmed) {
             return;
         }
-        this.confirmation ??= Promise.race([this.read(), this.options.clock.wait(confirmTimeoutMs)]).then(() => {
+        this.confirmation ??= this.readWithin(confirmTimeoutMs).then(() => {
             this.confirmation = undefined;
             this.isUnconfirmed = !this.isConfirmed;
             if (this.isUnconfirmed) {
@@ -122,6 +124,17 @@
         await this.confirmation;
     }
 
+    /** As `confirm`, before decisions for the whole cell: waits longer, whether or not earlier attempts have failed. */
+    async confirmForOwner(): Promise<void> {
+        if (!this.isConfirmed) {
+            await this.readWithin(ownerConfirmTimeoutMs);
+        }
+    }
+
+    private readWithin(timeoutMs: number): Promise<void> {
+        return Promise.race([this.read(), this.options.clock.wait(timeoutMs)]);
+    }
+
     /** Ends `run` after the present calls to the store. */
     stop(): void {
         this.isStopped = true;
