Test two guards that no test covered

executor-session_test and cell-host_test play them now. With each guard taken out of the build: 1 of 1 case fails for isUnfenced (both where it is set and where it is read), 2 of 2 for the wait of a cancellation. With them all pass. The code is unchanged.

--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -7,6 +7,7 @@
 import { afterEach, describe, it } from "node:test";
 import { Advisor } from "./advisor.js";
 import { CellHost } from "./cell-host.js";
+import { CellOwner } from "./cell-owner.js";
 import type { CellConfiguration } from "./configuration.js";
 import { storeFailures } from "./store.js";
 import { createStep, TestCodec, testConfiguration, testQueue, testTeam } from "./testing/cell-simulation.js";
@@ -263,4 +264,36 @@
         expect(second.listGauges()["configuration_version"]).toEqual(2);
         expect(fixture.startCount).toEqual(0);
     });
+
+    // Guards against tasks that an owner starts because it has not heard of the cancellation that was acknowledged.
+    for (const caller of ["the owner", "another host"]) {
+        it(`acknowledges a cancellation at ${caller} only once the owner has applied it, or 2 s later`, async () => {
+            fixture = new Fixture();
+            fixture.workMs = 8_000;
+            const hosts = [await fixture.open("a"), await fixture.open("b")];
+            const owner = await fixture.awaitOwner();
+            const host = hosts.find(candidate => (candidate === owner) === (caller === "the owner"))!;
+            await fixture.clock.wait(300);
+            const job = toId<JobId>("0000000000000007");
+            expect((await fixture.submit(host, job)).ok).toEqual(true);
+            expect(await fixture.awaitState(host, job, "running")).toEqual("running");
+            const acceptAnnounced = Reflect.get(CellOwner.prototype, "acceptAnnounced") as unknown;
+            Reflect.set(CellOwner.prototype, "acceptAnnounced", () => false);
+            let isAcknowledged = false;
+            try {
+                void host.cancel(job).then(() => {
+                    isAcknowledged = true;
+                });
+                await fixture.clock.wait(1_000);
+                expect(isAcknowledged).toEqual(false);
+            }
+            finally {
+                Reflect.set(CellOwner.prototype, "acceptAnnounced", acceptAnnounced);
+            }
+            for (let waitedMs = 0; waitedMs < 2_000 && !isAcknowledged; waitedMs += 20) {
+                await fixture.clock.wait(20);
+            }
+            expect(isAcknowledged).toEqual(true);
+        });
+    }
 });
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -106,6 +106,7 @@
     readonly lost: number[] = [];
     readonly executor: Executor;
     readonly ends: string[] = [];
+    readonly authority = { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 };
     readonly session: ExecutorSession;
 
     constructor(createExecutor: (clock: ManualClock) => Executor) {
@@ -133,7 +134,7 @@
             maxLeaseMs: 4_500,
             stopMs,
             longestLeaseMs: 6_000,
-            authority: { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 },
+            authority: this.authority,
             needsFrequentListings: () => false,
         });
     }
@@ -221,6 +222,27 @@
         });
     });
 
+    describe("an executor that restarts while its owner has no valid lease", () => {
+        it("gets no work until the owner has a valid lease again", async () => {
+            // Guards against two owners that start tasks there: the executor has forgotten the token of a successor.
+            const fixture = new SessionFixture(clock => new RestartingExecutor(clock));
+            const { authority, clock, executor, session } = fixture;
+            executor.isRunning = false;
+            session.start();
+            await clock.advance(3_000);
+            authority.isLeaseValid = false;
+            await clock.advance(3_000);
+            expect(session.isReachable).toEqual(true);
+            executor.life = 2;
+            await clock.advance(6_000);
+            expect(session.isReachable).toEqual(false);
+            authority.isLeaseValid = true;
+            await clock.advance(3_000);
+            expect(session.isReachable).toEqual(true);
+            session.close();
+        });
+    });
+
     describe("a start without an answer whose stop the earlier life of its executor has answered", () => {
         it("is stopped in the new life too before its run counts as ended", async () => {
             // Guards against a start that reaches the new life late, while its task already runs elsewhere.
