Take no pause of the owner for a slow or silent advisor

Callers saw an owner that had been paused for some seconds ask for nothing for 2 s more.

Cause: time-outs that pass in a pause fire at once when the process wakes, and each closed its host as if the advisor had been silent, mostly all hosts at a time. The duration of an answered call includes the pause, and the pace of the advisor was measured from it.

Change: PauseMeter runs a timer while calls are in flight and adds up by how much it is late. A call whose awake time is below its time-out is no failure of its host, and a duration with a pause is not measured. The work stays in the account, as after any time-out. `advice` lines have pausedMs. ManualClock.pause lets time pass without timers.

Evidence: a call of 400 ms and a pause after 100 ms, fake advisor, two hosts; two of the three tests failed before. A host that is silent after the pause is still closed.

--- a/packages/cell/src/advice-account.ts
+++ b/packages/cell/src/advice-account.ts
@@ -97,14 +97,24 @@
         return call;
     }
 
-    /** Records an answer. The advisor is done with the call and all earlier ones. */
-    recordAnswer(now: number, call: SentCall): void {
+    /**
+     * Records an answer. The advisor is done with the call and all earlier ones. `isMeasurable` is false if this process was
+     * paused meanwhile, so that the time of the call says nothing about the advisor.
+     */
+    recordAnswer(now: number, call: SentCall, isMeasurable: boolean): void {
         this.calls.delete(call);
         this.failuresInRow = 0;
-        this.measure(now, call);
+        if (isMeasurable) {
+            this.measure(now, call);
+        }
         this.doneAt = this.estimateDoneAt(now - this.overheadMs / 2, call);
     }
 
+    /** Records that a call has no answer because this process was paused. The advisor may still work on it. */
+    recordMissed(call: SentCall): void {
+        this.calls.delete(call);
+    }
+
     /** Records that the advisor has not taken the call: it refused it, or was not reached. */
     recordRejected(now: number, call: SentCall): void {
         this.calls.delete(call);
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -10,6 +10,7 @@
 import type { AdviceOutcome } from "./advice-statistics.js";
 import { AdviceStatistics, classifyOutcome } from "./advice-statistics.js";
 import type { Advisor } from "./advisor.js";
+import { PauseMeter } from "./pause-meter.js";
 import { ShortCallLoad } from "./short-call-load.js";
 
 /** A host of the cell through which the advisor is asked. */
@@ -66,12 +67,17 @@
 export class AdviceDispatcher {
     readonly statistics: AdviceStatistics;
     private readonly shortCallLoad: ShortCallLoad;
+    private readonly pauses: PauseMeter;
     private readonly rows = new Map<string, HostRow>();
     /** By the name of the host, also of removed hosts as long as the advisor may work on their calls. */
     private readonly accounts = new Map<string, AdviceAccount>();
 
     constructor(private readonly options: AdviceDispatcherOptions) {
         this.statistics = new AdviceStatistics(options.clock.getNow());
+        this.pauses = new PauseMeter({
+            clock: options.clock,
+            isNeeded: () => [...this.accounts.values()].some(({ calls }) => calls.size > 0),
+        });
         this.shortCallLoad = new ShortCallLoad(options.clock.getNow());
     }
 
@@ -164,6 +170,8 @@
         const { clock, logger, onAnswer, supervisor } = this.options;
         const { step, executors } = request;
         const { queuedMs, sentAt, timeoutMs, workMs } = call;
+        this.pauses.start();
+        const pausedBefore = this.pauses.getPausedMs();
         this.statistics.recordSent();
         this.measureUse();
         const answer = await supervisor.call(
@@ -174,7 +182,8 @@
         const code = answer.ok ? undefined : answer.val.code;
         const outcome = classifyOutcome(code);
         this.statistics.recordEnd(outcome);
-        this.recordEnd(row.account, call, outcome);
+        const pausedMs = this.pauses.getPausedMs() - pausedBefore;
+        this.recordEnd(row.account, call, outcome, pausedMs);
         this.measureUse();
         logger.write("info", "advice", {
             step,
@@ -186,14 +195,20 @@
             workMs: Math.round(workMs),
             queuedMs: Math.round(queuedMs),
             timeoutMs: Math.round(timeoutMs),
+            pausedMs: pausedMs === 0 ? undefined : Math.round(pausedMs),
         });
         onAnswer(step, executors, answer);
     }
 
-    private recordEnd(account: AdviceAccount, call: SentCall, outcome: AdviceOutcome): void {
+    private recordEnd(account: AdviceAccount, call: SentCall, outcome: AdviceOutcome, pausedMs: number): void {
         const now = this.options.clock.getNow();
         if (outcome === "answered") {
-            account.recordAnswer(now, call);
+            account.recordAnswer(now, call, pausedMs === 0);
+            return;
+        }
+        const isMissed = outcome === "unanswered" && pausedMs > 0 && now - call.sentAt - pausedMs < call.timeoutMs;
+        if (isMissed) {
+            account.recordMissed(call);
             return;
         }
         account.backoffUntil = now + backoffMs;
--- a/packages/cell/src/advice-dispatcher_test.ts
+++ b/packages/cell/src/advice-dispatcher_test.ts
@@ -104,6 +104,41 @@
             expect(waitMs <= 400 + 250).toEqual(true);
         });
     });
+
+    describe("in a process that was paused", () => {
+        it("does not close hosts whose time-outs passed in the pause", async () => {
+            const fixture = new AdviceFixture(2);
+            fixture.send("l1");
+            await fixture.clock.advance(100);
+            fixture.clock.pause(5_000);
+            await fixture.clock.advance(20);
+            expect(fixture.answers.map(({ isGranted }) => isGranted)).toEqual([false]);
+            expect(fixture.getHost("h0")).toEqual(new AdviceFixture(2).getHost("h0"));
+            await fixture.sendRepeatedly("l", 1_000, 2);
+            expect(fixture.countGranted()).toEqual(4);
+        });
+
+        it("does not take the time of its pause for that of the advisor", async () => {
+            const fixture = new AdviceFixture(1);
+            fixture.send("l1");
+            await fixture.clock.advance(100);
+            fixture.clock.pause(1_200);
+            await fixture.clock.advance(20);
+            expect(fixture.countGranted()).toEqual(1);
+            expect(fixture.getHost("h0")).toEqual(new AdviceFixture(1).getHost("h0"));
+        });
+
+        it("still closes a host whose call has no answer long after the pause", async () => {
+            const fixture = new AdviceFixture(1);
+            fixture.service.setFault("silent");
+            fixture.send("l1");
+            fixture.clock.pause(500);
+            await fixture.clock.advance(1_000);
+            fixture.send("l2");
+            await fixture.clock.advance(4_000);
+            expect(fixture.getHost("h0").failuresInRow > 0).toEqual(true);
+        });
+    });
 });
 
 /** Asks for a short call every 100 ms, with long calls before it in each round. Returns the times until the answers. */
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -98,6 +98,11 @@
         this.now = end;
     }
 
+    /** Lets time pass without running timers, as in a process that is paused. Those then due run with the next `advance`. */
+    pause(durationMs: number): void {
+        this.now += durationMs;
+    }
+
     private findNextTimer(end: number): PendingTimer | undefined {
         let next: PendingTimer | undefined;
         for (const timer of this.timers) {
