Soak: count failed runs of gangs alike in all checks

The watch for jobs that stand counted failures by task, so a gang that failed through different members could have counted as one that can still run. Tasks that were done twice could also have hidden an open one in the check at the end of a run.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,7 +3,7 @@
 import type { FleetExecutor, GrantPolicy } from "./fleet-room.js";
 import type { RecordedJob, RecordedRun, RunRecord } from "./run-record.js";
 import { maxStandingMs } from "./standing-watch.js";
-import { findStepOfTask, getStepNumber } from "./workload.js";
+import { countFailures, findStepOfTask, getStepNumber } from "./workload.js";
 
 /** Bounds that the platform states for its rules. */
 export interface RuleBounds {
@@ -214,14 +214,6 @@
     });
 }
 
-/** Returns how often a step has failed: each failed run of a gang counts once, otherwise the worst task counts. */
-function countFailures(job: RecordedJob, number: number, failed: readonly RecordedRun[]): number {
-    if (job.steps[number]!.isGang === true) {
-        return new Set(failed.map(({ run }) => run)).size;
-    }
-    return Math.max(0, ...[...collectByTask(failed).values()].map(list => list.length));
-}
-
 /** Accepted jobs that nobody cancelled and that are not finished after the calm, or were shown as unknown or without cause. */
 function findLost({ record, executors, policy, standing, bounds, calmFrom }: CheckInput): string[] {
     const byTask = collectByTask(record.runs);
@@ -243,22 +235,18 @@
             broken.push(`${job.id} is shown as cancelled, which nobody did`);
         }
         else if (state === "failed") {
-            const hasCause = job.steps.some((_, number) => {
-                const failed = runs.flat().filter(({ task, end }) =>
-                    getStepNumber(task) === number && end === "failed"
-                );
-                return countFailures(job, number, failed) >= bounds.maxAttempts;
-            });
+            const hasCause = job.steps.some((_, number) =>
+                countFailures(job, number, runs.flat()) >= bounds.maxAttempts
+            );
             if (!hasCause) {
                 broken.push(`${job.id} is shown as failed without cause`);
             }
         }
         else if (state !== "succeeded") {
             const lastEnd = Math.max(0, ...runs.flat().map(run => run.endedAt ?? Infinity));
-            const isStepDone = (number: number) =>
-                runs.flat().filter(({ task, end }) => getStepNumber(task) === number && end === "done").length
-                    >= job.steps[number]!.count;
-            const number = Math.max(0, job.steps.findIndex((_, index) => !isStepDone(index)));
+            const tasks = listTasks(job);
+            const openTask = tasks[runs.findIndex(list => !list.some(run => run.end === "done"))] ?? tasks[0]!;
+            const number = getStepNumber(openTask);
             const hasRoom = hasRoomTwice(fleet.countRoom(`${job.id}.0.${number}`, job.steps[number]!));
             if (lastEnd + maxStandingMs < record.now && hasRoom && !fleet.isHalfUsed) {
                 broken.push(
--- a/packages/soak/src/standing-watch.ts
+++ b/packages/soak/src/standing-watch.ts
@@ -5,6 +5,7 @@
 import { FleetRoom, hasRoomTwice } from "./fleet-room.js";
 import type { FleetExecutor, GrantPolicy, StepRoom } from "./fleet-room.js";
 import type { RecordedJob, RecordedRun, RunRecord } from "./run-record.js";
+import { countFailures } from "./workload.js";
 
 /** How long a job may stand, ms. */
 export const maxStandingMs = 3_000;
@@ -103,7 +104,10 @@
                 .every(task => done.has(task));
         for (const [number, step] of job.steps.entries()) {
             const key = `${job.id}.0.${number}`;
-            if (isDone(number) || !step.after.every(isDone) || this.isSpent(runs, key)) {
+            if (
+                isDone(number) || !step.after.every(isDone)
+                || countFailures(job, number, runs) >= this.options.maxAttempts
+            ) {
                 continue;
             }
             const room = fleet.countRoom(key, step);
@@ -114,15 +118,6 @@
         }
         return undefined;
     }
-
-    /** Whether a task of a step has failed as often as it may. */
-    private isSpent(runs: readonly RecordedRun[], step: string): boolean {
-        const failures = new Map<string, number>();
-        runs.filter(run => run.end === "failed" && run.task.startsWith(`${step}.`)).forEach(({ task }) =>
-            failures.set(task, (failures.get(task) ?? 0) + 1)
-        );
-        return Math.max(0, ...failures.values()) >= this.options.maxAttempts;
-    }
 }
 
 function isOpen({ acceptedAt, cancelSentAt, states }: RecordedJob): boolean {
--- a/packages/soak/src/standing-watch_test.ts
+++ b/packages/soak/src/standing-watch_test.ts
@@ -92,4 +92,17 @@
         expect(listStanding({ runs })).toEqual([]);
         expect(listStanding({ runs: runs.slice(1) })).toEqual(["a.0.0"]);
     });
+
+    it("counts each failed run of a gang once, whichever member failed", () => {
+        const steps = [{ ...step, isGang: true }];
+        const free = [16_000, 16_000, 16_000] as const;
+        const runs = [1, 2, 3].map(run => ({
+            task: `a.0.0.${run % 2}`,
+            run,
+            endedAt: 10,
+            end: "failed" as const,
+        }));
+        expect(listStanding({ steps, free, runs })).toEqual([]);
+        expect(listStanding({ steps, free, runs: runs.slice(1) })).toEqual(["a.0.0"]);
+    });
 });
--- a/packages/soak/src/workload.ts
+++ b/packages/soak/src/workload.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from "@waxwingroute/core";
 import { advisedQueues, plainQueue } from "./queues.js";
 import type { Size } from "./queues.js";
-import type { RecordedJob } from "./run-record.js";
+import type { RecordedJob, RecordedRun } from "./run-record.js";
 import type { JobStep } from "./types.js";
 
 /** Thousandths of a core of each executor. */
@@ -43,6 +43,17 @@
     return { ms: Math.round(base * (0.5 + hash % 1_000 / 1_000)), isFailure: hash % 100 < failPercent };
 }
 
+/** Returns how often a step has failed: each failed run of a gang counts once, otherwise the worst task counts. */
+export function countFailures(job: RecordedJob, number: number, runs: readonly RecordedRun[]): number {
+    const failed = runs.filter(({ task, end }) => getStepNumber(task) === number && end === "failed");
+    if (job.steps[number]!.isGang === true) {
+        return new Set(failed.map(({ run }) => run)).size;
+    }
+    const counts = new Map<string, number>();
+    failed.forEach(({ task }) => counts.set(task, (counts.get(task) ?? 0) + 1));
+    return Math.max(0, ...counts.values());
+}
+
 /** The jobs that callers submit. */
 export interface WorkloadOptions {
     /** Jobs a second. Default 3. */
