Test that executors which have left are not used again after a takeover

The operators' finding that a server that had left was in use again after a restart was checked for owners. The guards in the code were already there, without a test of their own: executors of the stored roster take work only once their entry was read, a missing, unreadable or draining entry ends that, and the roster is written on condition of the owner key.

The condition on draining in computeRosterStatus alone can be taken out: the state of the executor guards the same. The code is unchanged.

--- a/packages/cell/src/executor-registry_test.ts
+++ b/packages/cell/src/executor-registry_test.ts
@@ -10,6 +10,12 @@
 const settleMs = 4_000;
 const startMs = 3_000;
 
+const waysToLeave: readonly { name: string; leave: (cell: CellSimulation) => void; }[] = [
+    { name: "its entry is gone", leave: cell => cell.removeExecutorEntry(1) },
+    { name: "it drains", leave: cell => cell.putExecutorEntry(1, true) },
+    { name: "its entry cannot be read", leave: cell => cell.putEntry("1", JSON.stringify({ index: undefined })) },
+];
+
 describe("ExecutorRegistry", () => {
     describe("many executors that do not answer for some seconds, one after another", () => {
         it("all take work again soon after they answer, however many changes of the roster there were", async () => {
@@ -72,4 +78,37 @@
             });
         }
     });
+
+    describe("an executor that leaves and still answers", () => {
+        for (const { name, leave } of waysToLeave) {
+            it(`gets no work under this owner or the next one (${name})`, async () => {
+                // Guards against executors that are used again after a takeover because the stored roster lists them.
+                const cell = new CellSimulation({
+                    hosts: 2,
+                    executors: 2,
+                    planRun: () => ({ workMs: 60_000, outcome: "done" }),
+                });
+                await cell.advanceUntil(() => cell.owner?.owner?.hasReleasedAllTasks === true, 5_000);
+                await cell.advance(2_000);
+                leave(cell);
+                cell.owner!.kill();
+                await cell.advanceUntil(() => cell.owner !== undefined, 5_000);
+                const submitted = cell.submit(cell.owner!, "a", [{ taskCount: 6, estimateMs: 60_000 }]);
+                await cell.advance(6_000);
+                expect((await submitted).ok).toEqual(true);
+                expect(cell.executors.map(executor => executor.runningCount)).toEqual([tasksPerExecutor, 0]);
+                // Nothing but the entry keeps the executor from being used.
+                cell.putExecutorEntry(1);
+                await cell.advance(3_000);
+                expect(cell.executors[1]!.runningCount).toEqual(2);
+                leave(cell);
+                await cell.advance(3_000);
+                void cell.submit(cell.owner!, "b", [{ taskCount: 2, estimateMs: 60_000 }]);
+                await cell.advance(3_000);
+                expect(cell.executors[1]!.runningCount <= 2).toEqual(true);
+                expect(cell.checker.startCount).toEqual(6);
+                cell.close();
+            });
+        }
+    });
 });
