Let no stop that an earlier life of an executor answered count for the next one

Callers would see a task run twice, or a run of a cancelled job go on: a run was stopped while the call that starts it was still on its way, the executor restarted, and its new life carried the start out.

Cause: the answer to the stop set the state of the run, so that the next listing ended it as not started although the start could still arrive; and when a new life listed the run, the stop that the earlier life had answered was not sent again.

Evidence: executor-session_test plays a start of 650 ms whose stop is answered at once, and a restart 400, 50 or 5 ms before the answer.

Change: a run whose start is in flight is not resolved, and stops are repeated as soon as a new life is seen.

A start that was given up is not carried out by a later life over TCP: the life that has accepted the connection also answers the stop, after which it refuses the start. A network that hands a start of an earlier life to a later one cannot be told from it, since both have the same id; that stays open.

--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -190,6 +190,7 @@
             task: decision.task,
             run: decision.run,
             state: "sent",
+            isStartInFlight: true,
             changedAt: clock.getNow(),
             stop: "none",
             stopAnsweredAt: 0,
@@ -222,6 +223,7 @@
         if (this.isClosed || !this.trackedRuns.has(toRunKey(tracked))) {
             return;
         }
+        tracked.isStartInFlight = false;
         tracked.changedAt = clock.getNow();
         // The executor ends or refuses a run whose stop it answered meanwhile, whatever becomes of the start.
         const isStopped = tracked.state === "stopped";
@@ -446,6 +448,7 @@
                 task: run.task,
                 run: run.run,
                 state: "answered",
+                isStartInFlight: false,
                 changedAt: clock.getNow(),
                 stop: "none",
                 stopAnsweredAt: 0,
@@ -474,11 +477,12 @@
 
     /**
      * Reports the end of runs that are missing in a listing which was requested after the last change of their states and
-     * has all ends. A start without an answer is stopped first, since the executor may still carry it out.
+     * has all ends. A start without an answer is stopped first, since the executor may still carry it out. One that is in
+     * flight is left alone even if its stop was answered: a restarted executor knows nothing of the stop.
      */
     private resolveRuns(listed: ReadonlySet<string>, sentAt: number, hasAllEnds: boolean): void {
         for (const [key, tracked] of this.trackedRuns) {
-            if (listed.has(key) || tracked.changedAt >= sentAt || tracked.state === "sent") {
+            if (listed.has(key) || tracked.changedAt >= sentAt || tracked.isStartInFlight) {
                 continue;
             }
             if (tracked.state === "unanswered") {
@@ -557,10 +561,11 @@
                 this.trackedRuns.delete(key);
                 this.reportEnd(tracked, tracked.crashOutcome ?? "lost");
             }
-            else if (tracked.state === "stopped") {
+            else if (tracked.stop === "answered") {
                 // The new incarnation knows nothing of the stop.
                 tracked.state = "unanswered";
                 tracked.stop = "none";
+                this.startStop(tracked.task, tracked.run);
             }
         }
     }
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -101,11 +101,29 @@
     }
 }
 
+/** An executor that answers stops at once and starts late, at the end of `startMs`. */
+class SlowStartExecutor extends RestartingExecutor {
+    static readonly startMs = 650;
+
+    constructor(private readonly slowClock: ManualClock) {
+        super(slowClock);
+    }
+
+    override async start(): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        await this.slowClock.wait(SlowStartExecutor.startMs);
+        return Ok({ clockMs: this.slowClock.getNow() });
+    }
+}
+
 class SessionFixture<Executor extends StubbornExecutor = StubbornExecutor> {
     readonly clock = new ManualClock(1_000);
     readonly lost: number[] = [];
     readonly executor: Executor;
     readonly ends: string[] = [];
+    /** Whether the runs are listed several times a second. */
+    isListedOften = false;
+    /** Whether runs that the session does not track may go on. */
+    mayContinue = true;
     readonly authority = { canOrder: true, isLeaseValid: true, earlierOrdersEndAt: 0 };
     readonly session: ExecutorSession;
 
@@ -127,7 +145,7 @@
                     this.ends.push(outcome);
                     acknowledge?.();
                 },
-                onUntrackedRun: () => true,
+                onUntrackedRun: () => this.mayContinue,
                 onFenced: () => undefined,
             },
             fencingToken: 1,
@@ -135,7 +153,7 @@
             stopMs,
             longestLeaseMs: 6_000,
             authority: this.authority,
-            needsFrequentListings: () => false,
+            needsFrequentListings: () => this.isListedOften,
         });
     }
 
@@ -222,6 +240,32 @@
         });
     });
 
+    describe("a start that is on its way when an earlier life of its executor has answered its stop", () => {
+        for (const beforeAnswerMs of [400, 50, 5]) {
+            it(`does not count as ended, and is stopped in the new life too (${beforeAnswerMs} ms before its answer)`, async () => {
+                // Guards against a run that goes on in the new life while its task runs elsewhere.
+                const fixture = new SessionFixture(clock => new SlowStartExecutor(clock));
+                const { clock, executor, session } = fixture;
+                fixture.isListedOften = true;
+                fixture.mayContinue = false;
+                executor.isRunning = false;
+                session.start();
+                await clock.advance(2_000);
+                session.startRun({ task, run: 1, payload: "", checkpoint: "", isProbe: false } as never);
+                await clock.advance(10);
+                session.startStop(task, 1);
+                await clock.advance(SlowStartExecutor.startMs - 10 - beforeAnswerMs);
+                expect([executor.stopTimes.length, fixture.ends]).toEqual([1, []]);
+                executor.life = 2;
+                executor.isRunning = true;
+                await clock.advance(2 * stopMs);
+                expect(fixture.ends.includes("notStarted")).toEqual(false);
+                expect(executor.stopTimes.length).toBeGreaterThan(1);
+                session.close();
+            });
+        }
+    });
+
     describe("an executor that restarts while its owner has no valid lease", () => {
         it("gets no work until the owner has a valid lease again", async () => {
             // Guards against two owners that start tasks there: the executor has forgotten the token of a successor.
--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -14,6 +14,8 @@
     readonly task: TaskKey;
     readonly run: number;
     state: TrackedRunState;
+    /** Whether the call that starts the run is in flight, whatever `state` is: a stop can be answered before it. */
+    isStartInFlight: boolean;
     /** Time of the last change of `state`. */
     changedAt: number;
     /** `sending`: calls that stop the run are repeated until one is answered. `answered`: one was, also with a refusal. */
