--- a/packages/soak/src/soak-run_test.ts
+++ b/packages/soak/src/soak-run_test.ts
@@ -54,6 +54,7 @@
             expect(broken).toEqual([]);
             // A run in which nothing happens would prove nothing.
             expect(result.runs > 20).toEqual(true);
+            expect(!("advisedShare" in shape.workload) || result.advice.calls > 0).toEqual(true);
         });
     }
 });
