Report no run of a restarted executor as lost without a valid lease

An owner cut off with its zone for 8 s was replaced; its successor noted ends of an executor, the executor restarted and so forgot the successor's token, and the cut ended: the old owner saw new start time and no runs, and started the tasks again on executors that had not heard from the successor, 0.2 s before it learned that it had lost the cell.

Cause: an executor that has restarted is no proof that its runs are open, since a successor may have noted their ends before. The owner took no work to such an executor without a valid lease (isUnfenced), but gave its tasks to others.

Change: the session reports runs that end with their executor only while the lease is valid, when no other host can own the cell; otherwise it keeps them until a listing that it accepts under a valid lease. The same holds for an address that another executor has. Not covered: an entry with a new address (ExecutorRegistry), which is read from the store.

Evidence: 'starts no task again that its successor has noted as done before the executor restarted' failed before with 'a.0.0.8: run 21 on e0 after an acknowledged end' and three more; 210 tests of cell pass. In an outage of the store, tasks of executors that restart wait until the owner has renewed its lease.

--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -366,6 +366,21 @@
             cell.close();
         });
 
+        it("starts no task again that its successor has noted as done before the executor restarted", async () => {
+            // Guards against an owner that takes a restart, after which the executor knows no token, for the loss of its runs.
+            const cell = await openCutCell(2_000, [0, 1]);
+            const previous = cell.hosts.find(host => host.store.mode === "silent")!;
+            await cell.advance(6_000);
+            const successor = cell.hosts.find(host => host !== previous)!;
+            expect(previous.owner !== undefined && successor.owner !== undefined).toEqual(true);
+            cell.executors[2]!.kill();
+            successor.connector.unreachable.add(toFakeAddress(2));
+            previous.connector.unreachable.delete(toFakeAddress(2));
+            await cell.advance(4_000);
+            expect(cell.checker.violations).toEqual([]);
+            cell.close();
+        });
+
         it("goes on starting what was accepted while the store is away for all", async () => {
             // Guards against a bound that stops a zone in an ordinary outage of the store.
             const cell = await openCell({ planRun: () => ({ workMs: 900, outcome: "done" }) });
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -129,6 +129,8 @@
      * of a successor, which may use it too.
      */
     private isUnfenced = false;
+    /** Runs that are lost for this owner, but not for a successor that may have noted their ends. */
+    private readonly unconfirmedLosses: [TrackedRun, UnlistedOutcome][] = [];
     private wakeUp: (() => void) | undefined;
 
     constructor(private readonly options: ExecutorSessionOptions) {
@@ -391,6 +393,7 @@
         this.leases.recordClock(listing.clockMs);
         const { isLeaseValid } = this.options.authority;
         this.isUnfenced &&= !isLeaseValid;
+        this.reportConfirmedLosses();
         if (this.startedAtWallMs !== undefined && listing.startedAtWallMs !== this.startedAtWallMs) {
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
             this.dropRunsOfEarlierIncarnation();
@@ -499,7 +502,9 @@
         if (failure.code === executorFailures.replaced) {
             this.failures += 1;
             this.reportCrash();
-            this.forgetRunsOnce("another executor has its address");
+            if (this.options.authority.isLeaseValid) {
+                this.forgetRunsOnce("another executor has its address");
+            }
             return;
         }
         if (failure.code === executorFailures.unreachable) {
@@ -545,7 +550,7 @@
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.crashOutcome !== undefined) {
                 this.trackedRuns.delete(key);
-                this.reportEnd(tracked, tracked.crashOutcome);
+                this.reportLoss(tracked, tracked.crashOutcome);
             }
         }
     }
@@ -559,7 +564,7 @@
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.hasBegun) {
                 this.trackedRuns.delete(key);
-                this.reportEnd(tracked, tracked.crashOutcome ?? "lost");
+                this.reportLoss(tracked, tracked.crashOutcome ?? "lost");
             }
             else if (tracked.stop === "answered") {
                 // The new incarnation knows nothing of the stop.
@@ -583,6 +588,21 @@
         listener.onRunsLost(executor, reason);
     }
 
+    /**
+     * Reports a run that ended with its executor, once no other host can own the cell. A successor may have noted its end
+     * before, and the executor knows no fencing token after a restart.
+     */
+    private reportLoss(tracked: TrackedRun, outcome: UnlistedOutcome): void {
+        this.unconfirmedLosses.push([tracked, outcome]);
+        this.reportConfirmedLosses();
+    }
+
+    private reportConfirmedLosses(): void {
+        if (this.options.authority.isLeaseValid) {
+            this.unconfirmedLosses.splice(0).forEach(([tracked, outcome]) => this.reportEnd(tracked, outcome));
+        }
+    }
+
     private reportEnd(tracked: TrackedRun, outcome: UnlistedOutcome): void {
         const { executor, listener, logger } = this.options;
         if (outcome === "lost") {
