Open no owner before its configuration is confirmed or 1 s has passed

Callers would see: a new owner that was paused or cut off starts tasks by an old configuration, for example with a key or queue that was withdrawn.

Cause: confirmForOwner returned at once when four reads were in flight already, and when its one read failed at once. Apart from that, any newer version, such as the late answer to an old read, opened the owner before the confirmation had ended.

Evidence: of the new tests in configuration-tracker_test five failed before: the wait ended after 0, 4 and 0 ms instead of 1 s while reads failed after 0, 1 and 5,000 ms, and version 2 was not found in the two cases in which it could be. The new test in cell-host_test failed as the owner opened while a confirmation was under way.

Change: confirmForOwner repeats a failed read until the configuration is confirmed, for 1 s at most; it sends one even if four are in flight, and the answer to an earlier one ends the wait too if it confirms the configuration. A newer version opens the owner only when no confirmation is under way. A continued term does not restart the wait.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -18,6 +18,7 @@
 import type { CellUpdate } from "./cell-service.js";
 import { cellService, encodeStates, PeerAdvisor } from "./cell-service.js";
 import { ConfigurationTracker } from "./configuration-tracker.js";
+import type { CellConfiguration } from "./configuration.js";
 import { FallbackStore } from "./fallback-store.js";
 import type { QueueTarget } from "./job-gateway.js";
 import { gatewayFailures, JobGateway } from "./job-gateway.js";
@@ -105,6 +106,8 @@
     private readonly peers: PeerDirectory;
     private owner: CellOwner | undefined;
     private pendingTerm: OwnershipTerm | undefined;
+    /** Set while the pending term waits for the configuration. */
+    private confirmation: Promise<void> | undefined;
     private retentionMs: number;
     private isTracking = false;
     private isStopping = false;
@@ -140,7 +143,7 @@
             clock,
             logger,
             supervisor,
-            onChange: () => this.applyConfiguration(),
+            onChange: configuration => this.applyConfiguration(configuration),
             getOwnerVersion: () => this.ownerClient.configurationVersion,
         });
         this.publisher = new CellPublisher({
@@ -427,14 +430,11 @@
         return Ok(state);
     }
 
-    private applyConfiguration(): void {
-        const configuration = this.tracker.current?.configuration;
-        if (configuration === undefined) {
-            return;
-        }
+    private applyConfiguration(configuration: CellConfiguration): void {
         this.owner?.applyConfiguration(configuration);
-        if (this.owner === undefined && this.pendingTerm !== undefined) {
-            this.openOwner(this.pendingTerm);
+        // The answer to an old read may be out of date too.
+        if (this.confirmation === undefined) {
+            this.openOwner();
         }
     }
 
@@ -446,34 +446,32 @@
             return;
         }
         this.pendingTerm = term;
-        this.options.supervisor.start("start of the owner", {}, () => this.openConfirmedOwner(term));
+        // A continued term does not prolong the wait.
+        if (this.confirmation === undefined) {
+            const confirmation = this.tracker.confirmForOwner();
+            this.confirmation = confirmation;
+            this.options.supervisor.start("start of the owner", {}, () => this.openConfirmedOwner(confirmation));
+        }
     }
 
     /** Opens the owner once the configuration is confirmed: this host may have been paused or cut off before. */
-    private async openConfirmedOwner(term: OwnershipTerm): Promise<void> {
-        await this.tracker.confirmForOwner();
-        if (this.pendingTerm === term && this.owner === undefined) {
-            this.openOwner(term);
-        }
+    private openConfirmedOwner(confirmation: Promise<void>): Promise<void> {
+        return confirmation.finally(() => {
+            if (this.confirmation === confirmation) {
+                this.confirmation = undefined;
+                this.openOwner();
+            }
+        });
     }
 
-    private openOwner(term: OwnershipTerm): void {
+    /** Opens the owner for the pending term, unless there is none or it is open. */
+    private openOwner(): void {
         const configuration = this.tracker.current?.configuration;
-        if (configuration === undefined) {
+        const term = this.pendingTerm;
+        if (configuration === undefined || term === undefined || this.owner !== undefined) {
             return;
         }
-        const {
-            advisor,
-            clock,
-            codec,
-            connector,
-            host,
-            logger,
-            maintenance,
-            maxLeaseMs,
-            stopMs,
-            supervisor,
-        } = this.options;
+        const { advisor, clock, codec, connector, host, logger, maintenance, supervisor } = this.options;
         const owner = new CellOwner({
             store: this.store,
             codec,
@@ -483,9 +481,9 @@
             supervisor,
             term,
             configuration,
-            maxLeaseMs,
+            maxLeaseMs: this.options.maxLeaseMs,
             retentionMs: this.retentionMs,
-            stopMs,
+            stopMs: this.options.stopMs,
             ownership: this.ownership,
             askToStop: owner => this.askToStop(owner, term.epoch),
             maintenance: maintenance === undefined ? undefined : { ...maintenance, holder: host },
@@ -515,6 +513,7 @@
 
     private endTerm(): void {
         this.pendingTerm = undefined;
+        this.confirmation = undefined;
         this.owner?.close();
         this.owner = undefined;
         this.publisher.close();
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -8,6 +8,7 @@
 import { Advisor } from "./advisor.js";
 import { CellHost } from "./cell-host.js";
 import { CellOwner } from "./cell-owner.js";
+import { ConfigurationTracker } from "./configuration-tracker.js";
 import type { CellConfiguration } from "./configuration.js";
 import { storeFailures } from "./store.js";
 import { createStep, TestCodec, testConfiguration, testQueue, testTeam } from "./testing/cell-simulation.js";
@@ -265,6 +266,34 @@
         expect(fixture.startCount).toEqual(0);
     });
 
+    // Guards against an owner that starts tasks by a version which arrived late, before the confirming read has ended.
+    it("does not become the owner by a newer configuration while a confirmation is under way", async () => {
+        fixture = new Fixture();
+        const confirmForOwner = Reflect.get(ConfigurationTracker.prototype, "confirmForOwner") as unknown;
+        let endConfirmation: (() => void) | undefined;
+        Reflect.set(ConfigurationTracker.prototype, "confirmForOwner", () =>
+            new Promise<void>(resolve => {
+                endConfirmation = resolve;
+            }));
+        try {
+            fixture.codec = new MovingQueueCodec();
+            const host = await fixture.open("a");
+            for (let waitedMs = 0; waitedMs < 5_000 && endConfirmation === undefined; waitedMs += 20) {
+                await fixture.clock.wait(20);
+            }
+            fixture.storeConfiguration(2);
+            await fixture.clock.wait(300);
+            expect(host.listGauges()["configuration_version"]).toEqual(2);
+            expect(host.listGauges()["is_owner"]).toEqual(0);
+            endConfirmation?.();
+            await fixture.clock.wait(20);
+            expect(host.listGauges()["is_owner"]).toEqual(1);
+        }
+        finally {
+            Reflect.set(ConfigurationTracker.prototype, "confirmForOwner", confirmForOwner);
+        }
+    });
+
     // Guards against tasks that an owner starts because it has not heard of the cancellation that was acknowledged.
     for (const caller of ["the owner", "another host"]) {
         it(`acknowledges a cancellation at ${caller} only once the owner has applied it, or 2 s later`, async () => {
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -62,6 +62,8 @@
     private knownRevision: number | undefined;
     private unreadableRevision: number | undefined;
     private confirmation: Promise<void> | undefined;
+    /** Called after the next read that confirms the configuration. */
+    private readonly confirmationListeners: (() => void)[] = [];
     /** Whether the last attempt to confirm an aged configuration failed. */
     private isUnconfirmed = false;
 
@@ -124,10 +126,26 @@
         await this.confirmation;
     }
 
-    /** As `confirm`, before decisions for the whole cell: waits longer, whether or not earlier attempts have failed. */
+    /**
+     * As `confirm`, before decisions for the whole cell: waits longer, whether or not earlier attempts have failed, and
+     * repeats a read that fails. The answer to an earlier read counts too.
+     */
     async confirmForOwner(): Promise<void> {
         if (!this.isConfirmed) {
-            await this.readWithin(ownerConfirmTimeoutMs);
+            const answered = new Promise<void>(resolve => this.confirmationListeners.push(resolve));
+            await Promise.race([answered, this.options.clock.wait(ownerConfirmTimeoutMs), this.readUntilConfirmed()]);
+        }
+    }
+
+    private async readUntilConfirmed(): Promise<void> {
+        const { clock } = this.options;
+        const endAt = clock.getNow() + ownerConfirmTimeoutMs;
+        while (!this.isConfirmed && !this.isStopped && clock.getNow() < endAt) {
+            // Earlier reads may all wait on connections that are silent.
+            await this.read(maxReadsInFlight + 1);
+            if (!this.isConfirmed) {
+                await clock.wait(retryMs);
+            }
         }
     }
 
@@ -149,9 +167,9 @@
         }
     }
 
-    private async read(): Promise<void> {
+    private async read(maxInFlight = maxReadsInFlight): Promise<void> {
         const { clock, codec, store, supervisor } = this.options;
-        if (this.readsInFlight >= maxReadsInFlight) {
+        if (this.readsInFlight >= maxInFlight) {
             return;
         }
         this.readsInFlight += 1;
@@ -174,6 +192,9 @@
         if (read.val.item !== undefined && this.accept(read.val.item, "read")) {
             this.confirmedAt = Math.max(this.confirmedAt, sentAt);
             this.isUnconfirmed = false;
+            if (this.isConfirmed) {
+                this.confirmationListeners.splice(0).forEach(listener => listener());
+            }
         }
     }
 
--- a/packages/cell/src/configuration-tracker_test.ts
+++ b/packages/cell/src/configuration-tracker_test.ts
@@ -30,6 +30,8 @@
     isDeaf = false;
     readonly store: MemoryLeaseStore;
     readsSent = 0;
+    /** Time after which reads fail, ms; `undefined` if they do not. */
+    readsFailAfterMs: number | undefined;
     /** Rate at which values are received, bytes/ms. */
     bytesPerMs = Infinity;
 
@@ -49,6 +51,10 @@
             await clock.wait(waitMs + timeoutMs);
             return Err(createFailure(storeFailures.unanswered, "the store has not answered in time", "mayHaveRun"));
         }
+        if (this.readsFailAfterMs !== undefined && request.kind === "read") {
+            await clock.wait(this.readsFailAfterMs);
+            return Err(createFailure(storeFailures.unanswered, "the connection was closed", "mayHaveRun"));
+        }
         if (this.isDeaf && request.kind === "watch") {
             await clock.wait(waitMs);
             return Ok({ changes: [], storeRevision: revision }) as unknown as Result<StoreReply<Request>, Failure>;
@@ -238,6 +244,68 @@
         });
     });
 
+    describe("confirmForOwner", () => {
+        async function createUnconfirmed(readsFailAfterMs: number): Promise<Fixture> {
+            const fixture = new Fixture();
+            fixture.forEachRoute(route => {
+                route.isDeaf = true;
+            });
+            await fixture.start();
+            fixture.forEachRoute(route => {
+                route.readsFailAfterMs = readsFailAfterMs;
+            });
+            await fixture.clock.advance(4_000);
+            expect(fixture.tracker.isConfirmed).toEqual(false);
+            fixture.store("2");
+            return fixture;
+        }
+
+        function measureWait(fixture: Fixture): { endedAfterMs: number | undefined; version: number | undefined; } {
+            const startedAt = fixture.clock.getNow();
+            const measured: ReturnType<typeof measureWait> = { endedAfterMs: undefined, version: undefined };
+            void fixture.tracker.confirmForOwner().then(() => {
+                measured.endedAfterMs = fixture.clock.getNow() - startedAt;
+                measured.version = fixture.version;
+            });
+            return measured;
+        }
+
+        // Guards against an owner that starts tasks by an old configuration because its first read fails at once, or is not
+        // sent for the reads that wait already.
+        for (const readsFailAfterMs of [0, 1, 5_000]) {
+            it(`waits 1 s and no longer while reads fail after ${readsFailAfterMs} ms`, async () => {
+                const fixture = await createUnconfirmed(readsFailAfterMs);
+                const measured = measureWait(fixture);
+                await fixture.clock.advance(990);
+                expect(measured.endedAfterMs).toEqual(undefined);
+                await fixture.clock.advance(20);
+                expect(measured).toEqual({ endedAfterMs: 1_000, version: 1 });
+            });
+        }
+
+        it("finds a change when reads are answered again after some that failed", async () => {
+            const fixture = await createUnconfirmed(1);
+            const measured = measureWait(fixture);
+            await fixture.clock.advance(500);
+            fixture.forEachRoute(route => {
+                route.readsFailAfterMs = undefined;
+            });
+            await fixture.clock.advance(510);
+            expect(measured.version).toEqual(2);
+            expect((measured.endedAfterMs ?? Infinity) <= 700).toEqual(true);
+        });
+
+        it("finds a change at once though as many reads as allowed wait for answers", async () => {
+            const fixture = await createUnconfirmed(5_000);
+            fixture.forEachRoute(route => {
+                route.readsFailAfterMs = undefined;
+            });
+            const measured = measureWait(fixture);
+            await fixture.clock.advance(50);
+            expect(measured.version).toEqual(2);
+        });
+    });
+
     describe("versions", () => {
         it("keeps the newest version that can be read, and never goes back", async () => {
             const fixture = new Fixture();
