Bound how long a run of an unknown job counts toward the limits of all teams

Callers would see: no task of any team with a limit starts, on any executor, while one executor lists a run of a job that the owner does not know and never reports its end.

Cause: what the executor has free counted toward the limits of all teams until the end of the run was recorded; on an executor without known capacity that is an unbounded amount.

Change: such a run counts until stopMs and 1 s after the executor has been reachable with the run listed, since the owner sends the order to stop it at once; and in any case until the longest lease, stopMs and 1 s after it was first listed. If it is listed again it does not count again; nothing starts on its executor until its end is recorded, as before. Several such executors still add up, as all runs may belong to one team.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -131,7 +131,7 @@
         this.startedAt = clock.getNow();
         this.epoch = term.epoch;
         this.configuration = options.configuration;
-        this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs });
+        this.scheduler = new WorkflowScheduler({ stopMs: options.stopMs, leaseMs: maxLeaseMs });
         this.scheduler.setEpoch(term.epoch);
         this.scheduler.applyRules(toRules(options.configuration));
         this.journal = new OwnerJournal({
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -196,7 +196,7 @@
      * Keys of listed runs whose task is not known, and so neither their resources, for example of jobs that ended under
      * an earlier owner. Nothing starts on the executor while there is one.
      */
-    readonly runsOfUnknownTasks: Set<string>;
+    readonly runsOfUnknownTasks: Map<string, RunOfUnknownTask>;
     /** Number of refused starts since the last confirmed one. */
     refusedStarts: number;
     /** Moving average of the share of runs that failed or stalled. */
@@ -210,6 +210,14 @@
     bestEffortSpeedChangedAt: number;
 }
 
+/** A listed run whose task is not known. */
+export interface RunOfUnknownTask {
+    /** Time at which it was first listed, ms. */
+    readonly listedAt: number;
+    /** Time since which its executor has been reachable, from `listedAt` on, ms; `undefined` while it is not. */
+    reachableSince: number | undefined;
+}
+
 /** A queue and what was learned from its runs. */
 export interface QueueRow {
     rules: QueueRules;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -48,7 +48,7 @@
     TaskKey,
     TickDecisions,
 } from "./types.js";
-import { listUnknownTasks, updateUnknownUsage } from "./unknown-tasks-system.js";
+import { addRunOfUnknownTask, listUnknownTasks, updateUnknownUsage } from "./unknown-tasks-system.js";
 import type { WaitingSample } from "./waiting-steps.js";
 import { WaitingSteps } from "./waiting-steps.js";
 
@@ -71,6 +71,7 @@
             stallFloorMs: options.stallFloorMs ?? 3_000,
             ticketMarginMs: options.ticketMarginMs ?? 250,
             stopMs: options.stopMs ?? 1_000,
+            leaseMs: options.leaseMs ?? 6_000,
         });
     }
 
@@ -174,7 +175,7 @@
             row.runsOfUnknownTasks.clear();
             this.state.recordRoomGain(row);
         }
-        for (const run of [...this.state.executors.get(executor)?.runs.values() ?? []]) {
+        for (const run of [...row?.runs.values() ?? []]) {
             this.endRun(now, run, "lost");
         }
     }
@@ -281,7 +282,7 @@
     adoptRunToStop(now: number, executor: ExecutorId, listed: ListedRun): void {
         const task = this.findTask(listed.task);
         if (task === undefined) {
-            this.state.executors.get(executor)?.runsOfUnknownTasks.add(toRunKey(listed.task, listed.run));
+            addRunOfUnknownTask(this.state.executors.get(executor), listed, now);
         }
         else if (this.findRun(executor, listed.task, listed.run) === undefined) {
             this.state.addRun({
@@ -363,9 +364,7 @@
         }));
     }
 
-    /**
-     * Sets tasks in the state `unknown` to `waiting`, except those in `unsettled`, which an executor may still run.
-     */
+    /** Sets tasks in the state `unknown` to `waiting`, except those in `unsettled`, which may still run. */
     releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set()): void {
         this.state.hasReleasedUnknownTasks = true;
         for (const job of this.state.jobs.values()) {
@@ -437,7 +436,7 @@
     /** Stops runs that are stalled or must leave, places tasks, and returns all decisions since the previous tick. */
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
-        updateUnknownUsage(this.state);
+        updateUnknownUsage(this.state, now);
         stopRunsOfLeavingExecutors(this.state, now);
         placeTasks(this.state, now, selectRankedSteps(this.state, now));
         return {
@@ -495,7 +494,7 @@
         servingRuns: 0,
         unprovenRuns: 0,
         probeRuns: 0,
-        runsOfUnknownTasks: new Set(),
+        runsOfUnknownTasks: new Map(),
         refusedStarts: 0,
         failureRate: 0,
         slowdown: 1,
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -286,4 +286,6 @@
     readonly ticketMarginMs?: number;
     /** Longest time from a stop decision to the end of the run, ms. Default 1,000. */
     readonly stopMs?: number;
+    /** Longest time for which a silent executor keeps runs, ms. Default 6,000. */
+    readonly leaseMs?: number;
 }
