Ignore stored remaining tasks that no job can have

Callers would see: an owner that takes over creates millions of rows, or runs out of memory, for one damaged record of a finished job.

Cause: a stored step number and last index could be 99,999, and neither the number of occurrences nor the sum of the ranges was bounded, although a row is created for each task up to the last index, in each occurrence.

A record beyond that keeps its state and loses its remaining tasks, as one of another form did before. The format is in a file of its own.

--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -13,6 +13,7 @@
 } from "@waxwingroute/workflow";
 import { z } from "zod";
 import type { MachineId } from "./machine-manager.js";
+import { decodeRemainingTasks, encodeRemainingTasks, remainingTasksSchema } from "./remaining-tasks.js";
 import type { StoreItem } from "./store.js";
 
 /** Prefix of `ownerKey` and `epochKey`. */
@@ -116,24 +117,11 @@
 const rosterSchema = z.array(
     z.object({ executor: z.string(), address: addressSchema, tasks: z.array(z.string()).optional() }),
 );
-const countSchema = z.number().int().min(0);
-/** The largest number of tasks that a step of a job can have; it bounds what a stored range expands to. */
-const maxTaskIndex = 99_999;
-const rangeSchema = z.tuple([countSchema, countSchema.max(maxTaskIndex)]);
-/** Occurrence, step, the resources of each task, and ranges of indexes. */
-const remainingSchema = z.tuple([
-    countSchema,
-    countSchema.max(maxTaskIndex),
-    z.number(),
-    z.number(),
-    z.number(),
-    z.array(rangeSchema),
-]);
 const finishedSchema = z.object({
     state: z.enum(["succeeded", "failed", "cancelled"]),
     queue: z.string(),
     // A later version may store it in another form; the state of the job counts all the same.
-    remaining: z.object({ team: z.string(), tasks: z.array(remainingSchema) }).optional().catch(undefined),
+    remaining: z.object({ team: z.string(), tasks: remainingTasksSchema }).optional().catch(undefined),
 });
 const jobSchema = z.union([
     finishedSchema,
@@ -210,39 +198,11 @@
         queue,
         remaining: remaining === undefined ? undefined : {
             team: remaining.team,
-            tasks: remaining.tasks.map(({ occurrence, step, resources, indexes }) => [
-                occurrence,
-                step,
-                resources.cpuMillis,
-                resources.memoryMb,
-                resources.accelerators,
-                toRanges(indexes),
-            ]),
+            tasks: encodeRemainingTasks(remaining.tasks),
         },
     });
 }
 
-/** Returns ascending numbers as ranges of consecutive ones, the first and the last of each. */
-function toRanges(numbers: readonly number[]): [number, number][] {
-    const ranges: [number, number][] = [];
-    for (const number of numbers) {
-        const last = ranges.at(-1);
-        if (last?.[1] === number - 1) {
-            last[1] = number;
-        }
-        else {
-            ranges.push([number, number]);
-        }
-    }
-    return ranges;
-}
-
-function fromRanges(ranges: readonly (readonly [number, number])[]): number[] {
-    return ranges.flatMap(([first, last]) =>
-        Array.from({ length: Math.max(0, last - first + 1) }, (_, offset) => first + offset)
-    );
-}
-
 /** Decodes the record of an accepted or finished job. */
 export function decodeJobRecord(text: string): Result<JobRecord, Failure> {
     const parsed = parseValue(jobSchema, text);
@@ -272,12 +232,7 @@
         queue: toId<QueueId>(value.queue),
         remaining: remaining === undefined ? undefined : {
             team: toId<TeamId>(remaining.team),
-            tasks: remaining.tasks.map(([occurrence, step, cpuMillis, memoryMb, accelerators, ranges]) => ({
-                occurrence,
-                step,
-                resources: { cpuMillis, memoryMb, accelerators },
-                indexes: fromRanges(ranges),
-            })),
+            tasks: decodeRemainingTasks(remaining.tasks),
         },
     };
 }
