Charge no host for a request that the advisor rejects

One step that the advisor does not know, answered with status 400, kept every host of the cell closed to calls of all other steps: each rejection put the host that carried it into a backoff of 2 s, and the step was asked about again 100 ms later, through the next host.

HttpAdvisor reported each status other than 200 as `advisor-refused`, and the dispatcher charged the host for it. The delay to the next request of a step doubles with each failed call in a row, from 100 ms to 3.2 s, and an answer resets it.

With the change, no host is in backoff during 200 rejections, and the step sends 8 calls in 10 s.

--- a/packages/cell/src/advice-account.ts
+++ b/packages/cell/src/advice-account.ts
@@ -115,11 +115,18 @@
         this.calls.delete(call);
     }
 
-    /** Records that the advisor has not taken the call: it refused it, or was not reached. */
+    /** Records that the advisor was reached and rejected the request without work on it, which is no fault of the host. */
     recordRejected(now: number, call: SentCall): void {
+        this.calls.delete(call);
+        this.failuresInRow = 0;
+        this.removeWork(now, call);
+    }
+
+    /** Records that the advisor has not taken the call: it takes none of the host now, or was not reached. */
+    recordNotTaken(now: number, call: SentCall): void {
         this.calls.delete(call);
         this.failuresInRow += 1;
-        this.doneAt = Math.max(now, this.doneAt - call.workMs * call.pace);
+        this.removeWork(now, call);
     }
 
     /**
@@ -141,6 +148,10 @@
         this.doneAt = Math.max(this.doneAt, this.estimateDoneAt(callDoneAt, call));
     }
 
+    private removeWork(now: number, call: SentCall): void {
+        this.doneAt = Math.max(now, this.doneAt - call.workMs * call.pace);
+    }
+
     /** Returns when the advisor will be done with the calls after `call`, if it is done with `call` at `doneAt`. */
     private estimateDoneAt(doneAt: number, call: SentCall): number {
         const later = [...this.calls].filter(({ sentAt }) => sentAt >= call.sentAt);
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -211,9 +211,13 @@
             account.recordMissed(call);
             return;
         }
+        if (outcome === "rejected") {
+            account.recordRejected(now, call);
+            return;
+        }
         account.backoffUntil = now + backoffMs;
         if (outcome === "refused" || outcome === "unreachable") {
-            account.recordRejected(now, call);
+            account.recordNotTaken(now, call);
         }
         else {
             account.recordUnanswered(now, call);
--- a/packages/cell/src/advice-dispatcher_test.ts
+++ b/packages/cell/src/advice-dispatcher_test.ts
@@ -53,6 +53,21 @@
         expect(fixture.send("l2")).toEqual("sent");
     });
 
+    it("keeps all hosts open while the advisor rejects each request for a few steps", async () => {
+        // Guards against a step that is unknown to the advisor and closes one host after another for all other steps.
+        const fixture = new AdviceFixture(4);
+        for (let round = 0; round < 100; round++) {
+            fixture.send("r1");
+            fixture.send("r2");
+            await fixture.clock.advance(50);
+            expect(fixture.dispatcher.listHostStates().map(host => host.backoffMs)).toEqual([0, 0, 0, 0]);
+            expect(fixture.send("s1")).toEqual("sent");
+            await fixture.clock.advance(50);
+        }
+        expect(fixture.countGranted()).toEqual(100);
+        expect(fixture.dispatcher.statistics.getCounts(fixture.clock.getNow()).outcomes.rejected).toEqual(200);
+    });
+
     describe("with a broken way to the advisor", () => {
         for (const mode of ["silent", "refusing"] as const) {
             it(`sends calls through other hosts first while the advisor is ${mode} for one`, async () => {
--- a/packages/cell/src/advice-statistics.ts
+++ b/packages/cell/src/advice-statistics.ts
@@ -6,9 +6,10 @@
 
 /**
  * How a call ended. `unanswered`: it may have run, and its answer was lost or came after the time-out. `unreachable`:
- * nothing was sent.
+ * nothing was sent. `refused`: the advisor takes no call of the host now. `rejected`: it refuses this request, whichever
+ * host sends it.
  */
-export const adviceOutcomes = ["answered", "unanswered", "refused", "unreachable", "failed"] as const;
+export const adviceOutcomes = ["answered", "unanswered", "refused", "rejected", "unreachable", "failed"] as const;
 
 export type AdviceOutcome = typeof adviceOutcomes[number];
 
@@ -70,7 +71,7 @@
 export function createCounts(): AdviceCounts {
     return {
         sent: 0,
-        outcomes: { answered: 0, unanswered: 0, refused: 0, unreachable: 0, failed: 0 },
+        outcomes: { answered: 0, unanswered: 0, refused: 0, rejected: 0, unreachable: 0, failed: 0 },
         rounds: 0,
         roundsWithoutHost: 0,
         roundsPostponed: 0,
@@ -90,6 +91,8 @@
             return "unanswered";
         case "advisor-refused":
             return "refused";
+        case "advisor-rejected":
+            return "rejected";
         case "advisor-unreachable":
         case "peer-unreachable":
             return "unreachable";
--- a/packages/cell/src/testing/advice-fixture.ts
+++ b/packages/cell/src/testing/advice-fixture.ts
@@ -22,6 +22,8 @@
     s: { callMs: 9, perExecutorMs: 1, validMs: 2_000 },
     /** Long calls of 400 ms. */
     l: { callMs: 399, perExecutorMs: 1, validMs: 2_000 },
+    /** Short calls that the advisor rejects. */
+    r: { callMs: 9, perExecutorMs: 1, validMs: 2_000 },
 };
 
 /** Sends requests through a dispatcher with hosts `h0`, `h1` and so on. */
@@ -36,7 +38,7 @@
 
     constructor(hosts: number, latencyMs = 5) {
         const { clock } = this;
-        this.service = new FakeAdviceService({ clock, getRules, isGranted: () => true, latencyMs });
+        this.service = new FakeAdviceService({ clock, getRules, isGranted: () => true, isRejected, latencyMs });
         const logger = {
             write: (_level: string, message: string, fields: LogFields = {}) => {
                 this.lines.push({ message, fields });
@@ -136,6 +138,10 @@
     }
 }
 
+function isRejected(step: StepKey): boolean {
+    return step.startsWith("r");
+}
+
 function getRules(step: StepKey): AdviceRules {
     return fixtureRules[step[0]!]!;
 }
--- a/packages/cell/src/testing/fake-advisor.ts
+++ b/packages/cell/src/testing/fake-advisor.ts
@@ -18,6 +18,8 @@
     readonly getRules: (step: StepKey) => Pick<AdviceRules, "callMs" | "perExecutorMs">;
     /** Returns whether the step may run on the executor; the answer has to be the same each time. */
     readonly isGranted: (step: StepKey, executor: ExecutorId) => boolean;
+    /** Returns whether each request about the step is rejected, as one about an unknown step is. Default: none. */
+    readonly isRejected?: (step: StepKey) => boolean;
     /** Most calls of one host that wait for the one in work. Default 32. */
     readonly maxWaiting?: number;
     /** Time from the caller to the service, and back, ms. Default 5. */
@@ -33,7 +35,7 @@
     /** Of these, calls whose caller had given up, and the work on them, ms. */
     abandoned: number;
     abandonedMs: number;
-    /** Calls refused because too many waited, or in the mode `refusing`. */
+    /** Calls refused because too many waited, in the mode `refusing`, or because their step is rejected. */
     refused: number;
 }
 
@@ -94,7 +96,7 @@
         executors: readonly ExecutorId[],
         timeoutMs: number,
     ): Promise<Result<readonly AdviceGrant[], Failure>> {
-        const { clock, getRules, isGranted, latencyMs = 5 } = this.service.options;
+        const { clock, getRules, isGranted, isRejected = () => false, latencyMs = 5 } = this.service.options;
         const { callMs, perExecutorMs } = getRules(step);
         return new Promise(resolve => {
             const call: Call = {
@@ -116,12 +118,18 @@
                 timer.cancel();
                 resolve(answer);
             };
-            const refuse = () => {
+            const refuse = (code: "advisor-refused" | "advisor-rejected", status: number) => {
                 this.service.counts.refused += 1;
-                const failure = createFailure("advisor-refused", "the advisor replied with status 429", "notRun");
+                const failure = createFailure(code, `the advisor replied with status ${status}`, "notRun");
                 clock.schedule(latencyMs, () => settle(Err(failure)));
             };
-            clock.schedule(latencyMs, () => this.receive(call, refuse));
+            clock.schedule(latencyMs, () => {
+                if (isRejected(step)) {
+                    refuse("advisor-rejected", 400);
+                    return;
+                }
+                this.receive(call, () => refuse("advisor-refused", 429));
+            });
         });
     }
 
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -26,8 +26,12 @@
 const requestedSlotsFactor = 2;
 /** Weight of a new answer in the moving average of the grant rate. */
 const grantRateSampleWeight = 0.1;
-/** Time from a failed call to the next request for the step, ms. */
-const retryDelayMs = 100;
+/**
+ * Time from a failed call to the next request for the step, ms. It doubles with each failure in a row, since the advisor
+ * may reject each request for the step.
+ */
+const minRetryDelayMs = 100;
+const maxRetryDelayMs = 3_200;
 
 /** Time from an answer to the next request for the step, ms. On a full fleet, room for a few of its tasks appears often. */
 const minRequestIntervalMs = 150;
@@ -107,9 +111,11 @@
     const queue = state.queues.get(step.occurrence.job.submission.queue);
     const validMs = queue?.rules.advice?.validMs;
     if (grants === undefined || queue === undefined || validMs === undefined) {
-        step.advice.retryAt = now + retryDelayMs;
+        step.advice.retryAt = now + Math.min(maxRetryDelayMs, minRetryDelayMs * 2 ** step.advice.failuresInRow);
+        step.advice.failuresInRow += 1;
         return;
     }
+    step.advice.failuresInRow = 0;
     step.advice.answeredAt = now;
     const newlyAsked = asked.filter(executor => !step.advice.tickets.has(executor));
     const granted = new Set(grants.map(grant => grant.executor));
--- /dev/null
+++ b/packages/workflow/src/advice-system_test.ts
@@ -0,0 +1,56 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createQueue, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
+import type { AdviceRequest } from "./types.js";
+
+const advice = { callMs: 90, perExecutorMs: 0, validMs: 2_000 };
+const queues = [createQueue("urgent", { advice, priority: 0 }), createQueue("slow", { advice })];
+
+/** Sends all requests that are due. */
+function sendAll(fixture: SchedulerFixture): AdviceRequest[] {
+    const requests: AdviceRequest[] = [];
+    fixture.scheduler.sendAdviceRequests(fixture.now, request => {
+        requests.push(request);
+        return "sent";
+    });
+    return requests;
+}
+
+/** Lets each call fail for a time, and returns the times at which calls were sent, from the first one on. */
+function failCalls(fixture: SchedulerFixture, durationMs: number): number[] {
+    const startedAt = fixture.now;
+    const times: number[] = [];
+    while (fixture.now < startedAt + durationMs) {
+        for (const { executors, step } of sendAll(fixture)) {
+            times.push(fixture.now - startedAt);
+            fixture.scheduler.recordAdvice(fixture.now, step, executors, undefined);
+        }
+        fixture.now += 50;
+    }
+    return times;
+}
+
+describe("requests for advice", () => {
+    describe("for a step whose calls fail", () => {
+        it("are repeated less and less often", () => {
+            // Guards against a step unknown to the advisor that costs a call each 100 ms for as long as it is open.
+            const fixture = new SchedulerFixture(1, queues);
+            fixture.submit("a", [createStep()], "slow");
+            expect(failCalls(fixture, 10_000)).toEqual([0, 100, 300, 700, 1_500, 3_100, 6_300, 9_500]);
+        });
+
+        it("are repeated soon after a failure that follows an answer", () => {
+            const fixture = new SchedulerFixture(1, queues);
+            fixture.submit("a", [createStep({ taskCount: 100 })], "slow");
+            failCalls(fixture, 10_000);
+            fixture.now += 3_200;
+            const [request] = sendAll(fixture);
+            fixture.scheduler.recordAdvice(fixture.now, request!.step, request!.executors, []);
+            for (const id of ["b", "c"]) {
+                fixture.submit(id, [createStep()], "slow");
+            }
+            fixture.now += 200;
+            expect(failCalls(fixture, 200)).toEqual([0, 0, 100, 100]);
+        });
+    });
+});
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -114,6 +114,7 @@
             requestedAt: undefined,
             answeredAt: undefined,
             retryAt: 0,
+            failuresInRow: 0,
             tickets: new Map(),
             refused: new Set(),
             newlyGranted: [],
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -74,6 +74,8 @@
     dueSince: number | undefined;
     /** No request is sent before this time. */
     retryAt: number;
+    /** Calls that failed since the last answer. */
+    failuresInRow: number;
     /** Executors that the advisor granted, also those whose ticket has expired. */
     readonly tickets: Map<ExecutorId, AdviceTicket>;
     readonly refused: Set<ExecutorId>;
