Keep the place of a step whose call to the advisor failed

A step whose call was lost went behind all steps that waited, and was asked about again only once it was overdue anew.

The wait of a step ended when its call was sent, and a failed call did not restore it. Now the wait ends with an answer, and a failed call leaves it as it is. The sixth failure in a row, when the retry delay reaches its maximum, begins a new wait, so that steps whose calls always fail do not stay first among the overdue ones.

--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -75,7 +75,6 @@
         }
         advice.isRequestPending = true;
         advice.requestedAt = now;
-        advice.dueSince = undefined;
         order.recordSent(next, estimateWorkMs(state, queue, executors.length));
     }
 }
@@ -111,11 +110,15 @@
     const queue = state.queues.get(step.occurrence.job.submission.queue);
     const validMs = queue?.rules.advice?.validMs;
     if (grants === undefined || queue === undefined || validMs === undefined) {
-        step.advice.retryAt = now + Math.min(maxRetryDelayMs, minRetryDelayMs * 2 ** step.advice.failuresInRow);
+        const delayMs = Math.min(maxRetryDelayMs, minRetryDelayMs * 2 ** step.advice.failuresInRow);
+        step.advice.retryAt = now + delayMs;
         step.advice.failuresInRow += 1;
+        // Steps whose calls always fail would otherwise stay the first of the overdue ones and hold their share.
+        step.advice.dueSince = delayMs < maxRetryDelayMs ? step.advice.dueSince : undefined;
         return;
     }
     step.advice.failuresInRow = 0;
+    step.advice.dueSince = undefined;
     step.advice.answeredAt = now;
     const newlyAsked = asked.filter(executor => !step.advice.tickets.has(executor));
     const granted = new Set(grants.map(grant => grant.executor));
--- a/packages/workflow/src/advice-system_test.ts
+++ b/packages/workflow/src/advice-system_test.ts
@@ -39,6 +39,32 @@
             expect(failCalls(fixture, 10_000)).toEqual([0, 100, 300, 700, 1_500, 3_100, 6_300, 9_500]);
         });
 
+        it("keep their place before steps that began to wait later", () => {
+            // Guards against a step that goes behind all waiting steps each time that a call is lost.
+            const fixture = new SchedulerFixture(1, queues);
+            fixture.submit("a", [createStep()], "slow");
+            const calls: number[] = [];
+            for (
+                const startedAt = fixture.now; calls.length < 4 && fixture.now < startedAt + 10_000; fixture.now += 100
+            ) {
+                fixture.submit(`u${fixture.now}a`, [createStep()], "urgent");
+                fixture.submit(`u${fixture.now}b`, [createStep()], "urgent");
+                const sent: AdviceRequest[] = [];
+                fixture.scheduler.sendAdviceRequests(
+                    fixture.now,
+                    request => sent.length > 0 ? "noHost" : (sent.push(request), "sent"),
+                );
+                const { executors, step } = sent[0]!;
+                const isFailing = (step as string) === "a.0.0";
+                if (isFailing) {
+                    calls.push(fixture.now - startedAt);
+                }
+                fixture.scheduler.recordAdvice(fixture.now, step, executors, isFailing ? undefined : []);
+            }
+            expect(calls.length).toEqual(4);
+            expect(calls[3]! - calls[0]!).toBeLessThanOrEqual(1_500);
+        });
+
         it("are repeated soon after a failure that follows an answer", () => {
             const fixture = new SchedulerFixture(1, queues);
             fixture.submit("a", [createStep({ taskCount: 100 })], "slow");
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -70,7 +70,7 @@
     /** When the last request was sent, and when the advisor last answered one; `undefined`: never. */
     requestedAt: number | undefined;
     answeredAt: number | undefined;
-    /** Since when the step waits for a request, its tickets do not suffice, and none is in flight; `undefined`: it does not. */
+    /** Since when the step waits for an answer because its tickets do not suffice; `undefined`: it does not. */
     dueSince: number | undefined;
     /** No request is sent before this time. */
     retryAt: number;
