Begin a new wait for advice once no task of a step waits

A step whose last task started with a ticket it held, after it had found no room, was overdue at once when that task failed later, and took a call from the share of overdue steps.

Steps without a waiting task are not evaluated for advice, so nothing ended their wait. It now ends when the last waiting task changes its state.

The new test reports `isOverdue` true with the line taken out of the compiled file, and false with it.

--- a/packages/workflow/src/advice-system_test.ts
+++ b/packages/workflow/src/advice-system_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createQueue, createStep, SchedulerFixture } from "./testing/scheduler-fixture.js";
+import { createQueue, createStep, SchedulerFixture, toCores } from "./testing/scheduler-fixture.js";
 import type { AdviceRequest } from "./types.js";
 
 const advice = { callMs: 90, perExecutorMs: 0, validMs: 2_000 };
@@ -45,7 +45,9 @@
             fixture.submit("a", [createStep()], "slow");
             const calls: number[] = [];
             for (
-                const startedAt = fixture.now; calls.length < 4 && fixture.now < startedAt + 10_000; fixture.now += 100
+                const startedAt = fixture.now;
+                calls.length < 4 && fixture.now < startedAt + 10_000;
+                fixture.now += 100
             ) {
                 fixture.submit(`u${fixture.now}a`, [createStep()], "urgent");
                 fixture.submit(`u${fixture.now}b`, [createStep()], "urgent");
@@ -79,4 +81,32 @@
             expect(failCalls(fixture, 200)).toEqual([0, 0, 100, 100]);
         });
     });
+
+    it("begin a new wait for a step whose tasks started while it waited", () => {
+        // Guards against a step that is overdue as soon as a task of it fails, because of a wait that has long ended.
+        const fixture = new SchedulerFixture(1, queues);
+        const grantAll = () =>
+            sendAll(fixture).forEach(({ executors, step }) =>
+                fixture.scheduler.recordAdvice(
+                    fixture.now,
+                    step,
+                    executors,
+                    executors.map(executor => ({ executor, ticket: "t" })),
+                )
+            );
+        fixture.submit("full", [createStep({ resources: toCores(16) })], "slow");
+        grantAll();
+        const [full] = fixture.startTasks();
+        fixture.submit("a", [createStep({ resources: toCores(16) })], "slow");
+        grantAll();
+        fixture.now += 200;
+        expect(sendAll(fixture)).toEqual([]);
+        fixture.endRun(full!, "done");
+        const [start] = fixture.startTasks();
+        expect(start?.task as string).toEqual("a.0.0.0");
+        fixture.now += 60_000;
+        fixture.endRun(start!, "failed");
+        fixture.now += 3_000;
+        expect(sendAll(fixture).map(({ isOverdue, step }) => [step as string, isOverdue])).toEqual([["a.0.0", false]]);
+    });
 });
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -228,6 +228,10 @@
 /** Changes the state of a task. */
 export function setTaskState(task: TaskRow, state: TaskState): void {
     task.step.waitingCount += (state === "waiting" ? 1 : 0) - (task.state === "waiting" ? 1 : 0);
+    if (task.step.waitingCount === 0) {
+        // A later wait begins anew: this one would make the step overdue at once.
+        task.step.advice.dueSince = undefined;
+    }
     task.state = state;
 }
 
