--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -70,10 +70,12 @@
     /** When the last request was sent, and when the advisor last answered one; `undefined`: never. */
     requestedAt: number | undefined;
     answeredAt: number | undefined;
-    /** Since when the step waits for a request, its tickets do not suffice, and none is in flight; `undefined`: it does not. */
+    /** Since when the step waits for an answer because its tickets do not suffice; `undefined`: it does not. */
     dueSince: number | undefined;
     /** No request is sent before this time. */
     retryAt: number;
+    /** Calls that failed since the last answer. */
+    failuresInRow: number;
     /** Executors that the advisor granted, also those whose ticket has expired. */
     readonly tickets: Map<ExecutorId, AdviceTicket>;
     readonly refused: Set<ExecutorId>;
@@ -234,6 +236,10 @@
 /** Changes the state of a task. */
 export function setTaskState(task: TaskRow, state: TaskState): void {
     task.step.waitingCount += (state === "waiting" ? 1 : 0) - (task.state === "waiting" ? 1 : 0);
+    if (task.step.waitingCount === 0) {
+        // A later wait begins anew: this one would make the step overdue at once.
+        task.step.advice.dueSince = undefined;
+    }
     task.state = state;
 }
 
