Bound the executors that a round of requests for advice examines

Found by the review of the shared order of calls: steps that lack room keep their place and come first, so a round evaluated all of them against all executors before the first request could find no host free, and again each 40 ms.

Change: a round examines 20,000 executors for steps that need no request and leaves the other steps to the next round. The time until a step is evaluated again grows with the number of steps, so that each has its turn; with 33 executors nothing changes up to 600 steps.

The time of a round has not been measured again.

--- a/packages/cell/src/store-keys_test.ts
+++ b/packages/cell/src/store-keys_test.ts
@@ -45,36 +45,35 @@
     });
 
     // Guards against a damaged record of a few bytes for which the next owner creates millions of rows.
-    const cases:
-        readonly (readonly [
-            string,
-            boolean,
-            readonly (readonly [number, number, readonly (readonly number[])[]])[],
-        ])[] = [
-            ["the largest job", true, [0, 1, 2, 3].map(step => [0, step, [[0, 4_999]]])],
-            ["one task more than a step can have", false, [[0, 0, [[5_000, 5_000]]]]],
-            ["one step more than a job can have", false, [[0, 500, [[0, 0]]]]],
-            ["one task more than a job can have", false, [
-                ...[0, 1, 2, 3].map(step => [0, step, [[0, 4_999]]] as const),
-                [0, 4, []],
-            ]],
-            ["a range that is stored many times", false, [[0, 0, Array.from({ length: 17 }, () => [0, 4_999])]]],
-            [
-                "a last task in many occurrences",
-                false,
-                Array.from({ length: 17 }, (_, number) => [number, 0, [[4_999, 4_999]]]),
-            ],
-            [
-                "a last step in many occurrences",
-                false,
-                Array.from({ length: 161 }, (_, number) => [number, 499, [[0, 0]]]),
-            ],
-            [
-                "as many occurrences as can be open",
-                true,
-                Array.from({ length: 20_000 }, (_, number) => [number, 0, [[0, 0]]]),
-            ],
-        ];
+    const cases: readonly (readonly [
+        string,
+        boolean,
+        readonly (readonly [number, number, readonly (readonly number[])[]])[],
+    ])[] = [
+        ["the largest job", true, [0, 1, 2, 3].map(step => [0, step, [[0, 4_999]]])],
+        ["one task more than a step can have", false, [[0, 0, [[5_000, 5_000]]]]],
+        ["one step more than a job can have", false, [[0, 500, [[0, 0]]]]],
+        ["one task more than a job can have", false, [
+            ...[0, 1, 2, 3].map(step => [0, step, [[0, 4_999]]] as const),
+            [0, 4, []],
+        ]],
+        ["a range that is stored many times", false, [[0, 0, Array.from({ length: 17 }, () => [0, 4_999])]]],
+        [
+            "a last task in many occurrences",
+            false,
+            Array.from({ length: 17 }, (_, number) => [number, 0, [[4_999, 4_999]]]),
+        ],
+        [
+            "a last step in many occurrences",
+            false,
+            Array.from({ length: 161 }, (_, number) => [number, 499, [[0, 0]]]),
+        ],
+        [
+            "as many occurrences as can be open",
+            true,
+            Array.from({ length: 20_000 }, (_, number) => [number, 0, [[0, 0]]]),
+        ],
+    ];
     for (const [name, isKept, rows] of cases) {
         it(`${isKept ? "keeps" : "ignores"} the tasks of ${name}`, () => {
             const tasks = rows.map(([occurrence, step, ranges]) => [occurrence, step, 1, 1, 0, ranges]);
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -37,6 +37,11 @@
 const minRequestIntervalMs = 150;
 /** Time from an evaluation that found no request necessary to the next one, ms; short beside the time of a call. */
 const evaluationIntervalMs = 40;
+/**
+ * Executors that a round examines for steps that need no request; the other steps are left to the next round. With more
+ * steps than one round can evaluate, the interval grows in proportion, so that each has its turn.
+ */
+const maxExaminedExecutors = 20_000;
 
 /** An executor that a request can include. */
 interface AskOption {
@@ -54,14 +59,20 @@
     send: (request: AdviceRequest) => AdviceSendResult,
 ): void {
     const order = new AdviceOrder(now, listDueSteps(state, now, ranked), state.adviceBalance);
+    const rounds = Math.max(1, ranked.length * state.executors.size / maxExaminedExecutors);
+    let examined = 0;
     for (let next = order.takeNext(); next !== undefined; next = order.takeNext()) {
         const { isOverdue, step } = next;
         const { advice } = step;
         const executors = selectExecutorsToAsk(state, now, step);
         if (executors === undefined || executors.length === 0) {
-            advice.evaluateAt = now + evaluationIntervalMs;
+            advice.evaluateAt = now + evaluationIntervalMs * rounds;
             // A step that lacks room keeps its place, since others may take each room before its call is answered.
             advice.dueSince = executors === undefined ? undefined : advice.dueSince;
+            examined += state.executors.size;
+            if (examined >= maxExaminedExecutors) {
+                return;
+            }
             continue;
         }
         const { queue } = step.occurrence.job.submission;
--- a/packages/workflow/src/advice-system_test.ts
+++ b/packages/workflow/src/advice-system_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { SchedulerState } from "./state.js";
 import { createQueue, createStep, SchedulerFixture, toCores } from "./testing/scheduler-fixture.js";
 import type { AdviceRequest } from "./types.js";
 
@@ -109,4 +110,43 @@
         fixture.now += 3_000;
         expect(sendAll(fixture).map(({ isOverdue, step }) => [step as string, isOverdue])).toEqual([["a.0.0", false]]);
     });
+
+    describe("for many steps that lack room on many executors", () => {
+        const executorCount = 400;
+        const stepCount = 300;
+
+        function createFullFixture(): SchedulerFixture {
+            const fixture = new SchedulerFixture(executorCount, [...queues, createQueue("open")]);
+            fixture.submit("full", [createStep({ taskCount: executorCount, resources: toCores(16) })], "open");
+            fixture.startTasks();
+            for (let index = 0; index < stepCount; index++) {
+                fixture.submit(`a${index}`, [createStep({ resources: toCores(16) })], "slow");
+            }
+            fixture.grantAdvice(() => true);
+            fixture.now += 10_000;
+            return fixture;
+        }
+
+        it("examine a bounded number of executors in a round", () => {
+            // Guards against an owner whose rounds take all its time because it examines each executor for each waiting step.
+            const fixture = createFullFixture();
+            const state = Reflect.get(fixture.scheduler, "state") as SchedulerState;
+            sendAll(fixture);
+            const evaluated = [...state.openSteps].filter(step => step.advice.evaluateAt > fixture.now).length;
+            expect(evaluated * executorCount).toBeLessThanOrEqual(20_000);
+            expect(evaluated > 0).toEqual(true);
+        });
+
+        it("reach each of them within the interval between two evaluations", () => {
+            const fixture = createFullFixture();
+            const state = Reflect.get(fixture.scheduler, "state") as SchedulerState;
+            const waiting = [...state.openSteps].filter(step => step.waitingCount > 0);
+            const last = new Map(waiting.map(step => [step, step.advice.evaluateAt]));
+            for (let round = 0; round < 12; round++) {
+                sendAll(fixture);
+                fixture.now += 20;
+            }
+            expect(waiting.filter(step => step.advice.evaluateAt === last.get(step)).length).toEqual(0);
+        });
+    });
 });
