--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Sends a request to the advisor if a host is free for it. Returns `noHost` if none is free at all, and
-     * `postponed` if only short calls and those of overdue steps may be sent now.
+     * Sends a request to the advisor if a host is free for it. Returns `postponed` if only short calls and those of
+     * overdue steps may be sent now, and `noHost` if none is free at all, except in a round that looks for short calls.
      */
     send(request: AdviceRequest, rules: AdviceRules): AdviceSendResult {
         const workMs = rules.callMs + rules.perExecutorMs * request.executors.length;
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -391,7 +391,7 @@
         }
     }
 
-    /** Passes requests for advisors to `send`, the most urgent step first. */
+    /** Passes requests for advisors to `send`, in the order of `AdviceOrder`. */
     sendAdviceRequests(now: number, send: (request: AdviceRequest) => AdviceSendResult): void {
         sendAdviceRequests(this.state, now, selectRankedSteps(this.state, now), send);
     }
