Let the wait for advice go on across owners

Change: the first wait of a step without earlier steps begins when its job was accepted, which is stored with the job.

Evidence: 'serves a step that has waited under earlier ones before newer urgent work' failed before (an urgent step came first); the 232 tests of workflow and advice pass, among them the bound under a takeover. Later steps of a job still begin anew, since the time at which they were ready is not stored.

--- a/packages/workflow/src/advice-order_test.ts
+++ b/packages/workflow/src/advice-order_test.ts
@@ -1,4 +1,4 @@
-import type { ExecutorId } from "@waxwingroute/core";
+import type { ExecutorId, QueueId } from "@waxwingroute/core";
 import { toId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -65,6 +65,20 @@
         });
     });
 
+    describe("under a new owner", () => {
+        it("serves a step that has waited under earlier ones before newer urgent work", () => {
+            // Guards against waits that begin anew with each of several owners in a row (issue 35).
+            const fixture = new SchedulerFixture(1, queues);
+            fixture.now = 60_000;
+            fixture.addJob("old", {
+                queue: toId<QueueId>("slow"),
+                spec: { payload: "old", steps: [createStep()] },
+                acceptedAt: fixture.now - 5_000,
+            });
+            expect(sendUnderUrgentLoad(fixture, 3)[0]).toEqual("old.0.0");
+        });
+    });
+
     describe("for a step that finds no room when it is evaluated", () => {
         it("keeps its place until it is sent", () => {
             // Guards against steps that lose each room to others, because their wait begins anew whenever there is none.
--- a/packages/workflow/src/advice-system.ts
+++ b/packages/workflow/src/advice-system.ts
@@ -97,13 +97,22 @@
         const { advice } = step;
         const isDue = !advice.isRequestPending && advice.retryAt <= now && advice.evaluateAt <= now;
         if (isDue && needsAdvice(state, step)) {
-            advice.dueSince ??= now;
+            advice.dueSince ??= findWaitStart(now, step);
             due.push(step);
         }
     }
     return due;
 }
 
+/**
+ * Returns when the wait of a step for a request began. An earlier owner may not have sent the first one either, so the
+ * time of its job counts, and the wait does not begin anew with each owner.
+ */
+function findWaitStart(now: number, { advice, occurrence, spec }: StepRow): number {
+    const isFirst = advice.requestedAt === undefined && spec.after.length === 0;
+    return isFirst ? Math.min(now, occurrence.dueAt) : now;
+}
+
 function estimateWorkMs(state: SchedulerState, queue: QueueId, executors: number): number {
     const { callMs = 0, perExecutorMs = 0 } = state.queues.get(queue)?.rules.advice ?? {};
     return callMs + perExecutorMs * executors;
