Call the factor by which the advisor is slower its slowdown

The review read pace the wrong way round (8 is slow), and the protocol of executors has a pace of another kind. No logic changes; the field of the line 'advice calls' is renamed with it.

--- a/packages/cell/src/advice-account.ts
+++ b/packages/cell/src/advice-account.ts
@@ -4,7 +4,7 @@
  * is done, and keeps it after a time-out.
  *
  * The time of a call beyond its declared work has two parts: the overhead, such as the round trip, which does not depend
- * on the work, and the pace, the factor by which the advisor is slower than declared.
+ * on the work, and the slowdown, the factor by which the advisor is slower than declared.
  */
 
 /** A call that was sent. */
@@ -19,16 +19,16 @@
     readonly timeoutMs: number;
     /** When the advisor is expected to be done with the call. */
     readonly expectedDoneAt: number;
-    /** The pace that was expected, see `AdviceAccount.pace`. */
-    readonly pace: number;
+    /** The slowdown that was expected, see `AdviceAccount.slowdown`. */
+    readonly slowdown: number;
 }
 
 /** Longest time beyond the declared work that counts as overhead, ms: a round trip between regions, and short pauses. */
 const maxOverheadMs = 200;
 /** Weight of the newest call in the moving average of the overhead. */
 const overheadWeight = 0.2;
-/** Largest pace; an advisor that is slower counts as one that does not answer. */
-const maxPace = 8;
+/** Largest slowdown; an advisor that is slower counts as one that does not answer. */
+const maxSlowdown = 8;
 /** Added to the expected work of the advisor to get the time-out of a call, ms. */
 const answerMarginMs = 1_000;
 /** A failure this much before the time-out counts as one at the time-out, ms: timers of other processes are not exact. */
@@ -41,7 +41,7 @@
     /** No call is sent before this time, because the last one failed. */
     backoffUntil = 0;
     private averageOverheadMs = 0;
-    private averagePace = 1;
+    private averageSlowdown = 1;
     /** When the advisor is expected to be done with all calls, those that were given up included. */
     private doneAt = 0;
 
@@ -51,8 +51,8 @@
     }
 
     /** Factor by which the advisor is slower than declared; 1 or more. */
-    get pace(): number {
-        return this.averagePace;
+    get slowdown(): number {
+        return this.averageSlowdown;
     }
 
     /** Number of long calls without an answer yet. */
@@ -80,18 +80,18 @@
 
     /** Adds a call that is sent now. */
     recordSent(now: number, workMs: number, isLong: boolean): SentCall {
-        const { pace } = this;
+        const { slowdown } = this;
         const arrivesAt = now + this.overheadMs / 2;
         const queuedMs = Math.max(0, this.doneAt - arrivesAt);
-        this.doneAt = arrivesAt + queuedMs + workMs * pace;
+        this.doneAt = arrivesAt + queuedMs + workMs * slowdown;
         const call = {
             sentAt: now,
             workMs,
             isLong,
             queuedMs,
             expectedDoneAt: this.doneAt,
-            pace,
-            timeoutMs: queuedMs + workMs * pace + answerMarginMs,
+            slowdown,
+            timeoutMs: queuedMs + workMs * slowdown + answerMarginMs,
         };
         this.calls.add(call);
         return call;
@@ -131,32 +131,32 @@
 
     /**
      * Records that a call was given up or its answer was lost. The advisor may still work on it. Unless it would have to be
-     * slower than the largest pace, it counts as slower from now on, and the next time-out is longer.
+     * slower than the largest slowdown, it counts as slower from now on, and the next time-out is longer.
      */
     recordUnanswered(now: number, call: SentCall): void {
         this.calls.delete(call);
         this.failuresInRow += 1;
         const elapsedMs = now - call.sentAt;
-        const expectedMs = call.queuedMs + call.workMs * call.pace;
-        const shownPace = call.pace * (elapsedMs - this.overheadMs) / expectedMs;
-        if (elapsedMs < call.timeoutMs - timerToleranceMs || shownPace > maxPace) {
+        const expectedMs = call.queuedMs + call.workMs * call.slowdown;
+        const shownSlowdown = call.slowdown * (elapsedMs - this.overheadMs) / expectedMs;
+        if (elapsedMs < call.timeoutMs - timerToleranceMs || shownSlowdown > maxSlowdown) {
             return;
         }
-        // Twice the pace that would have led to an answer at the time-out, so that few calls are lost until one has an answer.
-        this.averagePace = Math.max(this.pace, Math.min(maxPace, 2 * shownPace));
-        const callDoneAt = call.sentAt + expectedMs * this.pace / call.pace;
+        // Twice the slowdown that would have led to an answer at the time-out, so that few calls are lost until one has an answer.
+        this.averageSlowdown = Math.max(this.slowdown, Math.min(maxSlowdown, 2 * shownSlowdown));
+        const callDoneAt = call.sentAt + expectedMs * this.slowdown / call.slowdown;
         this.doneAt = Math.max(this.doneAt, this.estimateDoneAt(callDoneAt, call));
     }
 
     private removeWork(now: number, call: SentCall): void {
-        this.doneAt = Math.max(now, this.doneAt - call.workMs * call.pace);
+        this.doneAt = Math.max(now, this.doneAt - call.workMs * call.slowdown);
     }
 
     /** Returns when the advisor will be done with the calls after `call`, if it is done with `call` at `doneAt`. */
     private estimateDoneAt(doneAt: number, call: SentCall): number {
         const later = [...this.calls].filter(({ sentAt }) => sentAt >= call.sentAt);
         return later.reduce(
-            (startAt, { sentAt, workMs }) => Math.max(startAt, sentAt + this.overheadMs / 2) + workMs * this.pace,
+            (startAt, { sentAt, workMs }) => Math.max(startAt, sentAt + this.overheadMs / 2) + workMs * this.slowdown,
             doneAt,
         );
     }
@@ -167,8 +167,8 @@
             this.averageOverheadMs += overheadWeight * (excessMs - this.averageOverheadMs);
         }
         const measured = excessMs <= maxOverheadMs ? 1 : 1 + (excessMs - this.overheadMs) / workMs;
-        // A short call says little about the pace: most of its time is overhead.
+        // A short call says little about the slowdown: most of its time is overhead.
         const weight = workMs / (workMs + maxOverheadMs);
-        this.averagePace += weight * (Math.min(maxPace, Math.max(1, measured)) - this.pace);
+        this.averageSlowdown += weight * (Math.min(maxSlowdown, Math.max(1, measured)) - this.slowdown);
     }
 }
--- a/packages/cell/src/advice-dispatcher.ts
+++ b/packages/cell/src/advice-dispatcher.ts
@@ -59,7 +59,7 @@
     readonly backoffMs: number;
     readonly overheadMs: number;
     /** Factor by which the advisor is slower than declared. */
-    readonly pace: number;
+    readonly slowdown: number;
     readonly failuresInRow: number;
 }
 
@@ -111,7 +111,7 @@
             oldestCallMs: findOldestCall(account, now),
             backoffMs: Math.max(0, account.backoffUntil - now),
             overheadMs: account.overheadMs,
-            pace: account.pace,
+            slowdown: account.slowdown,
             failuresInRow: account.failuresInRow,
         }));
     }
--- a/packages/cell/src/advice-log.ts
+++ b/packages/cell/src/advice-log.ts
@@ -117,7 +117,7 @@
             `oldest:${Math.round(host.oldestCallMs ?? 0)}`,
             `backoff:${Math.round(host.backoffMs)}`,
             `overhead:${Math.round(host.overheadMs)}`,
-            `pace:${host.pace.toFixed(1)}`,
+            `slowdown:${host.slowdown.toFixed(1)}`,
             `failures:${host.failuresInRow}`,
         ].join(",")
     );
