Log what an owner believes of the earlier run of each task that starts again

Callers saw tasks that were started again after an acknowledged end, and no line said why: the log had the second start, not what its owner knew of the first.

Each start of a task with an earlier run now logs "task starts again" with that run, its executor, the outcome that the owner believes, the source of it (a listing, its absence in one, a stored batch, a restart, the end of the leases, a bound of silence, the release after a takeover) and its age. "run ended" has the source and the number of the end, "ends acknowledged" the number up to which an executor may forget its ends with the batch and revision that hold them, and an owner that gives the cell up logs what it had stored and what not. A first start has no line more. `waxwing explain` shows the lines, those of executors only where a line of the job names them.

The mutant "ends that are acknowledged before they are stored" of random-faults_test passes the argument that the callback has now.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -11,6 +11,7 @@
 import type {
     AdviceGrant,
     AdviceSendResult,
+    EndSource,
     JobChange,
     ListedRun,
     RunEnd,
@@ -23,6 +24,7 @@
 import { AdviceDispatcher } from "./advice-dispatcher.js";
 import { AdviceLog } from "./advice-log.js";
 import type { CellConfiguration } from "./configuration.js";
+import type { StoredEnd } from "./end-acknowledgements.js";
 import { ExecutorRegistry } from "./executor-registry.js";
 import type { SessionListener } from "./executor-session.js";
 import { JobFeed } from "./job-feed.js";
@@ -359,11 +361,11 @@
         this.registry.refreshExecutor(executor);
     }
 
-    onRunsLost(executor: ExecutorId, reason: string): void {
+    onRunsLost(executor: ExecutorId, reason: string, source: EndSource): void {
         this.runAfterRecovery(() => {
             const lost = this.scheduler.listRuns(executor).length;
-            this.options.logger.write("warn", "runs lost", { executor, reason, runs: lost });
-            this.scheduler.recordRunsLost(this.options.clock.getNow(), executor);
+            this.options.logger.write("warn", "runs lost", { executor, reason, source, runs: lost });
+            this.scheduler.recordRunsLost(this.options.clock.getNow(), executor, source);
             this.releaseHeldTasks();
             this.requestTick();
         });
@@ -377,8 +379,8 @@
         this.runAfterRecovery(() => this.scheduler.recordRunning(this.options.clock.getNow(), executor, run));
     }
 
-    onEnded(end: RunEnd, acknowledge?: () => void): void {
-        this.runAfterRecovery(() => this.acceptEnd(end, acknowledge));
+    onEnded(end: RunEnd, source: EndSource, acknowledge?: (stored: StoredEnd) => void): void {
+        this.runAfterRecovery(() => this.acceptEnd(end, source, acknowledge));
     }
 
     onUntrackedRun(executor: ExecutorId, run: ListedRun): boolean {
@@ -420,18 +422,25 @@
         return isAdopted;
     }
 
-    private acceptEnd(end: RunEnd, acknowledge: (() => void) | undefined): void {
+    private acceptEnd(
+        end: RunEnd,
+        source: EndSource,
+        acknowledge: ((stored: StoredEnd) => void) | undefined,
+    ): void {
         const now = this.options.clock.getNow();
-        this.scheduler.recordEnd(now, end);
+        const isTaskKnown = this.scheduler.recordEnd(now, end, source);
         this.options.logger.write("info", "run ended", {
             executor: end.executor,
             task: end.task,
             run: end.run,
             outcome: end.outcome,
+            source,
+            sequence: end.sequence,
+            isTaskKnown: isTaskKnown ? undefined : false,
         });
         const job = parseTaskKey(end.task)?.job;
         if (this.jobs.isEndStored(job)) {
-            acknowledge?.();
+            acknowledge?.({});
             this.jobs.forgetFinished(job);
         }
         else if (acknowledge !== undefined || end.outcome === "crashed" || end.outcome === "suspected") {
@@ -451,7 +460,7 @@
                 this.options.supervisor.run(
                     "stored end",
                     { key, task: end.task },
-                    () => this.scheduler.recordEnd(now, end),
+                    () => this.scheduler.recordEnd(now, end, "storedEnd"),
                 );
             });
             this.journal.adoptBatch(key, ends, job => this.scheduler.getJobState(job) !== undefined);
@@ -488,10 +497,12 @@
         }
         this.hasReleasedTasks = true;
         this.isReleaseComplete = possiblyRunning.length === 0;
-        this.scheduler.releaseUnknownTasks(new Set(possiblyRunning));
+        const now = this.options.clock.getNow();
+        const released = this.scheduler.releaseUnknownTasks(new Set(possiblyRunning), now);
         this.jobs.forgetAllFinished();
         this.options.logger.write("info", this.isReleaseComplete ? "all executors settled" : "executors settled", {
-            sinceAcquiredMs: Math.round(this.options.clock.getNow() - this.startedAt),
+            sinceAcquiredMs: Math.round(now - this.startedAt),
+            released,
             keptBack: possiblyRunning.length,
         });
     }
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -400,7 +400,7 @@
             existing.session.reportCrash();
             existing.session.close();
             this.executorsOfEarlierOwner.delete(executor);
-            this.options.listener.onRunsLost(executor, "executor restarted at another address");
+            this.options.listener.onRunsLost(executor, "executor restarted at another address", "replaced");
         }
         const { authority, clock, connector, listener, logger, longestLeaseMs, maxLeaseMs, stopMs, supervisor } =
             this.options;
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -9,7 +9,8 @@
  */
 import type { Clock, ExecutorId, Failure, Result } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
-import type { ListedRun, RunEnd, StartDecision, TaskKey } from "@waxwingroute/workflow";
+import type { EndSource, ListedRun, RunEnd, StartDecision, TaskKey } from "@waxwingroute/workflow";
+import type { StoredEnd } from "./end-acknowledgements.js";
 import { EndAcknowledgements } from "./end-acknowledgements.js";
 import { ExecutorLeases } from "./executor-leases.js";
 import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
@@ -25,7 +26,7 @@
     /**
      * No run that was charged to the executor goes on: all its leases have expired, or it was restarted or replaced.
      */
-    onRunsLost(executor: ExecutorId, reason: string): void;
+    onRunsLost(executor: ExecutorId, reason: string, source: EndSource): void;
     /** The executor has confirmed a start. */
     onStarted(executor: ExecutorId, task: TaskKey, run: number): void;
     /** The executor lists a run. */
@@ -34,7 +35,7 @@
      * A run has ended. The executor lists the end until `acknowledge` is called. Without `acknowledge`, the executor does
      * not list it: the run was not started or has disappeared.
      */
-    onEnded(end: RunEnd, acknowledge?: () => void): void;
+    onEnded(end: RunEnd, source: EndSource, acknowledge?: (stored: StoredEnd) => void): void;
     /**
      * The executor lists a run that this session does not track, mostly one that an earlier owner started. Returns
      * whether the run may go on.
@@ -130,8 +131,10 @@
      */
     private isUnfenced = false;
     /** Runs that are lost for this owner, but not for a successor that may have noted their ends. */
-    private readonly unconfirmedLosses: [TrackedRun, UnlistedOutcome][] = [];
+    private readonly unconfirmedLosses: [TrackedRun, UnlistedOutcome, EndSource][] = [];
     private wakeUp: (() => void) | undefined;
+    /** The highest number that a renewal has acknowledged in this life of the executor. */
+    private acknowledged = 0;
 
     constructor(private readonly options: ExecutorSessionOptions) {
         this.leases = new ExecutorLeases(options);
@@ -169,6 +172,16 @@
     }
 
     close(): void {
+        if (!this.isClosed && this.acknowledged < this.ends.processed) {
+            const { executor, logger } = this.options;
+            logger.write("info", "ends not acknowledged", {
+                executor,
+                acknowledged: this.acknowledged,
+                stored: this.ends.acknowledged,
+                processed: this.ends.processed,
+                ...this.ends.lastStored,
+            });
+        }
         this.isClosed = true;
         this.wakeUp?.();
         this.options.client.close();
@@ -214,7 +227,7 @@
         // Checked after the lease end is computed, so that a pause of the process in between cannot prolong the lease.
         if (!this.options.authority.canOrder) {
             this.trackedRuns.delete(toRunKey(tracked));
-            this.reportEnd(tracked, "notStarted");
+            this.reportEnd(tracked, "notStarted", "notSent");
             return;
         }
         const { startedAtWallMs } = this;
@@ -254,7 +267,7 @@
         if (started.val.verdict === "notRun") {
             this.trackedRuns.delete(toRunKey(tracked));
             const isTicketRefused = started.val.code === executorFailures.ticketRefused;
-            this.reportEnd(tracked, isTicketRefused ? "ticketRefused" : "notStarted");
+            this.reportEnd(tracked, isTicketRefused ? "ticketRefused" : "notStarted", "refusal");
             this.reportIfFenced(started, order.fencingToken);
             if (started.val.code === executorFailures.unreachable) {
                 this.recordUnreachable(started.val);
@@ -343,6 +356,7 @@
         // After a restart the executor numbers its ends from 1 again, and an old number would acknowledge new ends. So
         // none is acknowledged until a listing has shown the executor's start time.
         const acknowledged = this.isIncarnationKnown ? this.ends.acknowledged : 0;
+        this.logAcknowledged(acknowledged);
         const { fencingToken, incarnationDoubts } = this;
         const renewed = await client.renew(
             { fencingToken, acknowledged, deadlineMs, waitMs },
@@ -369,6 +383,14 @@
         }
     }
 
+    private logAcknowledged(through: number): void {
+        if (through > this.acknowledged) {
+            this.acknowledged = through;
+            const { executor, logger } = this.options;
+            logger.write("info", "ends acknowledged", { executor, through, ...this.ends.lastStored });
+        }
+    }
+
     private chooseWait(isCommitPending: boolean): number {
         const hasUnresolved = [...this.trackedRuns.values()].some(tracked =>
             tracked.state === "unanswered" || tracked.state === "stopped"
@@ -399,6 +421,7 @@
             this.dropRunsOfEarlierIncarnation();
             this.isUnfenced = !isLeaseValid;
             this.ends.reset();
+            this.acknowledged = 0;
             this.leases.reset();
         }
         else if (this.startedAtWallMs !== undefined && isLatest) {
@@ -433,9 +456,9 @@
         }
         this.trackedRuns.delete(toRunKey(end));
         const { executor, listener } = this.options;
-        const { task, run, outcome, checkpoint } = end;
-        listener.onEnded({ executor, task, run, outcome, checkpoint }, () => {
-            recordStored();
+        const { task, run, outcome, checkpoint, sequence } = end;
+        listener.onEnded({ executor, task, run, outcome, checkpoint, sequence }, "listing", stored => {
+            recordStored(stored);
             if (!this.ends.isPending) {
                 this.wakeUp?.();
             }
@@ -493,7 +516,8 @@
             }
             else if (hasAllEnds) {
                 this.trackedRuns.delete(key);
-                this.reportEnd(tracked, tracked.crashOutcome ?? (tracked.state === "stopped" ? "notStarted" : "lost"));
+                const outcome = tracked.crashOutcome ?? (tracked.state === "stopped" ? "notStarted" : "lost");
+                this.reportEnd(tracked, outcome, "absence");
             }
         }
     }
@@ -503,7 +527,7 @@
             this.failures += 1;
             this.reportCrash();
             if (this.options.authority.isLeaseValid) {
-                this.forgetRunsOnce("another executor has its address");
+                this.forgetRunsOnce("another executor has its address", "replaced");
             }
             return;
         }
@@ -519,7 +543,7 @@
             this.failures >= failuresBeforeUnreachable && isLeaseValid
             && this.leases.hasExpired(earlierOrdersEndAt)
         ) {
-            this.forgetRunsOnce("its leases have run out");
+            this.forgetRunsOnce("its leases have run out", this.leases.isClockKnown ? "leaseEnd" : "silenceBound");
         }
     }
 
@@ -550,7 +574,7 @@
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.crashOutcome !== undefined) {
                 this.trackedRuns.delete(key);
-                this.reportLoss(tracked, tracked.crashOutcome);
+                this.reportLoss(tracked, tracked.crashOutcome, "replaced");
             }
         }
     }
@@ -564,7 +588,7 @@
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.hasBegun) {
                 this.trackedRuns.delete(key);
-                this.reportLoss(tracked, tracked.crashOutcome ?? "lost");
+                this.reportLoss(tracked, tracked.crashOutcome ?? "lost", "restart");
             }
             else if (tracked.stop === "answered") {
                 // The new incarnation knows nothing of the stop.
@@ -575,35 +599,37 @@
         }
     }
 
-    private forgetRunsOnce(reason: string): void {
+    private forgetRunsOnce(reason: string, source: EndSource): void {
         if (this.trackedRuns.size > 0 || !this.hasKnownRuns) {
-            this.forgetRuns(reason);
+            this.forgetRuns(reason, source);
         }
     }
 
-    private forgetRuns(reason: string): void {
+    private forgetRuns(reason: string, source: EndSource): void {
         const { executor, listener } = this.options;
         this.trackedRuns.clear();
         this.hasKnownRuns = true;
-        listener.onRunsLost(executor, reason);
+        listener.onRunsLost(executor, reason, source);
     }
 
     /**
      * Reports a run that ended with its executor, once no other host can own the cell. A successor may have noted its end
      * before, and the executor knows no fencing token after a restart.
      */
-    private reportLoss(tracked: TrackedRun, outcome: UnlistedOutcome): void {
-        this.unconfirmedLosses.push([tracked, outcome]);
+    private reportLoss(tracked: TrackedRun, outcome: UnlistedOutcome, source: EndSource): void {
+        this.unconfirmedLosses.push([tracked, outcome, source]);
         this.reportConfirmedLosses();
     }
 
     private reportConfirmedLosses(): void {
         if (this.options.authority.isLeaseValid) {
-            this.unconfirmedLosses.splice(0).forEach(([tracked, outcome]) => this.reportEnd(tracked, outcome));
+            this.unconfirmedLosses.splice(0).forEach(([tracked, outcome, source]) =>
+                this.reportEnd(tracked, outcome, source)
+            );
         }
     }
 
-    private reportEnd(tracked: TrackedRun, outcome: UnlistedOutcome): void {
+    private reportEnd(tracked: TrackedRun, outcome: UnlistedOutcome, source: EndSource): void {
         const { executor, listener, logger } = this.options;
         if (outcome === "lost") {
             logger.write("warn", "run disappeared from its executor", {
@@ -612,7 +638,7 @@
                 run: tracked.run,
             });
         }
-        listener.onEnded({ executor, task: tracked.task, run: tracked.run, outcome, checkpoint: "" });
+        listener.onEnded({ executor, task: tracked.task, run: tracked.run, outcome, checkpoint: "" }, source);
     }
 
     /**
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -141,9 +141,9 @@
                 onRunsLost: () => this.lost.push(this.clock.getNow()),
                 onStarted: () => undefined,
                 onRunning: () => undefined,
-                onEnded: ({ outcome }, acknowledge) => {
+                onEnded: ({ outcome }, _source, acknowledge) => {
                     this.ends.push(outcome);
-                    acknowledge?.();
+                    acknowledge?.({});
                 },
                 onUntrackedRun: () => this.mayContinue,
                 onFenced: () => undefined,
--- a/packages/cell/src/order-sender.ts
+++ b/packages/cell/src/order-sender.ts
@@ -27,7 +27,19 @@
     }
 
     private sendStart(start: StartDecision): void {
-        const { executor, task, run, slackMs, checkpoint, isProbe } = start;
+        const { executor, task, run, slackMs, checkpoint, isProbe, earlierRun } = start;
+        if (earlierRun !== undefined) {
+            this.options.logger.write("info", "task starts again", {
+                executor,
+                task,
+                run,
+                earlierRun: earlierRun.run,
+                earlierExecutor: earlierRun.executor,
+                outcome: earlierRun.outcome,
+                source: earlierRun.source,
+                ageMs: Math.round(earlierRun.ageMs),
+            });
+        }
         this.options.logger.write("info", "start", {
             executor,
             task,
--- a/packages/cell/src/owner-journal.ts
+++ b/packages/cell/src/owner-journal.ts
@@ -10,6 +10,7 @@
 import type { RunEnd } from "@waxwingroute/workflow";
 import { parseTaskKey } from "@waxwingroute/workflow";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
+import type { StoredEnd } from "./end-acknowledgements.js";
 import type { OwnershipTerm } from "./lease-ownership.js";
 import type { FinishedJobRecord } from "./store-keys.js";
 import { encodeFinishedJob, encodeRunEnds, ownerKey, toCancelKey, toJobKey, toRunEndsKey } from "./store-keys.js";
@@ -50,9 +51,12 @@
 /** Most transactions in flight; several, so that the delays of a slow store do not add up from batch to batch. */
 const maxInFlight = 3;
 
+/** Most runs that a log line names. */
+const maxLoggedRuns = 50;
+
 interface PendingRunEnd {
     readonly end: RunEnd;
-    readonly onStored: () => void;
+    readonly onStored: (stored: StoredEnd) => void;
 }
 
 interface PendingJobEnd {
@@ -98,6 +102,8 @@
     private isClosed = false;
     private term: OwnershipTerm;
     private retentionMs: number;
+    private readonly batchesInFlight = new Set<Batch>();
+    private lastStored: StoredEnd = {};
     private readonly timeout: AdaptiveTimeout;
 
     constructor(private readonly options: OwnerJournalOptions) {
@@ -123,9 +129,30 @@
 
     /** Stops committing; records that are not stored yet are dropped. */
     close(): void {
+        if (!this.isClosed) {
+            this.logClose();
+        }
         this.isClosed = true;
     }
 
+    /** Logs what is stored and which ends may not be, so that the next owner's view can be compared with it. */
+    private logClose(): void {
+        const inFlight = [...this.batchesInFlight];
+        const sent = inFlight.flatMap(batch => batch.runEnds);
+        const unsent = this.runEnds;
+        this.options.logger.write("info", "journal closed", {
+            epoch: this.term.epoch,
+            lastBatch: this.lastStored.batch,
+            lastRevision: this.lastStored.revision,
+            batchesInFlight: inFlight.length,
+            endsInFlight: sent.length,
+            jobEndsInFlight: inFlight.reduce((sum, batch) => sum + batch.jobEnds.length, 0),
+            endsWaiting: unsent.length,
+            jobEndsWaiting: this.jobEnds.length,
+            runs: [...sent, ...unsent].slice(0, maxLoggedRuns).map(({ end }) => `${end.task}#${end.run}`).join(" "),
+        });
+    }
+
     /** Sets the current revision of a key before its first `recordWrite`. */
     setRevision(key: string, revision: number): void {
         this.revisions.set(key, revision);
@@ -144,7 +171,7 @@
     }
 
     /** Stores the end of a run. */
-    recordEnd(end: RunEnd, onStored: () => void): void {
+    recordEnd(end: RunEnd, onStored: (stored: StoredEnd) => void): void {
         this.runEnds.push({ end, onStored });
         this.schedule();
     }
@@ -183,6 +210,7 @@
     /** Commits a batch, with retries until it is stored or the journal is closed. */
     private async store(batch: Batch): Promise<void> {
         this.inFlight += 1;
+        this.batchesInFlight.add(batch);
         try {
             for (let attempt = 0; !this.isClosed && !await this.commit(batch, attempt); attempt++) {
                 await this.options.clock.wait(retryMs);
@@ -190,6 +218,7 @@
         }
         finally {
             this.inFlight -= 1;
+            this.batchesInFlight.delete(batch);
             this.schedule();
         }
     }
@@ -258,7 +287,8 @@
         if (openEnds.length > 0) {
             this.removeEmptyBatch(key);
         }
-        this.complete(batch);
+        this.lastStored = { batch: key, revision };
+        this.complete(batch, this.lastStored);
         return true;
     }
 
@@ -285,7 +315,7 @@
         });
     }
 
-    private complete(batch: Batch): void {
+    private complete(batch: Batch, stored: StoredEnd): void {
         for (const { finished: { job } } of batch.jobEnds) {
             this.expiries.push({ job, at: this.options.clock.getNow() + this.retentionMs });
             this.finished.add(job);
@@ -297,7 +327,7 @@
             }
         }
         for (const { onStored } of [...batch.ownerWrites, ...batch.runEnds, ...batch.jobEnds]) {
-            this.options.supervisor.run("stored record", { batch: batch.number }, onStored);
+            this.options.supervisor.run("stored record", { batch: batch.number }, () => onStored(stored));
         }
     }
 
--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -1,6 +1,7 @@
 import type { RunEnd } from "@waxwingroute/workflow";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { StoredEnd } from "./end-acknowledgements.js";
 import { ExecutorLeases } from "./executor-leases.js";
 import { OwnerJournal } from "./owner-journal.js";
 import { FakeExecutor } from "./testing/fake-executor.js";
@@ -70,7 +71,7 @@
             name: "ends that are acknowledged before they are stored",
             prototype: OwnerJournal.prototype,
             method: "recordEnd",
-            replacement: (_end: RunEnd, onStored: () => void) => onStored(),
+            replacement: (_end: RunEnd, onStored: (stored: StoredEnd) => void) => onStored({}),
         },
         {
             name: "tasks that are placed again before the leases of a silent executor have expired",
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -23,6 +23,7 @@
     "executor does not answer",
     "executors settled",
     "host started",
+    "journal closed",
     "orders resumed",
     "orders suspended",
     "runs lost",
@@ -31,6 +32,9 @@
     "store reached again",
 ]);
 
+/** Messages about an executor that are shown if one of the job's lines names it. */
+const executorMessages = new Set(["ends acknowledged", "ends not acknowledged"]);
+
 /** Time before the job's first line and after its last in which cluster events are shown, in milliseconds. */
 const contextWindowMs = 2_000;
 /** Fields that every log line has; the output omits them. */
@@ -65,12 +69,15 @@
     if (jobLines.length === 0) {
         throw new CommandError(`no line of the logs names job ${job}: pass the logs of all hosts`, exitCodes.failed);
     }
+    const executors = new Set(jobLines.map(line => line.fields.executor));
     const times = jobLines.map(line => line.timeMs);
     const firstMs = Math.min(...times);
     const lastMs = Math.max(...times);
     const timeline = lines
         .filter(line =>
-            !line.isContext || line.timeMs >= firstMs - contextWindowMs && line.timeMs <= lastMs + contextWindowMs
+            !line.isContext
+            || line.timeMs >= firstMs - contextWindowMs && line.timeMs <= lastMs + contextWindowMs
+                && (!executorMessages.has(line.message) || executors.has(line.fields.executor))
         )
         .sort((one, other) => one.timeMs - other.timeMs);
     const summary = formatWaits(jobLines, firstMs);
@@ -168,7 +175,7 @@
 function parseLine(text: string, job: string): LogLine | undefined {
     const start = text.indexOf("{\"context\"");
     const mentionsJob = text.includes(job);
-    if (start < 0 || !mentionsJob && ![...contextMessages].some(message => text.includes(message))) {
+    if (start < 0 || !mentionsJob && ![...contextMessages, ...executorMessages].some(name => text.includes(name))) {
         return undefined;
     }
     try {
--- a/packages/cli/src/commands/explain_test.ts
+++ b/packages/cli/src/commands/explain_test.ts
@@ -36,6 +36,29 @@
     adviceDueMs: 2_900,
 });
 
+files["again.log"] = [
+    formatLogLine(1_000, "a", "run ended", {
+        executor: "e1",
+        task: "ff66.0.0.0",
+        run: 1,
+        outcome: "done",
+        sequence: 7,
+    }),
+    formatLogLine(1_100, "a", "ends acknowledged", { executor: "e1", through: 7, batch: "ends/1/2", revision: 90 }),
+    formatLogLine(1_100, "a", "ends acknowledged", { executor: "e9", through: 3, batch: "ends/1/2", revision: 90 }),
+    formatLogLine(1_200, "a", "journal closed", { epoch: 1, lastBatch: "ends/1/2", lastRevision: 90, endsInFlight: 0 }),
+    formatLogLine(2_000, "b", "task starts again", {
+        executor: "e2",
+        task: "ff66.0.0.0",
+        run: 10_001,
+        earlierRun: 1,
+        earlierExecutor: "e1",
+        outcome: "lost",
+        source: "leaseEnd",
+        ageMs: 40,
+    }),
+].join("\n");
+
 async function run(commandLine: string): Promise<{ exitCode: number; out: string; error: string; }> {
     let out = "";
     let error = "";
@@ -96,4 +119,12 @@
                 true,
             );
     });
+
+    it("shows what the owner believed of the earlier run of a task, and what the owner before had stored", async () => {
+        // Guards against a second start of a task that nothing explains.
+        const { out } = await run("explain ff66 --logs again.log");
+        expect(out.includes("earlierRun=1 earlierExecutor=e1 outcome=lost source=leaseEnd ageMs=40")).toEqual(true);
+        expect(out.includes("journal closed: epoch=1 lastBatch=ends/1/2 lastRevision=90")).toEqual(true);
+        expect(out.split("\n").filter(line => line.includes("ends acknowledged")).length).toEqual(1);
+    });
 });
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -1,4 +1,5 @@
 /** Applies the end of a run to its task, step and job. */
+import type { ExecutorId } from "@waxwingroute/core";
 import { match, P } from "ts-pattern";
 import { recordTicketRefusal } from "./advice-system.js";
 import { recordCrash, recordCrashRate } from "./crash-system.js";
@@ -7,7 +8,7 @@
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState } from "./rows.js";
 import type { SchedulerState } from "./state.js";
-import type { RunOutcome, StopReason } from "./types.js";
+import type { EndSource, RunOutcome, StopReason } from "./types.js";
 
 /** A run that ended; `row` is `undefined` if the run is not or no longer in the tables. */
 export interface EndedRun {
@@ -16,6 +17,8 @@
     readonly row: RunRow | undefined;
     readonly outcome: RunOutcome;
     readonly checkpoint: string;
+    readonly executor: ExecutorId;
+    readonly source: EndSource;
 }
 
 /** Outcomes that only an executor that has begun the run reports. */
@@ -42,6 +45,9 @@
         recordRunOutcome(state, now, row, outcome);
         state.removeRun(row);
     }
+    if (number >= (task.earlierRun?.run ?? 0)) {
+        task.earlierRun = { run: number, executor: ended.executor, outcome, source: ended.source, recordedAt: now };
+    }
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.step.lastRunNumber = Math.max(task.step.lastRunNumber, number);
     if (checkpoint !== "") {
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -138,6 +138,7 @@
             state,
             runs: [],
             lastRunNumber: 0,
+            earlierRun: undefined,
             failedRuns: new Set(),
             crashedRuns: new Set(),
             suspectedRuns: new Set(),
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -8,6 +8,7 @@
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { Reservation, SchedulerState } from "./state.js";
 import { allowsMore, countFits, getChargedResources, listWaitingTasks } from "./state.js";
+import type { EarlierRun } from "./types.js";
 
 /** Decides the starts of one tick, and the executors that are reserved for a blocked gang. */
 export function placeTasks(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
@@ -239,9 +240,18 @@
         ticket: step.advice.tickets.get(executor.id)?.ticket,
         slackMs,
         isProbe,
+        earlierRun: describeEarlierRun(task, now),
     });
 }
 
+function describeEarlierRun({ earlierRun }: TaskRow, now: number): EarlierRun | undefined {
+    if (earlierRun === undefined) {
+        return undefined;
+    }
+    const { run, executor, outcome, source, recordedAt } = earlierRun;
+    return { run, executor, outcome, source, ageMs: now - recordedAt };
+}
+
 /**
  * Reserves executors for a blocked gang: eligible ones, those with the most free slots first, until their whole
  * capacity suffices for the gang. Returns `undefined` if all eligible executors together do not suffice.
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -1,6 +1,16 @@
 /** The rows of the scheduler's tables. Only the modules of this package change them. */
 import type { ExecutorId, JobId, RackId, ResourceVector, TeamId, ZoneId } from "@waxwingroute/core";
-import type { JobState, JobSubmission, PoolId, QueueRules, StepKey, StepSpec, TaskKey, TeamRules } from "./types.js";
+import type {
+    EarlierRun,
+    JobState,
+    JobSubmission,
+    PoolId,
+    QueueRules,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    TeamRules,
+} from "./types.js";
 
 /**
  * `unknown`: the task belongs to a known job, but an earlier owner may have started it on an executor that has not
@@ -37,6 +47,11 @@
     speedPercent: number | undefined;
 }
 
+/** What is known of a run that is over, and since when. */
+export interface RecordedRun extends Omit<EarlierRun, "ageMs"> {
+    readonly recordedAt: number;
+}
+
 /** One task of a step. */
 export interface TaskRow {
     readonly key: TaskKey;
@@ -48,6 +63,8 @@
     readonly runs: RunRow[];
     /** Highest run number that was used or reported. */
     lastRunNumber: number;
+    /** The last run whose end was recorded, for the log. */
+    earlierRun: RecordedRun | undefined;
     /** Numbers of the runs that failed. A set, because the end of a run can be reported more than once. */
     readonly failedRuns: Set<number>;
     /** Numbers of the runs that ended as `crashed`, and as `suspected`. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -25,7 +25,7 @@
 import { decideThrottles, needsThrottling } from "./pacing-system.js";
 import { placeTasks } from "./placement-system.js";
 import { selectRankedSteps } from "./rank.js";
-import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { ExecutorRow, JobRow, QueueRow, RecordedRun, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
 import { stopStalledRuns } from "./stall-system.js";
 import { getChargedResources, SchedulerState } from "./state.js";
@@ -34,6 +34,7 @@
     AdviceRequest,
     AdviceSendResult,
     EndedJob,
+    EndSource,
     ExecutorUpdate,
     JobState,
     JobSubmission,
@@ -164,19 +165,19 @@
 
     /** Removes an executor and ends its runs as `lost`. The caller makes sure that they no longer run. */
     removeExecutor(now: number, executor: ExecutorId): void {
-        this.recordRunsLost(now, executor);
+        this.recordRunsLost(now, executor, "removal");
         this.state.executors.delete(executor);
     }
 
     /** Ends all runs of an executor as `lost`, for example because it restarted. */
-    recordRunsLost(now: number, executor: ExecutorId): void {
+    recordRunsLost(now: number, executor: ExecutorId, source: EndSource = "leaseEnd"): void {
         const row = this.state.executors.get(executor);
         if (row !== undefined) {
             row.runsOfUnknownTasks.clear();
             this.state.recordRoomGain(row);
         }
         for (const run of [...row?.runs.values() ?? []]) {
-            this.endRun(now, run, "lost");
+            this.endRun(now, run, "lost", source);
         }
     }
 
@@ -337,7 +338,7 @@
     }
 
     /** Records the end of a run, also of one that this owner did not start. Returns whether its task is known. */
-    recordEnd(now: number, end: RunEnd): boolean {
+    recordEnd(now: number, end: RunEnd, source: EndSource = "listing"): boolean {
         const executor = this.state.executors.get(end.executor);
         if (executor?.runsOfUnknownTasks.delete(toRunKey(end.task, end.run)) === true) {
             this.state.recordRoomGain(executor);
@@ -352,6 +353,8 @@
             row: this.findRun(end.executor, end.task, end.run),
             outcome: end.outcome,
             checkpoint: end.checkpoint,
+            executor: end.executor,
+            source,
         });
         return true;
     }
@@ -364,18 +367,21 @@
         }));
     }
 
-    /** Sets tasks in the state `unknown` to `waiting`, except those in `unsettled`, which may still run. */
-    releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set()): void {
+    /**
+     * Sets tasks in the state `unknown` to `waiting`, except those in `unsettled`, which may still run. Returns their
+     * number.
+     */
+    releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set(), now = 0): number {
         this.state.hasReleasedUnknownTasks = true;
+        let released = 0;
         for (const job of this.state.jobs.values()) {
-            for (const occurrence of job.occurrences.values()) {
-                for (const step of occurrence.steps) {
-                    step.tasks.filter(task => task.state === "unknown" && !unsettled.has(task.key)).forEach(task =>
-                        setTaskState(task, "waiting")
-                    );
-                }
+            for (const task of listUnknownTasks(job).filter(({ key }) => !unsettled.has(key))) {
+                setTaskState(task, "waiting");
+                task.earlierRun ??= createUnlistedRun(now);
+                released += 1;
             }
         }
+        return released;
     }
 
     /** Records the advisor's answer about the executors in `asked`; `grants` is `undefined` if the call failed. */
@@ -447,8 +453,9 @@
         };
     }
 
-    private endRun(now: number, run: RunRow, outcome: EndedRun["outcome"]): void {
-        applyRunEnd(this.state, now, { task: run.task, number: run.number, row: run, outcome, checkpoint: "" });
+    private endRun(now: number, run: RunRow, outcome: EndedRun["outcome"], source: EndSource): void {
+        const { task, number, executor } = run;
+        applyRunEnd(this.state, now, { task, number, row: run, outcome, checkpoint: "", executor, source });
     }
 
     private findRun(executor: ExecutorId, task: TaskKey, run: number): RunRow | undefined {
@@ -469,6 +476,11 @@
     }
 }
 
+/** Returns what is known of the runs of a task that only an earlier owner can have started. */
+function createUnlistedRun(now: number): RecordedRun {
+    return { run: 0, executor: undefined, outcome: "neverListed", source: "release", recordedAt: now };
+}
+
 /** Returns whether the job has a further occurrence, and not too many unfinished ones, which may all be due at once. */
 function canOpenOccurrence(job: JobRow): boolean {
     const tasks = job.submission.spec.steps.reduce((sum, step) => sum + step.taskCount, 0);
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -179,6 +179,38 @@
     | "crashed"
     | "suspected";
 
+/**
+ * How an owner learned that a run is over. `listing`: its executor listed the end. `absence`: a complete listing has
+ * neither the run nor its end. `refusal`, `notSent`: the start was refused, or never sent. `restart`, `replaced`: its
+ * executor restarted, or another one has its address. `leaseEnd`: all leases of its silent executor have expired by the
+ * last reading of the executor's clock. `silenceBound`: the same without a reading, by the time since the last order of
+ * an earlier owner. `removal`: its executor was removed. `storedEnd`: an earlier owner stored the end. `release`: no
+ * executor that an earlier owner used can still run the task.
+ */
+export type EndSource =
+    | "listing"
+    | "absence"
+    | "refusal"
+    | "notSent"
+    | "restart"
+    | "replaced"
+    | "leaseEnd"
+    | "silenceBound"
+    | "removal"
+    | "storedEnd"
+    | "release";
+
+/** What an owner believes of the last run of a task when it starts the task again, for the log. */
+export interface EarlierRun {
+    /** 0 if the task may have had a run that no executor listed to this owner. */
+    readonly run: number;
+    readonly executor: ExecutorId | undefined;
+    readonly outcome: RunOutcome | "neverListed";
+    readonly source: EndSource;
+    /** Time since the owner learned of it, ms. */
+    readonly ageMs: number;
+}
+
 /** How a run ended on its executor, and the progress that it saved. */
 export interface RunEnd {
     readonly executor: ExecutorId;
@@ -187,6 +219,8 @@
     readonly outcome: RunOutcome;
     /** Progress that a later run can resume from; empty if none. */
     readonly checkpoint: string;
+    /** Number by which its executor lists the end and forgets it; absent if it does not list it. */
+    readonly sequence?: number;
 }
 
 /** A run as its executor lists it. */
@@ -213,6 +247,8 @@
     readonly slackMs: number;
     /** Whether the executor gets no other start until it is known to have survived this one. */
     readonly isProbe: boolean;
+    /** Absent for the first start of a task. */
+    readonly earlierRun?: EarlierRun;
 }
 
 /**
