Log what decided each wait of a step, and no longer `none`

What callers saw: `step waits` with reason `none` for steps that waited for a second and more, which names no cause.

Cause: the reason is decided on the state between two ticks. Room or tickets that appeared after the last tick made it `none`, as did a pause of all ticks (an owner that may not order), and a suspected gang beside unproven runs, which the reasons did not know. Steps whose starts stay unconfirmed were not reported at all.

Change: `none` is replaced by `tickDue`, `ordersSuspended`, `missedRoom` (a fault: the last tick left the step out although there was room); new are `startUnconfirmed`, `maxPerExecutor` and `gangNeedsProven`. Each line carries what decided: the step that took room meanwhile, the gang with a reservation, the run that is awaited, and the time since the last tick.

--- a/packages/cell/src/waiting-log.ts
+++ b/packages/cell/src/waiting-log.ts
@@ -53,7 +53,7 @@
     }
 
     private writeStep({ step, task, waitingTasks, cause, sinceMs, reasonSinceMs, adviceDueMs }: WaitingStep): void {
-        const { reason, executors, freeSlots, adviceInFlightMs, adviceAgeMs } = cause;
+        const { reason, executors, freeSlots, newSlots, adviceInFlightMs, adviceAgeMs, awaitedRun, taken } = cause;
         const counts = Object.entries(executors).filter(([, count]) => count > 0);
         this.options.logger.write("info", "step waits", {
             step,
@@ -63,6 +63,14 @@
             sinceMs: Math.round(sinceMs),
             reasonSinceMs: Math.round(reasonSinceMs),
             freeSlots,
+            newSlots: newSlots > 0 ? newSlots : undefined,
+            sinceTickMs: roundAge(cause.sinceTickMs),
+            takenBy: taken?.step,
+            takenAgeMs: roundAge(taken?.ageMs),
+            reservedFor: cause.reservedFor,
+            awaitedExecutor: awaitedRun?.executor,
+            awaitedState: awaitedRun?.state,
+            awaitedAgeMs: roundAge(awaitedRun?.ageMs),
             executors: counts.map(([name, count]) => `${name}:${count}`).join(","),
             adviceInFlightMs: roundAge(adviceInFlightMs),
             adviceAgeMs: roundAge(adviceAgeMs),
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -90,15 +90,21 @@
     executorsLeaving: "an executor that does not leave",
     executorsUnreachable: "executors that do not answer",
     gangIncomplete: "the end of all runs of its gang",
+    gangNeedsProven: "executors that have survived their last starts, since its gang may crash them",
+    maxPerExecutor: "an executor with fewer tasks of its step",
     mayStillRun: "executors that may run its tasks since the takeover",
     noExecutor: "an executor of its pool and label",
+    missedRoom: "nothing that the scheduler knows: a fault",
     noRoom: "room",
-    none: "nothing that the scheduler knows: a fault",
+    none: "nothing that the scheduler knows",
+    ordersSuspended: "the right of the owner to send orders",
     probeLimit: "other probes of tasks that may crash executors",
     probeNeedsIdle: "an idle executor for a probe",
     queueUnknown: "the declaration of its queue",
     reservedForGang: "executors that are reserved for a gang",
+    startUnconfirmed: "an executor that has neither confirmed nor refused its start",
     teamLimit: "the limit of its team",
+    tickDue: "the next tick, which has new room for it unless a more urgent step takes it",
     ticketExpired: "a new ticket of the advisor",
 };
 
@@ -121,10 +127,20 @@
         const reason = String(fields.reason);
         const since = (timeMs - firstMs - Number(fields.reasonSinceMs)) / 1_000;
         return `task ${String(fields.task)} could start, waits for ${reasonTexts[reason] ?? reason} (${reason}) `
-            + `since ${since.toFixed(3)}${formatDueCall(fields.adviceDueMs)}\n`;
+            + `since ${since.toFixed(3)}${formatDueCall(fields.adviceDueMs)}${formatDecider(fields)}\n`;
     }).join("");
 }
 
+/** Names the step or run that decided the wait, as far as the line holds one. */
+function formatDecider({ awaitedExecutor, awaitedState, reservedFor, takenBy }: LogLine["fields"]): string {
+    const parts = [
+        typeof takenBy === "string" ? [`room was taken by ${takenBy}`] : [],
+        typeof reservedFor === "string" ? [`executors are reserved for ${reservedFor}`] : [],
+        typeof awaitedExecutor === "string" ? [`a run is ${String(awaitedState)} on ${awaitedExecutor}`] : [],
+    ].flat();
+    return parts.map(part => `, ${part}`).join("");
+}
+
 function formatDueCall(adviceDueMs: unknown): string {
     return typeof adviceDueMs === "number" ? `, a call has been due for ${(adviceDueMs / 1_000).toFixed(3)} s` : "";
 }
--- a/packages/cli/src/commands/explain_test.ts
+++ b/packages/cli/src/commands/explain_test.ts
@@ -36,6 +36,17 @@
     adviceDueMs: 2_900,
 });
 
+files["outranked.log"] = formatLogLine(5_000, "a", "step waits", {
+    step: "ff66.0.0",
+    task: "ff66.0.0.0",
+    reason: "tickDue",
+    reasonSinceMs: 3_000,
+    takenBy: "aa11.0.1",
+    reservedFor: "bb22.0.0",
+    awaitedExecutor: "e1",
+    awaitedState: "starting",
+});
+
 async function run(commandLine: string): Promise<{ exitCode: number; out: string; error: string; }> {
     let out = "";
     let error = "";
@@ -96,4 +107,14 @@
                 true,
             );
     });
+
+    it("names the step that took the room, the gang that executors are reserved for, and the run that is awaited", async () => {
+        const { out } = await run("explain ff66 --logs outranked.log");
+        expect(
+            out.trimEnd().endsWith(
+                "(tickDue) since -3.000, room was taken by aa11.0.1, executors are reserved for bb22.0.0, "
+                    + "a run is starting on e1",
+            ),
+        ).toEqual(true);
+    });
 });
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -12,6 +12,7 @@
 /** Decides the starts of one tick, and the executors that are reserved for a blocked gang. */
 export function placeTasks(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
     state.releaseAvoidedExecutors(now);
+    state.tickNumber += 1;
     const previous = state.reservation;
     state.reservation = undefined;
     for (const { step, slackMs } of ranked) {
@@ -23,11 +24,14 @@
         if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
             continue;
         }
+        step.placedInTick = state.tickNumber;
         const isBlocked = checkBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
         if (isBlocked && step.spec.isGang && state.reservation === undefined) {
             state.setReservation(reserveExecutors(state, now, step), previous);
         }
     }
+    state.lastTickAt = now;
+    state.lastTickGain = state.gainPosition;
 }
 
 /** Places what it can of a step. Returns `false` if tasks remain that wait for free slots. */
@@ -230,6 +234,7 @@
         speedPercent: 100,
     };
     state.addRun(run);
+    executor.lastStart = { step, at: now };
     state.starts.push({
         executor: executor.id,
         task: task.key,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -109,6 +109,8 @@
     waitingCount: number;
     /** Set while tasks wait for free slots. */
     blocked: BlockedPlacement | undefined;
+    /** Number of the last tick that looked for room for the step. */
+    placedInTick: number;
     /** Highest run number of any task. The members of a gang share their run numbers. */
     lastRunNumber: number;
     doneCount: number;
@@ -199,6 +201,8 @@
      * an earlier owner. Nothing starts on the executor while there is one.
      */
     readonly runsOfUnknownTasks: Map<string, RunOfUnknownTask>;
+    /** The last start of a task on the executor. */
+    lastStart: { readonly step: StepRow; readonly at: number; } | undefined;
     /** Number of refused starts since the last confirmed one. */
     refusedStarts: number;
     /** Moving average of the share of runs that failed or stalled. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -495,6 +495,7 @@
         unprovenRuns: 0,
         probeRuns: 0,
         runsOfUnknownTasks: new Map(),
+        lastStart: undefined,
         refusedStarts: 0,
         failureRate: 0,
         slowdown: 1,
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -38,6 +38,10 @@
     readonly adviceBalance: AdviceBalance = { aheadMs: 0 };
     /** Runs are checked for progress again at this time. */
     nextStallCheckAt = 0;
+    /** Number of ticks, when the last one was, and the position of the first room gain after it. */
+    tickNumber = 0;
+    lastTickAt = -Infinity;
+    lastTickGain = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
     reservation: Reservation | undefined;
     /** Whether `releaseUnknownTasks` was called, which may keep some; tasks added later begin as `waiting`. */
--- a/packages/workflow/src/waiting-steps.ts
+++ b/packages/workflow/src/waiting-steps.ts
@@ -3,7 +3,7 @@
  * so each sample examines a bounded number of them in rotation and keeps the reasons of the others.
  */
 import { needsAdvice } from "./candidates.js";
-import type { StepRow } from "./rows.js";
+import type { StepRow, TaskRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import type { StepKey, TaskKey } from "./types.js";
 import type { WaitingCause, WaitingReason } from "./waiting-reasons.js";
@@ -12,7 +12,7 @@
 /** A step that waits, as far as it is new: its reason changed, or was last reported long ago. */
 export interface WaitingStep {
     readonly step: StepKey;
-    /** One of the tasks that could start. */
+    /** One of the tasks that could start, or whose start is not confirmed. */
     readonly task: TaskKey;
     readonly waitingTasks: number;
     readonly cause: WaitingCause;
@@ -90,7 +90,7 @@
 
     private updateTracked(state: SchedulerState, now: number): void {
         for (const step of state.openSteps) {
-            if (step.waitingCount === 0 && !(state.hasUnknownTasks && hasUnknownTask(step))) {
+            if (step.waitingCount === 0 && !step.tasks.some(task => isHeldBack(task, now))) {
                 continue;
             }
             const row = this.tracked.get(step);
@@ -119,7 +119,7 @@
         // Moves the step to the end of the rotation.
         this.tracked.delete(step);
         this.tracked.set(step, row);
-        const cause = decideWaitingReason(state, now, step);
+        const cause = decideWaitingReason(state, now, step, row.since);
         if (cause.reason !== row.reason) {
             row.reason = cause.reason;
             row.reasonSince = now;
@@ -129,8 +129,9 @@
             return [];
         }
         row.reportedAt = now;
-        const wanted = step.waitingCount > 0 ? "waiting" : "unknown";
-        const tasks = step.tasks.filter(task => task.state === wanted);
+        const tasks = step.tasks.filter(task =>
+            step.waitingCount > 0 ? task.state === "waiting" : isHeldBack(task, now)
+        );
         return [{
             step: step.key,
             task: tasks[0]!.key,
@@ -167,6 +168,8 @@
         : now - dueSince;
 }
 
-function hasUnknownTask(step: StepRow): boolean {
-    return step.tasks.some(task => task.state === "unknown");
+/** Returns whether the task waits for executors to say whether it runs. */
+function isHeldBack(task: TaskRow, now: number): boolean {
+    return task.state === "unknown"
+        || task.runs.some(run => run.state === "starting" && now - run.startedAt >= minWaitMs);
 }
