--- a/packages/cli/src/commands/explain_test.ts
+++ b/packages/cli/src/commands/explain_test.ts
@@ -58,6 +58,16 @@
         ageMs: 40,
     }),
 ].join("\n");
+files["outranked.log"] = formatLogLine(5_000, "a", "step waits", {
+    step: "ff66.0.0",
+    task: "ff66.0.0.0",
+    reason: "tickDue",
+    reasonSinceMs: 3_000,
+    takenBy: "aa11.0.1",
+    reservedFor: "bb22.0.0",
+    awaitedExecutor: "e1",
+    awaitedState: "starting",
+});
 
 async function run(commandLine: string): Promise<{ exitCode: number; out: string; error: string; }> {
     let out = "";
@@ -127,4 +137,14 @@
         expect(out.includes("journal closed: epoch=1 lastBatch=ends/1/2 lastRevision=90")).toEqual(true);
         expect(out.split("\n").filter(line => line.includes("ends acknowledged")).length).toEqual(1);
     });
+
+    it("names the step that took the room, the gang that executors are reserved for, and the run that is awaited", async () => {
+        const { out } = await run("explain ff66 --logs outranked.log");
+        expect(
+            out.trimEnd().endsWith(
+                "(tickDue) since -3.000, room was taken by aa11.0.1, executors are reserved for bb22.0.0, "
+                    + "a run is starting on e1",
+            ),
+        ).toEqual(true);
+    });
 });
