Soak: slow clocks, partly cut executors, late starts, stops in turn, silent connections

The shapes partly-cut and stops-in-turn play them; mixed plays the first three with small weights.

The stand-in of an executor now ends a run with its lease on its own clock, also when its timer is served late, so that a busy machine cannot make two runs overlap that an executor would not have had at once.

--- a/packages/soak/src/executor-front.ts
+++ b/packages/soak/src/executor-front.ts
@@ -8,12 +8,16 @@
 import type { JsonCall } from "./json-server.js";
 import { decodeExecutorRequest, encodeExecutorReply, instanceHeader } from "./protocol.js";
 import type { RunRecord } from "./run-record.js";
-import type { ExecutorReply } from "./types.js";
+import type { ExecutorReply, ExecutorRequest } from "./types.js";
 
 /** The faults of an executor. Shares are from 0 to 1 and by default 0. */
 export interface ExecutorFaults {
     /** Hosts that do not reach the executor. */
     readonly cutHosts?: readonly string[];
+    /** Hosts to whose calls the shares are limited. Default: all. */
+    readonly hosts?: readonly string[];
+    /** Kinds of calls to which the shares are limited. Default: all. */
+    readonly kinds?: readonly ExecutorRequest["kind"][];
     /** Share of calls that do not arrive. */
     readonly callLossShare?: number;
     /** Share of calls that are carried out, and whose answers are lost. */
@@ -62,6 +66,11 @@
         };
     }
 
+    /** Lets nothing pass over the present connections of a host any more, without ending them. */
+    dropTraffic(host: string): void {
+        this.servers.get(host)!.dropTraffic();
+    }
+
     endLife(): void {
         this.executor.endLife();
         this.servers.forEach(server => server.closeConnections());
@@ -73,8 +82,15 @@
         this.servers.forEach(server => server.close());
     }
 
-    private computeMost(field: "callLossShare" | "answerLossShare" | "lateShare" | "maxLateMs"): number {
-        return Math.max(0, ...[...this.faults.values()].map(faults => faults[field] ?? 0));
+    private computeMost(
+        field: "callLossShare" | "answerLossShare" | "lateShare" | "maxLateMs",
+        host: string,
+        kind: ExecutorRequest["kind"],
+    ): number {
+        const faults = [...this.faults.values()].filter(({ hosts, kinds }) =>
+            (hosts === undefined || hosts.includes(host)) && (kinds === undefined || kinds.includes(kind))
+        );
+        return Math.max(0, ...faults.map(row => row[field] ?? 0));
     }
 
     private canReach(host: string): boolean {
@@ -87,33 +103,34 @@
             call.resetConnection();
             return;
         }
-        if (!this.canReach(host) || this.random.getFloat() < this.computeMost("callLossShare")) {
+        const instance = call.request.headers[instanceHeader];
+        const request = decodeExecutorRequest(
+            call.request.url ?? "/",
+            typeof instance === "string" ? instance : "",
+            call.body,
+        );
+        const { kind } = request;
+        if (!this.canReach(host) || this.random.getFloat() < this.computeMost("callLossShare", host, kind)) {
             return;
         }
-        const lateShare = this.computeMost("lateShare");
+        const lateShare = this.computeMost("lateShare", host, kind);
         if (this.random.getFloat() < lateShare) {
-            const maxLateMs = this.computeMost("maxLateMs") || defaultMaxLateMs;
+            const maxLateMs = this.computeMost("maxLateMs", host, kind) || defaultMaxLateMs;
             const lateMs = minLateMs + this.random.getFloat() * (maxLateMs - minLateMs);
             const timer = setTimeout(() => {
                 this.timers.delete(timer);
                 // A call that waits on its way ends with the life for which it was sent.
                 if (this.executor.life === life) {
-                    this.execute(call, host, true);
+                    this.execute(call, request, host, true);
                 }
             }, lateMs);
             this.timers.add(timer);
             return;
         }
-        this.execute(call, host, false);
+        this.execute(call, request, host, false);
     }
 
-    private execute(call: JsonCall, host: string, isLate: boolean): void {
-        const instance = call.request.headers[instanceHeader];
-        const request = decodeExecutorRequest(
-            call.request.url ?? "/",
-            typeof instance === "string" ? instance : "",
-            call.body,
-        );
+    private execute(call: JsonCall, request: ExecutorRequest, host: string, isLate: boolean): void {
         if (request.kind === "start" && [...this.faults.values()].some(faults => faults.isUnhealthy)) {
             this.reply(call, host, { kind: "unhealthy" });
             return;
@@ -122,7 +139,7 @@
             const { kind, task, run, acknowledged } = request;
             this.record.write("call-late", { executor: this.executor.id, host, kind, task, run, acknowledged });
         }
-        const isLost = this.random.getFloat() < this.computeMost("answerLossShare");
+        const isLost = this.random.getFloat() < this.computeMost("answerLossShare", host, request.kind);
         this.executor.handle(request, host, isLate, reply => {
             if (!isLost) {
                 this.reply(call, host, reply);
--- a/packages/soak/src/executor.ts
+++ b/packages/soak/src/executor.ts
@@ -3,6 +3,7 @@
  * spec of a job gives the run time of its tasks and the share of runs that fail.
  */
 import type { AdviceService } from "./advice-service.js";
+import { ExecutorClock } from "./executor-clock.js";
 import type { Gangs } from "./gangs.js";
 import { encodeExecutorEntry, toExecutorKey } from "./protocol.js";
 import type { RecordedRun, RunEndKind, RunRecord } from "./run-record.js";
@@ -60,6 +61,8 @@
 export class Executor {
     readonly id: string;
     readonly zone: string;
+    /** Its steady clock. Leases count on it. */
+    readonly steadyClock: ExecutorClock;
     private readonly active = new Map<string, ActiveRun>();
     private finished: ListedEnd[] = [];
     private nextEndNumber = 1;
@@ -70,7 +73,6 @@
     private readonly timers = new Set<NodeJS.Timeout>();
     private sequence = 0;
     private bornAt = 0;
-    private bootedAt = 0;
     private registeredAt = 0;
     private isUp = false;
     private lifeNumber = 0;
@@ -80,6 +82,7 @@
     constructor(private readonly options: ExecutorOptions) {
         this.id = options.id;
         this.zone = options.zone;
+        this.steadyClock = new ExecutorClock(() => options.record.now);
     }
 
     /** Number of the present life; `undefined` while the executor is down. */
@@ -105,8 +108,8 @@
         return this.options.cpu;
     }
 
-    /** Begins a life that knows nothing of earlier ones. */
-    beginLife(): void {
+    /** Begins a life that knows nothing of earlier ones. Its clock begins at `originMs`. */
+    beginLife(originMs = 0): void {
         this.active.clear();
         this.finished = [];
         this.nextEndNumber = 1;
@@ -116,9 +119,9 @@
         this.sequence = 0;
         this.lifeNumber += 1;
         this.bornAt = Date.now();
-        this.bootedAt = performance.now();
+        this.steadyClock.restart(originMs);
         this.isUp = true;
-        this.options.record.write("executor-start", { executor: this.id });
+        this.options.record.write("executor-start", { executor: this.id, originMs });
         this.register();
         clearInterval(this.heartbeat);
         clearInterval(this.leaseCheck);
@@ -154,6 +157,7 @@
             onReply({ kind: "wrongInstance" });
             return;
         }
+        this.expireLease();
         if (request.token < this.token) {
             onReply({ kind: "rejected", reason: "fence" });
             return;
@@ -178,7 +182,7 @@
     }
 
     private get clock(): number {
-        return Math.floor(performance.now() - this.bootedAt);
+        return Math.floor(this.steadyClock.now);
     }
 
     private register(): void {
@@ -268,7 +272,10 @@
         };
         this.active.set(task, active);
         if (!isGang) {
-            this.schedule(work.ms, () => this.end(row, work.isFailure ? "failed" : "done"));
+            this.schedule(work.ms, () => {
+                this.expireLease();
+                this.end(row, work.isFailure ? "failed" : "done");
+            });
             return;
         }
         const gang = { key: toGangKey(row), size: step.count, workMs: work.ms, isFailure: work.isFailure };
@@ -348,7 +355,9 @@
 
     private recordEnd(row: RecordedRun, kind: RunEndKind): void {
         row.end = kind;
-        row.endedAt = this.options.record.now;
+        // The check of the lease may be late on a busy machine. A run ends with its lease, whenever it is checked.
+        const lateMs = kind === "lapsed" ? this.steadyClock.convertToElapsed(this.clock - this.leaseEndsAt) : 0;
+        row.endedAt = Math.max(row.startedAt, this.options.record.now - lateMs);
         this.options.record.write("end", { executor: this.id, task: row.task, run: row.run, end: kind });
     }
 
--- a/packages/soak/src/peer-link.ts
+++ b/packages/soak/src/peer-link.ts
@@ -15,6 +15,7 @@
     private readonly sockets = new Set<Socket>();
     private readonly waiting = new Set<Socket>();
     private readonly cuts = new Set<object>();
+    private readonly silent = new WeakSet<Socket>();
     private isTargetUp = false;
 
     /** `ip`: a loopback address of this run only, so that no other process takes the port while the target is gone. */
@@ -59,6 +60,11 @@
         };
     }
 
+    /** Lets nothing pass over the present connections any more, also not their ends. New ones work. */
+    dropTraffic(): void {
+        this.sockets.forEach(socket => this.silent.add(socket));
+    }
+
     close(): void {
         this.closeServer();
         this.sockets.forEach(socket => socket.destroy());
@@ -122,16 +128,20 @@
     private join(from: Socket, to: Socket): void {
         this.sockets.add(from);
         from.on("data", chunk => {
-            to.write(chunk);
+            if (!this.silent.has(from)) {
+                to.write(chunk);
+            }
         });
         from.on("error", () => {
             from.destroy();
-            // A reset would leave the handle open if the end of the stream is on its way.
-            to.destroy();
+            if (!this.silent.has(from)) {
+                // A reset would leave the handle open if the end of the stream is on its way.
+                to.destroy();
+            }
         });
         from.once("close", () => {
             this.sockets.delete(from);
-            if (!to.destroyed) {
+            if (!to.destroyed && !this.silent.has(from)) {
                 to.end();
             }
         });
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -10,7 +10,10 @@
     PausedOwners,
     TerminatedHost,
 } from "./host-troubles.js";
+import { PausedAtLeaseEnd, SilentConnections, StopsInTurn } from "./owner-troubles.js";
+import { LateStartsBesideRestart, PartlyCutExecutors, SlowClocks } from "./partial-executor-troubles.js";
 import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
+import { RecordWritesLost } from "./store-write-troubles.js";
 import type { Trouble } from "./trouble.js";
 import type { WorkloadOptions } from "./workload.js";
 import { CutZone } from "./zone-troubles.js";
@@ -40,6 +43,13 @@
 const faultyExecutor = new FaultyExecutor();
 const restartedExecutor = new RestartedExecutor();
 const restartedSilentExecutor = new RestartedSilentExecutor();
+const slowClocks = new SlowClocks();
+const partlyCutExecutors = new PartlyCutExecutors();
+const lateStartsBesideRestart = new LateStartsBesideRestart();
+const stopsInTurn = new StopsInTurn();
+const pausedAtLeaseEnd = new PausedAtLeaseEnd();
+const silentConnections = new SilentConnections();
+const recordWritesLost = new RecordWritesLost();
 const adviceSilent = new AdviceSilent();
 const adviceAnswersLost = new AdviceAnswersLost();
 const adviceRefusing = new AdviceRefusing();
@@ -77,6 +87,9 @@
             [storeWritesLate, 2],
             [faultyExecutor, 4],
             [restartedExecutor, 2],
+            [slowClocks, 1],
+            [partlyCutExecutors, 1],
+            [lateStartsBesideRestart, 1],
             [adviceSilent, 1],
             [adviceSlow, 1],
         ],
@@ -133,6 +146,34 @@
         executors: 8,
         lanes: 3,
     },
+    /** Executors that some hosts do not reach, whose clocks are slow or that start late, beside owners that change. */
+    "partly-cut": {
+        troubles: [
+            [partlyCutExecutors, 4],
+            [slowClocks, 2],
+            [lateStartsBesideRestart, 3],
+            [pausedAtLeaseEnd, 3],
+            [silentConnections, 2],
+            [recordWritesLost, 3],
+            [stopsInTurn, 1],
+        ],
+        workload: { jobsPerSecond: 4, cancelShare: 0.1 },
+        executors: 8,
+        lanes: 3,
+    },
+    /** Planned stops that overlap, beside gangs with advice, bursts and lost answers of the store. */
+    "stops-in-turn": {
+        troubles: [
+            [stopsInTurn, 5],
+            [storeAnswersLost, 2],
+            [recordWritesLost, 1],
+            [pausedAtLeaseEnd, 1],
+            [restartedExecutor, 1],
+        ],
+        workload: { jobsPerSecond: 10, peakJobsPerSecond: 20, advisedShare: 0.7, burstShare: 0.1, cancelShare: 0.05 },
+        executors: 24,
+        lanes: 3,
+    },
     /** Jobs with advice and gangs under changing owners. */
     advice: {
         troubles: adviceTroubles,
--- a/packages/soak/src/store-front.ts
+++ b/packages/soak/src/store-front.ts
@@ -8,7 +8,7 @@
 import { decodeStoreRequest, encodeStoreReply } from "./protocol.js";
 import type { RunRecord } from "./run-record.js";
 import type { StoreState } from "./store-state.js";
-import type { StoreReply } from "./types.js";
+import type { CommitRequest, StoreReply, StoreRequest } from "./types.js";
 
 /** The faults of one address. Shares are from 0 to 1. */
 export interface StoreFaults {
@@ -22,6 +22,8 @@
     readonly lateShare?: number;
     /** Longest delay of a late write, ms. Default 20,000. */
     readonly maxLateMs?: number;
+    /** Prefixes of the keys to whose commits the fault is limited. Default: all calls. */
+    readonly keyPrefixes?: readonly string[];
 }
 
 /** Shortest delay of a late write, ms. */
@@ -64,6 +66,16 @@
         };
     }
 
+    /** Returns when the lease of a key ends, on the monotonic clock; `undefined` if it has none. */
+    getLeaseEnd(key: string): number | undefined {
+        return this.state.getLeaseEnd(key);
+    }
+
+    /** Lets nothing pass over the present connections any more, without ending them. */
+    dropTraffic(): void {
+        this.server?.dropTraffic();
+    }
+
     close(): void {
         this.isClosed = true;
         this.timers.forEach(timer => clearTimeout(timer));
@@ -75,8 +87,15 @@
         return modes.find(mode => mode === "silent") ?? modes.find(mode => mode === "busy") ?? "up";
     }
 
-    private computeMost(field: "delayMs" | "lossShare" | "lateShare" | "maxLateMs", base: number): number {
-        return Math.max(base, ...[...this.faults.values()].map(faults => faults[field] ?? 0));
+    private computeMost(
+        field: "delayMs" | "lossShare" | "lateShare" | "maxLateMs",
+        base: number,
+        request: StoreRequest,
+    ): number {
+        const faults = [...this.faults.values()].filter(({ keyPrefixes }) =>
+            keyPrefixes === undefined || hasKeyBelow(request, keyPrefixes)
+        );
+        return Math.max(base, ...faults.map(row => row[field] ?? 0));
     }
 
     private handle(call: JsonCall): void {
@@ -87,41 +106,49 @@
         }
         const request = decodeStoreRequest(call.request.method ?? "GET", call.request.url ?? "/", call.body);
         const isWrite = request.kind === "commit" || request.kind === "grantLease" || request.kind === "renewLease";
-        const lateShare = this.computeMost("lateShare", 0);
+        const lateShare = this.computeMost("lateShare", 0, request);
         if (isWrite && this.random.getFloat() < lateShare) {
-            const maxLateMs = this.computeMost("maxLateMs", 0) || defaultMaxLateMs;
+            const maxLateMs = this.computeMost("maxLateMs", 0, request) || defaultMaxLateMs;
             const lateMs = minLateMs + this.random.getFloat() * (maxLateMs - minLateMs);
-            this.record.write("write-held", { host: this.host, kind: request.kind, lateMs: Math.round(lateMs) });
+            this.record.write("write-held", {
+                host: this.host,
+                kind: request.kind,
+                lateMs: Math.round(lateMs),
+                keys: request.kind === "commit" ? listKeys(request) : [],
+            });
             this.schedule(lateMs, () => {
                 const reply = this.state.execute(request);
                 this.record.write("write-late", { host: this.host, kind: request.kind, reply: reply.kind });
-                this.reply(call, reply);
+                this.reply(call, request, reply);
             });
             return;
         }
         if (mode === "silent") {
             return;
         }
-        this.schedule(this.computeMost("delayMs", defaultDelayMs), () => {
+        this.schedule(this.computeMost("delayMs", defaultDelayMs, request), () => {
             // A cut that began meanwhile also holds back the call.
             if (this.mode === "silent") {
                 return;
             }
             if (request.kind === "watch") {
-                call.onClose(this.state.watch(request, reply => this.reply(call, reply)));
+                call.onClose(this.state.watch(request, reply => this.reply(call, request, reply)));
             }
             else {
-                this.reply(call, this.state.execute(request));
+                this.reply(call, request, this.state.execute(request));
             }
         });
     }
 
-    private reply(call: JsonCall, reply: StoreReply): void {
+    private reply(call: JsonCall, request: StoreRequest, reply: StoreReply): void {
         const { mode } = this;
         if (this.isClosed || mode === "silent") {
             return;
         }
-        if (this.random.getFloat() < this.computeMost("lossShare", 0)) {
+        if (this.random.getFloat() < this.computeMost("lossShare", 0, request)) {
+            if (request.kind === "commit") {
+                this.record.write("answer-lost", { host: this.host, reply: reply.kind, keys: listKeys(request) });
+            }
             call.resetConnection();
             return;
         }
@@ -136,3 +163,12 @@
         this.timers.add(timer);
     }
 }
+
+function listKeys({ writes, removals }: CommitRequest): string[] {
+    return [...writes.map(({ key }) => key), ...removals];
+}
+
+function hasKeyBelow(request: StoreRequest, prefixes: readonly string[]): boolean {
+    return request.kind === "commit"
+        && listKeys(request).some(key => prefixes.some(prefix => key.startsWith(prefix)));
+}
--- a/packages/soak/src/store-state.ts
+++ b/packages/soak/src/store-state.ts
@@ -7,6 +7,7 @@
 interface Lease {
     readonly ttlMs: number;
     readonly keys: Set<string>;
+    endsAt: number;
     timer: NodeJS.Timeout | undefined;
 }
 
@@ -43,6 +44,11 @@
         return item === undefined ? undefined : Buffer.from(item.value, "base64").toString("utf8");
     }
 
+    /** Returns when the lease of a key ends, on the monotonic clock; `undefined` if it has none. */
+    getLeaseEnd(key: string): number | undefined {
+        return this.leases.get(this.items.get(key)?.lease ?? 0)?.endsAt;
+    }
+
     /** Carries out a call other than a watch. */
     execute(request: Exclude<StoreRequest, WatchRequest>): StoreReply {
         switch (request.kind) {
@@ -136,7 +142,7 @@
     private grant(ttlMs: number): StoreReply {
         const lease = this.nextLease;
         this.nextLease += 1;
-        this.leases.set(lease, { ttlMs, keys: new Set(), timer: undefined });
+        this.leases.set(lease, { ttlMs, keys: new Set(), endsAt: 0, timer: undefined });
         this.renew(lease);
         return { kind: "lease", lease, ttlMs };
     }
@@ -147,6 +153,7 @@
             return { kind: "leaseEnded" };
         }
         clearTimeout(lease.timer);
+        lease.endsAt = performance.now() + lease.ttlMs;
         lease.timer = setTimeout(() => this.endLease(id), lease.ttlMs);
         return { kind: "lease", lease: id, ttlMs: lease.ttlMs };
     }
