--- a/packages/cell/src/announcer.ts
+++ b/packages/cell/src/announcer.ts
@@ -30,7 +30,7 @@
 export class Announcer {
     private waiting: StoreItem[] = [];
     /** Keys of the items that no owner has confirmed, with the callers that wait for it. */
-    private readonly unconfirmed = new Map<string, (() => void)[]>();
+    private readonly unconfirmed = new Map<string, ((isConfirmed: boolean) => void)[]>();
     private inFlight = 0;
     private failures = 0;
     private isPaused = false;
@@ -52,14 +52,17 @@
         this.flush();
     }
 
-    /** Waits until the item of the key is confirmed, at most for `maxMs`; not at all for one that was not added. */
-    waitUntilConfirmed(key: string, maxMs: number): Promise<void> {
+    /**
+     * Waits until the item of the key is confirmed, at most for `maxMs`; not at all for one that was not added. Returns
+     * whether nothing is left to confirm.
+     */
+    waitUntilConfirmed(key: string, maxMs: number): Promise<boolean> {
         const waiting = this.unconfirmed.get(key);
-        return waiting === undefined ? Promise.resolve() : new Promise(resolve => {
-            const timer = this.options.clock.schedule(maxMs, resolve);
-            waiting.push(() => {
+        return waiting === undefined ? Promise.resolve(true) : new Promise(resolve => {
+            const timer = this.options.clock.schedule(maxMs, () => resolve(false));
+            waiting.push(isConfirmed => {
                 timer.cancel();
-                resolve();
+                resolve(isConfirmed);
             });
         });
     }
@@ -100,7 +103,7 @@
     private recordConfirmed(key: string): void {
         const waiting = this.unconfirmed.get(key) ?? [];
         this.unconfirmed.delete(key);
-        waiting.forEach(resolve => resolve());
+        waiting.forEach(resolve => resolve(true));
     }
 
     private pause(): void {
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -236,7 +236,14 @@
         this.jobAnnouncer.close();
         this.cancellationAnnouncer.close();
         this.publisher.close();
-        await this.server.shutdown(100);
+        const cut = await this.server.shutdown(100);
+        if (cut.length > 0) {
+            this.options.logger.write("warn", "calls of other hosts cut", {
+                calls: cut.length,
+                methods: [...new Set(cut.map(call => call.method))].join(" "),
+                oldestMs: Math.round(Math.max(...cut.map(call => call.ageMs))),
+            });
+        }
         this.peers.close();
     }
 
@@ -257,6 +264,7 @@
             unopened_executors: this.owner?.unopenedExecutorCount ?? 0,
             ...this.owner?.waitingGauges ?? { ...createWaitingGauges(undefined), ...createAdviceGauges(undefined) },
             peer_backlog_bytes: this.server.waitingBytes,
+            peer_calls: this.server.openCallCount,
             unexpected_errors: this.options.supervisor.failureCount,
         };
     }
@@ -398,7 +406,15 @@
             return Err(stored.val);
         }
         // An owner that does not know the cancellation yet may still start the job.
-        await this.cancellationAnnouncer.waitUntilConfirmed(toCancelKey(job), maxConfirmationMs);
+        const startedAt = this.options.clock.getNow();
+        const isConfirmed = await this.cancellationAnnouncer.waitUntilConfirmed(toCancelKey(job), maxConfirmationMs);
+        this.options.logger.write("info", "cancellation acknowledged", {
+            job,
+            isConfirmed,
+            owner: this.owner === undefined ? this.ownerClient.address : this.options.address,
+            waitedMs: Math.round(this.options.clock.getNow() - startedAt),
+            isStopping: this.isStopping,
+        });
         return Ok(undefined);
     }
 
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -62,6 +62,11 @@
         return this.options.clock.getNow() - this.heardAt < maxAliveSilenceMs;
     }
 
+    /** The owner that is followed; `undefined` if there is none or it is this host. */
+    get address(): NetworkAddress | undefined {
+        return this.ownerAddress;
+    }
+
     /** Version of the configuration that the owner named last; `undefined` if it was not heard from recently. */
     get configurationVersion(): number | undefined {
         return this.isOwnerAlive ? this.ownerVersion : undefined;
--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -99,6 +99,7 @@
             clock,
             maxConnections: shares.callers,
             memory: this.limits.memory,
+            logger,
             onRefuse: (reason, fields) => refusals.record(reason, fields),
         });
         this.readinessServer = new ReadinessServer({
--- a/packages/transport/src/rpc-server.ts
+++ b/packages/transport/src/rpc-server.ts
@@ -56,6 +56,12 @@
     readonly maxWaitingBytes?: number;
 }
 
+/** A call that a shutdown has cut. */
+export interface CutCall {
+    readonly method: string;
+    readonly ageMs: number;
+}
+
 const defaultMaxWaitingBytes = 64 * 1024 * 1024;
 
 /**
@@ -78,6 +84,8 @@
     private server: Server;
     private hasFailed = false;
     private readonly backlog: StreamBacklog;
+    /** Calls whose handlers have not answered yet, with the times of their arrival. Streams are left out. */
+    private readonly openCalls = new Map<object, { readonly method: string; readonly arrivedAt: number; }>();
 
     constructor(private readonly options: RpcServerOptions) {
         this.backlog = new StreamBacklog(options.maxWaitingBytes ?? defaultMaxWaitingBytes);
@@ -110,7 +118,10 @@
                 writer?: StreamWriter<unknown>,
             ) => unknown;
             implementation[name] = method.kind === "unary"
-                ? createUnaryHandler(handler as (request: unknown) => Promise<Result<unknown, Failure>>)
+                ? this.createUnaryHandler(
+                    method.path,
+                    handler as (request: unknown) => Promise<Result<unknown, Failure>>,
+                )
                 : createStreamHandler(handler, this.backlog);
         }
         this.services.push({ definition, handlers: implementation });
@@ -122,6 +133,11 @@
         return this.backlog.waitingBytes;
     }
 
+    /** Number of calls whose handlers have not answered yet, streams left out. */
+    get openCallCount(): number {
+        return this.openCalls.size;
+    }
+
     /**
      * Starts to listen and returns the port. Rejects if the address cannot be bound, with the `code` of the system's error
      * if there is one; then it may be called again.
@@ -159,19 +175,47 @@
         return server;
     }
 
-    /** Refuses new calls, waits up to `boundMs` for the calls in progress, then aborts those that remain. */
-    shutdown(boundMs: number): Promise<void> {
+    /**
+     * Refuses new calls, waits up to `boundMs` for the calls in progress, then aborts those that remain. Returns the
+     * aborted ones.
+     */
+    shutdown(boundMs: number): Promise<CutCall[]> {
         return new Promise(resolve => {
             const timer = setTimeout(() => {
+                const now = performance.now();
+                const cut = [...this.openCalls.values()].map(({ method, arrivedAt }): CutCall => ({
+                    method,
+                    ageMs: now - arrivedAt,
+                }));
                 this.server.forceShutdown();
-                resolve();
+                resolve(cut);
             }, boundMs);
             this.server.tryShutdown(() => {
                 clearTimeout(timer);
-                resolve();
+                resolve([]);
             });
         });
     }
+
+    private createUnaryHandler(
+        method: string,
+        handler: (request: unknown) => Promise<Result<unknown, Failure>>,
+    ): UntypedHandleCall {
+        return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<WireReply>) => {
+            this.openCalls.set(call, { method, arrivedAt: performance.now() });
+            const answer = (reply: WireReply) => {
+                this.openCalls.delete(call);
+                callback(null, reply);
+            };
+            handler(call.request).then(
+                result => answer(result.ok ? { value: result.val } : { failure: result.val }),
+                (error: unknown) => {
+                    const failure = createFailure("internal", `handler failed: ${String(error)}`, "mayHaveRun");
+                    answer({ failure });
+                },
+            );
+        };
+    }
 }
 
 /** Binds an address and frees it at once. Rejects with the system's error if it cannot be bound. */
@@ -186,18 +230,6 @@
     });
 }
 
-function createUnaryHandler(handler: (request: unknown) => Promise<Result<unknown, Failure>>): UntypedHandleCall {
-    return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<WireReply>) => {
-        handler(call.request).then(
-            result => callback(null, result.ok ? { value: result.val } : { failure: result.val }),
-            (error: unknown) => {
-                const failure = createFailure("internal", `handler failed: ${String(error)}`, "mayHaveRun");
-                callback(null, { failure });
-            },
-        );
-    };
-}
-
 function createStreamHandler(
     handler: (request: unknown, writer: StreamWriter<unknown>) => void,
     backlog: StreamBacklog,
