Soak: check LOST around planned stops, with open connections

No check of the soak covered the rule LOST around planned work: UNANSWERED counts only requests in the calm. CallsAtStop keeps connections open, each has served a GET, and uses one after the other from the SIGTERM until the process is gone; findLostCalls judges them and the other callers. The shape stops plays series of stops that overlap.

planned-stops_test plays both rows of the trials: the owner, and another host with the owner 400 ms later.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,12 +1,14 @@
 /** Checks of the rules against the record of the stand-ins. Each returns one text for each break. */
 import { FleetRoom, hasRoomTwice } from "./fleet-room.js";
 import type { FleetExecutor, GrantPolicy } from "./fleet-room.js";
+import { findLostCalls } from "./lost-calls.js";
+import type { PlannedWorkBounds } from "./lost-calls.js";
 import type { RecordedJob, RecordedRun, RunRecord } from "./run-record.js";
 import { maxStandingMs } from "./standing-watch.js";
 import { countFailures, findStepOfTask, getStepNumber } from "./workload.js";
 
 /** Bounds that the platform states for its rules. */
-export interface RuleBounds {
+export interface RuleBounds extends PlannedWorkBounds {
     /** Time without disruption after which a host is in touch, ms. */
     readonly contactMs: number;
     /** Time after an acknowledged cancelling from which no task starts, ms. */
@@ -41,7 +43,7 @@
 export function checkRules(input: CheckInput): Breaks {
     return {
         TWICE: findTwice(input),
-        LOST: findLost(input),
+        LOST: [...findLost(input), ...findLostCalls(input.record, input.bounds)],
         UNASKED: findUnasked(input),
         REFUSED: findRefused(input),
         LIMIT: input.record.overloads,
--- a/packages/soak/src/checks_test.ts
+++ b/packages/soak/src/checks_test.ts
@@ -4,7 +4,7 @@
 import type { RecordedJob, RecordedRun } from "./run-record.js";
 import { RunRecord } from "./run-record.js";
 
-const bounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3 };
+const bounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3, graceMs: 6_000, lossSlackMs: 200 };
 const policy = { allows: () => true };
 const step = { count: 1, cpu: 500, memoryMb: 256, estimateMs: 100, after: [] };
 
--- a/packages/soak/src/host-process.ts
+++ b/packages/soak/src/host-process.ts
@@ -31,7 +31,7 @@
 
 const memoryMb = 350;
 /** Time from SIGTERM to SIGKILL, s. */
-const graceSeconds = 6;
+export const graceSeconds = 6;
 /** Port of the metrics, which all hosts use at their own ip. */
 const metricsPort = 9_464;
 const templateFile = fileURLToPath(new URL("../../../platform/settings.template", import.meta.url));
@@ -153,6 +153,7 @@
     async stop(): Promise<void> {
         this.isWanted = false;
         const gone = this.waitForExit();
+        this.options.record.plannedStops.push({ host: this.name, at: this.options.record.now });
         this.sendSignal("SIGTERM");
         const timer = setTimeout(() => this.sendSignal("SIGKILL"), graceSeconds * 1_000);
         await gone;
--- a/packages/soak/src/run-record.ts
+++ b/packages/soak/src/run-record.ts
@@ -63,10 +63,23 @@
     readonly what: string;
 }
 
+/** A request on a connection that was open when it was sent. */
+export interface KeptCall {
+    readonly host: string;
+    readonly method: string;
+    readonly job: string;
+    readonly sentAt: number;
+    readonly endedAt: number;
+    /** Whether the whole answer arrived. */
+    readonly isAnswered: boolean;
+}
+
 /** A time in which a part was disturbed. */
 interface Disruption {
     /** Without it, no host was disturbed, but another part. */
     readonly host: string | undefined;
+    /** Whether it is a stop of a host by its operator. */
+    readonly isPlanned: boolean;
     readonly from: number;
     to: number;
 }
@@ -76,6 +89,9 @@
     readonly runs: RecordedRun[] = [];
     readonly jobs = new Map<string, RecordedJob>();
     readonly unanswered: UnansweredRequest[] = [];
+    readonly keptCalls: KeptCall[] = [];
+    /** When hosts got SIGTERM. */
+    readonly plannedStops: { readonly host: string; readonly at: number; }[] = [];
     /** Processes that ended without being told to. */
     readonly faults: { readonly host: string; readonly at: number; readonly description: string; }[] = [];
     /** Starts that brought an executor over its capacity. */
@@ -102,9 +118,10 @@
     }
 
     /** Notes that hosts, or with an empty list other parts only, are disturbed until the returned function is called. */
-    beginDisruption(hosts: readonly string[]): () => void {
+    beginDisruption(hosts: readonly string[], isPlanned = false): () => void {
         const begun = (hosts.length > 0 ? hosts : [undefined]).map((host): Disruption => ({
             host,
+            isPlanned,
             from: this.now,
             to: Infinity,
         }));
@@ -128,6 +145,11 @@
         return !this.disruptions.some(({ from, to }) => from <= until && to >= since);
     }
 
+    /** Whether a part was disturbed by something else than a planned stop between two times. */
+    hasUnplannedDisruption(since: number, until: number): boolean {
+        return this.disruptions.some(({ from, to, isPlanned }) => !isPlanned && from <= until && to >= since);
+    }
+
     writeTo(file: string): void {
         writeFileSync(file, `${this.lines.join("\n")}\n`);
     }
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -10,6 +10,7 @@
     PausedOwners,
     TerminatedHost,
 } from "./host-troubles.js";
+import { StoppedHosts } from "./planned-stops.js";
 import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
 import type { Trouble } from "./trouble.js";
 import type { WorkloadOptions } from "./workload.js";
@@ -147,6 +148,13 @@
         executors: 30,
         lanes: 3,
     },
+    /** Planned stops that overlap, with callers that use open connections until each process is gone. */
+    stops: {
+        troubles: [[new StoppedHosts(), 3], [hungUpHost, 1]],
+        workload: { jobsPerSecond: 8, cancelShare: 0.1, taskMs: [400, 1_000, 2_500, 6_000] },
+        executors: 8,
+        lanes: 2,
+    },
     /** Owners that change, while the advice service fails for one zone also after the last job. */
     partial: {
         troubles: adviceTroubles,
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -7,6 +7,12 @@
 import type { RunRecord } from "./run-record.js";
 import type { StoreFront } from "./store-front.js";
 
+/** DNS name of the queues, and the key of their team. */
+export const siteHostName = "mats.example";
+export const siteKey = "key-quotes-1";
+/** Headers of each request of a caller. */
+export const callerHeaders = { "host": siteHostName, "api-key": siteKey };
+
 /** The hosts, executors, store and links of a run. */
 export class Site {
     constructor(
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -13,14 +13,14 @@
 import { listFirstCallWaits } from "./first-calls.js";
 import type { FirstCallWait } from "./first-calls.js";
 import { Gangs } from "./gangs.js";
-import { findHostIp, HostProcess } from "./host-process.js";
+import { findHostIp, graceSeconds, HostProcess } from "./host-process.js";
 import { PeerLink } from "./peer-link.js";
 import { configurationKey, encodeConfiguration, peerPort } from "./protocol.js";
 import { advisedQueues, plainQueue } from "./queues.js";
 import type { RecordedJob } from "./run-record.js";
 import { RunRecord } from "./run-record.js";
 import type { Shape } from "./shapes.js";
-import { Site } from "./site.js";
+import { Site, siteHostName, siteKey } from "./site.js";
 import { StandingWatch } from "./standing-watch.js";
 import { StoreFront } from "./store-front.js";
 import { StoreState } from "./store-state.js";
@@ -61,6 +61,8 @@
     readonly advice: AdviceService["totals"];
     /** Starts that executors refused because of their tickets. */
     readonly ticketRefusals: number;
+    /** Requests on connections that callers kept open to stopping hosts. */
+    readonly keptCalls: number;
 }
 
 const zones = ["glasgow-a", "dundee-a"];
@@ -74,11 +76,18 @@
 /** Longest pause between two troubles of a lane, ms. */
 const maxPauseMs = 1_500;
 /** Bounds that the platform states, and the attempts that the queue allows. */
-const bounds: RuleBounds = { contactMs: 4_000, cancelMs: 3_000, stopMs: 900, maxAttempts: 3 };
+const bounds: RuleBounds = {
+    contactMs: 4_000,
+    cancelMs: 3_000,
+    stopMs: 900,
+    maxAttempts: 3,
+    graceMs: graceSeconds * 1_000,
+    lossSlackMs: 200,
+};
 const configuration: SiteConfiguration = {
-    hostName: "mats.example",
+    hostName: siteHostName,
     service: "mat-orders",
-    apiKey: "key-quotes-1",
+    apiKey: siteKey,
     maxAttempts: bounds.maxAttempts,
     queues: [plainQueue, ...advisedQueues],
 };
@@ -183,6 +192,7 @@
             longestStandingMs: watch.longestMs,
             advice: this.advice.totals,
             ticketRefusals: record.ticketRefusals,
+            keptCalls: record.keptCalls.length,
         };
     }
 
--- a/packages/soak/src/trouble.ts
+++ b/packages/soak/src/trouble.ts
@@ -14,6 +14,8 @@
 export abstract class Trouble {
     /** Name in the record. */
     abstract readonly name: string;
+    /** Whether it is work that an operator plans. */
+    protected readonly isPlanned: boolean = false;
 
     /** Begins the trouble, waits, and ends it. */
     abstract run(context: TroubleContext): Promise<void>;
@@ -24,7 +26,7 @@
         hosts: readonly string[],
         details: Readonly<Record<string, unknown>>,
     ): () => void {
-        const end = site.record.beginDisruption(hosts);
+        const end = site.record.beginDisruption(hosts, this.isPlanned);
         site.record.write("trouble", { name: this.name, hosts, ...details });
         return () => {
             end();
