--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -12,6 +12,7 @@
 } from "./host-troubles.js";
 import { PausedAtLeaseEnd, SilentConnections, StopsInTurn } from "./owner-troubles.js";
 import { LateStartsBesideRestart, PartlyCutExecutors, SlowClocks } from "./partial-executor-troubles.js";
+import { StoppedHosts } from "./planned-stops.js";
 import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
 import { RecordWritesLost } from "./store-write-troubles.js";
 import type { Trouble } from "./trouble.js";
@@ -188,6 +189,13 @@
         executors: 30,
         lanes: 3,
     },
+    /** Planned stops that overlap, with callers that use open connections until each process is gone. */
+    stops: {
+        troubles: [[new StoppedHosts(), 3], [hungUpHost, 1]],
+        workload: { jobsPerSecond: 8, cancelShare: 0.1, taskMs: [400, 1_000, 2_500, 6_000] },
+        executors: 8,
+        lanes: 2,
+    },
     /** Owners that change, while the advice service fails for one zone also after the last job. */
     partial: {
         troubles: adviceTroubles,
