Do not store the roster before the runs that executors list are recovered

What callers see: tasks run twice at the same time after two takeovers in a row.

Cause: a new owner connects to the executors of the stored roster while it still reads the stored jobs. What the executors list waits until the jobs are read, but the roster was computed and stored meanwhile: an executor without a usable entry (its entry is not read yet, is missing, or drains) that had listed its runs counted as one that runs nothing, and was left out. An owner that ended before its next write of the roster left that to its successor, which waited for none of these executors and started their tasks at once.

Change: the registry stores no roster and removes no executor until the recovery is over, as all else that executors report.

It is not shown that the users' cases had this cause.

--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -95,6 +95,7 @@
     /** Entries that name no executor to use, with the reasons that were logged. */
     private readonly skippedEntries = new Map<string, string>();
     private isClosed = false;
+    private areRunsRecovered = false;
     private isRosterInFlight = false;
     /** Whether the roster has changed since its last write was begun. */
     private isRosterStale = false;
@@ -118,8 +119,13 @@
         }
     }
 
-    /** Reads the entries periodically until `close` is called. */
+    /**
+     * Reads the entries periodically until `close` is called, and begins to store the roster and to remove executors. Called
+     * once the scheduler has the runs that executors have listed: before that, each executor seems to run nothing.
+     */
     start(): void {
+        this.areRunsRecovered = true;
+        this.updateRoster();
         this.options.supervisor.startLoop({
             operation: "executor entries",
             isStopped: () => this.isClosed,
@@ -307,7 +313,7 @@
                 this.updateScheduler(record.executor);
             }
             const { scheduler } = this.options;
-            const isIdle = scheduler.listRuns(record.executor).length === 0;
+            const isIdle = this.areRunsRecovered && scheduler.listRuns(record.executor).length === 0;
             if (isIdle && record.session.areRunsKnown && !record.session.isReachable) {
                 record.session.close();
                 this.records.delete(record.executor);
@@ -321,6 +327,9 @@
      * flight at a time; changes meanwhile are stored together by the next one.
      */
     private updateRoster(): void {
+        if (!this.areRunsRecovered) {
+            return;
+        }
         const changed = new Map<ExecutorRecord, RosterStatus>();
         for (const record of this.records.values()) {
             const wanted = this.computeRosterStatus(record);
--- a/packages/cell/src/second-starts_test.ts
+++ b/packages/cell/src/second-starts_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { rosterKey } from "./store-keys.js";
 import { CellSimulation } from "./testing/cell-simulation.js";
 
 const findLines = (cell: CellSimulation, message: string): Record<string, unknown>[] =>
@@ -63,3 +64,44 @@
         expect(closed[0]!.lastRevision !== undefined).toEqual(true);
     });
 });
+
+describe("an owner that is stopped while it still reads the stored jobs", () => {
+    for (const isDraining of [false, true]) {
+        const name = isDraining ? "a leaving executor" : "an executor";
+        it(`leaves ${name} in the roster that runs tasks, so that its successor waits for them`, async () => {
+            // Guards against second starts after two takeovers in a row.
+            const cell = new CellSimulation({
+                hosts: 3,
+                executors: 3,
+                planRun: () => ({ workMs: 9_000, outcome: "done" }),
+            });
+            await cell.advance(2_000);
+            void cell.submit(cell.hosts[0]!, "j", [{ taskCount: 3, estimateMs: 9_000 }]);
+            await cell.advance(500);
+            const index = cell.executors.findIndex(executor => executor.runningCount > 0);
+            const { address } = cell.executors[index]!.options;
+            // Jobs without room, so that reading all jobs takes longer than reading the entries.
+            const resources = { cpuMillis: 9_000, memoryMb: 1, accelerators: 0 };
+            for (let job = 0; job < 20; job++) {
+                void cell.submit(cell.hosts[0]!, `waiting${job}`, [{ resources }]);
+            }
+            cell.putExecutorEntry(index, isDraining);
+            await cell.advance(700);
+            cell.data.pageSize = 1;
+            cell.hosts.forEach(host => {
+                host.store.latencyMs = 60;
+            });
+            void cell.owner!.resign();
+            await cell.advanceUntil(() => cell.owner !== undefined, 3_000);
+            const second = cell.owner!;
+            const isListed = () => cell.data.items.get(rosterKey)!.value.includes(address);
+            await cell.advanceUntil(() => !isListed() || findLines(cell, "cell recovered").length > 1, 1_000);
+            expect(isListed()).toEqual(true);
+            cell.hosts.filter(host => host !== second).forEach(host => host.connector.unreachable.add(address));
+            second.kill();
+            await cell.advance(5_000);
+            cell.close();
+            expect(cell.checker.violations).toEqual([]);
+        });
+    }
+});
