A host that is stopping goes on learning of later owners

Cause: resigning ended the loop that reports owners. The host that owned the cell had no client for its successor, another kept the address of an owner that had gone, so a cancellation was never confirmed and waited for all of its bound of 2 s, longer than the shutdown gave to open calls.

Change: LeaseOwnership.resign releases the cell and acquires no more, but follows until stop; CellHost.stop ends it.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -110,7 +110,9 @@
     private confirmation: Promise<void> | undefined;
     private retentionMs: number;
     private isTracking = false;
+    /** Whether this host has resigned. */
     private isStopping = false;
+    private hasStopped = false;
 
     constructor(private readonly options: CellHostOptions) {
         super();
@@ -200,7 +202,7 @@
         if (this.isStopping) {
             return;
         }
-        const isStopped = () => this.isStopping;
+        const isStopped = () => this.hasStopped;
         this.ownership.start();
         this.options.supervisor.startLoop({ operation: "owner client", isStopped, run: () => this.ownerClient.run() });
         this.options.supervisor.startLoop({
@@ -222,15 +224,17 @@
         this.owner?.setRetention(retentionMs);
     }
 
-    /** Releases the cell and ends the ownership loop; requests of callers are still answered. */
+    /** Releases the cell. Requests of callers are still answered, with the help of later owners. */
     async resign(): Promise<void> {
         this.isStopping = true;
-        await this.ownership.stop();
+        await this.ownership.resign();
     }
 
     /** Ends the other loops and the connections to other hosts. */
     async stop(): Promise<void> {
         this.isStopping = true;
+        this.hasStopped = true;
+        await this.ownership.stop();
         this.tracker.stop();
         this.ownerClient.close();
         this.jobAnnouncer.close();
@@ -620,7 +624,7 @@
     }
 
     private async pruneReplica(): Promise<void> {
-        while (!this.isStopping) {
+        while (!this.hasStopped) {
             await this.options.clock.wait(1_000);
             this.replica.prune();
         }
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -325,4 +325,26 @@
             expect(isAcknowledged).toEqual(true);
         });
     }
+
+    // Guards against a stopping host that no owner can confirm a cancellation to, so that it waits for its bound.
+    for (const caller of ["the last owner", "another host"]) {
+        it(`has a later owner confirm a cancellation after it has resigned (${caller})`, async () => {
+            fixture = new Fixture();
+            fixture.workMs = 8_000;
+            const hosts = [await fixture.open("a"), await fixture.open("b"), await fixture.open("c")];
+            const owner = await fixture.awaitOwner();
+            const host = hosts.find(candidate => (candidate === owner) === (caller === "the last owner"))!;
+            await fixture.clock.wait(300);
+            const job = toId<JobId>("0000000000000008");
+            expect((await fixture.submit(host, job)).ok).toEqual(true);
+            expect(await fixture.awaitState(host, job, "running")).toEqual("running");
+            await host.resign();
+            await owner.resign();
+            await fixture.clock.wait(1_000);
+            const startedAt = fixture.clock.getNow();
+            expect((await host.cancel(job)).ok).toEqual(true);
+            expect(fixture.clock.getNow() - startedAt < 1_000).toEqual(true);
+            expect(fixture.lines.filter(line => line.includes("cell ownership acquired")).length).toEqual(2);
+        });
+    }
 });
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -116,6 +116,8 @@
     private term: OwnershipTerm | undefined;
     private lastEpoch = 0;
     private isStopped = false;
+    /** Whether this host acquires the cell no more. It still follows other owners. */
+    private isResigned = false;
     private isAborted = false;
     /** Whether this host gave the cell up as fenced. Its record may stay until the lease expires and gives no new term. */
     private isFenced = false;
@@ -168,9 +170,12 @@
         }
     }
 
-    /** Releases the cell, so that another host can take over at once. */
-    async stop(): Promise<void> {
-        this.isStopped = true;
+    /**
+     * Releases the cell, so that another host can take over at once, and acquires it no more. Other owners are still
+     * reported until `stop`, because open calls of this host need them.
+     */
+    async resign(): Promise<void> {
+        this.isResigned = true;
         if (this.term !== undefined) {
             const { lease } = this.term;
             this.recordLoss("stopping");
@@ -178,6 +183,13 @@
         }
     }
 
+    /** Releases the cell and ends the loop. */
+    async stop(): Promise<void> {
+        this.isStopped = true;
+        this.endWatch?.();
+        await this.resign();
+    }
+
     private async release(lease: number): Promise<void> {
         const ended = await this.options.store.call({ kind: "endLease", lease }, callTimeoutMs);
         this.options.logger.write("info", "cell ownership released", { ended: ended.ok });
@@ -186,6 +198,7 @@
     /** Ends the loop without releasing the lease, as a crash of the process would. */
     abort(): void {
         this.isStopped = true;
+        this.isResigned = true;
         this.isAborted = true;
         this.term = undefined;
     }
@@ -227,11 +240,11 @@
         let view = read.val;
         while (!this.isStopped) {
             this.options.listener.onOwnerSeen(view.owner, view.storedEpoch);
-            if (view.owner === undefined) {
+            if (view.owner === undefined && !this.isResigned) {
                 await this.tryAcquire(view);
                 return;
             }
-            if (view.owner.incarnation === this.options.incarnation && !this.isFenced) {
+            if (view.owner?.incarnation === this.options.incarnation && !this.isFenced && !this.isResigned) {
                 // The answer to an earlier acquisition was lost.
                 this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), false);
                 return;
@@ -276,12 +289,12 @@
         if (!wasLastOwner) {
             await this.waitForOthers();
             const read = await this.readOwnership();
-            if (!read.ok || read.val.owner !== undefined || this.isStopped) {
+            if (!read.ok || read.val.owner !== undefined || this.isResigned) {
                 return;
             }
             await this.acquire(read.val, false);
         }
-        else if (!this.isStopped) {
+        else if (!this.isResigned) {
             await this.acquire(view, true);
         }
     }
@@ -301,7 +314,7 @@
             { kind: "grantLease", ttlMs: this.leaseMs },
             callTimeoutMs,
         );
-        if (!granted.ok || this.isStopped) {
+        if (!granted.ok || this.isResigned) {
             await this.options.clock.wait(retryMs);
             return false;
         }
@@ -322,7 +335,7 @@
                 removals: [],
             },
         }, callTimeoutMs);
-        if (this.isStopped) {
+        if (this.isResigned) {
             // The host has resigned while the commit was on its way. Without an answer, it may have been carried out.
             if (!this.isAborted) {
                 await this.release(lease);
@@ -390,7 +403,7 @@
     /** Sends a renewal after the interval, whether or not the earlier ones have been answered. */
     private async renew(): Promise<void> {
         await this.options.clock.wait(this.leaseMs / renewalsPerLease);
-        if (this.term !== undefined && !this.isStopped && this.renewalsInFlight < maxRenewalsInFlight) {
+        if (this.term !== undefined && !this.isResigned && this.renewalsInFlight < maxRenewalsInFlight) {
             const { lease } = this.term;
             this.renewalsInFlight += 1;
             this.options.supervisor.start("ownership renewal", {}, () =>
@@ -403,7 +416,7 @@
     private async sendRenewal(lease: number): Promise<void> {
         const sentAt = this.leaseClock.read();
         const renewed = await this.options.store.call({ kind: "renewLease", lease }, renewTimeoutMs);
-        if (lease !== this.term?.lease || this.isStopped) {
+        if (lease !== this.term?.lease || this.isResigned) {
             return;
         }
         if (renewed.ok) {
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -121,6 +121,31 @@
         second.ownership.abort();
     });
 
+    it("reports later owners after the host has resigned, and acquires the cell no more", async () => {
+        // Guards against open calls of a stopping host that wait for an owner that this host has not heard of.
+        const fixture = new Fixture();
+        const seen: (string | undefined)[] = [];
+        const first = fixture.open("a", {
+            listener: {
+                onAcquired: () => seen.push("itself"),
+                onLost: () => undefined,
+                onOwnerSeen: owner => seen.push(owner?.host),
+            },
+        });
+        await fixture.clock.advance(500);
+        void first.ownership.resign();
+        await fixture.clock.advance(500);
+        const second = fixture.open("b");
+        await fixture.clock.advance(500);
+        expect(seen.at(-1)).toEqual("b");
+        void second.ownership.stop();
+        await fixture.clock.advance(3_000);
+        expect(seen.at(-1)).toEqual(undefined);
+        expect(seen.filter(name => name === "itself").length).toEqual(1);
+        expect(first.ownership.current).toEqual(undefined);
+        await first.ownership.stop();
+    });
+
     it("gives the cell to another host as soon as the streams of a resigning owner end", async () => {
         // Guards against 0.7 s without starts at a planned stop: the end of the lease is seen before the end of the
         // stream, and the successor would wait for the owner's return.
