--- a/packages/workflow/src/removed-queues_test.ts
+++ b/packages/workflow/src/removed-queues_test.ts
@@ -44,6 +44,26 @@
         expect(startOn(fixture)).toEqual(["a on new", "b on new"]);
     });
 
+    it("starts jobs that waited for its rules once a later job has brought them", () => {
+        // Guards against a step that is never evaluated again, because no executor has gained room since.
+        const fixture = createFixture();
+        fixture.addJob("a", { queue, spec: { payload: "a", steps: [createStep()] } });
+        expect(startOn(fixture)).toEqual([]);
+        addJob(fixture, "b", newPool, 3);
+        expect(startOn(fixture)).toEqual(["a on new", "b on new"]);
+    });
+
+    it("starts jobs that waited for the advisor once later rules have none", () => {
+        const fixture = createFixture();
+        const advice = { callMs: 20, perExecutorMs: 1, validMs: 2_000 };
+        const spec = { payload: "", steps: [createStep()] };
+        const advised = createQueue(queue, { pool: newPool, advice });
+        fixture.addJob("a", { queue, spec, queueRules: advised, queueRulesVersion: 3 });
+        expect(startOn(fixture)).toEqual([]);
+        addJob(fixture, "b", newPool, 5);
+        expect(startOn(fixture)).toEqual(["a on new", "b on new"]);
+    });
+
     it("does not return to rules with which a host that is behind accepts a job", () => {
         const fixture = createFixture();
         addJob(fixture, "a", newPool, 5);
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -95,11 +95,11 @@
         rules.teams.forEach(team => {
             this.state.getTeam(team.team).rules = team;
         });
-        this.recordPoolChanges();
+        this.recordRuleChanges();
     }
 
-    /** Lets steps be evaluated again on all executors, because a queue may have got another pool. */
-    private recordPoolChanges(): void {
+    /** Lets steps be evaluated again on all executors, because a queue may have got another pool, or no advisor. */
+    private recordRuleChanges(): void {
         for (const executor of this.state.executors.values()) {
             this.state.recordRoomGain(executor);
         }
@@ -127,15 +127,15 @@
 
     /** Applies the rules with which a job was stored, if its queue is known from such jobs only. The newest count. */
     private applyStoredRules(rules: QueueRules, version: number): void {
+        const previous = this.state.queues.get(rules.queue)?.rules;
         const row = this.ensureQueue(rules);
         if (version < row.rulesVersion) {
             return;
         }
-        const hasOtherPool = row.rules.pool !== rules.pool;
         row.rules = rules;
         row.rulesVersion = version;
-        if (hasOtherPool) {
-            this.recordPoolChanges();
+        if (previous?.pool !== rules.pool || previous.advice !== undefined && rules.advice === undefined) {
+            this.recordRuleChanges();
         }
     }
 
