Log what each crash of an executor counts under which run

Callers saw jobs that stand beside jobs whose tasks end their executors. The log gave the end of each run alone: not which runs an executor had when it crashed, how old they were, what each counted as, which probes were in flight for how long, or who was next.

"executor crashed" lists the runs with age and what they count as, "probes" those in flight and the next one, once a second, "job given up" the task and its crashes. The same are counted as gauges. No decision changes.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -19,6 +19,7 @@
 import { cellService, encodeStates, PeerAdvisor } from "./cell-service.js";
 import { ConfigurationTracker } from "./configuration-tracker.js";
 import type { CellConfiguration } from "./configuration.js";
+import { createCrashGauges } from "./crash-log.js";
 import { FallbackStore } from "./fallback-store.js";
 import type { QueueTarget } from "./job-gateway.js";
 import { gatewayFailures, JobGateway } from "./job-gateway.js";
@@ -255,7 +256,8 @@
             unannounced_jobs: this.jobAnnouncer.backlog,
             unannounced_cancellations: this.cancellationAnnouncer.backlog,
             unopened_executors: this.owner?.unopenedExecutorCount ?? 0,
-            ...this.owner?.waitingGauges ?? { ...createWaitingGauges(undefined), ...createAdviceGauges(undefined) },
+            ...this.owner?.waitingGauges
+                ?? { ...createWaitingGauges(undefined), ...createAdviceGauges(undefined), ...createCrashGauges() },
             peer_backlog_bytes: this.server.waitingBytes,
             unexpected_errors: this.options.supervisor.failureCount,
         };
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -23,6 +23,7 @@
 import { AdviceDispatcher } from "./advice-dispatcher.js";
 import { AdviceLog } from "./advice-log.js";
 import type { CellConfiguration } from "./configuration.js";
+import { CrashLog } from "./crash-log.js";
 import { ExecutorRegistry } from "./executor-registry.js";
 import type { SessionListener } from "./executor-session.js";
 import { JobFeed } from "./job-feed.js";
@@ -40,6 +41,7 @@
 import { rosterKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem } from "./store.js";
 import type { ExecutorConnector } from "./task-executor.js";
+import type { LostRun } from "./tracked-run.js";
 import { WaitingLog } from "./waiting-log.js";
 
 /** Dependencies, term and limits of a cell owner. */
@@ -114,6 +116,7 @@
     private readonly authority: OwnerAuthority;
     private readonly adviceLog: AdviceLog;
     private readonly waitingLog: WaitingLog;
+    private readonly crashLog: CrashLog;
     private configuration: CellConfiguration;
     private isClosed = false;
     private isRecovered = false;
@@ -209,8 +212,12 @@
             scheduler: this.scheduler,
             clock,
             logger,
-            onSample: sample => this.adviceLog.record(sample),
+            onSample: sample => {
+                this.adviceLog.record(sample);
+                this.crashLog.sample();
+            },
         });
+        this.crashLog = new CrashLog({ scheduler: this.scheduler, clock, logger });
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
@@ -254,10 +261,10 @@
 
     /**
      * Number of steps that could start and do not, by the name of the gauge of their reason, and the gauges of the calls
-     * to the advisor.
+     * to the advisor and of crashes.
      */
     get waitingGauges(): Readonly<Record<string, number>> {
-        return { ...this.waitingLog.gauges, ...this.adviceLog.gauges };
+        return { ...this.waitingLog.gauges, ...this.adviceLog.gauges, ...this.crashLog.gauges };
     }
 
     /** Number of jobs in the scheduler. */
@@ -389,6 +396,10 @@
         return this.adoptRun(executor, run);
     }
 
+    onCrash(executor: ExecutorId, runs: readonly LostRun[]): void {
+        this.crashLog.recordCrash(executor, runs);
+    }
+
     onFenced(executor: ExecutorId): void {
         this.options.listener.onFenced(`executor ${executor} has seen a later fencing token`);
     }
@@ -423,6 +434,7 @@
     private acceptEnd(end: RunEnd, acknowledge: (() => void) | undefined): void {
         const now = this.options.clock.getNow();
         this.scheduler.recordEnd(now, end);
+        this.scheduler.takeGivenUpJobs().forEach(job => this.crashLog.recordGivenUp(job));
         this.options.logger.write("info", "run ended", {
             executor: end.executor,
             task: end.task,
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -15,7 +15,7 @@
 import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
 import { markCrashSuspects, toRunKey } from "./tracked-run.js";
-import type { TrackedRun } from "./tracked-run.js";
+import type { LostRun, TrackedRun } from "./tracked-run.js";
 
 /** Receives the events of the executor sessions of an owner. */
 export interface SessionListener {
@@ -40,6 +40,8 @@
      * whether the run may go on.
      */
     onUntrackedRun(executor: ExecutorId, run: ListedRun): boolean;
+    /** The executor has crashed; `runs` are those that it had, before any of their ends is reported. */
+    onCrash(executor: ExecutorId, runs: readonly LostRun[]): void;
     /** The executor has refused an order because it has seen a higher fencing token. */
     onFenced(executor: ExecutorId): void;
 }
@@ -546,7 +548,7 @@
 
     /** Reports the end of the runs under which the executor may have crashed; it is replaced or closed afterwards. */
     reportCrash(): void {
-        markCrashSuspects(this.trackedRuns.values(), this.failingSince);
+        this.markCrash();
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.crashOutcome !== undefined) {
                 this.trackedRuns.delete(key);
@@ -560,7 +562,7 @@
      * reach the new incarnation.
      */
     private dropRunsOfEarlierIncarnation(): void {
-        markCrashSuspects(this.trackedRuns.values(), this.failingSince);
+        this.markCrash();
         for (const [key, tracked] of this.trackedRuns) {
             if (tracked.hasBegun) {
                 this.trackedRuns.delete(key);
@@ -575,6 +577,14 @@
         }
     }
 
+    private markCrash(): void {
+        const { clock, executor, listener } = this.options;
+        const runs = markCrashSuspects(this.trackedRuns.values(), Math.min(this.failingSince, clock.getNow()));
+        if (runs.length > 0) {
+            listener.onCrash(executor, runs);
+        }
+    }
+
     private forgetRunsOnce(reason: string): void {
         if (this.trackedRuns.size > 0 || !this.hasKnownRuns) {
             this.forgetRuns(reason);
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -146,6 +146,7 @@
                     acknowledge?.();
                 },
                 onUntrackedRun: () => this.mayContinue,
+                onCrash: () => undefined,
                 onFenced: () => undefined,
             },
             fencingToken: 1,
--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -32,6 +32,17 @@
     crashOutcome?: "crashed" | "suspected";
 }
 
+/** A run that an executor had when it crashed. */
+export interface LostRun {
+    readonly task: TaskKey;
+    readonly run: number;
+    /** Time from the sending of the start to the first failed call, ms; for a run that was taken over, from then on. */
+    readonly ageMs: number;
+    readonly isListed: boolean;
+    readonly isProbe: boolean;
+    readonly outcome: "crashed" | "suspected" | "lost";
+}
+
 /** Longest time from the sending of a start to the first failed call after a crash under it, ms, unless it is silent. */
 const maxCrashDelayMs = 600;
 
@@ -43,10 +54,12 @@
 /**
  * Sets `crashOutcome` of the runs under which an executor may have crashed: those that it did not list, and of these the
  * ones that were sent shortly before the first call failed, if there are any. A start without an answer may have been
- * sent after the crash, so that alone it counts as the only suspect only if it was a probe.
+ * sent after the crash, so that alone it counts as the only suspect only if it was a probe. Returns the runs that the
+ * executor had.
  */
-export function markCrashSuspects(runs: Iterable<TrackedRun>, failingSince: number): void {
-    const unlisted = [...runs].filter(tracked => !tracked.isListed && tracked.state !== "sent");
+export function markCrashSuspects(runs: Iterable<TrackedRun>, failingSince: number): LostRun[] {
+    const held = [...runs].filter(tracked => tracked.state !== "sent" || tracked.isListed);
+    const unlisted = held.filter(tracked => !tracked.isListed);
     const recent = unlisted.filter(tracked => tracked.sentAt >= failingSince - maxCrashDelayMs);
     const suspects = recent.length > 0 ? recent : unlisted;
     // The members of a gang have the step and the run number in common, and count as one.
@@ -55,4 +68,12 @@
     suspects.forEach(tracked => {
         tracked.crashOutcome ??= isSole ? "crashed" : "suspected";
     });
+    return held.filter(tracked => tracked.state !== "stopped").map(tracked => ({
+        task: tracked.task,
+        run: tracked.run,
+        ageMs: Math.max(0, failingSince - tracked.sentAt),
+        isListed: tracked.isListed,
+        isProbe: tracked.isProbe,
+        outcome: tracked.crashOutcome ?? "lost",
+    }));
 }
--- a/packages/workflow/src/crash-system.ts
+++ b/packages/workflow/src/crash-system.ts
@@ -12,6 +12,7 @@
 import type { Candidate } from "./candidates.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
+import type { ProbeInFlight, ProbeSample } from "./types.js";
 
 /** Crashes after which a task is given up, and how many of them must have had no other suspect. */
 const maxCrashes = 3;
@@ -168,6 +169,22 @@
     return selected;
 }
 
+/** Returns which probes are in flight, and which steps wait for one. `ranked`: steps with waiting tasks, in their order. */
+export function sampleProbes(state: SchedulerState, now: number, ranked: readonly StepRow[]): ProbeSample {
+    const inFlight: ProbeInFlight[] = [];
+    for (const executor of state.executors.values()) {
+        if (executor.probeRuns > 0) {
+            for (const run of executor.runs.values()) {
+                if (run.isProbe && !run.isProven) {
+                    inFlight.push({ task: run.task.key, executor: executor.id, ageMs: now - run.startedAt });
+                }
+            }
+        }
+    }
+    const waiting = ranked.filter(step => isProbeStep(state, step));
+    return { inFlight, waiting: waiting.length, next: waiting[0]?.key };
+}
+
 /** Bounds the probes by the idle executors, so that others find room when the probes crash them. */
 function allowsIdleProbe(state: SchedulerState, step: StepRow): boolean {
     const idleCount = countIdle(listUsableExecutors(state, step));
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -53,6 +53,7 @@
         .with(P.union("crashed", "suspected"), how => {
             recordCrashRate(state, task.step, row, how === "crashed");
             if (recordCrash(task, number, how)) {
+                recordGivenUp(state, task);
                 endJob(state, task.step.occurrence.job, "failed");
             }
         })
@@ -71,6 +72,19 @@
     }
 }
 
+function recordGivenUp(state: SchedulerState, task: TaskRow): void {
+    const { job } = task.step.occurrence;
+    if (state.isOpen(job)) {
+        const { crashedRuns, suspectedRuns } = task;
+        state.givenUp.push({
+            job: job.id,
+            task: task.key,
+            crashes: crashedRuns.size,
+            suspicions: suspectedRuns.size,
+        });
+    }
+}
+
 /** Fails or cancels a job: none of its tasks starts any more, and its runs are stopped. */
 export function endJob(state: SchedulerState, job: JobRow, endsAs: "failed" | "cancelled"): void {
     if (!state.isOpen(job)) {
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -15,7 +15,7 @@
 import type { ExecutorId, JobId, QueueId, TeamId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
-import { recordSilence, recordSurvivedStart } from "./crash-system.js";
+import { recordSilence, recordSurvivedStart, sampleProbes } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
 import { addEndedJob, listRemainingTasks } from "./ended-jobs.js";
@@ -35,10 +35,12 @@
     AdviceSendResult,
     EndedJob,
     ExecutorUpdate,
+    GivenUpJob,
     JobState,
     JobSubmission,
     ListedRun,
     PoolId,
+    ProbeSample,
     QueueRules,
     RemainingTasks,
     RunEnd,
@@ -433,6 +435,16 @@
         return this.waitingSteps.sample(this.state, now);
     }
 
+    /** Returns which probes are in flight and which steps wait for one. Called about once a second. */
+    sampleProbes(now: number): ProbeSample {
+        return sampleProbes(this.state, now, selectRankedSteps(this.state, now).map(({ step }) => step));
+    }
+
+    /** Returns the jobs that were given up for their crashes since the previous call. */
+    takeGivenUpJobs(): readonly GivenUpJob[] {
+        return this.state.givenUp.splice(0);
+    }
+
     /** Stops runs that are stalled or must leave, places tasks, and returns all decisions since the previous tick. */
     tick(now: number): TickDecisions {
         stopStalledRuns(this.state, now);
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -7,7 +7,7 @@
 import type { AdviceBalance } from "./advice-order.js";
 import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow, TeamRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
-import type { JobChange, SchedulerOptions, StartDecision, StopDecision, StopReason } from "./types.js";
+import type { GivenUpJob, JobChange, SchedulerOptions, StartDecision, StopDecision, StopReason } from "./types.js";
 
 export type ResolvedOptions = Required<SchedulerOptions>;
 
@@ -30,6 +30,7 @@
     readonly starts: StartDecision[] = [];
     readonly stops: StopDecision[] = [];
     readonly changes: JobChange[] = [];
+    readonly givenUp: GivenUpJob[] = [];
     private readonly roomGains: ExecutorRow[] = [];
     private firstGain = 0;
     private readonly avoidedExecutors = new Set<ExecutorRow>();
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -259,6 +259,30 @@
     readonly state: JobState;
 }
 
+/** A job that is given up because a task of it has crashed its executors. */
+export interface GivenUpJob {
+    readonly job: JobId;
+    readonly task: TaskKey;
+    /** Crashes with no other suspect, and with others. */
+    readonly crashes: number;
+    readonly suspicions: number;
+}
+
+/** A probe that is in flight. */
+export interface ProbeInFlight {
+    readonly task: TaskKey;
+    readonly executor: ExecutorId;
+    readonly ageMs: number;
+}
+
+/** The probes in flight, and the steps with tasks that wait for one. */
+export interface ProbeSample {
+    readonly inFlight: readonly ProbeInFlight[];
+    readonly waiting: number;
+    /** The step that ranks first among those that wait. */
+    readonly next: StepKey | undefined;
+}
+
 /** The share of its full speed at which a best-effort task may run. */
 export interface ThrottleDecision {
     readonly executor: ExecutorId;
