--- a/packages/cell/src/testing/memory-lease-store.ts
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -27,6 +27,8 @@
     revision = 1;
     compactedBelow = 0;
     mode: StoreMode = "up";
+    /** Most items in a page of a list. */
+    pageSize = 500;
     private nextLease = 1;
     private readonly changeListeners = new Set<() => void>();
 
@@ -96,7 +98,7 @@
             key.startsWith(prefix) && (after === undefined || key > after)
         )
             .sort();
-        const page = keys.slice(0, 500).map(key => this.items.get(key)!);
+        const page = keys.slice(0, this.pageSize).map(key => this.items.get(key)!);
         return Ok({ items: page, hasMore: keys.length > page.length, storeRevision: this.revision });
     }
 
--- a/packages/cell/src/unknown-starts_test.ts
+++ b/packages/cell/src/unknown-starts_test.ts
@@ -97,6 +97,7 @@
                 onEnded: release,
                 onUntrackedRun: () => true,
                 onFenced: () => undefined,
+                onCrash: () => undefined,
             },
             fencingToken: 1,
             maxLeaseMs: 4_500,
