A shutdown answers each call that it has read, and leaves it the time that it takes

Cause: the serving time of a shutdown was 60 % of the grace period and followed from no call, a cancellation alone may take longer, and at its end connections were closed under calls that had been read.

Change: call-times.ts names the longest time of each part of a call.

--- a/packages/cell/src/announcer.ts
+++ b/packages/cell/src/announcer.ts
@@ -35,6 +35,7 @@
     private failures = 0;
     private isPaused = false;
     private isClosed = false;
+    private isReleased = false;
 
     constructor(private readonly options: AnnouncerOptions) {}
 
@@ -58,7 +59,10 @@
      */
     waitUntilConfirmed(key: string, maxMs: number): Promise<boolean> {
         const waiting = this.unconfirmed.get(key);
-        return waiting === undefined ? Promise.resolve(true) : new Promise(resolve => {
+        if (waiting === undefined || this.isReleased) {
+            return Promise.resolve(waiting === undefined);
+        }
+        return new Promise(resolve => {
             const timer = this.options.clock.schedule(maxMs, () => resolve(false));
             waiting.push(isConfirmed => {
                 timer.cancel();
@@ -67,6 +71,12 @@
         });
     }
 
+    /** Ends the waits for confirmations, present and later ones; the items are still announced. */
+    releaseWaiting(): void {
+        this.isReleased = true;
+        this.unconfirmed.forEach(waiting => waiting.splice(0).forEach(resolve => resolve(false)));
+    }
+
     /** Ends the announcements; what is not confirmed is left for the owner to read. */
     close(): void {
         this.isClosed = true;
--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -11,6 +11,7 @@
 import { createAdviceGauges } from "./advice-log.js";
 import type { Advisor } from "./advisor.js";
 import { Announcer } from "./announcer.js";
+import { acknowledgementMarginMs, ownerConfirmationMs, readStateMs } from "./call-times.js";
 import type { CellMaintenanceOptions } from "./cell-owner.js";
 import { CellOwner } from "./cell-owner.js";
 import { CellPublisher } from "./cell-publisher.js";
@@ -83,8 +84,6 @@
 const publicTeam = toId<TeamId>("public");
 /** Upper limit of the store's silence in the gauges, ms. */
 const maxReportedSilenceMs = 3_600_000;
-/** Longest time for which a stored cancellation is not acknowledged, because the owner has not confirmed it, ms. */
-const maxConfirmationMs = 2_000;
 /** Timeout of a call that replaces an earlier owner, ms. */
 const replaceTimeoutMs = 500;
 /** Timeout of a forwarded store request that sets none, ms. */
@@ -224,9 +223,18 @@
         this.owner?.setRetention(retentionMs);
     }
 
-    /** Releases the cell. Requests of callers are still answered, with the help of later owners. */
-    async resign(): Promise<void> {
+    /**
+     * Releases the cell. Requests of callers are still answered for `servingMs`, with the help of later owners. Shortly
+     * before its end, stored cancellations are acknowledged whether they are confirmed or not.
+     */
+    async resign(servingMs?: number): Promise<void> {
         this.isStopping = true;
+        if (servingMs !== undefined) {
+            this.options.clock.schedule(
+                Math.max(0, servingMs - acknowledgementMarginMs),
+                () => this.cancellationAnnouncer.releaseWaiting(),
+            );
+        }
         await this.ownership.resign();
     }
 
@@ -411,7 +419,7 @@
         }
         // An owner that does not know the cancellation yet may still start the job.
         const startedAt = this.options.clock.getNow();
-        const isConfirmed = await this.cancellationAnnouncer.waitUntilConfirmed(toCancelKey(job), maxConfirmationMs);
+        const isConfirmed = await this.cancellationAnnouncer.waitUntilConfirmed(toCancelKey(job), ownerConfirmationMs);
         this.options.logger.write("info", "cancellation acknowledged", {
             job,
             isConfirmed,
@@ -435,7 +443,7 @@
     }
 
     private async readState(job: JobId): Promise<Result<JobState, Failure>> {
-        const listed = await this.store.call({ kind: "list", prefix: toJobKey(job) });
+        const listed = await this.store.call({ kind: "list", prefix: toJobKey(job) }, readStateMs);
         if (!listed.ok) {
             return Err(createFailure(gatewayFailures.unavailable, listed.val.message, "notRun", startingRetryMs));
         }
--- a/packages/cell/src/configuration-tracker.ts
+++ b/packages/cell/src/configuration-tracker.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
+import { configurationConfirmationMs } from "./call-times.js";
 import type { CellConfiguration } from "./configuration.js";
 import { ConfigurationIndex } from "./configuration.js";
 import type { PlatformCodec } from "./platform-codec.js";
@@ -42,8 +43,6 @@
 const readBytesPerMs = 50;
 /** Most reads without an answer. */
 const maxReadsInFlight = 4;
-/** Longest time for which a caller waits until the configuration is confirmed, ms. */
-const confirmTimeoutMs = 400;
 /** Longest time for which a new owner waits for the same, ms: as long as a takeover waits for the earlier lease. */
 const ownerConfirmTimeoutMs = 1_000;
 
@@ -113,7 +112,7 @@
         if (this.isConfirmed || this.isUnconfirmed) {
             return;
         }
-        this.confirmation ??= this.readWithin(confirmTimeoutMs).then(() => {
+        this.confirmation ??= this.readWithin(configurationConfirmationMs).then(() => {
             this.confirmation = undefined;
             this.isUnconfirmed = !this.isConfirmed;
             if (this.isUnconfirmed) {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,5 +1,6 @@
 /** One cell on a store with leases: ownership, job intake, executor sessions and replication to the hosts. */
 export { Advisor } from "./advisor.js";
+export { answerMarginMs, leastServingMs } from "./call-times.js";
 export { CellHost } from "./cell-host.js";
 export type { CellHostOptions } from "./cell-host.js";
 export type { CellConfiguration, QueueConfiguration, TeamConfiguration } from "./configuration.js";
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -11,6 +11,7 @@
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
+import { storeAttemptMs, storeWriteMs } from "./call-times.js";
 import type { JobRecord, StoredEpoch } from "./store-keys.js";
 import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
@@ -65,7 +66,7 @@
     private readonly timeout: AdaptiveTimeout;
 
     constructor(private readonly options: JobIntakeOptions) {
-        this.timeout = new AdaptiveTimeout(options.clock, options.commitTimeoutMs ?? 600);
+        this.timeout = new AdaptiveTimeout(options.clock, options.commitTimeoutMs ?? storeAttemptMs);
     }
 
     /** Whether new requests are refused because writes to the store keep failing. */
@@ -187,7 +188,7 @@
             pending.mayBeStored ||= mayBeStored;
             pending.attempts += 1;
         });
-        const requestTimeoutMs = this.options.requestTimeoutMs ?? 1_500;
+        const requestTimeoutMs = this.options.requestTimeoutMs ?? storeWriteMs;
         const expired = batch.filter(pending =>
             now - pending.arrivedAt + retryMs > requestTimeoutMs || this.isInOutage
         );
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -6,6 +6,7 @@
 import { RpcClient } from "@waxwingroute/transport";
 import type { RpcStream } from "@waxwingroute/transport";
 import type { JobState } from "@waxwingroute/workflow";
+import { ownerQuestionMs } from "./call-times.js";
 import type { CellUpdate } from "./cell-service.js";
 import { cellService, decodeStates } from "./cell-service.js";
 import type { StoreItem } from "./store.js";
@@ -34,8 +35,6 @@
 const maxSilenceMs = 1_500;
 /** Silence up to which the owner counts as alive, ms: a heartbeat and its delay on a busy owner. */
 const maxAliveSilenceMs = 800;
-/** Timeout of a question about a job, ms: a round trip across regions and a busy owner. */
-const followTimeoutMs = 400;
 /** Interval of checks whether the stream must be reopened, ms. */
 const checkIntervalMs = 200;
 /** Least time between two attempts to open a stream, ms. A host that does not own the cell ends each at once. */
@@ -135,7 +134,7 @@
 
     private async ask(job: JobId): Promise<JobState | undefined> {
         const { host, onStates } = this.options;
-        const answered = await this.client?.call(cellService.follow, { host, jobs: [job] }, followTimeoutMs);
+        const answered = await this.client?.call(cellService.follow, { host, jobs: [job] }, ownerQuestionMs);
         const states = answered?.ok === true ? decodeStates(answered.val.states) : [];
         onStates(states);
         return states[0]?.[1];
--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -20,8 +20,6 @@
 import type { LogWriter, ProgramPort, PrometheusMetrics, ShutdownStep, Supervisor } from "@waxwingroute/telemetry";
 import type { SettingsTarget } from "./settings-reloader.js";
 
-/** Fraction of the grace period in which callers with open connections are served. */
-const drainTimeFraction = 0.6;
 /** Fraction of the grace period after which a shutdown ends, whether its steps are done or not. */
 const shutdownTimeFraction = 0.9;
 /** Port on which the metrics are served; `deploy/system.toml` repeats it. */
@@ -182,7 +180,7 @@
                 run: () => {
                     this.servingEndsAt = clock.getNow() + this.shutdownTimeoutMs - lastStepMs;
                     this.binder.stop();
-                    return this.cell.resign();
+                    return this.cell.resign(this.computeServingMs());
                 },
             },
             {
@@ -197,10 +195,7 @@
             },
             {
                 name: "serve open connections",
-                run: () => {
-                    const drainMs = Math.max(0, this.graceMs * drainTimeFraction - balancerDetectionMs);
-                    return this.jobServer.close(Math.min(drainMs, this.computeServingMs()));
-                },
+                run: () => this.jobServer.close(this.computeServingMs()),
             },
             { name: "stop the cell", run: () => this.cell.stop() },
         ];
