Keep ends of occurrences that an earlier owner opened and the new one has not

What callers see: after a takeover, tasks of scheduled jobs run again that were done, with the end stored or acknowledged.

Cause: an owner opens an occurrence by its own wall clock, and no more than 20,000 tasks of a job at a time. A new owner whose clock is behind, or a job with more ended tasks than that, has no rows for the tasks of later occurrences when it reads their stored ends or hears of them. The ends were dropped, those of listings were stored and acknowledged all the same, and the tasks started again when their occurrence opened. A run that was listed in this state was stopped, and its task could start beside it.

Change: such an end is kept with its job and applied when the occurrence opens. A listed run opens the occurrences up to its own, within the same limit, since an earlier owner found them due.

Measured: three cases of scheduler_test failed before (the ends were not taken; 10,000 tasks of 30,000 ended ones started again) and pass now; packages/cell, workflow and cli 465 passed, 0 failed.

--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -16,6 +16,7 @@
         occurrences: new Map(),
         nextOccurrence: 0,
         finishedOccurrences: 0,
+        earlyEnds: new Map(),
         phase: "queued",
         endsAs: undefined,
         team,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -2,10 +2,12 @@
 import type { ExecutorId, JobId, RackId, ResourceVector, TeamId, ZoneId } from "@waxwingroute/core";
 import type {
     EarlierRun,
+    EndSource,
     JobState,
     JobSubmission,
     PoolId,
     QueueRules,
+    RunEnd,
     StepKey,
     StepSpec,
     TaskKey,
@@ -153,6 +155,12 @@
 /** The same values as `JobState`: the state that `JobChange` reports. */
 export type JobPhase = JobState;
 
+/** The end of a run that is applied when its occurrence opens. */
+export interface EarlyEnd {
+    readonly end: RunEnd;
+    readonly source: EndSource;
+}
+
 /** An accepted job. */
 export interface JobRow {
     readonly id: JobId;
@@ -161,6 +169,8 @@
     /** Number of the next occurrence that becomes due. */
     nextOccurrence: number;
     finishedOccurrences: number;
+    /** Ends of runs of occurrences that are not open yet, which an earlier owner opened by its clock. */
+    readonly earlyEnds: Map<number, EarlyEnd[]>;
     /** Becomes `failed` or `cancelled` together with `endsAs`, while runs of the job may still be stopping. */
     phase: JobPhase;
     /** Set when the job fails or is cancelled; nothing of it starts any more and its runs are being stopped. */
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -25,7 +25,7 @@
 import { decideThrottles, needsThrottling } from "./pacing-system.js";
 import { placeTasks } from "./placement-system.js";
 import { selectRankedSteps } from "./rank.js";
-import type { ExecutorRow, JobRow, QueueRow, RecordedRun, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { EarlyEnd, ExecutorRow, JobRow, QueueRow, RecordedRun, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
 import { stopStalledRuns } from "./stall-system.js";
 import { getChargedResources, SchedulerState } from "./state.js";
@@ -248,7 +248,7 @@
 
     /** Adopts a run that an executor lists. `false`: its task is done or its job not open, and it must be stopped. */
     adoptRun(now: number, executor: ExecutorId, listed: ListedRun): boolean {
-        const task = this.findTask(listed.task);
+        const task = this.findTask(listed.task) ?? this.openOccurrenceOfRun(now, listed.task);
         if (task === undefined || task.state === "done" || !this.state.isOpen(task.step.occurrence.job)) {
             return false;
         }
@@ -345,7 +345,7 @@
         }
         const task = this.findTask(end.task);
         if (task === undefined) {
-            return false;
+            return this.recordEarlyEnd({ end, source });
         }
         applyRunEnd(this.state, now, {
             task,
@@ -359,6 +359,54 @@
         return true;
     }
 
+    /**
+     * Keeps the end of a run whose occurrence is not open yet: the clock of the owner that opened it was ahead, or more
+     * occurrences than a job has open at a time have ended. Returns whether the job has the occurrence.
+     */
+    private recordEarlyEnd(early: EarlyEnd): boolean {
+        const parts = parseTaskKey(early.end.task);
+        const job = parts === undefined ? undefined : this.state.jobs.get(parts.job);
+        if (
+            parts === undefined || job === undefined || parts.occurrence < job.nextOccurrence
+            || parts.occurrence >= countOccurrences(job)
+        ) {
+            return false;
+        }
+        const kept = job.earlyEnds.get(parts.occurrence) ?? [];
+        kept.push(early);
+        job.earlyEnds.set(parts.occurrence, kept);
+        return true;
+    }
+
+    /**
+     * Opens the occurrences up to that of a run which an executor lists, because an earlier owner found it due. Returns its
+     * task, or `undefined` if the job does not have it or cannot open as many occurrences.
+     */
+    private openOccurrenceOfRun(now: number, key: TaskKey): TaskRow | undefined {
+        const parts = parseTaskKey(key);
+        const job = parts === undefined ? undefined : this.state.jobs.get(parts.job);
+        if (parts === undefined || job?.submission.spec.schedule === undefined) {
+            return undefined;
+        }
+        while (job.nextOccurrence <= parts.occurrence && this.state.isOpen(job) && canOpenOccurrence(job)) {
+            this.openNextOccurrence(now, job, now);
+        }
+        return this.findTask(key);
+    }
+
+    private openNextOccurrence(now: number, job: JobRow, dueAt: number): void {
+        const occurrence = job.nextOccurrence;
+        addOccurrence(this.state, job, occurrence, dueAt);
+        job.nextOccurrence += 1;
+        this.applyEarlyEnds(now, job, occurrence);
+    }
+
+    private applyEarlyEnds(now: number, job: JobRow, occurrence: number): void {
+        const kept = job.earlyEnds.get(occurrence) ?? [];
+        job.earlyEnds.delete(occurrence);
+        kept.forEach(({ end, source }) => this.recordEnd(now, end, source));
+    }
+
     /** Lists the runs charged to an executor. */
     listRuns(executor: ExecutorId): { readonly task: TaskKey; readonly run: number; }[] {
         return [...this.state.executors.get(executor)?.runs.values() ?? []].map(run => ({
@@ -411,8 +459,7 @@
                 if (dueInMs > 0) {
                     break;
                 }
-                addOccurrence(this.state, job, job.nextOccurrence, now + dueInMs);
-                job.nextOccurrence += 1;
+                this.openNextOccurrence(now, job, now + dueInMs);
             }
         }
     }
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -4,7 +4,7 @@
 import { describe, it } from "node:test";
 import { parseTaskKey } from "./keys.js";
 import { createQueue, createStep, noLimit, SchedulerFixture, toCores } from "./testing/scheduler-fixture.js";
-import type { StartDecision, TickDecisions } from "./types.js";
+import type { RunEnd, StartDecision, TaskKey, TickDecisions } from "./types.js";
 
 describe("the workflow scheduler", () => {
     // Guards against overcommitting an executor.
@@ -102,6 +102,66 @@
         });
     });
 
+    describe("with ends of occurrences that an earlier owner opened and that are not open yet", () => {
+        // Guards against second starts after a takeover by a host whose clock is behind that of the owner before.
+        const schedule = { startAtWallMs: 50_000, intervalMs: 1_000, occurrences: 3 };
+        const end = (task: string): RunEnd => ({
+            executor: toId<ExecutorId>("e0"),
+            task: toId<TaskKey>(task),
+            run: 1,
+            outcome: "done",
+            checkpoint: "",
+        });
+
+        for (const source of ["storedEnd", "listing"] as const) {
+            it(`does not start their tasks again when they become due (${source})`, () => {
+                const fixture = new SchedulerFixture(1);
+                const steps = [createStep({ taskCount: 2 })];
+                fixture.addJob("a", { spec: { payload: "", steps, schedule }, mayHaveStarted: true });
+                fixture.scheduler.openDueOccurrences(fixture.now, 50_900);
+                ["a.0.0.0", "a.0.0.1", "a.1.0.0"].forEach(task =>
+                    expect(fixture.scheduler.recordEnd(fixture.now, end(task), source)).toEqual(true)
+                );
+                fixture.scheduler.releaseUnknownTasks();
+                fixture.scheduler.openDueOccurrences(fixture.now, 51_000);
+                expect(fixture.startTasks().map(start => start.task) as string[]).toEqual(["a.1.0.1"]);
+            });
+        }
+
+        it("takes over a run of such an occurrence that an executor lists, and starts only the other tasks", () => {
+            const fixture = new SchedulerFixture(2);
+            fixture.addJob("a", { spec: { payload: "", steps: [createStep({ taskCount: 2 })], schedule } });
+            const listed = { task: toId<TaskKey>("a.1.0.0"), run: 1, checkpoint: "", percent: 10 };
+            expect(fixture.scheduler.adoptRun(fixture.now, toId<ExecutorId>("e0"), listed)).toEqual(true);
+            fixture.scheduler.openDueOccurrences(fixture.now, 51_000);
+            const tasks = fixture.startTasks().map(start => start.task) as string[];
+            expect(tasks.sort()).toEqual(["a.0.0.0", "a.0.0.1", "a.1.0.1"]);
+        });
+
+        it("does not start them again when there are more than a job has open at a time", () => {
+            const fixture = new SchedulerFixture(1);
+            const steps = [createStep({ taskCount: 5_000, resources: noLimit })];
+            const atOnce = { startAtWallMs: 0, intervalMs: 0, occurrences: 6 };
+            fixture.addJob("a", { spec: { payload: "", steps, schedule: atOnce }, mayHaveStarted: true });
+            fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
+            for (let occurrence = 0; occurrence < 6; occurrence++) {
+                for (let index = 0; index < 5_000; index++) {
+                    fixture.scheduler.recordEnd(fixture.now, end(`a.${occurrence}.0.${index}`), "storedEnd");
+                }
+            }
+            fixture.scheduler.releaseUnknownTasks();
+            fixture.scheduler.openDueOccurrences(fixture.now, fixture.now);
+            expect(fixture.startTasks().length).toEqual(0);
+            expect(fixture.getJobState("a")).toEqual("succeeded");
+        });
+
+        it("ignores those of occurrences that the job does not have", () => {
+            const fixture = new SchedulerFixture(1);
+            fixture.addJob("a", { spec: { payload: "", steps: [createStep()], schedule } });
+            expect(fixture.scheduler.recordEnd(fixture.now, end("a.3.0.0"))).toEqual(false);
+        });
+    });
+
     describe("with a job of a queue that was removed", () => {
         it("schedules it by the rules at its acceptance, after a change of owner too", () => {
             // Guards against accepted jobs that stand for ever once the owner changes.
