Acknowledge ends only to the executor process that numbered them

This is one cause that fits; the users' runs have no record, so it is not shown to be theirs.

Cause: an executor that starts again under its id numbers its ends from 1 anew. The owner noticed a restart by a call that failed or by a lower clock. Between two renewals, which while ends are being stored lasts up to 300 ms, no call is on its way: a start then went over a new connection to the new process, its run ended, and the next renewal acknowledged the numbers of the earlier life. The new process forgot the end unread. Its task was started again, after an end that counts as noted. A clock with another origin, or a start whose answer is lost, hides the restart.

Change: a renewal names the incarnation whose ends it acknowledges, and the client fills in the acknowledgement when it knows the connection: one that is older than the last listing leads to the process that sent it, or to none.

Test, at the client with real connections, since only they show it: http-task-executor_test, "an acknowledgement of ends reaches no later process than the one that numbered the ends". Before the change it failed: "The value [3, 3, 3, 3] is not equal to [0, 0, 0, 0]".

--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -345,7 +345,7 @@
         const acknowledged = this.isIncarnationKnown ? this.ends.acknowledged : 0;
         const { fencingToken, incarnationDoubts } = this;
         const renewed = await client.renew(
-            { fencingToken, acknowledged, deadlineMs, waitMs },
+            { fencingToken, acknowledged, incarnation: this.startedAtWallMs, deadlineMs, waitMs },
             waitMs + answerMarginMs,
         );
         if (this.isClosed) {
--- a/packages/cell/src/task-executor.ts
+++ b/packages/cell/src/task-executor.ts
@@ -48,6 +48,11 @@
     readonly fencingToken: number;
     /** The executor drops its records of ends up to this sequence number. */
     readonly acknowledged: number;
+    /**
+     * `startedAtWallMs` of the incarnation that numbered these ends. Another one gets no acknowledgement, since it numbers
+     * its ends anew.
+     */
+    readonly incarnation?: number;
     /** Reading of the executor's clock until which its runs may go on; without it, the lease is not extended. */
     readonly deadlineMs?: number;
     /** Longest time for which the executor may hold back the answer until a run ends, ms. */
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -56,7 +56,8 @@
     /** Path relative to the base URL, with the query. */
     readonly path: string;
     readonly headers?: OutgoingHttpHeaders;
-    readonly body?: Uint8Array | string;
+    /** A function is called before the body is written, with the time at which the connection was made. */
+    readonly body?: Uint8Array | string | ((connectedAt: number) => string);
     /** Time-out of this call, in milliseconds. Default: `timeoutMs` of the client's options. */
     readonly timeoutMs?: number;
 }
@@ -114,7 +115,8 @@
     /** Sends one request and reads the complete response. */
     async send(request: HttpRequest): Promise<Result<HttpResponse, TransportFailure>> {
         const startedAt = this.clock.getNow();
-        const body = request.body === undefined ? undefined : Buffer.from(request.body);
+        const { body: content } = request;
+        const body = content === undefined || typeof content === "function" ? content : Buffer.from(content);
         const timeoutMs = request.timeoutMs ?? this.timeoutMs;
         const exchange = new Exchange(
             this.options.maxResponseBytes ?? 67_108_864,
@@ -132,7 +134,7 @@
         this.options.onCall?.({
             service: this.service,
             operation: request.operation,
-            bytesSent: body?.length ?? 0,
+            bytesSent: exchange.bytesSent,
             bytesReceived: exchange.bytesReceived,
             durationMs: this.clock.getNow() - startedAt,
             isAnswered: result.ok,
@@ -167,7 +169,7 @@
             : { ...sentAtHeader, [headerNames.source]: this.options.source };
     }
 
-    private createClientRequest(request: HttpRequest, body: Buffer | undefined): ClientRequest {
+    private createClientRequest(request: HttpRequest, body: RequestBody): ClientRequest {
         const basePath = this.baseUrl.pathname.replace(/\/$/, "");
         return createRequest({
             agent: this.agent,
@@ -178,15 +180,18 @@
             headers: {
                 ...request.headers,
                 ...this.buildPlatformHeaders(),
-                ...body === undefined ? {} : { "content-length": body.length },
+                ...body instanceof Buffer ? { "content-length": body.length } : {},
             },
         });
     }
 }
 
+type RequestBody = Buffer | ((connectedAt: number) => string) | undefined;
+
 /** One request and its response. The first of the response, an error and the time-out decides the result. */
 class Exchange {
     bytesReceived = 0;
+    bytesSent = 0;
     private connectedAt: number | undefined;
     private clientRequest: ClientRequest | undefined;
     private resolve: ((result: Result<HttpResponse, TransportFailure>) => void) | undefined;
@@ -204,7 +209,7 @@
 
     run(
         createClientRequest: () => ClientRequest,
-        body: Buffer | undefined,
+        body: RequestBody,
     ): Promise<Result<HttpResponse, TransportFailure>> {
         return new Promise(resolve => {
             this.resolve = resolve;
@@ -219,10 +224,10 @@
             this.clientRequest.on("socket", socket => {
                 // Node.js writes nothing before the connection is made, so after an earlier failure nothing was sent.
                 if (socket.connecting) {
-                    socket.prependOnceListener("connect", () => this.recordConnection(socket));
+                    socket.prependOnceListener("connect", () => this.recordConnection(socket, body));
                 }
                 else {
-                    this.recordConnection(socket);
+                    this.recordConnection(socket, body);
                 }
             });
             this.clientRequest.on("response", response => this.readResponse(response));
@@ -234,17 +239,25 @@
                 "close",
                 () => this.fail("cutShort", "the connection ended without a response"),
             );
-            this.clientRequest.end(body);
+            if (typeof body !== "function") {
+                this.bytesSent = body?.length ?? 0;
+                this.clientRequest.end(body);
+            }
         });
     }
 
     /** Called before the request is written. In a process that was paused, its time may be over. */
-    private recordConnection(socket: Socket): void {
+    private recordConnection(socket: Socket, body: RequestBody): void {
         if (this.isOver()) {
             socket.destroy();
+            return;
         }
-        else {
-            this.connectedAt = this.trackConnection(socket);
+        this.connectedAt = this.trackConnection(socket);
+        if (typeof body === "function") {
+            const content = Buffer.from(body(this.connectedAt));
+            this.bytesSent = content.length;
+            this.clientRequest!.setHeader("content-length", content.length);
+            this.clientRequest!.end(content);
         }
     }
 
