--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -361,7 +361,7 @@
         this.logAcknowledged(acknowledged);
         const { fencingToken, incarnationDoubts } = this;
         const renewed = await client.renew(
-            { fencingToken, acknowledged, deadlineMs, waitMs },
+            { fencingToken, acknowledged, incarnation: this.startedAtWallMs, deadlineMs, waitMs },
             waitMs + answerMarginMs,
         );
         if (this.isClosed) {
