A stopping host answers the calls of other hosts that it cannot finish

Cause: the RPC server served others until its last 100 ms and then cut what was open, and took calls that could not end before it.

Evidence: the new test of RpcServer failed on the code before (the refused call was not answered with notRun).

Change: ask and callStore are refused with notRun when their time-out would end after the serving time; during shutdown new calls are refused with notRun, those in progress finish or are answered with mayHaveRun.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -112,6 +112,8 @@
     /** Whether this host has resigned. */
     private isStopping = false;
     private hasStopped = false;
+    /** Time at which this host serves others no longer. */
+    private servingEndsAt = Infinity;
 
     constructor(private readonly options: CellHostOptions) {
         super();
@@ -230,6 +232,7 @@
     async resign(servingMs?: number): Promise<void> {
         this.isStopping = true;
         if (servingMs !== undefined) {
+            this.servingEndsAt = this.options.clock.getNow() + servingMs;
             this.options.clock.schedule(
                 Math.max(0, servingMs - acknowledgementMarginMs),
                 () => this.cancellationAnnouncer.releaseWaiting(),
@@ -250,7 +253,7 @@
         this.publisher.close();
         const cut = await this.server.shutdown(100);
         if (cut.length > 0) {
-            this.options.logger.write("warn", "calls of other hosts cut", {
+            this.options.logger.write("warn", "calls of other hosts ended", {
                 calls: cut.length,
                 methods: [...new Set(cut.map(call => call.method))].join(" "),
                 oldestMs: Math.round(Math.max(...cut.map(call => call.ageMs))),
@@ -601,6 +604,9 @@
                 return Ok({});
             },
             ask: async ({ step, executors, timeoutMs }) => {
+                if (!this.canServe(timeoutMs)) {
+                    return Err(createFailure("peer-unreachable", "the host is stopping", "notRun"));
+                }
                 const answered = await this.options.advisor.ask(step, executors, timeoutMs);
                 return answered.map(grants => ({ grants: [...grants] }));
             },
@@ -609,12 +615,21 @@
                     const message = "the forwarding host has no access to the store either";
                     return Err(createFailure(storeFailures.unavailable, message, "notRun"));
                 }
-                const answered = await this.options.store.call(request, timeoutMs ?? forwardedTimeoutMs);
+                const limitMs = timeoutMs ?? forwardedTimeoutMs;
+                if (!this.canServe(request.kind === "watch" ? limitMs + request.waitMs : limitMs)) {
+                    return Err(createFailure(storeFailures.unavailable, "the host is stopping", "notRun"));
+                }
+                const answered = await this.options.store.call(request, limitMs);
                 return answered;
             },
         });
     }
 
+    /** Whether a call of another host that takes up to this time would end before this host. */
+    private canServe(timeoutMs: number): boolean {
+        return this.options.clock.getNow() + timeoutMs <= this.servingEndsAt;
+    }
+
     private acceptSubscriber(subscriber: Subscriber, writer: StreamWriter<CellUpdate>): void {
         const { address, host, jobs } = subscriber;
         const owner = this.owner;
--- a/packages/transport/src/rpc-server.ts
+++ b/packages/transport/src/rpc-server.ts
@@ -56,12 +56,21 @@
     readonly maxWaitingBytes?: number;
 }
 
-/** A call that a shutdown has cut. */
+/** A call that a shutdown has answered in place of its handler. */
 export interface CutCall {
     readonly method: string;
     readonly ageMs: number;
 }
 
+/** A call whose handler has not answered yet. */
+interface OpenCall {
+    readonly method: string;
+    readonly arrivedAt: number;
+    readonly answer: (reply: WireReply) => void;
+}
+
+/** Time in which the last answers of a shutdown are sent, ms. */
+const flushMs = 50;
 const defaultMaxWaitingBytes = 64 * 1024 * 1024;
 
 /**
@@ -85,7 +94,9 @@
     private hasFailed = false;
     private readonly backlog: StreamBacklog;
     /** Calls whose handlers have not answered yet, with the times of their arrival. Streams are left out. */
-    private readonly openCalls = new Map<object, { readonly method: string; readonly arrivedAt: number; }>();
+    private readonly openCalls = new Map<object, OpenCall>();
+    private isStopping = false;
+    private onIdle: () => void = () => undefined;
 
     constructor(private readonly options: RpcServerOptions) {
         this.backlog = new StreamBacklog(options.maxWaitingBytes ?? defaultMaxWaitingBytes);
@@ -176,25 +187,36 @@
     }
 
     /**
-     * Refuses new calls, waits up to `boundMs` for the calls in progress, then aborts those that remain. Returns the
-     * aborted ones.
+     * Refuses new calls, waits up to `boundMs` for the handlers of those in progress, and then answers the rest, so that
+     * their callers need not wait for a time-out. Returns those. Streams end with the connections.
      */
-    shutdown(boundMs: number): Promise<CutCall[]> {
-        return new Promise(resolve => {
+    async shutdown(boundMs: number): Promise<CutCall[]> {
+        this.isStopping = true;
+        await this.waitUntilIdle(boundMs);
+        const now = performance.now();
+        const open = [...this.openCalls.values()];
+        open.forEach(({ answer }) => answer({ failure: createStoppingFailure("peer-lost", "mayHaveRun") }));
+        await new Promise<void>(resolve => {
             const timer = setTimeout(() => {
-                const now = performance.now();
-                const cut = [...this.openCalls.values()].map(({ method, arrivedAt }): CutCall => ({
-                    method,
-                    ageMs: now - arrivedAt,
-                }));
                 this.server.forceShutdown();
-                resolve(cut);
-            }, boundMs);
+                resolve();
+            }, flushMs);
             this.server.tryShutdown(() => {
                 clearTimeout(timer);
-                resolve([]);
+                resolve();
             });
         });
+        return open.map(({ method, arrivedAt }) => ({ method, ageMs: now - arrivedAt }));
+    }
+
+    private waitUntilIdle(boundMs: number): Promise<void> {
+        return this.openCalls.size === 0 ? Promise.resolve() : new Promise(resolve => {
+            const timer = setTimeout(resolve, boundMs);
+            this.onIdle = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
     }
 
     private createUnaryHandler(
@@ -202,11 +224,19 @@
         handler: (request: unknown) => Promise<Result<unknown, Failure>>,
     ): UntypedHandleCall {
         return (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<WireReply>) => {
-            this.openCalls.set(call, { method, arrivedAt: performance.now() });
+            if (this.isStopping) {
+                callback(null, { failure: createStoppingFailure("peer-unreachable", "notRun") });
+                return;
+            }
             const answer = (reply: WireReply) => {
-                this.openCalls.delete(call);
-                callback(null, reply);
+                if (this.openCalls.delete(call)) {
+                    callback(null, reply);
+                }
+                if (this.openCalls.size === 0) {
+                    this.onIdle();
+                }
             };
+            this.openCalls.set(call, { method, arrivedAt: performance.now(), answer });
             handler(call.request).then(
                 result => answer(result.ok ? { value: result.val } : { failure: result.val }),
                 (error: unknown) => {
@@ -218,6 +248,11 @@
     }
 }
 
+/** Codes are those of a connection that could not be opened, and of one that was lost: callers treat them alike. */
+function createStoppingFailure(code: string, verdict: "notRun" | "mayHaveRun"): Failure {
+    return createFailure(code, "the host is stopping", verdict);
+}
+
 /** Binds an address and frees it at once. Rejects with the system's error if it cannot be bound. */
 function checkAddress(address: string): Promise<void> {
     const separator = address.lastIndexOf(":");
--- a/packages/transport/src/rpc-server_test.ts
+++ b/packages/transport/src/rpc-server_test.ts
@@ -1,5 +1,5 @@
 import type { Server as GrpcServer } from "@grpc/grpc-js";
-import { Ok } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
 import { expect } from "earl";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -14,6 +14,29 @@
 };
 
 describe("RpcServer", () => {
+    // Guards against callers that wait for a time-out, or take a call for one that may have run, when a host stops.
+    it("finishes, answers or refuses each call during a shutdown", async () => {
+        const server = new RpcServer({ address: "127.0.0.1:0" });
+        const delaysMs = [150, 10_000];
+        server.addService(methods, {
+            echo: async request => {
+                await new Promise(resolve => setTimeout(resolve, delaysMs[request.value]).unref());
+                return Ok(request);
+            },
+        });
+        const client = new RpcClient({ address: `127.0.0.1:${await server.listen()}` });
+        const send = (value: number) => client.call(methods.echo, { value }, 5_000);
+        const [finished, answered] = [send(0), send(1)];
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const stopped = server.shutdown(400);
+        const refused = await send(0);
+        expect(refused).toEqual(Err(createFailure("peer-unreachable", "the host is stopping", "notRun")));
+        expect(await finished).toEqual(Ok({ value: 0 }));
+        expect(await answered).toEqual(Err(createFailure("peer-lost", "the host is stopping", "mayHaveRun")));
+        expect((await stopped).map(({ method }) => method)).toEqual([methods.echo.path]);
+        client.close();
+    });
+
     describe("an address that cannot be bound", () => {
         const holder = createServer();
         let port: number;
