End the recovery of an owner that is closed meanwhile

What callers see: jobs that have succeeded are shown as queued again by a host that no longer owns the cell.

Cause: the answers to the reads of a recovery may arrive after the owner was closed. It then added the jobs, took over listed runs and reported the states of jobs, older than those of its successor. Starts and commits were stopped, so no task ran twice by this.

Change: the owner does nothing with these answers once it is closed.

The whole of packages/cell, workflow and cli was begun on this change and did not end within 200 s at a load of 30: not run to its end.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -284,7 +284,8 @@
             this.retry(() => readStoredCell(store, logger)),
             this.registry.refresh(),
         ]);
-        if (roster === undefined || stored === undefined) {
+        // The answers may arrive after the owner was closed.
+        if (roster === undefined || stored === undefined || this.isClosed) {
             return;
         }
         const readAt = clock.getNow();
--- a/packages/cell/src/second-starts_test.ts
+++ b/packages/cell/src/second-starts_test.ts
@@ -105,3 +105,30 @@
         });
     }
 });
+
+describe("an owner that is closed while it reads the stored jobs", () => {
+    it("takes over no runs and reports no states of jobs", async () => {
+        // Guards against two hosts that act on the same jobs, and against states that are older than those of the new owner.
+        const cell = new CellSimulation({
+            hosts: 3,
+            executors: 1,
+            planRun: () => ({ workMs: 9_000, outcome: "done" }),
+        });
+        await cell.advance(2_000);
+        void cell.submit(cell.hosts[0]!, "j", [{ taskCount: 2, estimateMs: 9_000 }]);
+        await cell.advance(500);
+        cell.data.pageSize = 1;
+        cell.hosts.forEach(host => {
+            host.store.latencyMs = 60;
+        });
+        const first = cell.owner!;
+        first.kill();
+        await cell.advanceUntil(() => cell.owner !== undefined, 4_000);
+        await cell.advance(20);
+        cell.hosts.forEach(host => host.kill());
+        cell.states.clear();
+        await cell.advance(2_000);
+        expect(findLines(cell, "run taken over")).toEqual([]);
+        expect([...cell.states]).toEqual([]);
+    });
+});
