--- a/packages/cell/src/testing/memory-lease-store.ts
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -146,7 +146,7 @@
 
 /**
  * `answerLost`: writes are carried out but not answered. `late`: writes are carried out after a delay and not
- * answered. Writes are commits, and grants and renewals of leases.
+ * answered. Writes are commits, and grants, renewals and ends of leases.
  */
 export type CommitFault = "none" | "answerLost" | "late";
 
@@ -156,10 +156,14 @@
     commitFault: CommitFault = "none";
     /** Latency of a call, ms. */
     latencyMs = 4;
+    /** Returns the latency of the next call, ms. Default: `latencyMs`. */
+    chooseLatencyMs = (): number => this.latencyMs;
     /** Delay of writes with the fault `late`, ms. */
     lateMs = 2_000;
     /** Returns the delay of the next write with the fault `late`, ms. Default: `lateMs`. */
     chooseLateMs = (): number => this.lateMs;
+    /** Returns the fault of the next write. Default: `commitFault`. */
+    chooseFault = (): CommitFault => this.commitFault;
 
     constructor(readonly data: MemoryStoreData) {
         super();
@@ -170,7 +174,7 @@
         timeoutMs = 1_000,
     ): Promise<Result<StoreReply<Request>, Failure>> {
         const { clock } = this.data;
-        await clock.wait(this.latencyMs);
+        await clock.wait(this.chooseLatencyMs());
         const mode = this.data.mode === "up" ? this.mode : this.data.mode;
         if (mode === "refusing") {
             return Err(createFailure(storeFailures.unavailable, "the store refuses the calls of this host", "notRun"));
@@ -178,8 +182,9 @@
         if (mode === "silent") {
             return this.dropAnswer(timeoutMs);
         }
-        if (isWrite(request) && this.commitFault !== "none") {
-            if (this.commitFault === "late") {
+        const fault = isWrite(request) ? this.chooseFault() : "none";
+        if (fault !== "none") {
+            if (fault === "late") {
                 clock.schedule(this.chooseLateMs(), () => void this.data.execute(request));
             }
             else {
@@ -224,5 +229,5 @@
 }
 
 function isWrite({ kind }: StoreRequest): boolean {
-    return kind === "commit" || kind === "grantLease" || kind === "renewLease";
+    return kind === "commit" || kind === "grantLease" || kind === "renewLease" || kind === "endLease";
 }
