Soak: executors that restart unseen; known fault: a lease counted too short after the owner changes

The shape restarts-unseen restarts executors while their owner stores ends slowly and has no call on its way to them, under clocks of another origin.

--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -309,4 +309,26 @@
             session.close();
         });
     });
+
+    describe("an executor that falls silent around the change of the owner", () => {
+        // Guards against tasks that start elsewhere while it runs them: it may have restarted just before, taken a lease
+        // end of its earlier clock from the earlier owner, and granted its longest lease.
+        const cases = [["before it is reached", 0], ["after its first listing", 60]] as const;
+        for (const [name, reachedMs] of cases) {
+            it(`keeps its runs for the longest lease after the earlier owner's last order (${name})`, async () => {
+                const fixture = new SessionFixture(clock => new RestartingExecutor(clock));
+                const { authority, clock, executor, session } = fixture;
+                authority.earlierOrdersEndAt = clock.getNow();
+                executor.isListing = reachedMs > 0;
+                session.start();
+                await clock.advance(reachedMs);
+                executor.isListing = false;
+                while (fixture.lost.length === 0) {
+                    await clock.advance(10);
+                }
+                expect(fixture.lost[0]! - authority.earlierOrdersEndAt).toBeGreaterThan(6_000 / 0.98);
+                session.close();
+            });
+        }
+    });
 });
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -12,6 +12,7 @@
 } from "./host-troubles.js";
 import { PausedAtLeaseEnd, SilentConnections, StopsInTurn } from "./owner-troubles.js";
 import { LateStartsBesideRestart, PartlyCutExecutors, SlowClocks } from "./partial-executor-troubles.js";
+import { RestartsBetweenListings } from "./restart-troubles.js";
 import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
 import { RecordWritesLost } from "./store-write-troubles.js";
 import type { Trouble } from "./trouble.js";
@@ -46,6 +47,7 @@
 const slowClocks = new SlowClocks();
 const partlyCutExecutors = new PartlyCutExecutors();
 const lateStartsBesideRestart = new LateStartsBesideRestart();
+const restartsBetweenListings = new RestartsBetweenListings();
 const stopsInTurn = new StopsInTurn();
 const pausedAtLeaseEnd = new PausedAtLeaseEnd();
 const silentConnections = new SilentConnections();
@@ -161,6 +163,13 @@
         executors: 8,
         lanes: 3,
     },
+    /** Executors that restart while their owner waits for the store, with tasks that end before it looks again. */
+    "restarts-unseen": {
+        troubles: [[restartsBetweenListings, 5], [stopsInTurn, 1]],
+        workload: { jobsPerSecond: 5, burstShare: 0.3, cancelShare: 0.05, taskMs: [30, 60, 150, 400] },
+        executors: 6,
+        lanes: 2,
+    },
     /** Planned stops that overlap, beside gangs with advice, bursts and lost answers of the store. */
     "stops-in-turn": {
         troubles: [
--- a/packages/soak/src/soak-run_test.ts
+++ b/packages/soak/src/soak-run_test.ts
@@ -35,6 +35,12 @@
         shape: { ...advice, workload: { ...advice.workload, jobsPerSecond: 5 }, executors: 12, lanes: 2 },
         size,
     },
+    {
+        seed: 1,
+        name: "partly-cut",
+        shape: { ...shapes["partly-cut"], executors: 4, lanes: 2 },
+        size: { hosts: 4, troubleMs: 12_000, calmMs: 15_000 },
+    },
 ];
 const plays: readonly Play[] = isByHand
     ? seeds.map(seed => ({ seed, name: shapeName, shape: shapes[shapeName] }))
