Keep room for a gang that has found too little for too long

Cause: room goes to the next short task as it appears, and the gang's tickets of 2 s expire before enough is free at once.

Change: after 2 s room is kept for the oldest blocked gang, one at a time. Others use it for tasks that end before it is complete, and more urgent work if it would else miss its objective. See docs/platform.md.

--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -122,6 +122,7 @@
         },
         waitingCount: state === "waiting" ? spec.taskCount : 0,
         blocked: undefined,
+        blockedSince: undefined,
         placedInTick: 0,
         lastRunNumber: 0,
         doneCount: 0,
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -1,13 +1,22 @@
 /** Places waiting tasks on executors, the most urgent step first. */
-import type { ExecutorId, RackId } from "@waxwingroute/core";
+import type { RackId } from "@waxwingroute/core";
 import { multiplyResources } from "@waxwingroute/core";
 import type { Candidate } from "./candidates.js";
-import { canBackfill, countFreeSlots, hasValidTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
+import {
+    canUseReserved,
+    countFreeSlots,
+    hasValidTicket,
+    isEligible,
+    isKeptForOther,
+    listAdvisedExecutors,
+    sortCandidates,
+} from "./candidates.js";
 import { allowsGang, allowsProbe, selectProbeExecutor, splitProbes } from "./crash-system.js";
 import type { RankedStep } from "./rank.js";
+import { reserveExecutors, reserveForOldest } from "./reservation-system.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
-import type { Reservation, SchedulerState } from "./state.js";
-import { allowsMore, countFits, getChargedResources, listWaitingTasks } from "./state.js";
+import type { SchedulerState } from "./state.js";
+import { allowsMore, getChargedResources, listWaitingTasks } from "./state.js";
 
 /** Decides the starts of one tick, and the executors that are reserved for a blocked gang. */
 export function placeTasks(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
@@ -15,6 +24,10 @@
     state.tickNumber += 1;
     const previous = state.reservation;
     state.reservation = undefined;
+    const kept = reserveForOldest(state, now, ranked, previous);
+    if (kept !== undefined) {
+        state.setReservation(kept, previous);
+    }
     for (const { step, slackMs } of ranked) {
         const isPartOfGang = step.spec.isGang && step.waitingCount < step.tasks.length;
         if (step.waitingCount === 0 || isPartOfGang) {
@@ -22,10 +35,12 @@
         }
         const neededCount = step.spec.isGang ? step.waitingCount : 1;
         if (!allowsMore(step.occurrence.job.team, multiplyResources(getChargedResources(step), neededCount))) {
+            step.blockedSince = undefined;
             continue;
         }
         step.placedInTick = state.tickNumber;
         const isBlocked = checkBlocked(state, now, step, neededCount) || !placeStep(state, now, step, slackMs);
+        step.blockedSince = isBlocked && step.spec.isGang ? step.blockedSince ?? now : undefined;
         if (isBlocked && step.spec.isGang && state.reservation === undefined) {
             state.setReservation(reserveExecutors(state, now, step), previous);
         }
@@ -53,7 +68,7 @@
         gainPosition: state.gainPosition,
         freeSlots: step.spec.isGang ? countSlots(candidates) : 0,
         reservedFor: state.reservation?.step,
-        canBackfill: canBackfill(state, step),
+        canUseReserved: canUseReserved(state, now, step),
     };
     return isPlaced;
 }
@@ -66,7 +81,7 @@
 function checkBlocked(state: SchedulerState, now: number, step: StepRow, neededCount: number): boolean {
     const { blocked } = step;
     const isComparable = blocked !== undefined && blocked.reservedFor === state.reservation?.step
-        && blocked.canBackfill === canBackfill(state, step);
+        && blocked.canUseReserved === canUseReserved(state, now, step);
     const gains = isComparable ? state.listRoomGains(blocked.gainPosition) : undefined;
     if (blocked === undefined || gains === undefined) {
         return false;
@@ -95,21 +110,7 @@
             }
         }
     }
-    return sortCandidates(step, candidates);
-}
-
-/** Returns the executors that can be candidates: where the queue has an advisor, only those that it has granted. */
-function* listAdvisedExecutors(state: SchedulerState, step: StepRow): Iterable<ExecutorRow> {
-    if (!needsAdvice(state, step)) {
-        yield* state.executors.values();
-        return;
-    }
-    for (const id of step.advice.tickets.keys()) {
-        const executor = state.executors.get(id);
-        if (executor !== undefined) {
-            yield executor;
-        }
-    }
+    return sortCandidates(state, step, candidates);
 }
 
 /** Starts each task alone on one of the executors that probes may use, as far as there are any. */
@@ -167,7 +168,10 @@
     // The executors with the most free slots first: the fewer executors a gang uses, the fewer start orders can fail.
     const emptiestFirst = selectOneRack(
         step,
-        [...candidates].sort((first, second) => second.freeSlots - first.freeSlots),
+        [...candidates].sort((first, second) =>
+            Number(isKeptForOther(state, step, first.executor)) - Number(isKeptForOther(state, step, second.executor))
+            || second.freeSlots - first.freeSlots
+        ),
         waiting.length,
     );
     const run = getNextRunNumber(state, step);
@@ -246,28 +250,3 @@
         isProbe,
     });
 }
-
-/**
- * Reserves executors for a blocked gang: eligible ones, those with the most free slots first, until their whole
- * capacity suffices for the gang. Returns `undefined` if all eligible executors together do not suffice.
- */
-function reserveExecutors(state: SchedulerState, now: number, step: StepRow): Reservation | undefined {
-    const resources = getChargedResources(step);
-    const eligible: ExecutorRow[] = [];
-    for (const executor of listAdvisedExecutors(state, step)) {
-        if (isEligible(state, now, step, executor)) {
-            eligible.push(executor);
-        }
-    }
-    eligible.sort((first, second) => countFreeSlots(step, second) - countFreeSlots(step, first));
-    const executors = new Set<ExecutorId>();
-    let slots = 0;
-    for (const executor of eligible) {
-        if (slots >= step.tasks.length) {
-            break;
-        }
-        executors.add(executor.id);
-        slots += countFits(resources, executor.capacity);
-    }
-    return slots >= step.tasks.length ? { step, executors } : undefined;
-}
--- a/packages/workflow/src/rank.ts
+++ b/packages/workflow/src/rank.ts
@@ -9,6 +9,8 @@
  */
 const maxUsefulFactor = 3;
 
+/** Tier of steps that are too late to be of use. */
+export const tooLateTier = 3;
 /** Tier of steps whose tasks are likely to crash their executors. */
 const crashedTier = 4;
 
@@ -45,7 +47,7 @@
     const endsAt = now + step.criticalPathMs * (queue?.estimateRatio ?? 1);
     const tooLateAt = dueAt + maxUsefulFactor * (objectiveAt - dueAt);
     // The rate is checked first: a job over it displaces no useful work of others, even if it can meet its objective.
-    const tier = job.isOverTeamRate ? 2 : endsAt <= objectiveAt ? 0 : endsAt <= tooLateAt ? 1 : 3;
+    const tier = job.isOverTeamRate ? 2 : endsAt <= objectiveAt ? 0 : endsAt <= tooLateAt ? 1 : tooLateTier;
     const isServing = step.spec.isLongRunning && !step.spec.usesIdleProcessors;
     const knownTier = isLikelyToCrash(step) ? crashedTier : isServing ? 0 : tier;
     return { step, tier: knownTier, priority: queue?.rules.priority ?? 0, slackMs, crashCount: job.crashCount };
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -93,8 +93,8 @@
     freeSlots: number;
     /** The gang for which executors were reserved at the evaluation. */
     readonly reservedFor: StepRow | undefined;
-    /** Whether the tasks were short enough to use reserved executors. */
-    readonly canBackfill: boolean;
+    /** Whether the step could use executors that are reserved for a gang. */
+    readonly canUseReserved: boolean;
 }
 
 /** One step of an occurrence. */
@@ -109,6 +109,8 @@
     waitingCount: number;
     /** Set while tasks wait for free slots. */
     blocked: BlockedPlacement | undefined;
+    /** Since when a gang finds too little room; `undefined`: it does not. */
+    blockedSince: number | undefined;
     /** Number of the last tick that looked for room for the step. */
     placedInTick: number;
     /** Highest run number of any task. The members of a gang share their run numbers. */
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -15,6 +15,12 @@
 export interface Reservation {
     readonly step: StepRow;
     readonly executors: ReadonlySet<ExecutorId>;
+    /** Whether the gang has waited for too long, so that others leave the room on the executors to it. */
+    readonly isKept: boolean;
+    /** When the room is expected to suffice, if it is kept. */
+    readonly completeAt: number;
+    /** Whether the gang is not too late to be of use. */
+    readonly isUseful: boolean;
 }
 
 /** Most room gains that are kept; a step that was evaluated before the oldest is evaluated anew. */
@@ -178,7 +184,10 @@
         this.reservation = reservation;
         for (const id of previous?.executors ?? []) {
             const executor = this.executors.get(id);
-            if (executor !== undefined && reservation?.executors.has(id) !== true) {
+            if (
+                executor !== undefined
+                && (reservation?.executors.has(id) !== true || reservation.isKept !== previous?.isKept)
+            ) {
                 this.recordRoomGain(executor);
             }
         }
