Count the longest lease that an executor grants after each change of the owner

What callers could see: a task runs twice at the same time after a change of the owner. That the users' cases had this cause is not shown.

Cause: an executor that has restarted under its id takes a lease end that was meant for its earlier clock for one far ahead, and grants its longest lease (6 s). If it restarts just before the last order of the earlier owner and then falls silent, the new owner cannot know of it, and counted the leases that owners ask for (4.5 s).

Change: hasExpired waits for the longest lease from the end of the earlier owner's orders on.

--- a/packages/cell/src/executor-leases.ts
+++ b/packages/cell/src/executor-leases.ts
@@ -36,20 +36,20 @@
     }
 
     /**
-     * Returns whether the leases of all runs that the executor can hold have certainly expired. Without a reading of its
-     * clock, an earlier owner may have renewed the lease until `earlierOrdersEndAt`. With one, it has refused that owner
-     * since.
+     * Returns whether the leases of all runs that the executor can hold have certainly expired. An earlier owner may have
+     * renewed the lease until `earlierOrdersEndAt`.
      */
     hasExpired(earlierOrdersEndAt: number): boolean {
         const now = this.options.clock.getNow();
         if (now < Math.max(this.restartLeasesEndAt, this.possibleRestartLeasesEndAt)) {
             return false;
         }
-        if (this.clockMs === undefined) {
-            const longestMs = this.options.maxLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
-            return now - earlierOrdersEndAt > longestMs;
+        // An earlier owner may not have noticed a restart just before its last order.
+        if (now - earlierOrdersEndAt <= this.longestGrantMs) {
+            return false;
         }
-        return this.estimateClock(this.clockMs) > Math.max(this.lastDeadlineMs, this.clockMs) + leaseMarginMs;
+        return this.clockMs === undefined
+            || this.estimateClock(this.clockMs) > Math.max(this.lastDeadlineMs, this.clockMs) + leaseMarginMs;
     }
 
     recordClock(clockMs: number): void {
@@ -86,9 +86,13 @@
         this.possibleRestartLeasesEndAt = -Infinity;
     }
 
+    /** Time after which a lease has expired that an executor granted for a lease end far ahead, ms. */
+    private get longestGrantMs(): number {
+        return this.options.longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+    }
+
     private computeLongestEnd(): number {
-        const { clock, longestLeaseMs } = this.options;
-        return clock.getNow() + longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+        return this.options.clock.getNow() + this.longestGrantMs;
     }
 
     /**
