Keep back tasks of occurrences that open after the release, if they may still run

Found by reading; it is not shown that the users' cases had this cause.

A new owner keeps back the tasks that the roster names for executors which it does not reach. It did so only for tasks with a row at the release. An occurrence that the owner before had opened, by a clock that was ahead, had none yet; it opened later with all tasks waiting, also those that an executor still ran.

Change: the scheduler keeps the names of the unsettled tasks, and a step that is created later begins with these as unknown. The next release settles them like the others.

Measured: the new case of scheduler_test failed before (["a.0.0.0", "a.0.0.1"] started, not ["a.0.0.1"] alone) and passes now; packages/workflow 219 passed, 0 failed, its known red test excepted.

--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -2,6 +2,7 @@
 import type { JobId } from "@waxwingroute/core";
 import { toStepKey, toTaskKey } from "./keys.js";
 import type { JobRow, OccurrenceRow, QueueRow, StepRow, TaskRow, TeamRow } from "./rows.js";
+import { setTaskState } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import type { JobSubmission, StepSpec } from "./types.js";
 
@@ -63,12 +64,23 @@
         state.hasUnknownTasks ||= mayHaveStarted;
         steps.push(createStepRow(occurrence, spec, step, criticalPaths[step] ?? 0, mayHaveStarted));
     });
+    if (state.unsettledTasks.size > 0) {
+        markUnsettledTasks(state, steps);
+    }
     job.occurrences.set(number, occurrence);
     setObjective(occurrence, state.queues.get(job.submission.queue));
     openReadySteps(state, occurrence);
     return occurrence;
 }
 
+/** Keeps back the tasks that runs of an earlier owner may still execute, as a release of the others does. */
+function markUnsettledTasks(state: SchedulerState, steps: readonly StepRow[]): void {
+    for (const task of steps.flatMap(step => step.tasks).filter(({ key }) => state.unsettledTasks.has(key))) {
+        setTaskState(task, "unknown");
+        state.hasUnknownTasks = true;
+    }
+}
+
 /** Sets the time by which the occurrence should be done. */
 function setObjective(occurrence: OccurrenceRow, queue: QueueRow | undefined): void {
     const criticalPathMs = Math.max(0, ...occurrence.steps.map(step => step.criticalPathMs))
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -423,6 +423,7 @@
      */
     releaseUnknownTasks(unsettled: ReadonlySet<TaskKey> = new Set(), now = 0): number {
         this.state.hasReleasedUnknownTasks = true;
+        this.state.unsettledTasks = unsettled;
         let released = 0;
         for (const job of this.state.jobs.values()) {
             for (const task of listUnknownTasks(job).filter(({ key }) => !unsettled.has(key))) {
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -155,6 +155,17 @@
             expect(fixture.getJobState("a")).toEqual("succeeded");
         });
 
+        it("keeps back their tasks that an executor may still run, until it is settled", () => {
+            const fixture = new SchedulerFixture(1);
+            const steps = [createStep({ taskCount: 2 })];
+            fixture.addJob("a", { spec: { payload: "", steps, schedule }, mayHaveStarted: true });
+            fixture.scheduler.releaseUnknownTasks(new Set([toId<TaskKey>("a.0.0.0")]));
+            fixture.scheduler.openDueOccurrences(fixture.now, 50_000);
+            expect(fixture.startTasks().map(start => start.task) as string[]).toEqual(["a.0.0.1"]);
+            fixture.scheduler.releaseUnknownTasks();
+            expect(fixture.startTasks().map(start => start.task) as string[]).toEqual(["a.0.0.0"]);
+        });
+
         it("ignores those of occurrences that the job does not have", () => {
             const fixture = new SchedulerFixture(1);
             fixture.addJob("a", { spec: { payload: "", steps: [createStep()], schedule } });
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -7,7 +7,15 @@
 import type { AdviceBalance } from "./advice-order.js";
 import type { ExecutorRow, JobRow, QueueRow, RunRow, StepRow, TaskRow, TeamRow } from "./rows.js";
 import { setTaskState, toRunKey } from "./rows.js";
-import type { GivenUpJob, JobChange, SchedulerOptions, StartDecision, StopDecision, StopReason } from "./types.js";
+import type {
+    GivenUpJob,
+    JobChange,
+    SchedulerOptions,
+    StartDecision,
+    StopDecision,
+    StopReason,
+    TaskKey,
+} from "./types.js";
 
 export type ResolvedOptions = Required<SchedulerOptions>;
 
@@ -45,8 +53,10 @@
     lastTickGain = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
     reservation: Reservation | undefined;
-    /** Whether `releaseUnknownTasks` was called, which may keep some; tasks added later begin as `waiting`. */
+    /** Whether `releaseUnknownTasks` was called; tasks added later begin as `waiting`, except for `unsettledTasks`. */
     hasReleasedUnknownTasks = false;
+    /** The tasks that `releaseUnknownTasks` kept, also those of occurrences that are not open yet. */
+    unsettledTasks: ReadonlySet<TaskKey> = new Set();
     /** Whether some task may be in the state `unknown`. */
     hasUnknownTasks = false;
     /** Whether `TeamRow.unknownUsage` of some team may not be 0. */
