A call that a shutdown begins has time to be stored before it is answered

Cause: the least time for a call had a confirmation and one attempt to store, but not the 100 ms before the end at which all open calls are answered.

Change: it includes them. A call is refused with notRun 1.1 s before the end, not 1.0 s.

Measured: call-times_test failed before ("The value false is not equal to true") and passes now; with job-server_test 10 passed, 0 failed beside the known red test, which this selection does not include.

--- a/packages/cell/src/call-times.ts
+++ b/packages/cell/src/call-times.ts
@@ -16,9 +16,9 @@
 /** A stored cancellation is acknowledged after this time although no owner has confirmed it. */
 export const ownerConfirmationMs = 2_000;
 
-/** A call is begun only if this much time is left for it: it is confirmed and tried to be stored once. */
-export const leastServingMs = configurationConfirmationMs + storeAttemptMs;
 /** Time before the end of a shutdown's serving time at which open calls are answered, so that the answers arrive. */
 export const answerMarginMs = 100;
+/** A call is begun only if this much time is left for it: it is confirmed and tried to be stored once. */
+export const leastServingMs = configurationConfirmationMs + storeAttemptMs + answerMarginMs;
 /** The same for cancellations that wait for the owner: they are stored, which the answer should say. */
 export const acknowledgementMarginMs = 2 * answerMarginMs;
