An owner that is closed while it reads the roster opens no sessions

Callers would see: owners that change again and again, and jobs that wait meanwhile.

Cause: closing an owner closes the sessions that it has. A roster whose read is answered after that opened further ones, which nothing closes. They go on calling executors with the old fencing token until the process ends. An executor that has heard of a later owner refuses them, and the host takes each refusal as one of its present term, which it then gives up (by reading: the last two sentences).

--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -108,8 +108,11 @@
         this.fencingToken = options.fencingToken;
     }
 
-    /** Opens a session for each executor that an earlier owner may have used. */
+    /** Opens a session for each executor that an earlier owner may have used, unless the registry was closed meanwhile. */
     adoptRoster(roster: readonly RosterEntry[]): void {
+        if (this.isClosed) {
+            return;
+        }
         for (const { executor, address, tasks } of roster) {
             const record = this.openRecord(executor, address);
             record.rosterStatus = tasks ?? "open";
--- a/packages/cell/src/executor-registry_test.ts
+++ b/packages/cell/src/executor-registry_test.ts
@@ -46,6 +46,33 @@
         });
     });
 
+    describe("an owner that is closed while it reads the roster", () => {
+        it("opens no sessions", async () => {
+            // Guards against sessions that are never closed: refused by a later owner, they end each later term of their host.
+            const cell = new CellSimulation({ hosts: 2, executors: 2 });
+            await cell.advanceUntil(() => cell.owner?.owner?.hasReleasedAllTasks === true, 5_000);
+            await cell.advance(2_000);
+            cell.hosts.forEach(host => {
+                host.store.latencyMs = 60;
+            });
+            const first = cell.owner!;
+            first.kill();
+            await cell.advanceUntil(() => cell.owner !== undefined, 4_000);
+            await cell.advance(20);
+            const second = cell.owner!;
+            second.kill();
+            const opened: string[] = [];
+            const open = second.connector.open.bind(second.connector);
+            second.connector.open = entry => {
+                opened.push(entry.executor);
+                return open(entry);
+            };
+            await cell.advance(2_000);
+            cell.close();
+            expect(opened).toEqual([]);
+        });
+    });
+
     describe("an executor that leaves while the roster that opens it is being stored", () => {
         for (const drainsAfterMs of [50, 150, 250, 350]) {
             it(`is listed as open no longer, if it drains ${drainsAfterMs} ms after it has answered`, async () => {
