An order of an owner that was closed meanwhile does not end the present term of its host

Callers would see: owners that change more often than needed after a takeover back and forth. Found by reading; it is not shown that any reported case had this cause.

Cause: an executor refuses an order or a renewal of an earlier owner once it has heard of a later one. The answer may arrive after that owner was closed and its host has acquired the cell again. The host gave up whatever term it had by then.

Change: a closed owner reports no such refusal.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -403,7 +403,10 @@
     }
 
     onFenced(executor: ExecutorId): void {
-        this.options.listener.onFenced(`executor ${executor} has seen a later fencing token`);
+        // The host may own the cell again by now, with a later token.
+        if (!this.isClosed) {
+            this.options.listener.onFenced(`executor ${executor} has seen a later fencing token`);
+        }
     }
 
     /** Runs the action once the scheduler holds what earlier owners stored. */
--- a/packages/cell/src/executor-registry_test.ts
+++ b/packages/cell/src/executor-registry_test.ts
@@ -73,6 +73,25 @@
         });
     });
 
+    describe("an order of an owner that was closed meanwhile", () => {
+        it("does not end the present term of its host when an executor refuses it", async () => {
+            // Guards against a host that gives up the cell for an order of its earlier term.
+            const cell = new CellSimulation({ hosts: 1, executors: 1 });
+            await cell.advanceUntil(() => cell.owner?.owner?.hasReleasedAllTasks === true, 5_000);
+            const host = cell.owner!;
+            const { executor } = cell.executors[0]!.options;
+            const earlier = host.owner!;
+            earlier.onFenced(executor);
+            await cell.advanceUntil(() => host.owner !== undefined, 5_000);
+            const present = host.owner!;
+            expect(present !== undefined && present !== earlier).toEqual(true);
+            earlier.onFenced(executor);
+            const isKept = host.owner === present;
+            cell.close();
+            expect(isKept).toEqual(true);
+        });
+    });
+
     describe("an executor that leaves while the roster that opens it is being stored", () => {
         for (const drainsAfterMs of [50, 150, 250, 350]) {
             it(`is listed as open no longer, if it drains ${drainsAfterMs} ms after it has answered`, async () => {
