Late losses: isolate steps whose proven runs crash executors (partial)

Callers saw: sound jobs wait without a bound beside jobs that crash their executors after the first listing. Cause: a run that was listed once is proven, so its later crashes count for nobody, and it is started again. Change: a second account. Each listed run of a crashed executor is a late loss of its step until a run outlives that age. Two at like ages, three, or one of a probe that was suspected before isolate the step: one task at a time on an idle executor, proven only above the highest loss age, with a share of its own. A sole crash in isolation clears the late losses that it explains. Not kept over a change of owner. Gangs and long-running tasks are left out.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -400,6 +400,11 @@
 
     onCrash(executor: ExecutorId, runs: readonly LostRun[]): void {
         this.crashLog.recordCrash(executor, runs);
+        // A probe that was the only suspect explains the crash.
+        if (!runs.some(({ isProbe, outcome }) => isProbe && outcome === "crashed")) {
+            const losses = runs.filter(({ isListed, outcome }) => isListed && outcome === "lost");
+            this.runAfterRecovery(() => this.scheduler.recordLateLosses(losses));
+        }
     }
 
     onFenced(executor: ExecutorId): void {
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -15,7 +15,7 @@
 import { ExecutorLeases } from "./executor-leases.js";
 import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
-import { markCrashSuspects, toRunKey } from "./tracked-run.js";
+import { isOldEnough, markCrashSuspects, toRunKey } from "./tracked-run.js";
 import type { LostRun, TrackedRun } from "./tracked-run.js";
 
 /** Receives the events of the executor sessions of an owner. */
@@ -214,6 +214,7 @@
             hasBegun: false,
             isListed: false,
             isProbe: decision.isProbe,
+            provenAfterMs: decision.provenAfterMs ?? 0,
             sentAt: clock.getNow(),
         };
         this.trackedRuns.set(toRunKey(tracked), tracked);
@@ -290,13 +291,13 @@
      */
     private async confirmProbe(tracked: TrackedRun): Promise<void> {
         const { client, clock, executor, listener } = this.options;
-        await clock.wait(probeDelayMs);
+        await clock.wait(tracked.provenAfterMs + probeDelayMs);
         const listed = await client.renew({ fencingToken: this.fencingToken, acknowledged: 0 }, answerMarginMs);
         const run = listed.ok
             ? listed.val.running.find(candidate => toRunKey(candidate) === toRunKey(tracked))
             : undefined;
         if (run !== undefined && !this.isClosed && this.trackedRuns.get(toRunKey(tracked)) === tracked) {
-            tracked.isListed = true;
+            tracked.isListed ||= isOldEnough(tracked, clock.getNow());
             listener.onRunning(executor, run);
         }
     }
@@ -483,6 +484,7 @@
                 hasBegun: true,
                 isListed: true,
                 isProbe: false,
+                provenAfterMs: 0,
                 sentAt: clock.getNow(),
             });
             if (!mayContinue) {
@@ -490,7 +492,7 @@
             }
             return;
         }
-        tracked.isListed = true;
+        tracked.isListed ||= isOldEnough(tracked, clock.getNow());
         tracked.hasBegun = true;
         if (tracked.state === "unanswered") {
             tracked.state = "answered";
--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -23,6 +23,8 @@
     readonly outcome: "done" | "failed";
     /** Time from the start until the executor crashes under the run, ms. Default: it does not. */
     readonly crashAfterMs?: number;
+    /** Time for which the executor is down after it crashed under the run, ms. Default 2,000. */
+    readonly crashDownMs?: number;
 }
 
 /** Identity, lease limit and run plans of a fake executor. */
@@ -47,7 +49,7 @@
 /** Latency of a call in each direction, ms. */
 const latencyMs = 5;
 /** Time for which an executor is down after it crashed under a run, ms. */
-const crashDownMs = 2_000;
+const defaultCrashDownMs = 2_000;
 /** Delay of orders while `isDelayingOrders` is set, ms. */
 const orderDelayMs = 3_000;
 
@@ -194,7 +196,7 @@
         this.runs.set(key, { task: order.task, run: order.run, plan, startedAt: this.options.clock.getNow() });
         this.options.checker.recordStart(this.options.executor, order.task, order.run);
         if (plan.crashAfterMs !== undefined) {
-            this.scheduleCrash(plan.crashAfterMs);
+            this.scheduleCrash(plan.crashAfterMs, plan.crashDownMs ?? defaultCrashDownMs);
         }
         return Ok({ clockMs: this.clockMs });
     }
@@ -249,13 +251,13 @@
         });
     }
 
-    private scheduleCrash(afterMs: number): void {
+    private scheduleCrash(afterMs: number, downMs: number): void {
         const { clock } = this.options;
         const incarnation = this.startedAtWallMs;
         clock.schedule(afterMs, () => {
             if (this.startedAtWallMs === incarnation) {
                 this.kill(true);
-                clock.schedule(crashDownMs, () => this.start());
+                clock.schedule(downMs, () => this.start());
             }
         });
     }
--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -24,11 +24,12 @@
     stopAnsweredAt: number;
     /** Whether the executor has confirmed or listed the run, so that its start is not on the way any more. */
     hasBegun: boolean;
-    /** Whether the executor has listed the run. */
+    /** Whether the executor has listed the run at an age above `provenAfterMs`. */
     isListed: boolean;
     readonly isProbe: boolean;
+    readonly provenAfterMs: number;
     readonly sentAt: number;
-    /** Set when the executor crashed before it had listed the run. */
+    /** Set when the executor crashed before it had listed the run so. */
     crashOutcome?: "crashed" | "suspected";
 }
 
@@ -51,6 +52,11 @@
     return `${run.task}#${run.run}`;
 }
 
+/** Returns whether a listing of the run that arrives now shows that the executor has survived its start. */
+export function isOldEnough({ provenAfterMs, sentAt }: TrackedRun, now: number): boolean {
+    return provenAfterMs === 0 || now - sentAt > provenAfterMs;
+}
+
 /**
  * Sets `crashOutcome` of the runs under which an executor may have crashed: those that it did not list, and of these the
  * ones that were sent shortly before the first call failed, if there are any. A start without an answer may have been
--- a/packages/workflow/src/crash-system.ts
+++ b/packages/workflow/src/crash-system.ts
@@ -6,11 +6,15 @@
  * crash has one cause. Probes may use only a part of the executors, which bounds what crashing tasks take from others.
  * Where many starts of a queue end in a crash, all its starts are probes.
  *
+ * An executor can also crash long after it has listed the run that is to blame. Each of its proven runs then has a late
+ * loss, until a run of the same step has outlived it. A step with several is isolated: its tasks run as probes on idle
+ * executors until they have outlived the losses. Late losses are not stored.
+ *
  * A task is given up only after several crashes, most of them without another suspect, since executors also crash for
  * other reasons. Ends by crashes are stored like other ends of runs, so that the count survives the owner.
  */
 import type { Candidate } from "./candidates.js";
-import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
+import type { ExecutorRow, RunRow, StepLoss, StepRow, TaskRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
 import type { ProbeInFlight, ProbeSample } from "./types.js";
 
@@ -24,6 +28,14 @@
 const maxCrashRate = 0.1;
 /** Bound of the crash rate, so that a queue is used freely again soon after an outage that looked like crashes. */
 const highestCrashRate = 0.3;
+/** Late losses after which a step is isolated; two at like ages suffice, or one of a probe that was suspected before. */
+const minLossesToIsolate = 3;
+/** Difference at which the ages of two late losses are alike, as a share of the larger one and beyond that, ms. */
+const ageTolerance = 0.1;
+const ageToleranceMs = 50;
+/** Bounds of the late losses that are kept of a step, and of their ages, for which a probe holds its executor, ms. */
+const maxLateLosses = 4;
+const maxLateLossMs = 10_000;
 /** Share of the executors of a pool on which probes may be in flight. */
 const maxProbeShare = 0.25;
 /** Share of the idle executors on which probes may be in flight, also those that were the only suspects of a crash. */
@@ -34,6 +46,7 @@
     task: TaskRow,
     run: number,
     outcome: "crashed" | "suspected",
+    isIsolated = false,
 ): boolean {
     const { step } = task;
     // The members of a gang start together and share their run numbers.
@@ -48,7 +61,8 @@
     runs.add(run);
     step.blocked = undefined;
     const count = new Set([...counted.crashedRuns, ...counted.suspectedRuns]).size;
-    return count >= maxCrashes && counted.crashedRuns.size >= minSoleCrashes;
+    const lateCount = isIsolated && step.lateLosses.length > 0 ? 1 : 0;
+    return count + lateCount >= maxCrashes && counted.crashedRuns.size >= minSoleCrashes;
 }
 
 /** Counts a run in the crash rate of its queue, once. `row`: the run, if it is still in the tables. */
@@ -81,10 +95,17 @@
 }
 
 /** Records that an executor has survived the start of a run. */
-export function recordSurvivedStart(state: SchedulerState, run: RunRow): void {
+export function recordSurvivedStart(state: SchedulerState, now: number, run: RunRow): void {
     if (run.isProven) {
         return;
     }
+    if (run.provenAfterMs > 0) {
+        // The rate is that of crashes before the first listing.
+        run.countsAsCrash = true;
+        if (now - run.startedAt <= run.provenAfterMs) {
+            return;
+        }
+    }
     state.confirmRun(run);
     const queue = state.queues.get(run.task.step.occurrence.job.submission.queue);
     if (queue !== undefined) {
@@ -103,7 +124,7 @@
 /** Returns whether tasks of the step start as probes, alone on their executors, and not as members of a gang. */
 export function isProbeStep(state: SchedulerState, step: StepRow): boolean {
     const queue = state.queues.get(step.occurrence.job.submission.queue);
-    return !step.spec.isGang && (step.suspectCount > 0 || (queue?.crashRate ?? 0) > maxCrashRate);
+    return !step.spec.isGang && (step.suspectCount > 0 || isIsolated(step) || (queue?.crashRate ?? 0) > maxCrashRate);
 }
 
 /** Divides the waiting tasks of a step into those that are started as probes and the others. */
@@ -117,7 +138,7 @@
         return { probes: [], others: waiting };
     }
     // The tasks of a step are alike, so the others may crash their executors too.
-    const areAll = step.crashedCount > 0 || (queue?.crashRate ?? 0) > maxCrashRate;
+    const areAll = step.crashedCount > 0 || isIsolated(step) || (queue?.crashRate ?? 0) > maxCrashRate;
     return {
         // The task with the most crashes first, so that its job is given up after as few as possible.
         probes: waiting.filter(task => areAll || isSuspect(task))
@@ -137,12 +158,12 @@
  */
 export function allowsProbe(state: SchedulerState, step: StepRow): boolean {
     const { probeCount, crashCount } = step.occurrence.job;
-    if (crashCount > 0 && probeCount > 0) {
+    if ((crashCount > 0 || isIsolated(step)) && probeCount > 0) {
         return false;
     }
     const usable = listUsableExecutors(state, step);
     const allowedCount = Math.max(usable.length * maxProbeShare, countIdle(usable) * maxIdleShare);
-    return state.probeCount < Math.max(1, Math.floor(allowedCount));
+    return countProbes(state, step) < Math.max(1, Math.floor(allowedCount));
 }
 
 /**
@@ -154,7 +175,8 @@
     task: TaskRow,
     candidates: readonly Candidate[],
 ): ExecutorRow | undefined {
-    const needsIdleExecutor = task.crashedRuns.size > 0 && !task.step.spec.isLongRunning;
+    const needsIdleExecutor = isIsolated(task.step)
+        || task.crashedRuns.size > 0 && !task.step.spec.isLongRunning;
     if (!allowsProbe(state, task.step) || needsIdleExecutor && !allowsIdleProbe(state, task.step)) {
         return undefined;
     }
@@ -169,6 +191,60 @@
     return selected;
 }
 
+/** Records that an executor crashed under a proven run of the step; the oldest run counts if it had several. */
+export function recordLateLoss(step: StepRow, { crash, ageMs, isProbe }: StepLoss): void {
+    const earlier = step.lateLosses.find(loss => loss.crash === crash);
+    if (step.spec.isGang || step.spec.isLongRunning || ageMs > maxLateLossMs || (earlier?.ageMs ?? -1) >= ageMs) {
+        return;
+    }
+    const others = step.lateLosses.filter(loss => loss !== earlier);
+    step.lateLosses = [...others, { crash, ageMs, isProbe }].slice(-maxLateLosses);
+    step.blocked = undefined;
+}
+
+/** Clears the late losses that a run of the step has outlived. */
+export function clearLateLosses(step: StepRow, ageMs: number): void {
+    filterLateLosses(step, loss => loss.ageMs >= ageMs);
+}
+
+/** Clears the late losses of other steps in crashes that a step explains, since it has crashed an executor alone. */
+export function clearExplainedLosses(state: SchedulerState, culprit: StepRow): void {
+    const explained = culprit.lateLosses.filter(loss => isAlike(loss.ageMs, getProvenAge(culprit)));
+    const crashes = new Set(explained.map(loss => loss.crash));
+    for (const step of state.openSteps) {
+        if (step !== culprit) {
+            filterLateLosses(step, loss => !crashes.has(loss.crash));
+        }
+    }
+}
+
+function filterLateLosses(step: StepRow, isKept: (loss: StepLoss) => boolean): void {
+    if (!step.lateLosses.every(isKept)) {
+        step.lateLosses = step.lateLosses.filter(isKept);
+        step.blocked = undefined;
+    }
+}
+
+/** Returns the age above which a listing proves a probe of the step, ms; 0: any listing does. */
+export function getProvenAge(step: StepRow): number {
+    return isIsolated(step) ? Math.max(...step.lateLosses.map(loss => loss.ageMs)) : 0;
+}
+
+/** Returns whether tasks of the step run one at a time on idle executors, because several crashes ended its runs. */
+function isIsolated(step: StepRow): boolean {
+    const { lateLosses, suspectCount } = step;
+    const hasEarlySuspicion = suspectCount > 0 && lateLosses.some(loss => loss.isProbe);
+    return lateLosses.length >= minLossesToIsolate || hasEarlySuspicion
+        || lateLosses.some((loss, index) =>
+            lateLosses.slice(index + 1).some(other => isAlike(loss.ageMs, other.ageMs))
+        );
+}
+
+/** Returns whether two late losses may have had the same cause, which crashes executors at one age of a run. */
+function isAlike(firstMs: number, secondMs: number): boolean {
+    return Math.abs(firstMs - secondMs) <= ageToleranceMs + ageTolerance * Math.max(firstMs, secondMs);
+}
+
 /** Returns which probes are in flight, and which steps wait for one. `ranked`: steps with waiting tasks, in their order. */
 export function sampleProbes(state: SchedulerState, now: number, ranked: readonly StepRow[]): ProbeSample {
     const inFlight: ProbeInFlight[] = [];
@@ -188,7 +264,12 @@
 /** Bounds the probes by the idle executors, so that others find room when the probes crash them. */
 function allowsIdleProbe(state: SchedulerState, step: StepRow): boolean {
     const idleCount = countIdle(listUsableExecutors(state, step));
-    return state.probeCount < Math.max(1, Math.floor(idleCount * maxIdleShare));
+    return countProbes(state, step) < Math.max(1, Math.floor(idleCount * maxIdleShare));
+}
+
+/** Counts the probes in flight of the kind that the step needs; isolated ones take longer and must not delay others. */
+function countProbes(state: SchedulerState, step: StepRow): number {
+    return isIsolated(step) ? state.isolatedCount : state.probeCount;
 }
 
 function countIdle(executors: readonly ExecutorRow[]): number {
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -2,7 +2,7 @@
 import type { ExecutorId } from "@waxwingroute/core";
 import { match, P } from "ts-pattern";
 import { recordTicketRefusal } from "./advice-system.js";
-import { recordCrash, recordCrashRate } from "./crash-system.js";
+import { clearExplainedLosses, clearLateLosses, recordCrash, recordCrashRate } from "./crash-system.js";
 import { recordRefusedStart, recordRunOutcome } from "./health-system.js";
 import { countOccurrences, isStepDone, openReadySteps } from "./job-rows.js";
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
@@ -54,11 +54,18 @@
         recordCheckpoint(task, checkpoint);
     }
     match(outcome)
-        .with("done", () => completeTask(state, task))
+        .with("done", () => {
+            clearLateLosses(task.step, Infinity);
+            completeTask(state, task);
+        })
         .with("failed", () => recordFailure(state, task, number))
         .with(P.union("crashed", "suspected"), how => {
+            const isIsolated = (row?.provenAfterMs ?? 0) > 0;
             recordCrashRate(state, task.step, row, how === "crashed");
-            if (recordCrash(task, number, how)) {
+            if (isIsolated && how === "crashed") {
+                clearExplainedLosses(state, task.step);
+            }
+            if (recordCrash(task, number, how, isIsolated)) {
                 recordGivenUp(state, task);
                 endJob(state, task.step.occurrence.job, "failed");
             }
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -129,6 +129,7 @@
         failedGangRuns: new Set(),
         crashedCount: 0,
         suspectCount: 0,
+        lateLosses: [],
         criticalPathMs,
     };
     for (let index = 0; index < spec.taskCount; index++) {
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -3,7 +3,7 @@
 import { multiplyResources } from "@waxwingroute/core";
 import type { Candidate } from "./candidates.js";
 import { canBackfill, countFreeSlots, hasValidTicket, isEligible, needsAdvice, sortCandidates } from "./candidates.js";
-import { allowsGang, allowsProbe, selectProbeExecutor, splitProbes } from "./crash-system.js";
+import { allowsGang, allowsProbe, getProvenAge, selectProbeExecutor, splitProbes } from "./crash-system.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import type { Reservation, SchedulerState } from "./state.js";
@@ -218,6 +218,7 @@
     isProbe = false,
 ): void {
     const step = task.step;
+    const provenAfterMs = isProbe ? getProvenAge(step) : 0;
     const run: RunRow = {
         task,
         number,
@@ -227,6 +228,7 @@
         state: "starting",
         isProven: false,
         isProbe,
+        provenAfterMs,
         countsAsCrash: false,
         percent: 0,
         lastProgressAt: now,
@@ -245,6 +247,7 @@
         ticket: step.advice.tickets.get(executor.id)?.ticket,
         slackMs,
         isProbe,
+        provenAfterMs,
         earlierRun: describeEarlierRun(task, now),
     });
 }
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -35,6 +35,8 @@
     isProven: boolean;
     /** Whether no other run may be started on the executor until this one is proven. */
     readonly isProbe: boolean;
+    /** Age above which a listing proves the run, ms; 0: any listing does. */
+    readonly provenAfterMs: number;
     /** Whether the run counts in the crash rate of its queue as one that crashed its executor. */
     countsAsCrash: boolean;
     /** Work done, 0 to 100. A long-running task is fully available at 100. */
@@ -116,6 +118,15 @@
     readonly canBackfill: boolean;
 }
 
+/** A proven run of a step that its executor had when it crashed. */
+export interface StepLoss {
+    /** Number of the crash, in this owner. */
+    readonly crash: number;
+    readonly ageMs: number;
+    /** Whether the run was a probe, which shared its executor with few others. */
+    readonly isProbe: boolean;
+}
+
 /** One step of an occurrence. */
 export interface StepRow {
     readonly key: StepKey;
@@ -138,6 +149,8 @@
     /** Number of tasks that were the only suspect of a crash, and of tasks with any crash; done tasks are kept. */
     crashedCount: number;
     suspectCount: number;
+    /** Proven runs that were lost in crashes, one for each crash, at ages that no run has outlived since. */
+    lateLosses: readonly StepLoss[];
     /** Estimated time from the start of this step to the end of the occurrence, ms. */
     criticalPathMs: number;
 }
--- a/packages/workflow/src/scheduler.ts
+++ b/packages/workflow/src/scheduler.ts
@@ -15,7 +15,7 @@
 import type { ExecutorId, JobId, QueueId, TeamId } from "@waxwingroute/core";
 import { fitsWithin, toId, zeroResources } from "@waxwingroute/core";
 import { recordAdvice, sendAdviceRequests } from "./advice-system.js";
-import { recordSilence, recordSurvivedStart, sampleProbes } from "./crash-system.js";
+import { clearLateLosses, recordLateLoss, recordSilence, recordSurvivedStart, sampleProbes } from "./crash-system.js";
 import type { EndedRun } from "./end-system.js";
 import { applyRunEnd, endJob } from "./end-system.js";
 import { addEndedJob, listRemainingTasks } from "./ended-jobs.js";
@@ -39,6 +39,7 @@
     GivenUpJob,
     JobState,
     JobSubmission,
+    LateLoss,
     ListedRun,
     PoolId,
     ProbeSample,
@@ -265,6 +266,7 @@
                 state: "running",
                 isProven: true,
                 isProbe: false,
+                provenAfterMs: 0,
                 countsAsCrash: false,
                 percent: listed.percent,
                 lastProgressAt: now,
@@ -297,6 +299,7 @@
                 state: "stopping",
                 isProven: true,
                 isProbe: false,
+                provenAfterMs: 0,
                 countsAsCrash: false,
                 percent: 0,
                 lastProgressAt: now,
@@ -325,7 +328,8 @@
         if (run === undefined) {
             return;
         }
-        recordSurvivedStart(this.state, run);
+        recordSurvivedStart(this.state, now, run);
+        clearLateLosses(run.task.step, now - run.startedAt);
         run.lastReportedAt = now;
         const isLongRunning = run.task.step.spec.isLongRunning;
         if (listed.percent > run.percent || isLongRunning && listed.percent >= 100) {
@@ -339,6 +343,17 @@
         run.tailMs = listed.tailMs ?? run.tailMs;
     }
 
+    /** Records that an executor crashed under proven runs, which were of the given ages. */
+    recordLateLosses(runs: readonly LateLoss[]): void {
+        this.state.lateCrashCount += 1;
+        for (const loss of runs) {
+            const step = this.findTask(loss.task)?.step;
+            if (step !== undefined) {
+                recordLateLoss(step, { ...loss, crash: this.state.lateCrashCount });
+            }
+        }
+    }
+
     /** Records the end of a run, also of one that this owner did not start. Returns whether its task is known. */
     recordEnd(now: number, end: RunEnd, source: EndSource = "listing"): boolean {
         const executor = this.state.executors.get(end.executor);
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -53,6 +53,10 @@
     hasUnknownUsage = false;
     /** Number of probes in flight. */
     probeCount = 0;
+    /** Number of crashes under proven runs so far. */
+    lateCrashCount = 0;
+    /** Number of isolated probes in flight, which `probeCount` does not contain. */
+    isolatedCount = 0;
     /** Run numbers of this owner are above this number. */
     runNumberBase = 0;
 
@@ -131,7 +135,8 @@
 
     private updateProbeCounts(run: RunRow, change: 1 | -1): void {
         if (run.isProbe && !run.isProven) {
-            this.probeCount += change;
+            this.probeCount += run.provenAfterMs > 0 ? 0 : change;
+            this.isolatedCount += run.provenAfterMs > 0 ? change : 0;
             run.task.step.occurrence.job.probeCount += change;
         }
     }
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -234,6 +234,14 @@
     readonly tailMs?: number;
 }
 
+/** A proven run that its executor had when it crashed. */
+export interface LateLoss {
+    readonly task: TaskKey;
+    /** Upper bound of the age of the run at the crash, ms. */
+    readonly ageMs: number;
+    readonly isProbe: boolean;
+}
+
 /** An order to start a run on an executor, which is charged for it from this decision on. */
 export interface StartDecision {
     readonly executor: ExecutorId;
@@ -247,6 +255,8 @@
     readonly slackMs: number;
     /** Whether the executor gets no other start until it is known to have survived this one. */
     readonly isProbe: boolean;
+    /** Age above which a listing shows that the executor has survived the start of a probe, ms. Default 0: any listing does. */
+    readonly provenAfterMs?: number;
     /** Absent for the first start of a task. */
     readonly earlierRun?: EarlierRun;
 }
