--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -11,7 +11,7 @@
     listAdvisedExecutors,
     sortCandidates,
 } from "./candidates.js";
-import { allowsGang, allowsProbe, selectProbeExecutor, splitProbes } from "./crash-system.js";
+import { allowsGang, allowsProbe, getProvenAge, selectProbeExecutor, splitProbes } from "./crash-system.js";
 import type { RankedStep } from "./rank.js";
 import { reserveExecutors, reserveForOldest } from "./reservation-system.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
@@ -222,6 +222,7 @@
     isProbe = false,
 ): void {
     const step = task.step;
+    const provenAfterMs = isProbe ? getProvenAge(step) : 0;
     const run: RunRow = {
         task,
         number,
@@ -231,6 +232,7 @@
         state: "starting",
         isProven: false,
         isProbe,
+        provenAfterMs,
         countsAsCrash: false,
         percent: 0,
         lastProgressAt: now,
@@ -249,6 +251,7 @@
         ticket: step.advice.tickets.get(executor.id)?.ticket,
         slackMs,
         isProbe,
+        provenAfterMs,
         earlierRun: describeEarlierRun(task, now),
     });
 }
