--- a/packages/node/src/node-host.ts
+++ b/packages/node/src/node-host.ts
@@ -42,7 +42,10 @@
 /** Time in which the load balancer detects that the host is not ready, ms: two of its probes. */
 const balancerDetectionMs = 2_200;
 
-/** Time that a shutdown keeps for its last step, ms: 100 for the calls of other hosts, 200 for their answers, and 100 for late timers. */
+/**
+ * Time that a shutdown keeps for its last step, ms: 100 for the calls of other hosts, 200 for their answers, and 100 for
+ * late timers.
+ */
 const lastStepMs = 400;
 /**
  * How much longer than the grace period and the reuse of an address together a port is tried, ms. The platform allows a
