--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -216,7 +216,7 @@
         const executor = this.executors.get(event.executor);
         if (event.kind === "entry") {
             // What a life has sent before its crash may arrive after it.
-            if (executor?.child !== undefined) {
+            if (executor?.child !== undefined && executor.settings.id === event.executor) {
                 executor.heardAt = performance.now();
                 this.store.put(`servers/${event.executor}`, event.entry);
                 if (event.entry.sequence === 1) {
@@ -271,8 +271,11 @@
         executor.child = undefined;
         this.note("executor-crash", { executor: id });
         setTimeout(() => {
-            if (this.executors.get(id)?.child === undefined && this.store.mode === "up") {
+            const successor = this.executors.get(id);
+            const isBack = successor?.child !== undefined && successor.settings.id === id;
+            if (!isBack && this.store.mode === "up") {
                 this.store.remove(`servers/${id}`);
+                this.note("entry-removed", { executor: id });
             }
         }, entryExpiryMs).unref();
     }
