Keep runs that the new life of an executor has begun before its first listing

Cause: when a listing showed that an executor had restarted, all runs that had begun counted as those of the earlier life, also one that the new life had begun and that the same listing had. It was reported as lost, as a crash under a sound task, and started elsewhere.

Change: a run in that listing belongs to the new life. A run that was confirmed after the listing had been requested is kept like a start without an answer, which the next listing resolves.

--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -439,7 +439,7 @@
         this.reportConfirmedLosses();
         if (this.startedAtWallMs !== undefined && listing.startedAtWallMs !== this.startedAtWallMs) {
             logger.write("warn", "executor restarted", { executor, startedAtWallMs: listing.startedAtWallMs });
-            this.dropRunsOfEarlierIncarnation();
+            this.dropRunsOfEarlierIncarnation(listing, sentAt);
             this.isUnfenced = !isLeaseValid;
             this.ends.reset();
             this.acknowledged = 0;
@@ -604,17 +604,31 @@
     }
 
     /**
-     * Reports the runs of the earlier incarnation as lost. Starts without an answer are kept, since they may still
-     * reach the new incarnation.
+     * Reports the runs of the earlier incarnation as lost, after the first listing of a new one. A run that is in it was
+     * begun by the new incarnation. Starts without an answer are kept, since they may still reach the new incarnation, as
+     * are those that were answered after the listing had been requested: either incarnation may have answered them.
      */
-    private dropRunsOfEarlierIncarnation(): void {
-        this.markCrash();
-        for (const [key, tracked] of this.trackedRuns) {
+    private dropRunsOfEarlierIncarnation(listing: ExecutorListing, sentAt: number): void {
+        const listed = new Set([...listing.running, ...listing.ended].map(toRunKey));
+        const earlier = [...this.trackedRuns].filter(([key, { changedAt, hasBegun }]) =>
+            !listed.has(key) && !(hasBegun && changedAt >= sentAt)
+        );
+        this.markCrash(earlier.map(([, tracked]) => tracked));
+        for (const [key, tracked] of earlier) {
             if (tracked.hasBegun) {
                 this.trackedRuns.delete(key);
                 this.reportLoss(tracked, tracked.crashOutcome ?? "lost", "restart");
             }
-            else if (tracked.stop === "answered") {
+        }
+        for (const [key, tracked] of this.trackedRuns) {
+            if (listed.has(key)) {
+                continue;
+            }
+            if (tracked.hasBegun) {
+                tracked.hasBegun = false;
+                tracked.state = "unanswered";
+            }
+            if (tracked.stop === "answered") {
                 // The new incarnation knows nothing of the stop.
                 tracked.state = "unanswered";
                 tracked.stop = "none";
@@ -623,9 +637,9 @@
         }
     }
 
-    private markCrash(): void {
+    private markCrash(held: Iterable<TrackedRun> = this.trackedRuns.values()): void {
         const { clock, executor, listener } = this.options;
-        const runs = markCrashSuspects(this.trackedRuns.values(), Math.min(this.failingSince, clock.getNow()));
+        const runs = markCrashSuspects(held, Math.min(this.failingSince, clock.getNow()));
         if (runs.length > 0) {
             listener.onCrash(executor, runs);
         }
--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -115,6 +115,35 @@
     }
 }
 
+/** An executor that confirms starts at once, and lists what it ran when the renewal arrived, after `listingMs`. */
+class SnapshotExecutor extends RestartingExecutor {
+    static readonly listingMs = 400;
+
+    constructor(private readonly snapshotClock: ManualClock) {
+        super(snapshotClock);
+        this.isRunning = false;
+    }
+
+    override async start(): Promise<Result<{ readonly clockMs: number; }, Failure>> {
+        await this.snapshotClock.wait(10);
+        this.isRunning = true;
+        return Ok({ clockMs: this.snapshotClock.getNow() });
+    }
+
+    override async renew(): Promise<Result<ExecutorListing, Failure>> {
+        const { isRunning, life } = this;
+        await this.snapshotClock.wait(SnapshotExecutor.listingMs);
+        const running = isRunning ? [{ task, run: 1, checkpoint: "", percent: 0 }] : [];
+        return Ok({
+            clockMs: this.snapshotClock.getNow(),
+            startedAtWallMs: life,
+            running,
+            ended: [],
+            hasAllEnds: true,
+        });
+    }
+}
+
 class SessionFixture<Executor extends StubbornExecutor = StubbornExecutor> {
     readonly clock = new ManualClock(1_000);
     readonly lost: number[] = [];
@@ -288,6 +317,37 @@
         });
     });
 
+    describe("a run that the new life of its executor has begun before a listing has shown the restart", () => {
+        for (const isLeaseValid of [true, false]) {
+            for (const isInFirstListing of [true, false]) {
+                const name = `${isInFirstListing ? "" : "not "}in the first listing, the lease ${
+                    isLeaseValid ? "" : "not "
+                }valid`;
+                it(`does not count as lost (${name})`, async () => {
+                    // Guards against a task that starts elsewhere while the new life of its executor runs it, and against
+                    // a sound task that is given up for crashes.
+                    const fixture = new SessionFixture(clock => new SnapshotExecutor(clock));
+                    const { authority, clock, executor, session } = fixture;
+                    const { listingMs } = SnapshotExecutor;
+                    session.start();
+                    await clock.advance(5 * listingMs + 10);
+                    executor.life = 2;
+                    authority.isLeaseValid = isLeaseValid;
+                    // Renewals follow each other, and the next one arrives 10 ms before a whole multiple of their time.
+                    await clock.advance(isInFirstListing ? listingMs - 50 : listingMs + 20);
+                    session.startRun({ task, run: 1, payload: "", checkpoint: "", isProbe: false } as never);
+                    await clock.advance(3 * listingMs);
+                    authority.isLeaseValid = true;
+                    session.reportConfirmedLosses();
+                    await clock.advance(3 * listingMs);
+                    expect(fixture.ends).toEqual([]);
+                    expect(executor.stopTimes).toEqual([]);
+                    session.close();
+                });
+            }
+        }
+    });
+
     describe("a start without an answer whose stop the earlier life of its executor has answered", () => {
         it("is stopped in the new life too before its run counts as ended", async () => {
             // Guards against a start that reaches the new life late, while its task already runs elsewhere.
