Count each crash of an executor once

Cause: runs that an executor had listed stay tracked until the lease is valid, and each notice of the crash recorded them again.

Change: a run counts in one crash only.

Evidence: lost-runs_test, 'count for one crash (listed run)', fails without the change.

--- a/packages/cell/src/tracked-run.ts
+++ b/packages/cell/src/tracked-run.ts
@@ -31,6 +31,8 @@
     readonly sentAt: number;
     /** Set when the executor crashed before it had listed the run so. */
     crashOutcome?: "crashed" | "suspected";
+    /** Whether the crash that ended it was recorded, so that each crash counts once. */
+    isCrashRecorded?: boolean;
 }
 
 /** A run that an executor had when it crashed. */
@@ -61,10 +63,12 @@
  * Sets `crashOutcome` of the runs under which an executor may have crashed: those that it did not list, and of these the
  * ones that were sent shortly before the first call failed, if there are any. A start without an answer may have been
  * sent after the crash, so that alone it counts as the only suspect only if it was a probe. Returns the runs that the
- * executor had.
+ * executor had, each only once: while the owner has no valid lease, the same crash is noticed several times.
  */
 export function markCrashSuspects(runs: Iterable<TrackedRun>, failingSince: number): LostRun[] {
-    const held = [...runs].filter(tracked => tracked.state !== "sent" || tracked.isListed);
+    const held = [...runs].filter(tracked =>
+        tracked.isCrashRecorded !== true && (tracked.state !== "sent" || tracked.isListed)
+    );
     const unlisted = held.filter(tracked => !tracked.isListed);
     const recent = unlisted.filter(tracked => tracked.sentAt >= failingSince - maxCrashDelayMs);
     const suspects = recent.length > 0 ? recent : unlisted;
@@ -74,6 +78,9 @@
     suspects.forEach(tracked => {
         tracked.crashOutcome ??= isSole ? "crashed" : "suspected";
     });
+    held.forEach(tracked => {
+        tracked.isCrashRecorded = true;
+    });
     return held.filter(tracked => tracked.state !== "stopped").map(tracked => ({
         task: tracked.task,
         run: tracked.run,
