Hold an executor for the probe that has been due for longest

Cause: a task that was the only suspect of a crash, or whose step is isolated, started only on an executor without any run, and nothing ends that wait. Two more waits of the class: probes rank last, so others take each executor that becomes idle; and other probes need an executor whose runs are all listed, which constant starts never let come true.

Change: one executor is held for the step whose probe has been due for longest, the one where a crash is expected to do the least harm.

--- a/packages/cell/src/testing/fake-executor.ts
+++ b/packages/cell/src/testing/fake-executor.ts
@@ -21,6 +21,8 @@
 export interface RunPlan {
     readonly workMs: number;
     readonly outcome: "done" | "failed";
+    /** Whether the run is at work from its start on, as the task of a service is. Default: it makes progress until its end. */
+    readonly isAvailable?: boolean;
     /** Time from the start until the executor crashes under the run, ms. Default: it does not. */
     readonly crashAfterMs?: number;
     /** Time for which the executor is down after it crashed under the run, ms. Default 2,000. */
@@ -258,7 +260,9 @@
                 task: run.task,
                 run: run.run,
                 checkpoint: "",
-                percent: Math.floor(100 * (now - run.startedAt) / run.plan.workMs),
+                percent: run.plan.isAvailable === true
+                    ? 100
+                    : Math.floor(100 * (now - run.startedAt) / run.plan.workMs),
             })),
             ended: this.ends.slice(0, maxListedEnds),
             hasAllEnds: this.ends.length <= maxListedEnds,
--- a/packages/workflow/src/candidates.ts
+++ b/packages/workflow/src/candidates.ts
@@ -31,9 +31,15 @@
         && executor.runsOfUnknownTasks.size === 0
         && executor.probeRuns === 0
         && !isReservedForOther(state, now, step, executor)
+        && !isHeldForOther(state, step, executor)
         && (label === undefined || executor.labels.has(label));
 }
 
+/** Returns whether the executor is held for a probe of another step. */
+export function isHeldForOther({ probeHold }: SchedulerState, step: StepRow, executor: ExecutorRow): boolean {
+    return probeHold?.executor === executor && probeHold.step !== step;
+}
+
 function isReservedForOther(state: SchedulerState, now: number, step: StepRow, executor: ExecutorRow): boolean {
     const reservation = state.reservation;
     if (reservation === undefined || reservation.step === step || !reservation.executors.has(executor.id)) {
--- a/packages/workflow/src/crash-system.ts
+++ b/packages/workflow/src/crash-system.ts
@@ -168,22 +168,22 @@
 
 /**
  * Returns the executor on which a probe may start now: the one with the fewest runs, which a crash would end too, and an
- * idle one for a task that has crashed an executor. `undefined`: there is none.
+ * idle one for a task that has crashed an executor, or one that `canShare` allows. `undefined`: there is none.
  */
 export function selectProbeExecutor(
     state: SchedulerState,
     task: TaskRow,
     candidates: readonly Candidate[],
+    canShare: (executor: ExecutorRow) => boolean,
 ): ExecutorRow | undefined {
-    const needsIdleExecutor = isIsolated(task.step)
-        || task.crashedRuns.size > 0 && !task.step.spec.isLongRunning;
-    if (!allowsProbe(state, task.step) || needsIdleExecutor && !allowsIdleProbe(state, task.step)) {
+    const needsIdle = needsIdleExecutor(task);
+    if (!allowsProbe(state, task.step) || needsIdle && !allowsIdleProbe(state, task.step)) {
         return undefined;
     }
-    const maxRuns = needsIdleExecutor ? 0 : Infinity;
     let selected: ExecutorRow | undefined;
     for (const { executor } of candidates) {
-        const isUsable = executor.unprovenRuns === 0 && executor.runs.size <= maxRuns;
+        const isUsable = executor.unprovenRuns === 0
+            && (!needsIdle || executor.runs.size === 0 || canShare(executor));
         if (isUsable && executor.runs.size < (selected?.runs.size ?? Infinity)) {
             selected = executor;
         }
@@ -191,6 +191,11 @@
     return selected;
 }
 
+/** Returns whether a probe of the task starts on an idle executor, as far as there is one in time. */
+export function needsIdleExecutor({ crashedRuns, step }: TaskRow): boolean {
+    return isIsolated(step) || crashedRuns.size > 0 && !step.spec.isLongRunning;
+}
+
 /** Records that an executor crashed under a proven run of the step; the oldest run counts if it had several. */
 export function recordLateLoss(step: StepRow, { crash, ageMs, isProbe }: StepLoss): void {
     const earlier = step.lateLosses.find(loss => loss.crash === crash);
@@ -262,7 +267,7 @@
 }
 
 /** Bounds the probes by the idle executors, so that others find room when the probes crash them. */
-function allowsIdleProbe(state: SchedulerState, step: StepRow): boolean {
+export function allowsIdleProbe(state: SchedulerState, step: StepRow): boolean {
     const idleCount = countIdle(listUsableExecutors(state, step));
     return countProbes(state, step) < Math.max(1, Math.floor(idleCount * maxIdleShare));
 }
--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -136,6 +136,7 @@
         waitingCount: state === "waiting" ? spec.taskCount : 0,
         blocked: undefined,
         blockedSince: undefined,
+        probeDueSince: undefined,
         placedInTick: 0,
         lastRunNumber: 0,
         doneCount: 0,
--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -12,6 +12,7 @@
     sortCandidates,
 } from "./candidates.js";
 import { allowsGang, allowsProbe, getProvenAge, selectProbeExecutor, splitProbes } from "./crash-system.js";
+import { canShareExecutor, reserveForOldestProbe } from "./probe-hold-system.js";
 import type { RankedStep } from "./rank.js";
 import { reserveExecutors, reserveForOldest } from "./reservation-system.js";
 import type { ExecutorRow, RunRow, StepRow, TaskRow } from "./rows.js";
@@ -29,6 +30,7 @@
     if (kept !== undefined) {
         state.setReservation(kept, previous);
     }
+    reserveForOldestProbe(state, now, ranked);
     for (const { step, slackMs } of ranked) {
         const isPartOfGang = step.spec.isGang && step.waitingCount < step.tasks.length;
         if (step.waitingCount === 0 || isPartOfGang) {
@@ -124,12 +126,18 @@
     slackMs: number,
 ): void {
     for (const task of tasks) {
-        const executor = selectProbeExecutor(state, task, candidates);
+        const executor = selectProbeExecutor(
+            state,
+            task,
+            candidates,
+            candidate => canShareExecutor(state, now, step, candidate),
+        );
         if (executor === undefined || !allowsMore(step.occurrence.job.team, getChargedResources(step))) {
             continue;
         }
         candidates.splice(candidates.findIndex(candidate => candidate.executor === executor), 1);
         startTask(state, now, task, executor, getNextRunNumber(state, step), slackMs, true);
+        step.probeDueSince = undefined;
     }
 }
 
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -141,6 +141,8 @@
     blocked: BlockedPlacement | undefined;
     /** Since when a gang finds too little room; `undefined`: it does not. */
     blockedSince: number | undefined;
+    /** Since when a probe of the step could start and has not found an executor; `undefined`: none is due. */
+    probeDueSince: number | undefined;
     /** Number of the last tick that looked for room for the step. */
     placedInTick: number;
     /** Highest run number of any task. The members of a gang share their run numbers. */
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -35,6 +35,14 @@
 const maxRoomGains = 4_096;
 
 /** Tables, decisions not yet returned, and the state of the recovery after a change of owner. */
+/** An executor on which only probes of one step start. */
+export interface ProbeHold {
+    readonly step: StepRow;
+    readonly executor: ExecutorRow;
+    /** Since when an executor is held for the step. */
+    readonly since: number;
+}
+
 export class SchedulerState {
     readonly executors = new Table<ExecutorId, ExecutorRow>();
     readonly jobs = new Table<JobId, JobRow>();
@@ -59,6 +67,8 @@
     lastTickGain = 0;
     /** Decided again in each tick; `undefined`: no gang waits for executors. */
     reservation: Reservation | undefined;
+    /** The executor that is held for a probe. */
+    probeHold: ProbeHold | undefined;
     /** Whether `releaseUnknownTasks` was called; tasks added later begin as `waiting`, except for `unsettledTasks`. */
     hasReleasedUnknownTasks = false;
     /** The tasks that `releaseUnknownTasks` kept, also those of occurrences that are not open yet. */
--- a/packages/workflow/src/waiting-reasons.ts
+++ b/packages/workflow/src/waiting-reasons.ts
@@ -3,7 +3,7 @@
  * anything, so that a wait can be explained while it lasts.
  */
 import { multiplyResources } from "@waxwingroute/core";
-import { countFreeSlots, hasValidTicket, isEligible, needsAdvice } from "./candidates.js";
+import { countFreeSlots, hasValidTicket, isEligible, isHeldForOther, needsAdvice } from "./candidates.js";
 import { allowsGang, allowsProbe, isProbeStep } from "./crash-system.js";
 import type { ExecutorRow, RunRow, StepRow } from "./rows.js";
 import type { SchedulerState } from "./state.js";
@@ -23,7 +23,7 @@
     "teamLimit",
     /** The tasks may crash their executors, and as many probes as allowed are in flight. */
     "probeLimit",
-    /** No executor is idle for a probe of a task that has crashed one. */
+    /** No executor is idle, or free of runs that are not proven, for a probe; one is held for the oldest. */
     "probeNeedsIdle",
     /** A gang that may crash its executors starts only on those that have survived their last starts. */
     "gangNeedsProven",
@@ -40,6 +40,8 @@
     /** Executors with room run as many tasks of the step as it allows on one. */
     "maxPerExecutor",
     "reservedForGang",
+    /** An executor is held for a probe of another step. */
+    "heldForProbe",
     /** Executors are avoided for a time, because they refused starts, or runs on them failed. */
     "executorsAvoided",
     "executorsUnreachable",
@@ -67,6 +69,7 @@
     /** With room, and runs that they may not survive, which keeps a gang away that may crash executors. */
     unproven: number;
     reserved: number;
+    held: number;
     avoided: number;
     unreachable: number;
     blocked: number;
@@ -218,6 +221,7 @@
         ["maxPerExecutor", executors.atMaximum],
         ["gangNeedsProven", executors.unproven],
         ["reservedForGang", executors.reserved],
+        ["heldForProbe", executors.held],
         ["executorsAvoided", executors.avoided],
         ["executorsUnreachable", executors.unreachable],
         ["executorsBlocked", executors.blocked],
@@ -261,7 +265,17 @@
     now: number,
     step: StepRow,
     executor: ExecutorRow,
-): "usable" | "full" | "atMaximum" | "unproven" | "reserved" | "avoided" | "unreachable" | "blocked" | "leaving" {
+):
+    | "usable"
+    | "full"
+    | "atMaximum"
+    | "unproven"
+    | "reserved"
+    | "held"
+    | "avoided"
+    | "unreachable"
+    | "blocked"
+    | "leaving" {
     if (isEligible(state, now, step, executor)) {
         if (countFits(getChargedResources(step), getFreeResources(executor)) === 0) {
             return "full";
@@ -278,6 +292,9 @@
     if (executor.avoidUntil > now) {
         return "avoided";
     }
+    if (isHeldForOther(state, step, executor)) {
+        return "held";
+    }
     return executor.runsOfUnknownTasks.size > 0 || executor.probeRuns > 0 ? "blocked" : "reserved";
 }
 
@@ -288,6 +305,7 @@
         atMaximum: 0,
         unproven: 0,
         reserved: 0,
+        held: 0,
         avoided: 0,
         unreachable: 0,
         blocked: 0,
