Store the cancelling of a job that is not stored

Cause: for an id that neither the owner nor the store knows, a cancelling stored nothing. That the job is absent does not prove that it will not come: it can be in a socket, in the memory of a host, or at the store.

Change: the cancellation is stored under a key of its own on the condition that the job is not, and the job on the condition that its cancellation is not, so the store keeps one of both in any order. The store removes these keys with a lease after the retention of ended jobs; a team may have 1,000 on a host.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -29,6 +29,7 @@
 import type { OwnershipTerm } from "./lease-ownership.js";
 import { LeaseOwnership } from "./lease-ownership.js";
 import { OwnerClient } from "./owner-client.js";
+import { PauseMeter } from "./pause-meter.js";
 import { PeerDirectory } from "./peer-directory.js";
 import type { PlatformCodec } from "./platform-codec.js";
 import { decodeJobRecord, parseJobKey, toCancelKey, toJobKey } from "./store-keys.js";
@@ -85,6 +86,12 @@
 const publicTeam = toId<TeamId>("public");
 /** Upper limit of the store's silence in the gauges, ms. */
 const maxReportedSilenceMs = 3_600_000;
+/** Pause of this host, as a share of the retention of ended jobs, after which what it reads may be as late as that. */
+const longPauseShare = 0.5;
+/** Time after such a pause in which submissions are refused, ms: this host reads what arrived during it. */
+const wakeMs = 2_000;
+/** Longest time for which cancellations of jobs that are not stored are kept, ms; leases of the store end soon after. */
+const maxEarlyCancellationMs = 540_000;
 /** Timeout of a call that replaces an earlier owner, ms. */
 const replaceTimeoutMs = 500;
 /** Timeout of a forwarded store request that sets none, ms. */
@@ -109,6 +116,7 @@
     /** Set while the pending term waits for the configuration. */
     private confirmation: Promise<void> | undefined;
     private retentionMs: number;
+    private readonly pauses: PauseMeter;
     private isTracking = false;
     /** Whether this host has resigned. */
     private isStopping = false;
@@ -120,6 +128,7 @@
         super();
         this.retentionMs = options.retentionMs;
         const { address, clock, codec, host, logger, random, supervisor } = options;
+        this.pauses = new PauseMeter({ clock, isNeeded: () => !this.hasStopped });
         this.peers = new PeerDirectory(address);
         this.store = new FallbackStore({
             direct: options.store,
@@ -140,6 +149,7 @@
             logger,
             supervisor,
             onStored: items => this.addAnnouncements(items),
+            earlyCancellationMs: Math.min(options.retentionMs, maxEarlyCancellationMs),
         });
         this.tracker = new ConfigurationTracker({
             store: this.store,
@@ -199,6 +209,7 @@
         if (!this.isTracking) {
             this.isTracking = true;
             this.tracker.start();
+            this.pauses.start();
         }
         await this.server.listen();
         if (this.isStopping) {
@@ -371,6 +382,12 @@
         spec: JobSpec,
     ): Promise<Result<void, Failure>> {
         const { clock, logger } = this.options;
+        if (this.pauses.hasWokenFrom(this.retentionMs * longPauseShare, wakeMs)) {
+            // The submission may have arrived before the pause. Its repetition may have run, ended, and left the store.
+            logger.write("warn", "job not accepted", { job, queue: target.queue, team, code: "pause" });
+            const message = "this host was paused, so the submission may be late";
+            return Err(createFailure(gatewayFailures.unavailable, message, "notRun", startingRetryMs));
+        }
         if (this.replica.getState(job) !== undefined) {
             logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: "known" });
             return Ok(undefined);
@@ -391,6 +408,14 @@
             logger.write("info", "job not accepted", { job, queue: target.queue, team, code, verdict, tookMs });
             return Err(stored.val);
         }
+        if (stored.val === "cancelled") {
+            logger.write("info", "job not accepted", { job, queue: target.queue, team, code: "cancelled", tookMs });
+            return Err(createFailure(
+                gatewayFailures.cancelledJob,
+                "the job was cancelled before it was submitted; use another id for a new job",
+                "notRun",
+            ));
+        }
         this.replica.record(job, "queued");
         logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: stored.val, tookMs });
         return Ok(undefined);
@@ -407,14 +432,35 @@
         return known === undefined ? this.readState(job) : Ok(known);
     }
 
-    override async cancel(job: JobId): Promise<Result<void, Failure>> {
+    override async cancel(job: JobId, team: TeamId): Promise<Result<void, Failure>> {
         const state = await this.describe(job);
         if (!state.ok) {
-            return Err(state.val);
+            return state.val.code === gatewayFailures.unknownJob
+                ? this.cancelUnknown(job, team, state.val)
+                : Err(state.val);
         }
-        if (state.val !== "queued" && state.val !== "running") {
-            return Ok(undefined);
+        return state.val === "queued" || state.val === "running" ? this.cancelOpen(job) : Ok(undefined);
+    }
+
+    /** Makes sure that a job that is not stored will not be: its submission may be on its way. */
+    private async cancelUnknown(job: JobId, team: TeamId, unknown: Failure): Promise<Result<void, Failure>> {
+        const stored = await this.intake.cancelEarly(job, team);
+        this.options.logger.write("info", "early cancellation", {
+            job,
+            team,
+            outcome: stored.ok ? stored.val : stored.val.code,
+        });
+        if (!stored.ok) {
+            return Err(stored.val);
+        }
+        if (stored.val === "existed") {
+            this.replica.record(job, "queued");
+            return this.cancelOpen(job);
         }
+        return Err(unknown);
+    }
+
+    private async cancelOpen(job: JobId): Promise<Result<void, Failure>> {
         const stored = await this.intake.cancel(job);
         this.options.logger.write("info", "cancellation", {
             job,
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -10,6 +10,7 @@
 import { CellOwner } from "./cell-owner.js";
 import { ConfigurationTracker } from "./configuration-tracker.js";
 import type { CellConfiguration } from "./configuration.js";
+import { gatewayFailures } from "./job-gateway.js";
 import { storeFailures } from "./store.js";
 import { createStep, TestCodec, testConfiguration, testQueue, testTeam } from "./testing/cell-simulation.js";
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
@@ -310,7 +311,7 @@
             Reflect.set(CellOwner.prototype, "acceptAnnounced", () => false);
             let isAcknowledged = false;
             try {
-                void host.cancel(job).then(() => {
+                void host.cancel(job, testTeam).then(() => {
                     isAcknowledged = true;
                 });
                 await fixture.clock.wait(1_000);
@@ -326,6 +327,28 @@
         });
     }
 
+    // Guards against a job that runs after its cancelling was answered with "unknown": its submission was on its way.
+    for (const caller of ["the owner", "another host"]) {
+        it(`accepts no job after its early cancellation, at ${caller} and at others`, async () => {
+            fixture = new Fixture();
+            const hosts = [await fixture.open("a"), await fixture.open("b")];
+            const owner = await fixture.awaitOwner();
+            const host = hosts.find(candidate => (candidate === owner) === (caller === "the owner"))!;
+            await fixture.clock.wait(300);
+            const job = toId<JobId>("0000000000000009");
+            const cancelled = await host.cancel(job, testTeam);
+            expect((cancelled.val as Failure).code).toEqual(gatewayFailures.unknownJob);
+            for (const other of hosts) {
+                const submitted = await fixture.submit(other, job);
+                const { code, verdict } = submitted.val as Failure;
+                expect([code, verdict]).toEqual([gatewayFailures.cancelledJob, "notRun"]);
+                expect((await other.describe(job)).ok).toEqual(false);
+            }
+            await fixture.clock.wait(500);
+            expect(fixture.startCount).toEqual(0);
+        });
+    }
+
     // Guards against a stopping host that no owner can confirm a cancellation to, so that it waits for its bound.
     for (const caller of ["the last owner", "another host"]) {
         it(`has a later owner confirm a cancellation after it has resigned (${caller})`, async () => {
@@ -342,7 +365,7 @@
             await owner.resign();
             await fixture.clock.wait(1_000);
             const startedAt = fixture.clock.getNow();
-            expect((await host.cancel(job)).ok).toEqual(true);
+            expect((await host.cancel(job, testTeam)).ok).toEqual(true);
             expect(fixture.clock.getNow() - startedAt < 1_000).toEqual(true);
             expect(fixture.lines.filter(line => line.includes("cell ownership acquired")).length).toEqual(2);
         });
--- a/packages/cell/src/job-gateway.ts
+++ b/packages/cell/src/job-gateway.ts
@@ -18,6 +18,8 @@
     unknownQueue: "unknown-queue",
     unknownKey: "unknown-key",
     unknownJob: "unknown-job",
+    /** The job was cancelled before it was submitted, and is not accepted. */
+    cancelledJob: "cancelled-job",
     /** Nothing was done; the caller should retry. */
     unavailable: "unavailable",
     /** The outcome is unknown; the caller should send the same job id again. */
@@ -37,12 +39,18 @@
     abstract authorize(target: QueueTarget, key: string | undefined): Result<TeamId, Failure>;
     /** Returns the size of the largest request body, bytes. */
     abstract getMaxBodyBytes(): number;
-    /** Stores a job. Submitting the same id again succeeds without effect. */
+    /**
+     * Stores a job. Submitting the same id again succeeds without effect. Fails with `cancelledJob` if the team has
+     * cancelled the id before.
+     */
     abstract submit(target: QueueTarget, team: TeamId, job: JobId, spec: JobSpec): Promise<Result<void, Failure>>;
     /** Returns the state of a job. */
     abstract describe(job: JobId): Promise<Result<JobState, Failure>>;
-    /** Stores the cancellation of a job; without effect if the job has ended. */
-    abstract cancel(job: JobId): Promise<Result<void, Failure>>;
+    /**
+     * Stores the cancellation of a job of the team; without effect if the job has ended. `unknownJob`: no such job is
+     * stored, and one with this id that the team submits later, or whose submission is still on its way, is not accepted.
+     */
+    abstract cancel(job: JobId, team: TeamId): Promise<Result<void, Failure>>;
     /** Returns the number of jobs in the queue without a started task. The count may be two seconds old. */
     abstract countPending(queue: QueueId): Result<number, Failure>;
 }
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -6,16 +6,23 @@
  * a replaced owner that has not noticed yet can tell that it must not start the job. A write without an answer is
  * repeated. If no attempt is answered in time, the outcome is reported as unknown and never as refused, because the
  * store may still carry out a late write.
+ *
+ * A job can be cancelled while its submission is still on its way: in a socket of a paused host, in the memory of a host,
+ * or to the store. Such a cancellation is stored under a key of its own, on the condition that the job is not stored, and a
+ * job is written on the condition that this key does not exist. So only one of both is stored, in whatever order and
+ * however late they arrive. The store removes these cancellations by itself after `earlyCancellationMs`.
  */
-import type { Clock, Failure, JobId, Result } from "@waxwingroute/core";
+import type { Clock, Failure, JobId, Result, TeamId } from "@waxwingroute/core";
 import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
+import { match } from "ts-pattern";
 import { AdaptiveTimeout } from "./adaptive-timeout.js";
 import { storeAttemptMs, storeWriteMs } from "./call-times.js";
+import { ExpiringLease } from "./expiring-lease.js";
 import type { JobRecord, StoredEpoch } from "./store-keys.js";
-import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
-import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
-import { maxTransactionEntries } from "./store.js";
+import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toEarlyCancelKey, toJobKey } from "./store-keys.js";
+import type { LeaseStore, StoreCondition, StoreItem, StoreWrite } from "./store.js";
+import { maxTransactionEntries, storeFailures } from "./store.js";
 
 /** The store, limits and callback of an intake. */
 export interface JobIntakeOptions {
@@ -31,6 +38,10 @@
     readonly maxInFlight?: number;
     /** Longest wait for the answer to one transaction, ms. Default 600. */
     readonly commitTimeoutMs?: number;
+    /** How long cancellations of jobs that were not stored are kept, ms. Default 120,000. */
+    readonly earlyCancellationMs?: number;
+    /** Most such cancellations of one team that this host keeps. Default 1,000. */
+    readonly maxEarlyCancellations?: number;
 }
 
 /** Time without a successful write after which new requests are refused at once, ms. */
@@ -40,19 +51,31 @@
 /** Pause before a failed transaction is repeated, ms. */
 const retryMs = 60;
 
+const defaultEarlyCancellationMs = 120_000;
+const defaultMaxEarlyCancellations = 1_000;
+/** Longest retry delay of a team that has too many early cancellations, ms. */
+const maxQuotaRetryMs = 10_000;
+
 /** A job to accept. Its epoch is added at each attempt to store it. */
 export type NewJob = Omit<Extract<JobRecord, { kind: "accepted"; }>, "epoch">;
 
+/** What a write did. `existed`: the job was stored before. `cancelled`: it was cancelled before it could be stored. */
+export type IntakeOutcome = "stored" | "existed" | "cancelled";
+
+/** What is to be stored. `earlyCancellation`: only if the job is not. */
+type IntakeContent =
+    | { readonly kind: "job"; readonly record: NewJob; }
+    | { readonly kind: "cancellation"; }
+    | { readonly kind: "earlyCancellation"; readonly team: TeamId; };
+
 interface PendingWrite {
     readonly job: JobId;
-    readonly key: string;
-    /** The job to store; `undefined` for a cancellation. */
-    readonly record: NewJob | undefined;
+    readonly content: IntakeContent;
     readonly arrivedAt: number;
     /** Whether an attempt had no answer, so that the store may have carried it out. */
     mayBeStored: boolean;
     attempts: number;
-    readonly resolve: (result: Result<"stored" | "existed", Failure>) => void;
+    readonly resolve: (result: Result<IntakeOutcome, Failure>) => void;
 }
 
 /** Stores the jobs and cancellations that one host accepts. */
@@ -64,9 +87,23 @@
     private storedEpoch: StoredEpoch = { epoch: 0, revision: 0 };
 
     private readonly timeout: AdaptiveTimeout;
+    private readonly earlyLease: ExpiringLease;
+    /** Times at which the early cancellations of each team were stored, the oldest first. */
+    private readonly earlyTimes = new Map<TeamId, number[]>();
 
     constructor(private readonly options: JobIntakeOptions) {
-        this.timeout = new AdaptiveTimeout(options.clock, options.commitTimeoutMs ?? storeAttemptMs);
+        const { clock, commitTimeoutMs = storeAttemptMs, store } = options;
+        this.timeout = new AdaptiveTimeout(clock, commitTimeoutMs);
+        this.earlyLease = new ExpiringLease({
+            store,
+            clock,
+            keepMs: this.earlyCancellationMs,
+            timeoutMs: commitTimeoutMs,
+        });
+    }
+
+    private get earlyCancellationMs(): number {
+        return this.options.earlyCancellationMs ?? defaultEarlyCancellationMs;
     }
 
     /** Whether new requests are refused because writes to the store keep failing. */
@@ -81,27 +118,43 @@
         }
     }
 
-    /** Stores a job. `existed` means that it was stored before. */
-    submit(job: JobId, record: NewJob): Promise<Result<"stored" | "existed", Failure>> {
-        return this.enqueue(job, toJobKey(job), record);
+    /** Stores a job. */
+    submit(job: JobId, record: NewJob): Promise<Result<IntakeOutcome, Failure>> {
+        return this.enqueue(job, { kind: "job", record });
+    }
+
+    /** Stores the cancellation of a stored job. */
+    cancel(job: JobId): Promise<Result<IntakeOutcome, Failure>> {
+        return this.enqueue(job, { kind: "cancellation" });
     }
 
-    /** Stores the cancellation of a job. */
-    cancel(job: JobId): Promise<Result<"stored" | "existed", Failure>> {
-        return this.enqueue(job, toCancelKey(job), undefined);
+    /**
+     * Stores the cancellation of a job of the team that is not stored, so that it will not be. `existed`: the job was
+     * stored meanwhile, and the cancellation is not. Fails with `notRun` if the team has too many.
+     */
+    cancelEarly(job: JobId, team: TeamId): Promise<Result<IntakeOutcome, Failure>> {
+        const now = this.options.clock.getNow();
+        const times = (this.earlyTimes.get(team) ?? []).filter(time => now - time < this.earlyCancellationMs);
+        if (times.length >= (this.options.maxEarlyCancellations ?? defaultMaxEarlyCancellations)) {
+            return Promise.resolve(Err(createFailure(
+                "too-many-early-cancellations",
+                "the team has cancelled too many jobs that were not submitted",
+                "notRun",
+                Math.min(maxQuotaRetryMs, times[0]! + this.earlyCancellationMs - now),
+            )));
+        }
+        times.push(now);
+        this.earlyTimes.set(team, times);
+        return this.enqueue(job, { kind: "earlyCancellation", team });
     }
 
-    private enqueue(
-        job: JobId,
-        key: string,
-        record: NewJob | undefined,
-    ): Promise<Result<"stored" | "existed", Failure>> {
+    private enqueue(job: JobId, content: IntakeContent): Promise<Result<IntakeOutcome, Failure>> {
         if (this.isInOutage) {
             return Promise.resolve(Err(this.createOutageFailure()));
         }
         return new Promise(resolve => {
             const arrivedAt = this.options.clock.getNow();
-            this.waiting.push({ job, key, record, arrivedAt, mayBeStored: false, attempts: 0, resolve });
+            this.waiting.push({ job, content, arrivedAt, mayBeStored: false, attempts: 0, resolve });
             this.flush();
         });
     }
@@ -122,17 +175,21 @@
         const batch: PendingWrite[] = [];
         // One entry of the transaction is the condition on the epoch.
         let entries = 1;
-        const keys = new Set<string>();
+        // A job and its early cancellation exclude each other, so they cannot be in one transaction.
+        const jobs = new Set<JobId>();
+        // Early cancellations need a lease, which must not delay others.
+        const isEarly = this.waiting[0]?.content.kind === "earlyCancellation";
         const deferred: PendingWrite[] = [];
         for (const pending of this.waiting) {
-            // A job adds its write and the condition on its key; a cancellation adds only its write.
-            const size = pending.record === undefined ? 1 : 2;
-            if (entries + size > maxTransactionEntries || keys.has(pending.key)) {
+            const size = 1 + listConditions(pending).length;
+            const fits = entries + size <= maxTransactionEntries && !jobs.has(pending.job)
+                && (pending.content.kind === "earlyCancellation") === isEarly;
+            if (!fits) {
                 deferred.push(pending);
             }
             else {
                 entries += size;
-                keys.add(pending.key);
+                jobs.add(pending.job);
                 batch.push(pending);
             }
         }
@@ -142,22 +199,30 @@
 
     private async commit(batch: PendingWrite[]): Promise<void> {
         const { storedEpoch } = this;
-        const writes = batch.map(pending => toWrite(pending, storedEpoch));
-        const jobs = batch.filter(pending => pending.record !== undefined);
+        const lease = batch[0]?.content.kind === "earlyCancellation" ? await this.earlyLease.get() : Ok(0);
+        if (!lease.ok) {
+            await this.handleFailure(batch, createFailure(lease.val.code, lease.val.message, "notRun"));
+            return;
+        }
+        const writes = batch.map(pending => toWrite(pending, storedEpoch, lease.val));
+        const hasJobs = batch.some(({ content }) => content.kind === "job");
         const sentAt = this.options.clock.getNow();
         const attempt = Math.max(...batch.map(pending => pending.attempts));
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
                 conditions: [
-                    ...jobs.map(({ key }) => ({ key, revision: 0 })),
-                    ...jobs.length === 0 ? [] : [{ key: epochKey, revision: storedEpoch.revision }],
+                    ...batch.flatMap(listConditions),
+                    ...hasJobs ? [{ key: epochKey, revision: storedEpoch.revision }] : [],
                 ],
                 writes,
                 removals: [],
             },
         }, this.timeout.choose(attempt));
         if (!committed.ok) {
+            if (committed.val.code === storeFailures.leaseEnded) {
+                this.earlyLease.reset();
+            }
             await this.handleFailure(batch, committed.val);
             return;
         }
@@ -165,7 +230,9 @@
         this.timeout.recordAnswer(sentAt);
         if (committed.val.kind === "committed") {
             const { revision } = committed.val;
-            this.options.onStored?.(writes.map(({ key, value }) => ({
+            // Owners have no use for early cancellations.
+            const announced = lease.val === 0 ? writes : [];
+            this.options.onStored?.(announced.map(({ key, value }) => ({
                 key,
                 value,
                 revision,
@@ -176,8 +243,17 @@
         }
         this.recordEpoch(decodeEpoch(committed.val.items.find(item => item.key === epochKey)));
         const existing = new Set(committed.val.items.map(item => item.key));
-        batch.filter(({ key }) => existing.has(key)).forEach(pending => pending.resolve(Ok("existed")));
-        this.waiting.unshift(...batch.filter(({ key }) => !existing.has(key)));
+        const remaining: PendingWrite[] = [];
+        for (const pending of batch) {
+            const found = listConditions(pending).map(({ key }) => key).filter(key => existing.has(key));
+            if (found.length === 0) {
+                remaining.push(pending);
+            }
+            else {
+                pending.resolve(Ok(found.includes(toJobKey(pending.job)) ? "existed" : "cancelled"));
+            }
+        }
+        this.waiting.unshift(...remaining);
     }
 
     private async handleFailure(batch: PendingWrite[], failure: Failure): Promise<void> {
@@ -251,6 +327,23 @@
     }
 }
 
-function toWrite({ key, record }: PendingWrite, { epoch }: StoredEpoch): StoreWrite {
-    return { key, value: record === undefined ? "1" : encodeAcceptedJob({ ...record, epoch }) };
+/** Returns the keys that must not exist for the write. */
+function listConditions({ content, job }: PendingWrite): StoreCondition[] {
+    return match(content)
+        .with({ kind: "job" }, ({ record: { team } }) => [toJobKey(job), toEarlyCancelKey(job, team)])
+        .with({ kind: "cancellation" }, () => [])
+        .with({ kind: "earlyCancellation" }, () => [toJobKey(job)])
+        .exhaustive()
+        .map(key => ({ key, revision: 0 }));
+}
+
+function toWrite({ content, job }: PendingWrite, { epoch }: StoredEpoch, lease: number): StoreWrite {
+    return match(content)
+        .with({ kind: "job" }, ({ record }) => ({
+            key: toJobKey(job),
+            value: encodeAcceptedJob({ ...record, epoch }),
+        }))
+        .with({ kind: "cancellation" }, () => ({ key: toCancelKey(job), value: "1" }))
+        .with({ kind: "earlyCancellation" }, ({ team }) => ({ key: toEarlyCancelKey(job, team), value: "1", lease }))
+        .exhaustive();
 }
--- a/packages/cell/src/job-intake_test.ts
+++ b/packages/cell/src/job-intake_test.ts
@@ -2,6 +2,7 @@
 import { ManualClock, toId } from "@waxwingroute/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { JobIntakeOptions } from "./job-intake.js";
 import { JobIntake } from "./job-intake.js";
 import { decodeJobRecord, epochKey, toCancelKey, toJobKey } from "./store-keys.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
@@ -11,12 +12,17 @@
     readonly clock = new ManualClock();
     readonly data = new MemoryStoreData(this.clock);
     readonly store = new MemoryLeaseStore(this.data);
-    readonly intake = new JobIntake({
-        store: this.store,
-        clock: this.clock,
-        logger: { write: () => undefined },
-        supervisor: createStrictSupervisor(this.clock),
-    });
+    readonly intake: JobIntake;
+
+    constructor(options: Partial<JobIntakeOptions> = {}) {
+        this.intake = new JobIntake({
+            store: this.store,
+            clock: this.clock,
+            logger: { write: () => undefined },
+            supervisor: createStrictSupervisor(this.clock),
+            ...options,
+        });
+    }
 
     submit(name: string): { result: Result<string, Failure> | undefined; } {
         const submission: { result: Result<string, Failure> | undefined; } = { result: undefined };
@@ -32,6 +38,15 @@
         return submission;
     }
 
+    /** Cancels a job that is not stored. */
+    cancelEarly(name: string, team = "t"): { result: Result<string, Failure> | undefined; } {
+        const cancellation: { result: Result<string, Failure> | undefined; } = { result: undefined };
+        void this.intake.cancelEarly(toId<JobId>(name), toId<TeamId>(team)).then(result => {
+            cancellation.result = result;
+        });
+        return cancellation;
+    }
+
     getEpoch(name: string): number | undefined {
         const record = decodeJobRecord(this.data.items.get(toJobKey(toId<JobId>(name)))?.value ?? "");
         return record.ok && record.val.kind === "accepted" ? record.val.epoch : undefined;
@@ -133,4 +148,99 @@
         await fixture.clock.advance(10);
         expect(fixture.data.items.has(toCancelKey(toId<JobId>("a")))).toEqual(true);
     });
+
+    describe("the cancellation of a job that is not stored", () => {
+        // Guards against a job that runs after its cancelling was acknowledged, since its submission was on its way.
+        it("keeps a later submission at any host from being stored", async () => {
+            const fixture = new Fixture();
+            const cancelled = fixture.cancelEarly("a");
+            await fixture.clock.advance(20);
+            expect(cancelled.result?.val).toEqual("stored");
+            const job = fixture.submit("a");
+            await fixture.clock.advance(20);
+            expect(job.result?.val).toEqual("cancelled");
+            expect(fixture.isStored("a")).toEqual(false);
+        });
+
+        it("keeps a write from being carried out that is late at the store", async () => {
+            const fixture = new Fixture();
+            fixture.store.commitFault = "late";
+            fixture.submit("a");
+            await fixture.clock.advance(300);
+            fixture.store.commitFault = "none";
+            const cancelled = fixture.cancelEarly("a");
+            await fixture.clock.advance(50);
+            expect(cancelled.result?.val).toEqual("stored");
+            await fixture.clock.advance(5_000);
+            expect(fixture.isStored("a")).toEqual(false);
+        });
+
+        it("leaves the job alone if it was stored meanwhile, and says so", async () => {
+            const fixture = new Fixture();
+            fixture.submit("a");
+            await fixture.clock.advance(20);
+            const cancelled = fixture.cancelEarly("a");
+            await fixture.clock.advance(20);
+            expect(cancelled.result?.val).toEqual("existed");
+            const again = fixture.submit("a");
+            await fixture.clock.advance(20);
+            expect(again.result?.val).toEqual("existed");
+        });
+
+        it("excludes the job also if both are stored at the same time", async () => {
+            const fixture = new Fixture();
+            // The first three transactions are in flight, so that the others wait and are stored together.
+            ["x", "y", "z"].forEach(name => fixture.submit(name));
+            const job = fixture.submit("a");
+            const cancelled = fixture.cancelEarly("a");
+            await fixture.clock.advance(50);
+            expect([job.result?.val, cancelled.result?.val]).toEqual(["stored", "existed"]);
+        });
+
+        it("does not keep the jobs of other teams from being stored", async () => {
+            const fixture = new Fixture();
+            fixture.cancelEarly("a", "other");
+            await fixture.clock.advance(20);
+            const job = fixture.submit("a");
+            await fixture.clock.advance(20);
+            expect(job.result?.val).toEqual("stored");
+        });
+
+        it("is kept for its time, and then removed by the store", async () => {
+            const fixture = new Fixture();
+            fixture.cancelEarly("a");
+            // A later one shares the lease of the first.
+            await fixture.clock.advance(25_000);
+            fixture.cancelEarly("b");
+            await fixture.clock.advance(119_000);
+            const late = fixture.submit("b");
+            await fixture.clock.advance(20);
+            expect(late.result?.val).toEqual("cancelled");
+            await fixture.clock.advance(60_000);
+            fixture.data.expireLeases();
+            expect([...fixture.data.items.keys()].filter(key => key.startsWith("waxwing/cancelled/"))).toEqual([]);
+        });
+
+        it("is refused, and not acknowledged, beyond the number that a team may have", async () => {
+            const fixture = new Fixture({ maxEarlyCancellations: 2 });
+            const first = ["a", "b", "c"].map(name => fixture.cancelEarly(name));
+            const other = fixture.cancelEarly("d", "other");
+            await fixture.clock.advance(50);
+            expect(first.map(({ result }) => result?.ok)).toEqual([true, true, false]);
+            expect((first[2]!.result!.val as Failure).verdict).toEqual("notRun");
+            expect(other.result?.ok).toEqual(true);
+            await fixture.clock.advance(121_000);
+            const later = fixture.cancelEarly("c");
+            await fixture.clock.advance(50);
+            expect(later.result?.ok).toEqual(true);
+        });
+
+        it("is not acknowledged while the store does not answer", async () => {
+            const fixture = new Fixture();
+            fixture.store.mode = "silent";
+            const cancelled = fixture.cancelEarly("a");
+            await fixture.clock.advance(10_000);
+            expect(cancelled.result?.ok).toEqual(false);
+        });
+    });
 });
--- a/packages/cell/src/pause-meter.ts
+++ b/packages/cell/src/pause-meter.ts
@@ -20,6 +20,7 @@
 export class PauseMeter {
     private dueAt: number | undefined;
     private total = 0;
+    private lastPause = { ms: 0, endedAt: -Infinity };
 
     constructor(private readonly options: PauseMeterOptions) {}
 
@@ -36,11 +37,18 @@
         const lateMs = this.dueAt === undefined ? 0 : now - this.dueAt;
         if (lateMs > minPauseMs) {
             this.total += lateMs;
+            this.lastPause = { ms: lateMs, endedAt: now };
             this.dueAt = now;
         }
         return this.total;
     }
 
+    /** Returns whether the process has woken within the last `withinMs` from a pause of at least `pauseMs`. */
+    hasWokenFrom(pauseMs: number, withinMs: number): boolean {
+        this.getPausedMs();
+        return this.lastPause.ms >= pauseMs && this.options.clock.getNow() - this.lastPause.endedAt < withinMs;
+    }
+
     private scheduleNext(): void {
         const { clock } = this.options;
         this.dueAt = clock.getNow() + intervalMs;
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -11,6 +11,7 @@
     RunOutcome,
     TaskKey,
 } from "@waxwingroute/workflow";
+import { createHash } from "node:crypto";
 import { z } from "zod";
 import type { MachineId } from "./machine-manager.js";
 import { decodeRemainingTasks, encodeRemainingTasks, remainingTasksSchema } from "./remaining-tasks.js";
@@ -32,6 +33,8 @@
 export const runEndsPrefix = "waxwing/ends/";
 /** Prefix of the keys that hold, for each maintenance wave, the machines whose service has begun. */
 export const waveProgressPrefix = "waxwing/waves/";
+/** Prefix of the cancellations of jobs that were not stored. Owners do not read them. */
+export const earlyCancelPrefix = "waxwing/cancelled/";
 const cancelSuffix = "/cancel";
 
 /** An accepted job, or the final state of a finished one. */
@@ -138,6 +141,8 @@
 const machinesSchema = z.array(z.string().transform(name => toId<MachineId>(name)));
 const endsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.string(), z.string()]));
 
+/** Length of the hash of a team in a key; names may be longer than a key. */
+const teamDigits = 16;
 /** Number of prefixes over which jobs are spread, so that a new owner reads them concurrently, not page by page. */
 const bucketCount = 16;
 
@@ -156,6 +161,14 @@
     return toJobKey(job) + cancelSuffix;
 }
 
+/**
+ * Returns the key that exists once a team has cancelled a job that was not stored. It has the team, so that no team can
+ * keep the jobs of another one from being stored.
+ */
+export function toEarlyCancelKey(job: JobId, team: TeamId): string {
+    return `${earlyCancelPrefix}${job}/${createHash("sha256").update(team).digest("hex").slice(0, teamDigits)}`;
+}
+
 /** Assigns a job to a bucket by the sum of its character codes, which spreads random ids evenly enough. */
 function computeBucket(job: JobId): string {
     let sum = 0;
