Give the held executor to jobs that have crashed the fewest first

Cause: the hold went to the step that was due for longest, so jobs that crash executors again came before sound ones, and it kept idle executors from other probes whose turn it was not.

Change: jobs that have crashed fewer executors come first, the step that has the hold is placed first, and while an executor is idle none is held for 1 s. The wait for a held executor is 1 s.

--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -31,7 +31,7 @@
         state.setReservation(kept, previous);
     }
     reserveForOldestProbe(state, now, ranked);
-    for (const { step, slackMs } of ranked) {
+    for (const { step, slackMs } of moveHeldFirst(state, ranked)) {
         const isPartOfGang = step.spec.isGang && step.waitingCount < step.tasks.length;
         if (step.waitingCount === 0 || isPartOfGang) {
             continue;
@@ -52,6 +52,12 @@
     state.lastTickGain = state.gainPosition;
 }
 
+/** Returns the steps with the one first that has an executor held, so that the executor is not kept from others in vain. */
+function moveHeldFirst({ probeHold }: SchedulerState, ranked: readonly RankedStep[]): readonly RankedStep[] {
+    const held = ranked.find(({ step }) => step === probeHold?.step);
+    return held === undefined ? ranked : [held, ...ranked.filter(row => row !== held)];
+}
+
 /** Places what it can of a step. Returns `false` if tasks remain that wait for free slots. */
 function placeStep(state: SchedulerState, now: number, step: StepRow, slackMs: number): boolean {
     const { probes, others: waiting } = splitProbes(state, step, listWaitingTasks(step));
--- a/packages/workflow/src/probe-hold-system.ts
+++ b/packages/workflow/src/probe-hold-system.ts
@@ -3,9 +3,9 @@
  *
  * A probe starts only on an executor whose runs are all proven, so that a further crash has one cause. That of a task which
  * has crashed an executor before prefers an idle one, so that the crash takes nobody else along. Neither may ever be
- * there: other tasks take each executor first, or each runs a service that does not end. So the step whose probe has been
- * due for longest has one executor held for it, on which nothing else starts: the one where a crash is expected to do the
- * least harm at the end of the wait. The probe starts there once it is idle, or when waiting longer would spare nothing.
+ * there: other tasks take each executor first, or each runs a service that does not end. So one step at a time has an
+ * executor held for its probe, on which nothing else starts: the one where a crash is expected to do the least harm at the
+ * end of the wait. The probe starts there once it is idle, or when waiting longer would spare nothing.
  */
 import {
     countFreeSlots,
@@ -21,10 +21,10 @@
 import type { ProbeHold, SchedulerState } from "./state.js";
 import { allowsMore, getChargedResources } from "./state.js";
 
-/** Longest time for which a due probe waits for an idle executor, ms. */
-const maxIdleWaitMs = 1_500;
-/** Share of the executors of a pool that may be held before that time. */
-const maxHeldShare = 0.25;
+/** Time for which a due probe waits before an executor is held for it although it could start on another one, ms. */
+const maxUnheldMs = 1_000;
+/** Longest time for which a probe waits for its held executor to become idle, ms. */
+const maxIdleWaitMs = 1_000;
 
 /** What a crash of an executor ends, the graver part first. */
 interface Harm {
@@ -37,12 +37,12 @@
     readonly presentRuns: number;
 }
 
-/** Holds an executor for the step whose probe has been due for longest, if it has not found one. */
+/** Holds an executor for the step whose turn it is, if its probe has not found one. */
 export function reserveForOldestProbe(state: SchedulerState, now: number, ranked: readonly RankedStep[]): void {
     const previous = state.probeHold;
     state.probeHold = undefined;
     const due = ranked.map(({ step }) => step).filter(step => updateDueTime(state, now, step));
-    due.sort((first, second) => first.probeDueSince! - second.probeDueSince!);
+    due.sort(compareTurns);
     for (const step of due) {
         const since = previous?.step === step ? previous.since : now;
         const executor = selectExecutorToHold(state, now, step, since, previous);
@@ -56,6 +56,15 @@
     }
 }
 
+/**
+ * A job whose executor crashed for another reason is finished by its next probe, so these come before jobs that have
+ * crashed an executor again. Among them, the one that has been due for longest comes first.
+ */
+function compareTurns(first: StepRow, second: StepRow): number {
+    return first.occurrence.job.crashCount - second.occurrence.job.crashCount
+        || first.probeDueSince! - second.probeDueSince!;
+}
+
 /**
  * Returns whether a probe of a task that needs an idle executor may start on one that has runs: it is held for the step,
  * and either the wait is over, or a crash would lose no progress and nothing there is expected to end during the wait.
@@ -78,19 +87,18 @@
     if (!isDue || !allowsProbe(state, step)) {
         return false;
     }
-    const isLong = now - step.probeDueSince! >= maxIdleWaitMs;
+    const isLong = now - step.probeDueSince! >= maxUnheldMs;
     const needsIdle = step.tasks.some(task => task.state === "waiting" && needsIdleExecutor(task));
-    return needsIdle ? allowsIdleProbe(state, step) && (isLong || allowsHold(state, step)) : isLong;
+    return needsIdle ? allowsIdleProbe(state, step) && (isLong || !hasIdleExecutor(state, now, step)) : isLong;
 }
 
-/** Returns whether one executor is a small part of those that the step may use. */
-function allowsHold(state: SchedulerState, step: StepRow): boolean {
-    const pool = state.queues.get(step.occurrence.job.submission.queue)?.rules.pool;
-    let count = 0;
-    for (const executor of state.executors.values()) {
-        count += executor.pool === pool && executor.isReady && executor.isReachable ? 1 : 0;
+function hasIdleExecutor(state: SchedulerState, now: number, step: StepRow): boolean {
+    for (const executor of listAdvisedExecutors(state, step)) {
+        if (executor.runs.size === 0 && isEligible(state, now, step, executor)) {
+            return true;
+        }
     }
-    return count * maxHeldShare >= 1;
+    return false;
 }
 
 function selectExecutorToHold(
