Answer calls for jobs of other teams as for unknown jobs

Seen by the users: a key of another team reads and cancels a job whose id it knows.

Cause: the queue and the team of a key were looked up, and only the id of the job was passed on; no layer compared the teams.

Change: the team and queue of a job go with its status through hosts, messages and the stored end. Through the public queue of a job any call is served.

Evidence: two cases of cell-host_test, at the accepting host, the owner, another host and one that knows the job only from the store.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -163,7 +163,7 @@
         this.publisher = new CellPublisher({
             clock,
             address,
-            getState: job => this.replica.getState(job),
+            getStatus: job => this.replica.getStatus(job),
             getConfigurationVersion: () => this.tracker.current?.configuration.version,
         });
         this.ownerClient = new OwnerClient({
@@ -173,7 +173,7 @@
             address,
             listOpenJobs: () => this.replica.listOpenJobs(),
             onUpdate: update => this.acceptUpdate(update),
-            onStates: states => states.forEach(([job, state]) => this.replica.record(job, state, true)),
+            onStates: statuses => statuses.forEach(status => this.replica.record(status, true)),
             onFollowed: jobs => this.replica.markFollowed(jobs),
             onSilent: () => this.ownership.refresh(),
         });
@@ -388,7 +388,9 @@
             const message = "this host was paused, so the submission may be late";
             return Err(createFailure(gatewayFailures.unavailable, message, "notRun", startingRetryMs));
         }
-        if (this.replica.getState(job) !== undefined) {
+        const { queue } = target;
+        const known = this.replica.getStatus(job);
+        if (known?.team === team) {
             logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: "known" });
             return Ok(undefined);
         }
@@ -408,42 +410,61 @@
             logger.write("info", "job not accepted", { job, queue: target.queue, team, code, verdict, tookMs });
             return Err(stored.val);
         }
-        if (stored.val === "cancelled") {
-            logger.write("info", "job not accepted", { job, queue: target.queue, team, code: "cancelled", tookMs });
-            return Err(createFailure(
-                gatewayFailures.cancelledJob,
-                "the job was cancelled before it was submitted; use another id for a new job",
-                "notRun",
-            ));
+        if (stored.val === "cancelled" || stored.val === "taken") {
+            logger.write("info", "job not accepted", { job, queue, team, code: stored.val, tookMs });
+            return Err(
+                stored.val === "cancelled"
+                    ? createFailure(
+                        gatewayFailures.cancelledJob,
+                        "the job was cancelled before it was submitted; use another id for a new job",
+                        "notRun",
+                    )
+                    : createFailure(gatewayFailures.takenId, "the id is taken; use another one", "notRun"),
+            );
         }
-        this.replica.record(job, "queued");
+        this.replica.record({ job, queue, team, state: "queued" });
         logger.write("info", "job accepted", { job, queue: target.queue, team, outcome: stored.val, tookMs });
         return Ok(undefined);
     }
 
-    override async describe(job: JobId): Promise<Result<JobState, Failure>> {
-        const current = this.owner === undefined ? this.replica.getCurrentState(job) : this.replica.getState(job);
+    override async describe(target: QueueTarget, team: TeamId, job: JobId): Promise<Result<JobState, Failure>> {
+        const status = await this.findStatus(job);
+        if (!status.ok) {
+            return Err(status.val);
+        }
+        const { queue, state, team: jobTeam } = status.val;
+        // The team of a job whose end an earlier version stored is not known.
+        if (jobTeam === undefined || jobTeam === team || target.isPublic && queue === target.queue) {
+            return Ok(state);
+        }
+        this.options.logger.write("warn", "call for a job of another team", { job, team, queue: target.queue });
+        return Err(createUnknownJobFailure(job));
+    }
+
+    private async findStatus(job: JobId): Promise<Result<JobChange, Failure>> {
+        const { replica } = this;
+        const current = this.owner === undefined ? replica.getCurrentStatus(job) : replica.getStatus(job);
         if (current !== undefined) {
             return Ok(current);
         }
         const reported = await this.ownerClient.follow(job);
-        // Without an answer of the owner, the last known state is used, though it may be out of date.
-        const known = reported ?? this.replica.getState(job);
-        return known === undefined ? this.readState(job) : Ok(known);
+        // Without an answer of the owner, the last known status is used, though it may be out of date.
+        const known = reported ?? replica.getStatus(job);
+        return known === undefined ? this.readStatus(job) : Ok(known);
     }
 
-    override async cancel(job: JobId, team: TeamId): Promise<Result<void, Failure>> {
-        const state = await this.describe(job);
+    override async cancel(target: QueueTarget, team: TeamId, job: JobId): Promise<Result<void, Failure>> {
+        const state = await this.describe(target, team, job);
         if (!state.ok) {
             return state.val.code === gatewayFailures.unknownJob
-                ? this.cancelUnknown(job, team, state.val)
+                ? this.cancelUnknown(target, team, job)
                 : Err(state.val);
         }
         return state.val === "queued" || state.val === "running" ? this.cancelOpen(job) : Ok(undefined);
     }
 
     /** Makes sure that a job that is not stored will not be: its submission may be on its way. */
-    private async cancelUnknown(job: JobId, team: TeamId, unknown: Failure): Promise<Result<void, Failure>> {
+    private async cancelUnknown(target: QueueTarget, team: TeamId, job: JobId): Promise<Result<void, Failure>> {
         const stored = await this.intake.cancelEarly(job, team);
         this.options.logger.write("info", "early cancellation", {
             job,
@@ -453,11 +474,13 @@
         if (!stored.ok) {
             return Err(stored.val);
         }
-        if (stored.val === "existed") {
-            this.replica.record(job, "queued");
-            return this.cancelOpen(job);
+        if (stored.val === "stored") {
+            return Err(createUnknownJobFailure(job));
         }
-        return Err(unknown);
+        // It was stored meanwhile, or it is another team's.
+        const read = await this.readStatus(job);
+        const state = read.ok ? await this.describe(target, team, job) : read;
+        return state.ok ? this.cancelOpen(job) : Err(state.val);
     }
 
     private async cancelOpen(job: JobId): Promise<Result<void, Failure>> {
@@ -494,7 +517,7 @@
             : Ok(count);
     }
 
-    private async readState(job: JobId): Promise<Result<JobState, Failure>> {
+    private async readStatus(job: JobId): Promise<Result<JobChange, Failure>> {
         const listed = await this.store.call({ kind: "list", prefix: toJobKey(job) }, readStateMs);
         if (!listed.ok) {
             return Err(createFailure(gatewayFailures.unavailable, listed.val.message, "notRun", startingRetryMs));
@@ -502,12 +525,14 @@
         const item = listed.val.items.find(candidate => candidate.key === toJobKey(job));
         const record = item === undefined ? undefined : decodeJobRecord(item.value);
         if (record === undefined || !record.ok) {
-            return Err(createFailure(gatewayFailures.unknownJob, `no job has the id ${job}`, "notRun"));
+            return Err(createUnknownJobFailure(job));
         }
         const isCancelled = listed.val.items.some(candidate => candidate.key === toCancelKey(job));
+        const { queue, team } = record.val;
         const state = record.val.kind === "finished" ? record.val.state : isCancelled ? "cancelled" : "queued";
-        this.replica.record(job, state);
-        return Ok(state);
+        const status = { job, queue, team, state };
+        this.replica.record(status);
+        return Ok(status);
     }
 
     private applyConfiguration(configuration: CellConfiguration): void {
@@ -600,7 +625,7 @@
     }
 
     private publish(changes: readonly JobChange[]): void {
-        changes.forEach(({ job, state }) => this.replica.record(job, state));
+        changes.forEach(change => this.replica.record(change));
         this.publisher.publishChanges(changes);
     }
 
@@ -703,6 +728,10 @@
     }
 }
 
+function createUnknownJobFailure(job: JobId): Failure {
+    return createFailure(gatewayFailures.unknownJob, `no job has the id ${job}`, "notRun");
+}
+
 function createNotOwnerResult(): Result<never, Failure> {
     return Err(createFailure("not-owner", "this host does not own the cell", "notRun"));
 }
--- a/packages/cell/src/cell-host_test.ts
+++ b/packages/cell/src/cell-host_test.ts
@@ -12,7 +12,14 @@
 import type { CellConfiguration } from "./configuration.js";
 import { gatewayFailures } from "./job-gateway.js";
 import { storeFailures } from "./store.js";
-import { createStep, TestCodec, testConfiguration, testQueue, testTeam } from "./testing/cell-simulation.js";
+import {
+    createStep,
+    limitedTeam,
+    TestCodec,
+    testConfiguration,
+    testQueue,
+    testTeam,
+} from "./testing/cell-simulation.js";
 import { FakeConnector, FakeExecutor, toFakeAddress, toFakeExecutorId } from "./testing/fake-executor.js";
 import { InvariantChecker } from "./testing/invariant-checker.js";
 import { MemoryLeaseStore, MemoryStoreData } from "./testing/memory-lease-store.js";
@@ -139,7 +146,7 @@
     async awaitState(host: CellHost, job: string, expected: JobState): Promise<unknown> {
         let state: unknown;
         for (let waitedMs = 0; waitedMs < 10_000; waitedMs += 50) {
-            const described = await host.describe(toId<JobId>(job));
+            const described = await host.describe(target, testTeam, toId<JobId>(job));
             state = described.ok ? described.val : described.val.code;
             if (state === expected) {
                 break;
@@ -209,9 +216,9 @@
         expect((await fixture.submit(host, "0000000000000003")).ok).toEqual(true);
         await host.resign();
         const other = await fixture.open("b");
-        const described = await other.describe(toId<JobId>("0000000000000003"));
+        const described = await other.describe(target, testTeam, toId<JobId>("0000000000000003"));
         expect(described.ok).toEqual(true);
-        expect((await other.describe(toId<JobId>("00000000000000ff"))).ok).toEqual(false);
+        expect((await other.describe(target, testTeam, toId<JobId>("00000000000000ff"))).ok).toEqual(false);
     });
 
     // Guards against a change of the retention that takes effect only at the next start, on the owner or its copy of states.
@@ -311,7 +318,7 @@
             Reflect.set(CellOwner.prototype, "acceptAnnounced", () => false);
             let isAcknowledged = false;
             try {
-                void host.cancel(job, testTeam).then(() => {
+                void host.cancel(target, testTeam, job).then(() => {
                     isAcknowledged = true;
                 });
                 await fixture.clock.wait(1_000);
@@ -327,6 +334,41 @@
         });
     }
 
+    // Guards against a caller who reads or cancels the jobs of another team because it knows their ids.
+    for (const isEnded of [false, true]) {
+        it(`answers a call of another team as for an unknown job, at each host (${isEnded ? "ended" : "running"} job)`, async () => {
+            fixture = new Fixture();
+            fixture.workMs = isEnded ? 150 : 8_000;
+            const hosts = [await fixture.open("a"), await fixture.open("b"), await fixture.open("c")];
+            await fixture.awaitOwner();
+            await fixture.clock.wait(300);
+            const job = toId<JobId>("000000000000000a");
+            expect((await fixture.submit(hosts[0]!, job)).ok).toEqual(true);
+            const state = isEnded ? "succeeded" : "running";
+            expect(await fixture.awaitState(hosts[0]!, job, state)).toEqual(state);
+            // The last host knows the job only from the store.
+            const last = await fixture.open("d");
+            const ownerClient = Reflect.get(last, "ownerClient") as { follow: () => Promise<undefined>; };
+            ownerClient.follow = async () => undefined;
+            for (const host of [...hosts, last]) {
+                const privateTarget = { ...target, isPublic: false };
+                const calls = [
+                    await host.describe(privateTarget, limitedTeam, job),
+                    await host.cancel(privateTarget, limitedTeam, job),
+                ];
+                expect(calls.map(({ ok, val }) => !ok && val.code)).toEqual([
+                    gatewayFailures.unknownJob,
+                    gatewayFailures.unknownJob,
+                ]);
+                const again = await host.submit(privateTarget, limitedTeam, job, { payload: "", steps: [step] });
+                expect((again.val as Failure).code).toEqual(gatewayFailures.takenId);
+            }
+            expect(await fixture.awaitState(hosts[1]!, job, state)).toEqual(state);
+            // The queue of the job is public here, so that anybody may ask about it.
+            expect((await hosts[2]!.describe(target, limitedTeam, job)).val).toEqual(state);
+        });
+    }
+
     // Guards against a job that runs after its cancelling was answered with "unknown": its submission was on its way.
     for (const caller of ["the owner", "another host"]) {
         it(`accepts no job after its early cancellation, at ${caller} and at others`, async () => {
@@ -336,13 +378,13 @@
             const host = hosts.find(candidate => (candidate === owner) === (caller === "the owner"))!;
             await fixture.clock.wait(300);
             const job = toId<JobId>("0000000000000009");
-            const cancelled = await host.cancel(job, testTeam);
+            const cancelled = await host.cancel(target, testTeam, job);
             expect((cancelled.val as Failure).code).toEqual(gatewayFailures.unknownJob);
             for (const other of hosts) {
                 const submitted = await fixture.submit(other, job);
                 const { code, verdict } = submitted.val as Failure;
                 expect([code, verdict]).toEqual([gatewayFailures.cancelledJob, "notRun"]);
-                expect((await other.describe(job)).ok).toEqual(false);
+                expect((await other.describe(target, testTeam, job)).ok).toEqual(false);
             }
             await fixture.clock.wait(500);
             expect(fixture.startCount).toEqual(0);
@@ -365,7 +407,7 @@
             await owner.resign();
             await fixture.clock.wait(1_000);
             const startedAt = fixture.clock.getNow();
-            expect((await host.cancel(job, testTeam)).ok).toEqual(true);
+            expect((await host.cancel(target, testTeam, job)).ok).toEqual(true);
             expect(fixture.clock.getNow() - startedAt < 1_000).toEqual(true);
             expect(fixture.lines.filter(line => line.includes("cell ownership acquired")).length).toEqual(2);
         });
--- a/packages/cell/src/cell-publisher.ts
+++ b/packages/cell/src/cell-publisher.ts
@@ -7,7 +7,7 @@
 import type { Clock, JobId, NetworkAddress, QueueId, Timer } from "@waxwingroute/core";
 import type { StreamWriter } from "@waxwingroute/transport";
 import { isOpenState } from "@waxwingroute/workflow";
-import type { JobChange, JobState } from "@waxwingroute/workflow";
+import type { JobChange } from "@waxwingroute/workflow";
 import { encodeStates } from "./cell-service.js";
 import type { CellUpdate } from "./cell-service.js";
 
@@ -16,8 +16,8 @@
     readonly clock: Clock;
     /** Address of the owner, through which each host can reach the store. */
     readonly address: NetworkAddress;
-    /** Returns the state of a job, or `undefined` if the owner does not know it. */
-    readonly getState: (job: JobId) => JobState | undefined;
+    /** Returns the status of a job, or `undefined` if the owner does not know it. */
+    readonly getStatus: (job: JobId) => JobChange | undefined;
     /** Returns the version of the owner's configuration. */
     readonly getConfigurationVersion: () => number | undefined;
 }
@@ -35,7 +35,7 @@
     readonly address: NetworkAddress;
     readonly writer: StreamWriter<CellUpdate>;
     /** States that wait to be sent. */
-    changes: (readonly [JobId, JobState])[];
+    changes: JobChange[];
     /** Value of `membershipVersion` at the last message with peers. */
     sentMembershipVersion: number;
 }
@@ -81,19 +81,20 @@
     }
 
     /** Lets a host follow jobs, and returns the states of those that are known. Unknown jobs are not followed. */
-    follow(host: string, jobs: readonly JobId[]): (readonly [JobId, JobState])[] {
+    follow(host: string, jobs: readonly JobId[]): JobChange[] {
         const states = this.listStates(jobs);
-        states.filter(([, state]) => isOpenState(state)).forEach(([job]) => this.addFollower(job, host));
+        states.filter(({ state }) => isOpenState(state)).forEach(({ job }) => this.addFollower(job, host));
         return states;
     }
 
     /** Sends the changed states to the hosts that follow the jobs. */
     publishChanges(changes: readonly JobChange[]): void {
-        for (const { job, state } of changes) {
+        for (const change of changes) {
+            const { job, state } = change;
             for (const host of this.followers.get(job) ?? []) {
                 const row = this.subscribers.get(host);
                 if (row !== undefined) {
-                    row.changes.push([job, state]);
+                    row.changes.push(change);
                     this.changed.add(row);
                 }
             }
@@ -130,10 +131,10 @@
         }
     }
 
-    private listStates(jobs: readonly JobId[]): (readonly [JobId, JobState])[] {
+    private listStates(jobs: readonly JobId[]): JobChange[] {
         return jobs.flatMap(job => {
-            const state = this.options.getState(job);
-            return state === undefined ? [] : [[job, state] as const];
+            const status = this.options.getStatus(job);
+            return status === undefined ? [] : [status];
         });
     }
 
@@ -162,7 +163,7 @@
         });
     }
 
-    private sendHeartbeat(row: SubscriberRow, states: readonly (readonly [JobId, JobState])[]): void {
+    private sendHeartbeat(row: SubscriberRow, states: readonly JobChange[]): void {
         const isMembershipNew = row.sentMembershipVersion !== this.membershipVersion;
         row.sentMembershipVersion = this.membershipVersion;
         this.changed.delete(row);
--- a/packages/cell/src/cell-publisher_test.ts
+++ b/packages/cell/src/cell-publisher_test.ts
@@ -29,7 +29,7 @@
     /** Returns the states of all messages since the previous call. */
     takeStates(): string[] {
         return this.sent.splice(0).flatMap(({ changes }) =>
-            decodeStates(changes).map(([job, state]) => `${job} ${state}`)
+            decodeStates(changes).map(({ job, state }) => `${job} ${state}`)
         );
     }
 }
@@ -43,7 +43,10 @@
     readonly publisher = new CellPublisher({
         clock: this.clock,
         address: toId<NetworkAddress>("10.0.0.1:1"),
-        getState: job => this.states.get(job),
+        getStatus: job => {
+            const state = this.states.get(job);
+            return state === undefined ? undefined : { job, queue, state };
+        },
         getConfigurationVersion: () => 7,
     });
 
--- a/packages/cell/src/cell-service.ts
+++ b/packages/cell/src/cell-service.ts
@@ -1,9 +1,9 @@
 /** RPC methods and messages between the hosts of a cell. */
-import { createFailure, Err, isNetworkAddress } from "@waxwingroute/core";
-import type { ExecutorId, Failure, JobId, NetworkAddress, QueueId, Result } from "@waxwingroute/core";
+import { createFailure, Err, isNetworkAddress, toId } from "@waxwingroute/core";
+import type { ExecutorId, Failure, JobId, NetworkAddress, QueueId, Result, TeamId } from "@waxwingroute/core";
 import { createStreamMethod, createUnaryMethod } from "@waxwingroute/transport";
 import type { RpcClient } from "@waxwingroute/transport";
-import type { AdviceGrant, JobState, StepKey } from "@waxwingroute/workflow";
+import type { AdviceGrant, JobChange, JobState, StepKey } from "@waxwingroute/workflow";
 import { z } from "zod";
 import { Advisor } from "./advisor.js";
 import type { StoreReply, StoreRequest } from "./store.js";
@@ -12,9 +12,17 @@
 /** Job states by the numbers that stand for them in `CellUpdate`. */
 export const jobStates: readonly JobState[] = ["queued", "running", "succeeded", "failed", "cancelled"];
 
-/** Job ids with the numbers of their states in `jobStates`. */
+/**
+ * Job ids with the numbers of their states in `jobStates`, their queues, and their teams; the team is empty if the stored
+ * end of the job does not name it.
+ */
 const statesSchema = z.array(
-    z.tuple([z.custom<JobId>(isText), z.number().int().min(0).max(jobStates.length - 1)]),
+    z.tuple([
+        z.custom<JobId>(isText),
+        z.number().int().min(0).max(jobStates.length - 1),
+        z.custom<QueueId>(isText),
+        z.string(),
+    ]),
 );
 
 const addressSchema = z.custom<NetworkAddress>(isNetworkAddress);
@@ -33,17 +41,22 @@
 /** Message of the owner to the other hosts. */
 export type CellUpdate = z.infer<typeof updateSchema>;
 
-/** Job ids with the numbers of their states in `jobStates`, as messages hold them. */
+/** Statuses of jobs as messages hold them. */
 export type EncodedStates = z.infer<typeof statesSchema>;
 
-/** Returns the form of job states in messages. */
-export function encodeStates(states: readonly (readonly [JobId, JobState])[]): EncodedStates {
-    return states.map(([job, state]) => [job, jobStates.indexOf(state)]);
+/** Returns the form of job statuses in messages. */
+export function encodeStates(statuses: readonly JobChange[]): EncodedStates {
+    return statuses.map(({ job, queue, state, team }) => [job, jobStates.indexOf(state), queue, team ?? ""]);
 }
 
-/** Returns the job states of a message. */
-export function decodeStates(states: EncodedStates): (readonly [JobId, JobState])[] {
-    return states.map(([job, state]) => [job, jobStates[state]!]);
+/** Returns the job statuses of a message. */
+export function decodeStates(states: EncodedStates): JobChange[] {
+    return states.map(([job, state, queue, team]) => ({
+        job,
+        queue,
+        team: team === "" ? undefined : toId<TeamId>(team),
+        state: jobStates[state]!,
+    }));
 }
 
 const subscribeSchema = z.object({
--- a/packages/cell/src/job-gateway.ts
+++ b/packages/cell/src/job-gateway.ts
@@ -20,6 +20,8 @@
     unknownJob: "unknown-job",
     /** The job was cancelled before it was submitted, and is not accepted. */
     cancelledJob: "cancelled-job",
+    /** A job of another team has the id. Nothing else is told of it. */
+    takenId: "taken-id",
     /** Nothing was done; the caller should retry. */
     unavailable: "unavailable",
     /** The outcome is unknown; the caller should send the same job id again. */
@@ -41,16 +43,19 @@
     abstract getMaxBodyBytes(): number;
     /**
      * Stores a job. Submitting the same id again succeeds without effect. Fails with `cancelledJob` if the team has
-     * cancelled the id before.
+     * cancelled the id before, and with `takenId` if a job of another team has it.
      */
     abstract submit(target: QueueTarget, team: TeamId, job: JobId, spec: JobSpec): Promise<Result<void, Failure>>;
-    /** Returns the state of a job. */
-    abstract describe(job: JobId): Promise<Result<JobState, Failure>>;
+    /**
+     * Returns the state of a job. A job of another team, unless the call and the job have the same public queue, is
+     * answered as one that does not exist, here and by `cancel`.
+     */
+    abstract describe(target: QueueTarget, team: TeamId, job: JobId): Promise<Result<JobState, Failure>>;
     /**
      * Stores the cancellation of a job of the team; without effect if the job has ended. `unknownJob`: no such job is
      * stored, and one with this id that the team submits later, or whose submission is still on its way, is not accepted.
      */
-    abstract cancel(job: JobId, team: TeamId): Promise<Result<void, Failure>>;
+    abstract cancel(target: QueueTarget, team: TeamId, job: JobId): Promise<Result<void, Failure>>;
     /** Returns the number of jobs in the queue without a started task. The count may be two seconds old. */
     abstract countPending(queue: QueueId): Result<number, Failure>;
 }
--- a/packages/cell/src/job-intake.ts
+++ b/packages/cell/src/job-intake.ts
@@ -20,7 +20,15 @@
 import { storeAttemptMs, storeWriteMs } from "./call-times.js";
 import { ExpiringLease } from "./expiring-lease.js";
 import type { JobRecord, StoredEpoch } from "./store-keys.js";
-import { decodeEpoch, encodeAcceptedJob, epochKey, toCancelKey, toEarlyCancelKey, toJobKey } from "./store-keys.js";
+import {
+    decodeEpoch,
+    decodeJobRecord,
+    encodeAcceptedJob,
+    epochKey,
+    toCancelKey,
+    toEarlyCancelKey,
+    toJobKey,
+} from "./store-keys.js";
 import type { LeaseStore, StoreCondition, StoreItem, StoreWrite } from "./store.js";
 import { maxTransactionEntries, storeFailures } from "./store.js";
 
@@ -59,8 +67,11 @@
 /** A job to accept. Its epoch is added at each attempt to store it. */
 export type NewJob = Omit<Extract<JobRecord, { kind: "accepted"; }>, "epoch">;
 
-/** What a write did. `existed`: the job was stored before. `cancelled`: it was cancelled before it could be stored. */
-export type IntakeOutcome = "stored" | "existed" | "cancelled";
+/**
+ * What a write did. `existed`: the job was stored before. `taken`: a job of another team is stored under the id.
+ * `cancelled`: the job was cancelled before it could be stored.
+ */
+export type IntakeOutcome = "stored" | "existed" | "taken" | "cancelled";
 
 /** What is to be stored. `earlyCancellation`: only if the job is not. */
 type IntakeContent =
@@ -242,7 +253,7 @@
             return;
         }
         this.recordEpoch(decodeEpoch(committed.val.items.find(item => item.key === epochKey)));
-        const existing = new Set(committed.val.items.map(item => item.key));
+        const existing = new Map(committed.val.items.map(item => [item.key, item]));
         const remaining: PendingWrite[] = [];
         for (const pending of batch) {
             const found = listConditions(pending).map(({ key }) => key).filter(key => existing.has(key));
@@ -250,7 +261,10 @@
                 remaining.push(pending);
             }
             else {
-                pending.resolve(Ok(found.includes(toJobKey(pending.job)) ? "existed" : "cancelled"));
+                const item = existing.get(toJobKey(pending.job));
+                pending.resolve(
+                    Ok(item === undefined ? "cancelled" : isOfOtherTeam(pending, item) ? "taken" : "existed"),
+                );
             }
         }
         this.waiting.unshift(...remaining);
@@ -327,6 +341,13 @@
     }
 }
 
+/** Returns whether the job that is stored under the id of a submission has another team. */
+function isOfOtherTeam({ content }: PendingWrite, { value }: StoreItem): boolean {
+    const record = decodeJobRecord(value);
+    return content.kind === "job" && record.ok && record.val.team !== undefined
+        && record.val.team !== content.record.team;
+}
+
 /** Returns the keys that must not exist for the write. */
 function listConditions({ content, job }: PendingWrite): StoreCondition[] {
     return match(content)
--- a/packages/cell/src/job-replica.ts
+++ b/packages/cell/src/job-replica.ts
@@ -4,10 +4,10 @@
  */
 import type { Clock, JobId, QueueId } from "@waxwingroute/core";
 import { isOpenState } from "@waxwingroute/workflow";
-import type { JobState } from "@waxwingroute/workflow";
+import type { JobChange, JobState } from "@waxwingroute/workflow";
 
 interface ReplicaRow {
-    readonly state: JobState;
+    readonly status: JobChange;
     readonly changedAt: number;
     /** Whether the owner reports changes of the job to this host. */
     isFollowed: boolean;
@@ -42,27 +42,29 @@
         return this.rows.size;
     }
 
-    /** Returns the last known state of a job, or `undefined` if it is not known to this host. */
-    getState(job: JobId): JobState | undefined {
-        return this.rows.get(job)?.state;
+    /** Returns the last known status of a job, or `undefined` if it is not known to this host. */
+    getStatus(job: JobId): JobChange | undefined {
+        return this.rows.get(job)?.status;
     }
 
-    /** Returns the state of a job if it is final or this host is told of its changes. */
-    getCurrentState(job: JobId): JobState | undefined {
+    /** Returns the status of a job if it is final or this host is told of its changes. */
+    getCurrentStatus(job: JobId): JobChange | undefined {
         const row = this.rows.get(job);
-        return row !== undefined && (row.isFollowed || !isOpenState(row.state)) ? row.state : undefined;
+        return row !== undefined && (row.isFollowed || !isOpenState(row.status.state)) ? row.status : undefined;
     }
 
-    /** Records a state. A job that has ended keeps its state, and a running job does not become queued again. */
-    record(job: JobId, state: JobState, isFollowed = false): void {
+    /** Records a status. A job that has ended keeps its state, and a running job does not become queued again. */
+    record(status: JobChange, isFollowed = false): void {
+        const { job, state } = status;
         const existing = this.rows.get(job);
         if (existing !== undefined && isFollowed) {
             existing.isFollowed = true;
         }
-        const hasEnded = existing !== undefined && !isOpenState(existing.state);
-        if (!hasEnded && !(existing?.state === "running" && state === "queued")) {
+        const known: JobState | undefined = existing?.status.state;
+        const hasEnded = known !== undefined && !isOpenState(known);
+        if (!hasEnded && !(known === "running" && state === "queued")) {
             this.rows.set(job, {
-                state,
+                status,
                 changedAt: this.options.clock.getNow(),
                 isFollowed: isFollowed || existing?.isFollowed === true,
             });
@@ -81,7 +83,7 @@
 
     /** Returns the jobs that had not ended when this host last heard of them. */
     listOpenJobs(): JobId[] {
-        return [...this.rows].filter(([, row]) => isOpenState(row.state)).map(([job]) => job);
+        return [...this.rows].filter(([, row]) => isOpenState(row.status.state)).map(([job]) => job);
     }
 
     /** Replaces the numbers of jobs without a started task. */
@@ -102,7 +104,7 @@
         }
         this.prunedAt = now;
         for (const [job, row] of this.rows) {
-            if (!isOpenState(row.state) && now - row.changedAt > this.retentionMs) {
+            if (!isOpenState(row.status.state) && now - row.changedAt > this.retentionMs) {
                 this.rows.delete(job);
             }
         }
--- a/packages/cell/src/owner-client.ts
+++ b/packages/cell/src/owner-client.ts
@@ -5,7 +5,7 @@
 import type { LogWriter } from "@waxwingroute/telemetry";
 import { RpcClient } from "@waxwingroute/transport";
 import type { RpcStream } from "@waxwingroute/transport";
-import type { JobState } from "@waxwingroute/workflow";
+import type { JobChange } from "@waxwingroute/workflow";
 import { ownerQuestionMs } from "./call-times.js";
 import type { CellUpdate } from "./cell-service.js";
 import { cellService, decodeStates } from "./cell-service.js";
@@ -24,7 +24,7 @@
     /** Called with each message of the owner, after `onStates` with the states in it. */
     readonly onUpdate: (update: CellUpdate) => void;
     /** Called with states of jobs that the owner reports. It also reports their later changes. */
-    readonly onStates: (states: readonly (readonly [JobId, JobState])[]) => void;
+    readonly onStates: (statuses: readonly JobChange[]) => void;
     /** Called with jobs that the owner may not know yet and whose states it will report. */
     readonly onFollowed: (jobs: readonly JobId[]) => void;
     /** Called, at most once a second, while the owner is not heard from; another host may own the cell. */
@@ -52,7 +52,7 @@
     private reportedSilentAt = -Infinity;
     private isClosed = false;
     private ownerVersion: number | undefined;
-    private readonly questions = new Map<JobId, Promise<JobState | undefined>>();
+    private readonly questions = new Map<JobId, Promise<JobChange | undefined>>();
 
     constructor(private readonly options: OwnerClientOptions) {}
 
@@ -95,8 +95,8 @@
         return true;
     }
 
-    /** Asks the owner for the state of a job and follows the job. `undefined`: not known to the owner, or no answer. */
-    follow(job: JobId): Promise<JobState | undefined> {
+    /** Asks the owner for the status of a job and follows the job. `undefined`: not known to the owner, or no answer. */
+    follow(job: JobId): Promise<JobChange | undefined> {
         const asked = this.questions.get(job);
         if (asked !== undefined) {
             return asked;
@@ -132,12 +132,12 @@
         this.disconnect();
     }
 
-    private async ask(job: JobId): Promise<JobState | undefined> {
+    private async ask(job: JobId): Promise<JobChange | undefined> {
         const { host, onStates } = this.options;
         const answered = await this.client?.call(cellService.follow, { host, jobs: [job] }, ownerQuestionMs);
         const states = answered?.ok === true ? decodeStates(answered.val.states) : [];
         onStates(states);
-        return states[0]?.[1];
+        return states[0];
     }
 
     private connect(): void {
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -150,7 +150,7 @@
                 this.options.scheduler.addEndedJob({ job, queue, team, state, remaining: tasks });
                 this.forgetFinished(job);
             }
-            this.options.onChanges([{ job, queue, state }]);
+            this.options.onChanges([{ job, queue, team: record.team, state }]);
         }
     }
 
@@ -187,7 +187,7 @@
             mayHaveStarted: record.epoch < firstEpoch && !hasReleasedTasks(),
         });
         logger.write("info", "job known", { job, queue: record.queue, team: record.team, revision, path, ageMs });
-        onChanges([{ job, queue: record.queue, state: "queued" }]);
+        onChanges([{ job, queue: record.queue, team: record.team, state: "queued" }]);
         if (this.cancelledEarly.delete(job)) {
             this.cancel(job, path);
         }
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -59,6 +59,8 @@
     readonly kind: "finished";
     readonly state: JobState;
     readonly queue: QueueId;
+    /** Absent in records of earlier versions. */
+    readonly team?: TeamId;
     /**
      * The team of the job and the tasks of which executors could hold runs when it ended; absent if there were none, and
      * in records of earlier versions.
@@ -123,6 +125,8 @@
 const finishedSchema = z.object({
     state: z.enum(["succeeded", "failed", "cancelled"]),
     queue: z.string(),
+    // Earlier versions take a value with the field `team` for an accepted job.
+    jobTeam: z.string().optional(),
     // A later version may store it in another form; the state of the job counts all the same.
     remaining: z.object({ team: z.string(), tasks: remainingTasksSchema }).optional().catch(undefined),
 });
@@ -205,10 +209,11 @@
 }
 
 /** Returns the stored form of a finished job. Earlier versions ignore the remaining tasks. */
-export function encodeFinishedJob({ state, queue, remaining }: Omit<FinishedJobRecord, "kind">): string {
+export function encodeFinishedJob({ state, queue, team, remaining }: Omit<FinishedJobRecord, "kind">): string {
     return JSON.stringify({
         state,
         queue,
+        jobTeam: team,
         remaining: remaining === undefined ? undefined : {
             team: remaining.team,
             tasks: encodeRemainingTasks(remaining.tasks),
@@ -238,11 +243,12 @@
 }
 
 function decodeFinishedJob(value: z.infer<typeof finishedSchema>): FinishedJobRecord {
-    const { remaining } = value;
+    const { jobTeam, remaining } = value;
     return {
         kind: "finished",
         state: value.state,
         queue: toId<QueueId>(value.queue),
+        ...jobTeam === undefined ? {} : { team: toId<TeamId>(jobTeam) },
         remaining: remaining === undefined ? undefined : {
             team: toId<TeamId>(remaining.team),
             tasks: decodeRemainingTasks(remaining.tasks),
--- a/packages/cell/src/store-keys_test.ts
+++ b/packages/cell/src/store-keys_test.ts
@@ -84,6 +84,12 @@
         });
     }
 
+    it("keeps its team also without such tasks", () => {
+        // Guards against a host that knows a job only from the store and tells other teams of it.
+        const team = toId<TeamId>("sales");
+        expect(decodeJobRecord(encodeFinishedJob({ ...finished, team })).unwrap().team).toEqual(team);
+    });
+
     it("can be without them, as earlier versions store it", () => {
         const text = JSON.stringify(finished);
         expect(encodeFinishedJob(finished)).toEqual(text);
@@ -92,7 +98,10 @@
 
     it("stays that of a finished job for earlier versions, which know its state and queue only", () => {
         const remaining = { team: toId<TeamId>("sales"), tasks: [] };
-        const stored = JSON.parse(encodeFinishedJob({ ...finished, remaining })) as Record<string, unknown>;
+        const stored = JSON.parse(encodeFinishedJob({ ...finished, team: remaining.team, remaining })) as Record<
+            string,
+            unknown
+        >;
         expect([stored["state"], stored["queue"]]).toEqual([finished.state, finished.queue]);
         // Earlier versions take a value with these fields for an accepted job.
         expect(["team", "at", "spec"].filter(field => field in stored)).toEqual([]);
--- a/packages/workflow/src/end-system.ts
+++ b/packages/workflow/src/end-system.ts
@@ -8,6 +8,7 @@
 import type { JobRow, RunRow, StepRow, TaskRow } from "./rows.js";
 import { setTaskState } from "./rows.js";
 import type { SchedulerState } from "./state.js";
+import { createChange } from "./state.js";
 import type { EndSource, RunOutcome, StopReason } from "./types.js";
 
 /** A run that ended; `row` is `undefined` if the run is not or no longer in the tables. */
@@ -105,7 +106,7 @@
     }
     job.endsAs = endsAs;
     job.phase = endsAs;
-    state.changes.push({ job: job.id, queue: job.submission.queue, state: endsAs });
+    state.changes.push(createChange(job, endsAs));
     stopJobRuns(state, job, "cancelled");
 }
 
@@ -153,7 +154,7 @@
         job.finishedOccurrences += 1;
         if (job.finishedOccurrences === countOccurrences(job) && state.isOpen(job)) {
             job.phase = "succeeded";
-            state.changes.push({ job: job.id, queue: job.submission.queue, state: "succeeded" });
+            state.changes.push(createChange(job, "succeeded"));
         }
     }
 }
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -10,6 +10,7 @@
 import type {
     GivenUpJob,
     JobChange,
+    JobState,
     SchedulerOptions,
     StartDecision,
     StopDecision,
@@ -257,7 +258,7 @@
     markJobRunning(job: JobRow): void {
         if (job.phase === "queued") {
             job.phase = "running";
-            this.changes.push({ job: job.id, queue: job.submission.queue, state: "running" });
+            this.changes.push(createChange(job, "running"));
         }
     }
 
@@ -267,6 +268,11 @@
     }
 }
 
+/** Returns the report that a job entered a state. */
+export function createChange({ id, submission: { queue, team } }: JobRow, state: JobState): JobChange {
+    return { job: id, queue, team, state };
+}
+
 function updateRunCounts(executor: ExecutorRow, run: RunRow, change: 1 | -1): void {
     const { spec } = run.task.step;
     executor.bestEffortRuns += spec.usesIdleProcessors ? change : 0;
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -302,6 +302,8 @@
 export interface JobChange {
     readonly job: JobId;
     readonly queue: QueueId;
+    /** Absent for a job whose end was stored by a version that did not store its team. */
+    readonly team?: TeamId;
     readonly state: JobState;
 }
 
