Order no more machines into maintenance than may be away at once

Read by the review, shown by a test: a machine that is down while it is evacuated is left out of the count of those being evacuated, so another one is evacuated too, and both are ordered away once the first is back.

Change: the number of machines away is checked again when they are ordered.

Evidence: one of two new cases of maintenance-driver_test fails without the change.

--- a/packages/cell/src/maintenance-driver.ts
+++ b/packages/cell/src/maintenance-driver.ts
@@ -189,9 +189,13 @@
         const waiting = remaining.filter(machine => !away.includes(machine) && getState(machine) === "up");
         this.forgetReplacedExecutors(progress, machines);
         this.planEvacuations(progress, waiting, wave.maxAtOnce - away.length, machines, remaining.length);
+        // Counted again: a machine that was down while it was being evacuated is not counted with those that are.
+        let freeCount = wave.maxAtOnce - away.length;
         for (const machine of waiting) {
             const executor = progress.evacuating.get(machine);
-            if (executor !== undefined && this.options.countRuns(executor) === 0 && this.canOrder()) {
+            const isEmpty = executor !== undefined && this.options.countRuns(executor) === 0;
+            if (isEmpty && freeCount > 0 && this.canOrder()) {
+                freeCount -= 1;
                 this.options.supervisor.start(
                     "machine order",
                     { machine },
--- a/packages/cell/src/maintenance-driver_test.ts
+++ b/packages/cell/src/maintenance-driver_test.ts
@@ -102,6 +102,26 @@
         fixture.cell.close();
     });
 
+    for (const index of [0, 1]) {
+        it(`services no more machines at once than allowed after one was down while it was evacuated (${index})`, async () => {
+            // Guards against two machines that are evacuated at a time, of which both are then ordered away.
+            const fixture = new Fixture({ machines: 2, maxAtOnce: 1 }, 6_000);
+            await fixture.open();
+            void fixture.cell.submit(fixture.cell.hosts[0]!, "a", [{ taskCount: 16, estimateMs: 6_000 }]);
+            await fixture.cell.advance(500);
+            fixture.requestWave();
+            await fixture.cell.advance(2_000);
+            const machine = toMachineId(fixture.cell.executors[index]!);
+            fixture.machines.down.add(machine);
+            await fixture.cell.advance(2_000);
+            fixture.machines.down.delete(machine);
+            expect(await fixture.finishWave()).toEqual(true);
+            expect(fixture.machines.serviced.size).toEqual(2);
+            expect(fixture.machines.violations).toEqual([]);
+            fixture.cell.close();
+        });
+    }
+
     it("keeps a wave running while an order has no answer", async () => {
         // Guards against a wave that succeeds although the maintenance of one of its machines may not have begun.
         const fixture = new Fixture({ machines: 1, maxAtOnce: 1 });
--- a/packages/cell/src/testing/fake-machine-manager.ts
+++ b/packages/cell/src/testing/fake-machine-manager.ts
@@ -25,6 +25,8 @@
     readonly serviced = new Set<MachineId>();
     /** Number of runs that maintenance has ended. */
     endedRuns = 0;
+    /** Machines that are down, and not for maintenance. */
+    readonly down = new Set<MachineId>();
     /** Orders are carried out but get no answer. */
     losesAnswers = false;
     private executors: readonly FakeExecutor[] = [];
@@ -57,7 +59,7 @@
             const isAway = this.serviceEndsAt.has(machine);
             return {
                 machine,
-                state: isAway ? "servicing" : "up",
+                state: isAway ? "servicing" : this.down.has(machine) ? "down" : "up",
                 executor: isAway ? undefined : executor.options.executor,
             };
         }));
