--- a/packages/workflow/src/job-rows.ts
+++ b/packages/workflow/src/job-rows.ts
@@ -159,6 +159,7 @@
             failedRuns: new Set(),
             crashedRuns: new Set(),
             suspectedRuns: new Set(),
+            stalledRuns: 0,
             checkpoint: "",
         });
     }
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -74,6 +74,8 @@
     /** Numbers of the runs that ended as `crashed`, and as `suspected`. */
     readonly crashedRuns: Set<number>;
     readonly suspectedRuns: Set<number>;
+    /** Number of runs that were stopped because they stood still. */
+    stalledRuns: number;
     /** Progress that the next run resumes from; empty if none. */
     checkpoint: string;
 }
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -577,6 +577,45 @@
             expect(fixture.startTasks()[0]!.executor === stalled!.executor).toEqual(false);
         });
 
+        it("lets a task end whose hundredth takes longer than its estimate allows", () => {
+            // Guards against a healthy run that is stopped again and again, since progress is reported in whole percents.
+            const fixture = new SchedulerFixture(4);
+            const workMs = 600_000;
+            fixture.submit("a", [createStep({ estimateMs: 60_000 })]);
+            let [run] = fixture.startTasks();
+            let beganAt = fixture.now;
+            let stops = 0;
+            for (
+                let elapsedMs = 0; elapsedMs < 2 * workMs && fixture.getJobState("a") !== "succeeded"; elapsedMs += 500
+            ) {
+                fixture.now += 500;
+                const decisions = fixture.tick();
+                if (decisions.stops.length > 0) {
+                    stops += 1;
+                    fixture.endRun(run!, "stopped");
+                    continue;
+                }
+                const started = decisions.starts[0];
+                if (started !== undefined) {
+                    run = started;
+                    beganAt = fixture.now;
+                }
+                const percent = Math.floor((fixture.now - beganAt) / workMs * 100);
+                const { executor, task } = run!;
+                fixture.scheduler.recordRunning(fixture.now, executor, {
+                    task,
+                    run: run!.run,
+                    checkpoint: "",
+                    percent,
+                });
+                if (percent >= 100) {
+                    fixture.endRun(run!, "done");
+                }
+            }
+            expect(fixture.getJobState("a")).toEqual("succeeded");
+            expect(stops).toEqual(1);
+        });
+
         it("stops a long-running task that is not fully available, but not one that is", () => {
             // Guards against a service that stays degraded, and against stopping a healthy one that stays at 100 %.
             const fixture = new SchedulerFixture(2);
