--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -16,6 +16,8 @@
 
 /** Time that callers wait for an answer, ms. */
 const timeoutMs = 3_000;
+/** Time after which callers leave that have little patience, ms. */
+const shortPatienceMs = 300;
 /** Most attempts to submit a job. */
 const maxAttempts = 12;
 /** Callers at least, and for each job a second. */
@@ -47,7 +49,12 @@
         return this.host.name;
     }
 
-    async send(method: string, { id, queue }: RecordedJob, content?: unknown): Promise<CallerAnswer> {
+    async send(
+        method: string,
+        { id, queue }: RecordedJob,
+        content?: unknown,
+        patienceMs = timeoutMs,
+    ): Promise<CallerAnswer> {
         const { site, record } = this.options;
         const sentAt = record.now;
         const { host } = this;
@@ -57,7 +64,7 @@
             path: `${findQueue(queue)!.prefix}${id}`,
             headers: { "host": site.hostName, "api-key": site.apiKey, "x-deadline-ms": String(timeoutMs) },
             content,
-            timeoutMs,
+            timeoutMs: patienceMs,
             agent: this.agent,
         });
         record.write("answer", {
@@ -71,7 +78,7 @@
         if (answer.status === 0) {
             const tookMs = record.now - sentAt;
             const what = `${method} ${id}`;
-            record.unanswered.push({ host: host.name, sentAt, tookMs, isTimedOut: tookMs >= timeoutMs, what });
+            record.unanswered.push({ host: host.name, sentAt, tookMs, isTimedOut: tookMs >= patienceMs, what });
             this.connectElsewhere();
         }
         return answer;
@@ -157,7 +164,14 @@
         const job: RecordedJob = { ...pickJob(random, workload, executorCount), attempts: [], states: [] };
         const mustCancel = random.getFloat() < (workload.cancelShare ?? defaultCancelShare);
         const cancelDelayMs = random.getFloat() * 4_000;
+        // Not drawn where no caller leaves, so that the seeds of other shapes keep their jobs.
+        const mustLeave = workload.leaveShare !== undefined && random.getFloat() < workload.leaveShare;
         record.jobs.set(job.id, job);
+        if (mustLeave) {
+            await this.submitAndLeave(job);
+            await this.cancel(job);
+            return;
+        }
         await this.submit(job);
         if (mustCancel) {
             await wait(cancelDelayMs);
@@ -192,6 +206,19 @@
         }
     }
 
+    /** Submits a job once, without the patience to wait for a slow host. */
+    private async submitAndLeave(job: RecordedJob): Promise<void> {
+        const { record } = this.options;
+        const caller = this.pickCaller();
+        const attempt = { host: caller.hostName, sentAt: record.now, status: 0 };
+        job.attempts.push(attempt);
+        const { status } = await caller.send("POST", job, encodeJob(job.spec, job.steps), shortPatienceMs);
+        attempt.status = status;
+        if (status >= 200 && status < 300) {
+            job.acceptedAt = record.now;
+        }
+    }
+
     private async cancel(job: RecordedJob): Promise<void> {
         const { record } = this.options;
         job.cancelSentAt = record.now;
--- a/packages/soak/src/executor-troubles.ts
+++ b/packages/soak/src/executor-troubles.ts
@@ -45,6 +45,34 @@
     }
 }
 
+/**
+ * Executors that crash at the begin of an outage of the store, and others that take their addresses before its end, when
+ * the lease of the owner has ended.
+ */
+export class ReplacedInOutage extends Trouble {
+    readonly name = "replaced-in-outage";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { site, random, wait } = context;
+        const fronts = [...site.executors].filter(() => random.getFloat() < 0.3);
+        const crashAfterMs = this.pickMs(random, 0, 500);
+        const downMs = this.pickMs(random, 500, 2_500);
+        const restMs = this.pickMs(random, 300, 3_000);
+        const mode = random.pickOne(["busy", "silent"] as const)!;
+        const details = { executors: fronts.map(front => front.executor.id), crashAfterMs, downMs, restMs, mode };
+        const end = this.begin(context, site.hostNames, details);
+        const restores = site.listStores(site.hostNames).map(store => store.addFaults({ mode }));
+        await wait(crashAfterMs);
+        const crashed = fronts.filter(front => front.executor.life !== undefined);
+        crashed.forEach(front => front.endLife());
+        await wait(downMs);
+        crashed.forEach(front => front.executor.beginLifeOfSuccessor());
+        await wait(restMs);
+        restores.forEach(restore => restore());
+        end();
+    }
+}
+
 /** An executor that crashes, starts again at once under its id, and loses all its answers from then on. */
 export class RestartedSilentExecutor extends Trouble {
     readonly name = "restarted-silent-executor";
--- a/packages/soak/src/executor.ts
+++ b/packages/soak/src/executor.ts
@@ -59,7 +59,8 @@
 
 /** One executor over all of its lives. */
 export class Executor {
-    readonly id: string;
+    /** Changes when another executor takes the address. */
+    private presentId: string;
     readonly zone: string;
     /** Its steady clock. Leases count on it. */
     readonly steadyClock: ExecutorClock;
@@ -80,11 +81,15 @@
     private leaseCheck: NodeJS.Timeout | undefined;
 
     constructor(private readonly options: ExecutorOptions) {
-        this.id = options.id;
+        this.presentId = options.id;
         this.zone = options.zone;
         this.steadyClock = new ExecutorClock(() => options.record.now);
     }
 
+    get id(): string {
+        return this.presentId;
+    }
+
     /** Number of the present life; `undefined` while the executor is down. */
     get life(): number | undefined {
         return this.isUp ? this.lifeNumber : undefined;
@@ -129,6 +134,14 @@
         this.leaseCheck = setInterval(() => this.expireLease(), leaseCheckMs);
     }
 
+    /** Begins the life of another executor at the address. The entry of the earlier one expires. */
+    beginLifeOfSuccessor(): void {
+        const earlierKey = toExecutorKey(this.id);
+        this.schedule(entryExpiryMs, () => this.options.store.remove(earlierKey));
+        this.presentId = `${this.options.id}-${this.lifeNumber + 1}`;
+        this.beginLife();
+    }
+
     /** Ends the life; all that ran is gone. */
     endLife(): void {
         this.isUp = false;
--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -1,6 +1,6 @@
 /** Kinds of runs: which troubles they draw, and which jobs. */
 import { AdviceAnswersLost, AdviceRefusing, AdviceSilent, AdviceSlow } from "./advice-troubles.js";
-import { FaultyExecutor, RestartedExecutor, RestartedSilentExecutor } from "./executor-troubles.js";
+import { FaultyExecutor, ReplacedInOutage, RestartedExecutor, RestartedSilentExecutor } from "./executor-troubles.js";
 import {
     HungUpHost,
     KilledHost,
@@ -44,6 +44,7 @@
 const storeWritesLate = new StoreWritesLate();
 const faultyExecutor = new FaultyExecutor();
 const restartedExecutor = new RestartedExecutor();
+const replacedInOutage = new ReplacedInOutage();
 const restartedSilentExecutor = new RestartedSilentExecutor();
 const slowClocks = new SlowClocks();
 const partlyCutExecutors = new PartlyCutExecutors();
@@ -149,6 +150,19 @@
         executors: 8,
         lanes: 3,
     },
+    /**
+     * Executors that are replaced while the store is away, and hosts that pause, with callers that leave early and cancel
+     * their jobs at other hosts.
+     */
+    replacements: {
+        troubles: [[replacedInOutage, 4], [pausedHosts, 4], [storeAnswersLost, 1], [storeWritesLate, 1], [
+            killedHost,
+            1,
+        ]],
+        workload: { jobsPerSecond: 6, cancelShare: 0.1, leaveShare: 0.3 },
+        executors: 8,
+        lanes: 2,
+    },
     /** Executors that some hosts do not reach, whose clocks are slow or that start late, beside owners that change. */
     "partly-cut": {
         troubles: [
--- a/packages/soak/src/workload.ts
+++ b/packages/soak/src/workload.ts
@@ -66,6 +66,8 @@
     readonly burstShare?: number;
     /** Share of jobs that are cancelled. Default 0.2. */
     readonly cancelShare?: number;
+    /** Share of jobs whose callers leave before the answer and cancel them at once at other hosts. Default 0. */
+    readonly leaveShare?: number;
     /** Mean run times of the other tasks, ms, of which each job has one. Default 150 to 6,000. */
     readonly taskMs?: readonly number[];
 }
--- a/packages/workflow/src/scheduler_test.ts
+++ b/packages/workflow/src/scheduler_test.ts
@@ -586,7 +586,9 @@
             let beganAt = fixture.now;
             let stops = 0;
             for (
-                let elapsedMs = 0; elapsedMs < 2 * workMs && fixture.getJobState("a") !== "succeeded"; elapsedMs += 500
+                let elapsedMs = 0;
+                elapsedMs < 2 * workMs && fixture.getJobState("a") !== "succeeded";
+                elapsedMs += 500
             ) {
                 fixture.now += 500;
                 const decisions = fixture.tick();
