Hold an executor for a probe only where none becomes idle by itself

Cause: a hold gives places of probes to tasks that are likely to crash before sound ones, and each of these stays in flight for 3.3 s.

Change: an executor is held only if each that the step may use runs a service or a task that lasts for 10 s or longer; one held probe is in flight at a time.

--- a/packages/workflow/src/placement-system.ts
+++ b/packages/workflow/src/placement-system.ts
@@ -142,8 +142,11 @@
             continue;
         }
         candidates.splice(candidates.findIndex(candidate => candidate.executor === executor), 1);
-        startTask(state, now, task, executor, getNextRunNumber(state, step), slackMs, true);
+        const run = startTask(state, now, task, executor, getNextRunNumber(state, step), slackMs, true);
         step.probeDueSince = undefined;
+        if (state.probeHold?.step === step) {
+            state.heldProbe = run;
+        }
     }
 }
 
@@ -234,7 +237,7 @@
     number: number,
     slackMs: number,
     isProbe = false,
-): void {
+): RunRow {
     const step = task.step;
     const provenAfterMs = isProbe ? getProvenAge(step) : 0;
     const run: RunRow = {
@@ -268,6 +271,7 @@
         provenAfterMs,
         earlierRun: describeEarlierRun(task, now),
     });
+    return run;
 }
 
 function describeEarlierRun({ earlierRun }: TaskRow, now: number): EarlierRun | undefined {
--- a/packages/workflow/src/probe-hold-system.ts
+++ b/packages/workflow/src/probe-hold-system.ts
@@ -1,11 +1,11 @@
 /**
  * Bounds how long a probe waits for an executor.
  *
- * A probe starts only on an executor whose runs are all proven, so that a further crash has one cause. That of a task which
- * has crashed an executor before prefers an idle one, so that the crash takes nobody else along. Neither may ever be
- * there: other tasks take each executor first, or each runs a service that does not end. So one step at a time has an
- * executor held for its probe, on which nothing else starts: the one where a crash is expected to do the least harm at the
- * end of the wait. The probe starts there once it is idle, or when waiting longer would spare nothing.
+ * A probe of a task that has crashed an executor before starts on an idle one, so that a further crash takes nobody else
+ * along. Where each executor runs a service or another task that does not end soon, there never is one. Then one step at a
+ * time has an executor held for its probe, on which nothing else starts: the one where a crash is expected to do the least
+ * harm at the end of the wait. The probe starts there once it is idle, or when waiting longer would spare nothing. Listed
+ * runs beside it do not hide the cause of a crash, since only runs that are not listed are suspects.
  */
 import {
     countFreeSlots,
@@ -18,11 +18,12 @@
 import { allowsIdleProbe, allowsProbe, isProbeStep, needsIdleExecutor } from "./crash-system.js";
 import type { RankedStep } from "./rank.js";
 import type { ExecutorRow, RunRow, StepRow } from "./rows.js";
+import { toRunKey } from "./rows.js";
 import type { ProbeHold, SchedulerState } from "./state.js";
 import { allowsMore, getChargedResources } from "./state.js";
 
-/** Time for which a due probe waits before an executor is held for it although it could start on another one, ms. */
-const maxUnheldMs = 1_000;
+/** Time within which all runs on an executor have to end for it to be expected to become idle, ms. */
+const maxBusyMs = 10_000;
 /** Longest time for which a probe waits for its held executor to become idle, ms. */
 const maxIdleWaitMs = 1_000;
 
@@ -43,7 +44,7 @@
     state.probeHold = undefined;
     const due = ranked.map(({ step }) => step).filter(step => updateDueTime(state, now, step));
     due.sort(compareTurns);
-    for (const step of due) {
+    for (const step of isHeldProbeInFlight(state) ? [] : due) {
         const since = previous?.step === step ? previous.since : now;
         const executor = selectExecutorToHold(state, now, step, since, previous);
         if (executor !== undefined) {
@@ -56,6 +57,16 @@
     }
 }
 
+/**
+ * Returns whether the probe of the last hold is in flight. Until it is not, no other one goes before sound work: probes that
+ * crash their executors stay in flight for seconds, and would take all places of probes.
+ */
+function isHeldProbeInFlight({ executors, heldProbe }: SchedulerState): boolean {
+    const executor = heldProbe === undefined ? undefined : executors.get(heldProbe.executor);
+    return heldProbe !== undefined && !heldProbe.isProven && executor?.isReachable === true
+        && executor.runs.get(toRunKey(heldProbe.task.key, heldProbe.number)) === heldProbe;
+}
+
 /**
  * A job whose executor crashed for another reason is finished by its next probe, so these come before jobs that have
  * crashed an executor again. Among them, the one that has been due for longest comes first.
@@ -82,19 +93,18 @@
 /** Records since when a probe of the step is due. Returns whether an executor may be held for it now. */
 function updateDueTime(state: SchedulerState, now: number, step: StepRow): boolean {
     const { job } = step.occurrence;
-    const isDue = isProbeStep(state, step) && job.probeCount === 0 && allowsMore(job.team, getChargedResources(step));
+    const isDue = isProbeStep(state, step) && job.probeCount === 0
+        && allowsMore(job.team, getChargedResources(step))
+        && step.tasks.some(task => task.state === "waiting" && needsIdleExecutor(task));
     step.probeDueSince = isDue ? step.probeDueSince ?? now : undefined;
-    if (!isDue || !allowsProbe(state, step)) {
-        return false;
-    }
-    const isLong = now - step.probeDueSince! >= maxUnheldMs;
-    const needsIdle = step.tasks.some(task => task.state === "waiting" && needsIdleExecutor(task));
-    return needsIdle ? allowsIdleProbe(state, step) && (isLong || !hasIdleExecutor(state, now, step)) : isLong;
+    return isDue && allowsIdleProbe(state, step) && allowsProbe(state, step) && !canBecomeIdle(state, now, step);
 }
 
-function hasIdleExecutor(state: SchedulerState, now: number, step: StepRow): boolean {
+/** Returns whether an executor that the step may use is idle, or is expected to be without a hold. */
+function canBecomeIdle(state: SchedulerState, now: number, step: StepRow): boolean {
     for (const executor of listAdvisedExecutors(state, step)) {
-        if (executor.runs.size === 0 && isEligible(state, now, step, executor)) {
+        const isIdleSoon = [...executor.runs.values()].every(run => estimateEnd(state, run) <= now + maxBusyMs);
+        if (isIdleSoon && isEligible(state, now, step, executor)) {
             return true;
         }
     }
--- a/packages/workflow/src/state.ts
+++ b/packages/workflow/src/state.ts
@@ -70,6 +70,8 @@
     reservation: Reservation | undefined;
     /** The executor that is held for a probe. */
     probeHold: ProbeHold | undefined;
+    /** The last probe that was started for the step that had the hold. */
+    heldProbe: RunRow | undefined;
     /** Whether `releaseUnknownTasks` was called; tasks added later begin as `waiting`, except for `unsettledTasks`. */
     hasReleasedUnknownTasks = false;
     /** The tasks that `releaseUnknownTasks` kept, also those of occurrences that are not open yet. */
