Hold an executor also while one is idle that is too small for the probe

Read while checking the hold: an idle executor on which the task does not fit counted as one that the probe could use, so the task waited without a bound beside services.

Change: only executors on which the task fits count.

Evidence: 'although an executor is idle that is too small for it' of probe-hold-system_test fails without the change.

--- a/packages/workflow/src/probe-hold-system.ts
+++ b/packages/workflow/src/probe-hold-system.ts
@@ -20,7 +20,7 @@
 import type { ExecutorRow, RunRow, StepRow } from "./rows.js";
 import { toRunKey } from "./rows.js";
 import type { ProbeHold, SchedulerState } from "./state.js";
-import { allowsMore, getChargedResources } from "./state.js";
+import { allowsMore, countFits, getChargedResources } from "./state.js";
 
 /** Time within which all runs on an executor have to end for it to be expected to become idle, ms. */
 const maxBusyMs = 10_000;
@@ -100,11 +100,12 @@
     return isDue && allowsIdleProbe(state, step) && allowsProbe(state, step) && !canBecomeIdle(state, now, step);
 }
 
-/** Returns whether an executor that the step may use is idle, or is expected to be without a hold. */
+/** Returns whether an executor on which a task of the step fits is idle, or is expected to be without a hold. */
 function canBecomeIdle(state: SchedulerState, now: number, step: StepRow): boolean {
     for (const executor of listAdvisedExecutors(state, step)) {
         const isIdleSoon = [...executor.runs.values()].every(run => estimateEnd(state, run) <= now + maxBusyMs);
-        if (isIdleSoon && isEligible(state, now, step, executor)) {
+        const fits = countFits(getChargedResources(step), executor.capacity) > 0;
+        if (isIdleSoon && fits && isEligible(state, now, step, executor)) {
             return true;
         }
     }
--- a/packages/workflow/src/probe-hold-system_test.ts
+++ b/packages/workflow/src/probe-hold-system_test.ts
@@ -56,6 +56,15 @@
             expect(start?.isProbe).toEqual(true);
         });
 
+        it("starts beside services although an executor is idle that is too small for it", () => {
+            const fixture = new ProbeFixture(8);
+            fixture.startService();
+            fixture.putExecutor(8, "ready", [], undefined, undefined, 1);
+            fixture.submit("a", [createStep({ resources: toCores(2) })]);
+            fixture.recordStoredCrash("a");
+            expect(fixture.waitForStart("a", startMs)?.isProbe).toEqual(true);
+        });
+
         it("starts in time on the only executor that it may use, beside others", () => {
             const fixture = new ProbeFixture(4);
             fixture.putExecutor(3, "ready", ["disk"]);
--- a/packages/workflow/src/testing/scheduler-fixture.ts
+++ b/packages/workflow/src/testing/scheduler-fixture.ts
@@ -77,6 +77,7 @@
         labels: readonly string[] = [],
         leavesAt: number | undefined = undefined,
         emptyBy: number | undefined = undefined,
+        cores = 16,
     ): void {
         this.scheduler.updateExecutor({
             executor: toId<ExecutorId>(`e${index}`),
@@ -84,7 +85,7 @@
             zone: toId<ZoneId>("zone"),
             rack: toId<RackId>(`r${Math.floor(index / 4)}`),
             labels,
-            capacity: { cpuMillis: 16_000, memoryMb: 32_000, accelerators: 0 },
+            capacity: { cpuMillis: cores * 1_000, memoryMb: 32_000, accelerators: 0 },
             state,
             leavesAt,
             emptyBy,
