Let an owner without a lease order only while most executors answer it

Cause: a successor cannot tell whether a silent owner still orders the executors that it does not reach itself, so it counted on the longest outage of the store (10.4 s) and then on the longest lease (6.5 s), for all tasks.

After its lease an owner orders only while more than half of the executors of the stored roster have answered it within 1 s, in the life that it knew while the lease was valid. A successor that more than half of the same executors have answered knows that this ends within 1 s. The roster is the same on both sides: the owner counts the confirmed one and the one whose write is not answered; entries have the epoch of the owner that added them, and stay while an earlier owner may order. Owners of earlier versions, and those whose executors are mostly silent, are counted on for as long as before.

--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -151,7 +151,15 @@
         });
         const { askToStop, ownership } = options;
         this.authority = new OwnerAuthority(
-            { clock, logger, supervisor, journal: this.journal, ownership, askToStop },
+            {
+                clock,
+                logger,
+                supervisor,
+                journal: this.journal,
+                ownership,
+                askToStop,
+                confirmExecutors: () => this.registry.confirmExecutors(),
+            },
             term,
         );
         this.jobs = new OwnerJobs({
--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -195,6 +195,67 @@
             cell.close();
         });
 
+        describe("from an owner whose machine is gone together with executors", () => {
+            /** `finish_s` of the operators' sites less the 3 s for which a task may stand then. */
+            const maxHeldMs = 11_000;
+
+            async function loseOwner(cell: CellSimulation, lostExecutors: readonly number[]): Promise<void> {
+                const lost = cell.owner!;
+                lost.kill();
+                lostExecutors.forEach(index => cell.executors[index]!.kill(true));
+                await cell.advanceUntil(() => cell.owner !== undefined, 4_000);
+            }
+
+            async function openLossyCell(): Promise<CellSimulation> {
+                const cell = await openCell({
+                    hosts: 4,
+                    executors: 7,
+                    planRun: () => ({ workMs: 2_000, outcome: "done" }),
+                });
+                cell.arePeersCutOff = true;
+                void cell.submit(cell.hosts[0]!, "a", [{ taskCount: 60, estimateMs: 2_000 }]);
+                await cell.advanceUntil(() => cell.checker.startCount === 28, 3_000);
+                return cell;
+            }
+
+            it("starts the tasks of earlier jobs in time on the executors that answer", async () => {
+                // Guards against a few silent executors that hold back every task for the longest outage of the store.
+                const cell = await openLossyCell();
+                const lostAt = cell.clock.getNow();
+                await loseOwner(cell, [0, 1]);
+                expect(await cell.advanceUntil(() => cell.checker.startCount > 28, maxHeldMs)).toEqual(true);
+                expect(cell.clock.getNow() - lostAt).toBeLessThan(maxHeldMs);
+                expect(await cell.advanceUntil(() => cell.getState("a") === "succeeded", 20_000)).toEqual(true);
+                expect(cell.checker.violations).toEqual([]);
+                cell.close();
+            });
+
+            it("starts them as soon after the loss of its successor too, which changed the roster", async () => {
+                // Guards against a wait that begins anew with each owner, because the next one knows another roster.
+                const cell = await openLossyCell();
+                await loseOwner(cell, [0, 1]);
+                cell.removeExecutorEntry(2);
+                await cell.advance(700);
+                const lostAt = cell.clock.getNow();
+                await loseOwner(cell, []);
+                await cell.advanceUntil(() => cell.checker.startCount > 28, maxHeldMs);
+                expect(cell.clock.getNow() - lostAt).toBeLessThan(maxHeldMs);
+                expect(cell.checker.violations).toEqual([]);
+                cell.close();
+            });
+
+            it("waits for the end of the earlier owner's authority where most executors are silent", async () => {
+                // Guards against a successor that trusts a majority which it has not reached.
+                const cell = await openLossyCell();
+                await loseOwner(cell, [0, 1, 2, 3]);
+                await cell.advance(maxHeldMs + 3_000);
+                expect(cell.checker.startCount).toEqual(28);
+                expect(await cell.advanceUntil(() => cell.checker.startCount > 28, 5_000)).toEqual(true);
+                expect(cell.checker.violations).toEqual([]);
+                cell.close();
+            });
+        });
+
         it("holds back tasks that may run on an unreachable executor until their leases have expired", async () => {
             // Guards against a second run of a task while the first continues on a partitioned executor.
             const cell = await openCell({ planRun: () => ({ workMs: 5_000, outcome: "done" }) });
@@ -381,6 +442,20 @@
             cell.close();
         });
 
+        it("sends no starts once it reaches only a few executors, long before the bound of its authority", async () => {
+            // Guards against two owners that act at once: a successor that most executors have answered counts on it.
+            const cell = await openCutCell(1_000, [0]);
+            const first = cell.owner!;
+            // The lease, and the time for which answers count.
+            await cell.advance(2_600);
+            const startCount = cell.checker.startCount;
+            expect(cell.logLines.some(line => line.includes("most executors have not answered"))).toEqual(true);
+            await cell.advance(4_000);
+            expect(first.owner !== undefined).toEqual(true);
+            expect(cell.checker.startCount).toEqual(startCount);
+            cell.close();
+        });
+
         it("goes on starting what was accepted while the store is away for all", async () => {
             // Guards against a bound that stops a zone in an ordinary outage of the store.
             const cell = await openCell({ planRun: () => ({ workMs: 900, outcome: "done" }) });
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -12,14 +12,28 @@
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import type { ExecutorState, PoolId, TaskKey, WorkflowScheduler } from "@waxwingroute/workflow";
 import { ExecutorSession } from "./executor-session.js";
-import type { OrderAuthority, SessionListener } from "./executor-session.js";
+import type { ExecutorAnswer, OrderAuthority, SessionListener } from "./executor-session.js";
 import type { PlatformCodec } from "./platform-codec.js";
-import { encodeRoster, rosterKey } from "./store-keys.js";
+import { RosterWriter } from "./roster-writer.js";
 import type { RosterEntry } from "./store-keys.js";
 import type { LeaseStore, StoreItem, StoreWrite } from "./store.js";
 import { listAll } from "./store.js";
 import type { ExecutorConnector, ExecutorEntry } from "./task-executor.js";
 
+/** The owner's authority, which depends on the executors of the stored roster. */
+export interface RosterAuthority extends OrderAuthority {
+    /** Whether an earlier owner may still send orders. */
+    readonly hasEarlierOwners: boolean;
+    /** Sets the roster that earlier owners have stored. */
+    adoptRoster(roster: readonly RosterEntry[]): void;
+    /** Sets the rosters of which any one can be the stored one. */
+    setStoredRosters(rosters: readonly (readonly ExecutorId[])[]): void;
+    /** Records that the executor has answered this owner. */
+    recordAnswer(executor: ExecutorId, answer: ExecutorAnswer): void;
+    /** Records that the executor's life that earlier owners knew is over. */
+    recordLifeOver(executor: ExecutorId): void;
+}
+
 /** The connections, limits and callbacks of a registry. */
 export interface ExecutorRegistryOptions {
     readonly store: LeaseStore;
@@ -36,7 +50,7 @@
     readonly stopMs: number;
     /** Longest lease that executors grant, ms. */
     readonly longestLeaseMs: number;
-    readonly authority: OrderAuthority;
+    readonly authority: RosterAuthority;
     /** Returns whether the configuration names the pool; executors of other pools are not used. */
     readonly isPoolKnown: (pool: PoolId) => boolean;
     /** Writes the roster to the store and calls `onStored` once the write is committed. */
@@ -102,10 +116,17 @@
     private lastReadAt: number;
     private ignoreMissingUntil = 0;
     private fencingToken: number;
+    private readonly rosterWriter: RosterWriter;
 
     constructor(private readonly options: ExecutorRegistryOptions) {
         this.lastReadAt = options.clock.getNow();
         this.fencingToken = options.fencingToken;
+        this.rosterWriter = new RosterWriter({
+            storeRoster: options.storeRoster,
+            getEpoch: () => this.fencingToken,
+            hasEarlierOwners: () => options.authority.hasEarlierOwners,
+            onStoredRosters: rosters => options.authority.setStoredRosters(rosters),
+        });
     }
 
     /** Opens a session for each executor that an earlier owner may have used, unless the registry was closed meanwhile. */
@@ -113,6 +134,8 @@
         if (this.isClosed) {
             return;
         }
+        this.options.authority.adoptRoster(roster);
+        this.rosterWriter.adopt(roster);
         for (const { executor, address, tasks } of roster) {
             const record = this.openRecord(executor, address);
             record.rosterStatus = tasks ?? "open";
@@ -148,6 +171,13 @@
         this.records.forEach(record => record.session.close());
     }
 
+    /** Asks each executor for an answer, unless it has answered recently. */
+    confirmExecutors(): void {
+        for (const { executor, session } of this.records.values()) {
+            this.options.supervisor.start("confirmation", { executor }, () => session.confirmAuthority());
+        }
+    }
+
     /** Number of executors that could take work and wait until the stored roster lists them as `open`. */
     get unopenedCount(): number {
         return [...this.records.values()].filter(record =>
@@ -356,7 +386,7 @@
                 changed.set(record, wanted);
             }
         }
-        this.isRosterStale ||= changed.size > 0;
+        this.isRosterStale ||= changed.size > 0 || this.rosterWriter.hasOutdatedEntries;
         for (const [record, wanted] of changed) {
             // Closing an executor takes effect at once. Opening it takes effect when stored, so that no run starts on
             // an executor that the next owner would not find in the roster.
@@ -415,7 +445,7 @@
                 roster.push({ executor, address, tasks: status });
             }
         }
-        this.options.storeRoster({ key: rosterKey, value: encodeRoster(roster) }, onStored);
+        this.rosterWriter.store(roster, onStored);
     }
 
     /**
@@ -434,6 +464,7 @@
             existing.session.reportCrash();
             existing.session.close();
             this.executorsOfEarlierOwner.delete(executor);
+            this.options.authority.recordLifeOver(executor);
             this.options.listener.onRunsLost(executor, "executor restarted at another address", "replaced");
         }
         const { authority, clock, connector, listener, logger, longestLeaseMs, maxLeaseMs, stopMs, supervisor } =
@@ -451,6 +482,7 @@
             longestLeaseMs,
             authority,
             needsFrequentListings: id => this.options.scheduler.needsFrequentReports(id),
+            onAnswered: (id, answer) => authority.recordAnswer(id, answer),
         });
         const record: ExecutorRecord = {
             executor,
--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -13,6 +13,8 @@
 import type { StoredEnd } from "./end-acknowledgements.js";
 import { EndAcknowledgements } from "./end-acknowledgements.js";
 import { ExecutorLeases } from "./executor-leases.js";
+import type { ClockReading } from "./lease-clock.js";
+import { computeAge, readClocks } from "./lease-clock.js";
 import type { ExecutorListing, ListedEnd, StartOrder, TaskExecutor } from "./task-executor.js";
 import { executorFailures } from "./task-executor.js";
 import { isOldEnough, markCrashSuspects, toRunKey } from "./tracked-run.js";
@@ -77,6 +79,16 @@
      * Returns whether the executor has to be listed several times a second, because tasks are throttled by its load.
      */
     readonly needsFrequentListings: (executor: ExecutorId) => boolean;
+    /** Called with each answer to a renewal. Default: nothing is done. */
+    readonly onAnswered?: (executor: ExecutorId, answer: ExecutorAnswer) => void;
+}
+
+/** An answer that shows that the executor has not seen the token of a later owner before. */
+export interface ExecutorAnswer {
+    /** When the request was sent. */
+    readonly sentAt: ClockReading;
+    /** Whether the executor has answered in the same life while no other host could own the cell. */
+    readonly isFromKnownLife: boolean;
 }
 
 /**
@@ -95,6 +107,8 @@
 const answerMarginMs = 700;
 /** Failed renewals in a row after which the executor counts as unreachable. */
 const failuresBeforeUnreachable = 2;
+/** Age of an executor's last answer from which `confirmAuthority` asks for another one, ms. */
+const confirmIntervalMs = 250;
 /** Time from the confirmation of a probe's start until the runs are listed, ms. */
 const probeDelayMs = 50;
 /** Pause before a failed call to the executor is repeated, ms. */
@@ -145,6 +159,10 @@
     /** Since when another executor has answered at the address; `undefined` after a listing. */
     private replacedAt: number | undefined;
     private wakeUp: (() => void) | undefined;
+    /** Start time of the executor's life that answered while no other host could own the cell. */
+    private knownLife: number | undefined;
+    private lastAnswer: ClockReading = { now: -Infinity, wallTime: -Infinity };
+    private isConfirming = false;
     /** The highest number that a renewal has acknowledged in this life of the executor. */
     private acknowledged = 0;
 
@@ -320,6 +338,42 @@
         }
     }
 
+    /**
+     * Asks for an answer at once, unless the last one is recent: a renewal may wait for longer than answers count. Nothing
+     * else is taken from the listing, as in `confirmProbe`.
+     */
+    async confirmAuthority(): Promise<void> {
+        const { client, clock } = this.options;
+        if (this.isConfirming || this.isClosed || computeAge(clock, this.lastAnswer) < confirmIntervalMs) {
+            return;
+        }
+        this.isConfirming = true;
+        const { fencingToken, startedAtWallMs: incarnation } = this;
+        const sentAt = readClocks(clock);
+        const listed = await client.renew({ fencingToken, acknowledged: 0, incarnation }, answerMarginMs);
+        this.isConfirming = false;
+        if (this.isClosed) {
+            return;
+        }
+        if (listed.ok) {
+            this.recordAnswer(listed.val.startedAtWallMs, sentAt);
+        }
+        else {
+            this.reportIfFenced(listed, fencingToken);
+        }
+    }
+
+    private recordAnswer(life: number | undefined, sentAt: ClockReading): void {
+        const { authority, executor, onAnswered } = this.options;
+        if (authority.isLeaseValid) {
+            this.knownLife = life;
+        }
+        if (sentAt.now > this.lastAnswer.now) {
+            this.lastAnswer = sentAt;
+        }
+        onAnswered?.(executor, { sentAt, isFromKnownLife: life !== undefined && life === this.knownLife });
+    }
+
     /** Limits the speed of a run, without a retry. Returns whether the executor confirmed it. */
     async throttle(task: TaskKey, run: number, percent: number): Promise<boolean> {
         const { fencingToken } = this;
@@ -368,7 +422,7 @@
         }
         const isStillPending = this.ends.isPending;
         const waitMs = this.chooseWait(isStillPending);
-        const sentAt = clock.getNow();
+        const sentAt = readClocks(clock);
         // A renewal without an answer may have extended the lease. After a failure, renewals therefore ask for no
         // extension; otherwise the leases of a silent executor would never be known to have expired.
         const canExtend = this.leases.isClockKnown && this.failures === 0;
@@ -387,7 +441,8 @@
             return;
         }
         if (renewed.ok) {
-            this.acceptListing(renewed.val, sentAt, incarnationDoubts === this.incarnationDoubts);
+            this.recordAnswer(renewed.val.startedAtWallMs, sentAt);
+            this.acceptListing(renewed.val, sentAt.now, incarnationDoubts === this.incarnationDoubts);
             if (isStillPending && this.ends.isPending) {
                 await this.waitForWake(uncommittedPauseMs);
             }
--- a/packages/cell/src/lease-clock.ts
+++ b/packages/cell/src/lease-clock.ts
@@ -18,6 +18,19 @@
     readonly wallTime: number;
 }
 
+/** Reads both clocks. */
+export function readClocks(clock: Clock): ClockReading {
+    return { now: clock.getNow(), wallTime: clock.getWallTime() };
+}
+
+/**
+ * Returns the time since a reading by the clock that shows more, ms. The monotonic clock stands still while the machine
+ * is suspended, and the wall clock may be set back.
+ */
+export function computeAge(clock: Clock, { now, wallTime }: ClockReading): number {
+    return Math.max(clock.getNow() - now, clock.getWallTime() - wallTime);
+}
+
 /** Keeps when the last renewal that the store answered was sent. */
 export class LeaseClock {
     private renewedAt: ClockReading = { now: -Infinity, wallTime: -Infinity };
@@ -26,8 +39,7 @@
 
     /** Reads both clocks, before a grant or renewal is sent. */
     read(): ClockReading {
-        const { clock } = this.options;
-        return { now: clock.getNow(), wallTime: clock.getWallTime() };
+        return readClocks(this.options.clock);
     }
 
     /** Records that the store answered a grant or renewal that was sent at this time. */
@@ -52,12 +64,13 @@
         return this.computeUnrenewedMs() < this.options.leaseMs + this.options.maxOutageMs;
     }
 
-    /**
-     * Returns the longest time for which the lease can have been without renewal, ms. The monotonic clock stands still
-     * while the machine is suspended, and the wall clock may be set back.
-     */
+    /** Whether renewals have been without an answer for half of the lease. */
+    get isRenewalOverdue(): boolean {
+        return this.computeUnrenewedMs() > this.options.leaseMs / 2;
+    }
+
+    /** Returns the longest time for which the lease can have been without renewal, ms. */
     private computeUnrenewedMs(): number {
-        const { now, wallTime } = this.read();
-        return Math.max(now - this.renewedAt.now, wallTime - this.renewedAt.wallTime);
+        return computeAge(this.options.clock, this.renewedAt);
     }
 }
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -12,6 +12,7 @@
 import type { Clock, Failure, NetworkAddress, RandomSource, Result } from "@waxwingroute/core";
 import { Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
+import { quorumAnswerMs } from "./executor-quorum.js";
 import { LeaseClock } from "./lease-clock.js";
 import type { OwnershipView } from "./ownership-view.js";
 import { decodeView, updateView } from "./ownership-view.js";
@@ -153,6 +154,11 @@
         return this.term !== undefined && this.leaseClock.canOrder;
     }
 
+    /** Whether the lease may end soon, because its renewals have no answers. */
+    get isRenewalOverdue(): boolean {
+        return this.term !== undefined && this.leaseClock.isRenewalOverdue;
+    }
+
     /** Takes part in the ownership until `stop`. */
     start(): void {
         const isStopped = () => this.isStopped;
@@ -364,7 +370,7 @@
     }
 
     private describeSelf(epoch: number): PossibleOwner {
-        return { epoch, address: this.options.address, maxOutageMs: this.maxOutageMs };
+        return { epoch, address: this.options.address, maxOutageMs: this.maxOutageMs, quorumMs: quorumAnswerMs };
     }
 
     /**
--- a/packages/cell/src/predecessors.ts
+++ b/packages/cell/src/predecessors.ts
@@ -3,7 +3,8 @@
  *
  * An owner that is cut off from the store goes on for a bounded time, since it cannot tell whether the store is away for
  * all hosts or only for itself. Its successor counts on that, unless it finds out sooner: an earlier owner that it reaches
- * stops at once, and one whose process is gone has stopped.
+ * stops at once, one whose process is gone has stopped, and one that has lost more than half of its executors to the
+ * successor stops once their last answers are too old.
  */
 import type { Clock } from "@waxwingroute/core";
 import type { LogWriter } from "@waxwingroute/telemetry";
@@ -18,6 +19,8 @@
     readonly owners: readonly PossibleOwner[];
     /** Asks the process at the address of an earlier owner to stop. Returns whether it has, or is gone. */
     readonly askToStop: (owner: PossibleOwner) => Promise<boolean>;
+    /** See `FencedExecutors`. */
+    readonly findMajorityTime: (epoch: number) => number | undefined;
     /** Called once, when none of them can send orders any more. */
     readonly onAllStopped: () => void;
 }
@@ -43,6 +46,11 @@
         return Math.max(this.stoppedAt, ...[...this.running].map(owner => this.computeBound(owner)));
     }
 
+    /** Owners that may still send orders. */
+    get remaining(): readonly PossibleOwner[] {
+        return [...this.running];
+    }
+
     /** Asks the earlier owners until each has stopped or its time has run out. */
     async run(): Promise<void> {
         const { clock, logger, onAllStopped, owners } = this.options;
@@ -79,8 +87,15 @@
         }
     }
 
-    /** The lease of the earlier owner had expired at the start of this term, and it acts for `maxOutageMs` after that. */
-    private computeBound(owner: PossibleOwner): number {
-        return this.startedAt + owner.maxOutageMs * (1 + 2 * clockRateBound);
+    /**
+     * The lease of the earlier owner had expired at the start of this term. It acts for `maxOutageMs` after that, and for
+     * `quorumMs` after it has lost the majority of its executors.
+     */
+    private computeBound({ epoch, maxOutageMs, quorumMs }: PossibleOwner): number {
+        const latest = this.startedAt + maxOutageMs * (1 + 2 * clockRateBound);
+        const majorityLostAt = quorumMs === undefined ? undefined : this.options.findMajorityTime(epoch);
+        return quorumMs === undefined || majorityLostAt === undefined
+            ? latest
+            : Math.min(latest, majorityLostAt + quorumMs * (1 + 2 * clockRateBound));
     }
 }
--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -3,7 +3,9 @@
 import { describe, it } from "node:test";
 import type { StoredEnd } from "./end-acknowledgements.js";
 import { ExecutorLeases } from "./executor-leases.js";
+import { ExecutorQuorum } from "./executor-quorum.js";
 import { ExecutorRegistry } from "./executor-registry.js";
+import { FencedExecutors } from "./fenced-executors.js";
 import { OwnerJournal } from "./owner-journal.js";
 import { FakeExecutor } from "./testing/fake-executor.js";
 import type { RandomFaultsOptions } from "./testing/random-faults.js";
@@ -60,6 +62,15 @@
         });
     }
 
+    for (const seed of seeds.slice(0, maxFurtherSeeds)) {
+        it(`runs no task beside an owner that is cut off together with executors (seed ${seed})`, async () => {
+            // Guards against two owners that act at once, each with the executors that it reaches.
+            const result = await runRandomFaults(seed, { hasIsolatedOwners: true });
+            expect(result.violations).toEqual([]);
+            expect(result.unfinished).toEqual([]);
+        });
+    }
+
     for (const seed of seeds.slice(0, maxFurtherSeeds)) {
         it(`finishes all other jobs beside some that crash their executors, and gives these up (seed ${seed})`, async () => {
             // Guards against jobs that are given up for crashes of their neighbours, and against a collapse by crashes.
@@ -110,6 +121,20 @@
             replacement: () => undefined,
             options: { hasReplacements: true },
         },
+        {
+            name: "owners without a lease that act although few executors answer them",
+            prototype: ExecutorQuorum.prototype,
+            method: "hasMajority",
+            replacement: () => true,
+            options: { hasIsolatedOwners: true },
+        },
+        {
+            name: "successors that count executors which they have not reached",
+            prototype: FencedExecutors.prototype,
+            method: "findMajorityTime",
+            replacement: () => 0,
+            options: { hasIsolatedOwners: true },
+        },
     ];
     for (const { name, prototype, method, replacement, options } of mutants) {
         it(`detect ${name}`, async () => {
--- a/packages/cell/src/store-keys.ts
+++ b/packages/cell/src/store-keys.ts
@@ -87,6 +87,11 @@
     readonly address?: NetworkAddress;
     /** Time after the end of its lease in which it sends orders, ms, by its own clock. */
     readonly maxOutageMs: number;
+    /**
+     * Age up to which it counts the answers of executors, ms: after its lease it sends orders only while more than half of
+     * the executors have answered it. Absent: it depends on no answers, as earlier versions do.
+     */
+    readonly quorumMs?: number;
 }
 
 /** Largest relative difference between the rates of two clocks, as the platform documents it. */
@@ -104,6 +109,8 @@
     readonly address: NetworkAddress;
     /** The only tasks that the executor can still hold, because it gets no new work. Absent: it can hold any task. */
     readonly tasks?: readonly TaskKey[];
+    /** Epoch of the owner that added the executor; absent in records of earlier versions. */
+    readonly addedIn?: number;
 }
 
 const addressSchema = z.custom<NetworkAddress>(isNetworkAddress, "must be <ip>:<port>");
@@ -118,9 +125,15 @@
     epoch: z.number().int(),
     address: addressSchema.optional(),
     maxOutageMs: z.number().min(0),
+    quorumMs: z.number().min(0).optional(),
 }));
 const rosterSchema = z.array(
-    z.object({ executor: z.string(), address: addressSchema, tasks: z.array(z.string()).optional() }),
+    z.object({
+        executor: z.string(),
+        address: addressSchema,
+        tasks: z.array(z.string()).optional(),
+        addedIn: z.number().int().optional(),
+    }),
 );
 const finishedSchema = z.object({
     state: z.enum(["succeeded", "failed", "cancelled"]),
@@ -294,6 +307,7 @@
             executor: toId<ExecutorId>(entry.executor),
             address: entry.address,
             tasks: entry.tasks?.map(task => toId<TaskKey>(task)),
+            addedIn: entry.addedIn,
         })))
         : parsed;
 }
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -56,6 +56,11 @@
      * back later. Default: no.
      */
     readonly hasReplacements?: boolean;
+    /**
+     * Whether the faults are owners that are cut off from the store and the other hosts, together with some executors that
+     * nobody else reaches, beside executors that restart, lose answers or delay orders. Default: no.
+     */
+    readonly hasIsolatedOwners?: boolean;
 }
 
 /** Part by which the clocks of executors may be slower, as the platform documents it. */
@@ -77,6 +82,10 @@
 const maxReplacementDelayMs = 2_000;
 const maxReplacementMs = 8_000;
 
+/** Shortest and longest time for which an owner is cut off, ms; the longest exceeds the bound of its authority. */
+const minIsolationMs = 1_500;
+const maxIsolationMs = 14_000;
+
 /** Time within which tasks start for which there is room, ms: a rule of the platform. */
 const startMs = 3_000;
 /** Name of the job that needs all executors. */
@@ -98,7 +107,11 @@
     let isCalm = false;
     const cell = new CellSimulation({
         hosts: 3,
-        executors: options.hasCrashingJobs === true ? executorsWithCrashes : executorsWithoutCrashes,
+        executors: options.hasCrashingJobs === true
+            ? executorsWithCrashes
+            : options.hasIsolatedOwners === true
+            ? 3 + random.getInteger(5)
+            : executorsWithoutCrashes,
         seed,
         planRun: (task, run) => ({
             crashAfterMs: recordStart(task),
@@ -126,6 +139,9 @@
     if (options.hasPlannedStops === true) {
         preparePlannedStops(cell, random);
     }
+    else if (options.hasIsolatedOwners === true) {
+        setClockRates(cell, random);
+    }
     await cell.advance(2_000);
     for (let elapsed = 0; elapsed < faultPhaseMs; elapsed += actionIntervalMs) {
         submitRandomJob(cell, random, `j${elapsed}`, accepted);
@@ -139,6 +155,9 @@
         if (options.hasPlannedStops === true) {
             applyPlannedStops(cell, random);
         }
+        else if (options.hasIsolatedOwners === true) {
+            applyIsolation(cell, random);
+        }
         else if (options.hasReplacements === true) {
             applyReplacements(cell, random);
         }
@@ -173,11 +192,15 @@
     };
 }
 
-function preparePlannedStops(cell: CellSimulation, random: SeededRandom): void {
-    cell.data.pageSize = smallPageSize;
+function setClockRates(cell: CellSimulation, random: SeededRandom): void {
     cell.executors.forEach(executor => {
         executor.clockLag = random.getInteger(2) * maxClockLag;
     });
+}
+
+function preparePlannedStops(cell: CellSimulation, random: SeededRandom): void {
+    cell.data.pageSize = smallPageSize;
+    setClockRates(cell, random);
     cell.hosts.forEach(host => {
         host.store.chooseLatencyMs = () => minLatencyMs * (maxLatencyMs / minLatencyMs) ** random.getFloat();
     });
@@ -229,6 +252,48 @@
     }
 }
 
+/** Cuts the owner off from the store and the other hosts, with a part of the executors on its side. */
+function applyIsolation(cell: CellSimulation, random: SeededRandom): void {
+    const { owner } = cell;
+    if (owner !== undefined && !cell.arePeersCutOff && random.getInteger(5) === 0) {
+        cell.arePeersCutOff = true;
+        owner.store.mode = random.pickOne(["silent", "refusing"] as const)!;
+        const ownedPart = random.getFloat();
+        for (const { options } of cell.executors) {
+            const isWithOwner = random.getFloat() < ownedPart;
+            // Some executors are reached by both sides.
+            if (random.getInteger(6) > 0) {
+                cell.hosts.filter(host => (host === owner) !== isWithOwner)
+                    .forEach(host => host.connector.unreachable.add(options.address));
+            }
+        }
+        cell.clock.schedule(minIsolationMs + random.getInteger(maxIsolationMs - minIsolationMs), () => endFaults(cell));
+    }
+    const executor = random.pickOne(cell.executors)!;
+    const faults: (() => void)[] = [
+        () => executor.kill(),
+        () => {
+            executor.kill(true);
+            cell.clock.schedule(random.getInteger(3_000), () => executor.start());
+        },
+        () => {
+            executor.isDelayingOrders = !executor.isDelayingOrders;
+        },
+        () => {
+            executor.losesAnswers = !executor.losesAnswers;
+        },
+        () => {
+            random.pickOne(cell.hosts)!.store.commitFault = random.pickOne(["answerLost", "late", "none"] as const)!;
+        },
+        () => {
+            if (random.getInteger(3) === 0) {
+                cell.owner?.restart();
+            }
+        },
+    ];
+    random.pickOne([...faults, ...faults.map(() => () => undefined)])!();
+}
+
 /** Stops the owner up to three times within an interval and lets each part of the cell fail in its own way. */
 function applyPlannedStops(cell: CellSimulation, random: SeededRandom): void {
     const stops = random.getInteger(8) < 3 ? 1 + random.getInteger(3) : 0;
