Say what tasks are held back for after a takeover

Cause: after a takeover beside silent executors operators saw that nothing starts, and neither why nor until when. Change: three gauges and a line each second name the executors, the epochs of the earlier owners that may still send orders, and the latest end of the wait.

--- a/packages/cell/src/cell-host.ts
+++ b/packages/cell/src/cell-host.ts
@@ -22,6 +22,7 @@
 import type { CellConfiguration } from "./configuration.js";
 import { createCrashGauges } from "./crash-log.js";
 import { FallbackStore } from "./fallback-store.js";
+import { createHeldTasksGauges } from "./held-tasks-log.js";
 import type { QueueTarget } from "./job-gateway.js";
 import { gatewayFailures, JobGateway } from "./job-gateway.js";
 import { JobIntake } from "./job-intake.js";
@@ -291,7 +292,12 @@
             unopened_executors: this.owner?.unopenedExecutorCount ?? 0,
             unreported_loss_ms: Math.round(this.owner?.unreportedLossMs ?? 0),
             ...this.owner?.waitingGauges
-                ?? { ...createWaitingGauges(undefined), ...createAdviceGauges(undefined), ...createCrashGauges() },
+                ?? {
+                    ...createWaitingGauges(undefined),
+                    ...createAdviceGauges(undefined),
+                    ...createCrashGauges(),
+                    ...createHeldTasksGauges(undefined, 0),
+                },
             peer_backlog_bytes: this.server.waitingBytes,
             peer_calls: this.server.openCallCount,
             unexpected_errors: this.options.supervisor.failureCount,
--- a/packages/cell/src/cell-owner.ts
+++ b/packages/cell/src/cell-owner.ts
@@ -26,8 +26,11 @@
 import type { CellConfiguration } from "./configuration.js";
 import { CrashLog } from "./crash-log.js";
 import type { StoredEnd } from "./end-acknowledgements.js";
+import { computeLongestGrant } from "./executor-leases.js";
 import { ExecutorRegistry } from "./executor-registry.js";
 import type { SessionListener } from "./executor-session.js";
+import { HeldTasksLog } from "./held-tasks-log.js";
+import type { HeldTasks } from "./held-tasks-log.js";
 import { JobFeed } from "./job-feed.js";
 import type { OwnershipTerm } from "./lease-ownership.js";
 import type { MachineManager } from "./machine-manager.js";
@@ -119,6 +122,7 @@
     private readonly adviceLog: AdviceLog;
     private readonly waitingLog: WaitingLog;
     private readonly crashLog: CrashLog;
+    private readonly heldTasksLog: HeldTasksLog;
     private configuration: CellConfiguration;
     private isClosed = false;
     private isRecovered = false;
@@ -225,9 +229,11 @@
             onSample: sample => {
                 this.adviceLog.record(sample);
                 this.crashLog.sample();
+                this.heldTasksLog.sample();
             },
         });
         this.crashLog = new CrashLog({ scheduler: this.scheduler, clock, logger });
+        this.heldTasksLog = new HeldTasksLog({ clock, logger, describeHeldTasks: () => this.describeHeldTasks() });
         this.maintenance = options.maintenance === undefined ? undefined : this.createMaintenance(options.maintenance);
     }
 
@@ -276,10 +282,15 @@
 
     /**
      * Number of steps that could start and do not, by the name of the gauge of their reason, and the gauges of the calls
-     * to the advisor and of crashes.
+     * to the advisor, of crashes, and of tasks that are held back after a takeover.
      */
     get waitingGauges(): Readonly<Record<string, number>> {
-        return { ...this.waitingLog.gauges, ...this.adviceLog.gauges, ...this.crashLog.gauges };
+        return {
+            ...this.waitingLog.gauges,
+            ...this.adviceLog.gauges,
+            ...this.crashLog.gauges,
+            ...this.heldTasksLog.gauges,
+        };
     }
 
     /** Number of jobs in the scheduler. */
@@ -541,6 +552,17 @@
         });
     }
 
+    private describeHeldTasks(): HeldTasks | undefined {
+        if (!this.isRecovered || this.isReleaseComplete) {
+            return undefined;
+        }
+        return {
+            executors: this.registry.listUnsettledExecutors(),
+            earlierEpochs: this.authority.earlierEpochs,
+            endsAt: this.authority.earlierOrdersEndAt + computeLongestGrant(this.options.maxLeaseMs),
+        };
+    }
+
     private requestTick(): void {
         if (!this.isTickScheduled && this.isRecovered && !this.isClosed) {
             this.isTickScheduled = true;
--- a/packages/cell/src/executor-leases.ts
+++ b/packages/cell/src/executor-leases.ts
@@ -17,6 +17,11 @@
     readonly longestLeaseMs: number;
 }
 
+/** Returns the time after which a lease has expired that an executor granted for a lease end far ahead, ms. */
+export function computeLongestGrant(longestLeaseMs: number): number {
+    return longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+}
+
 /** The leases that this owner has requested from one executor, and the last known reading of its clock. */
 export class ExecutorLeases {
     /** Last reading of the executor's clock; `undefined` before the first. */
@@ -86,9 +91,8 @@
         this.possibleRestartLeasesEndAt = -Infinity;
     }
 
-    /** Time after which a lease has expired that an executor granted for a lease end far ahead, ms. */
     private get longestGrantMs(): number {
-        return this.options.longestLeaseMs * (1 + 2 * clockRateBound) + leaseMarginMs;
+        return computeLongestGrant(this.options.longestLeaseMs);
     }
 
     private computeLongestEnd(): number {
--- a/packages/cell/src/executor-registry.ts
+++ b/packages/cell/src/executor-registry.ts
@@ -222,6 +222,13 @@
         return tasks;
     }
 
+    /** Returns the executors that may run tasks by an order of an earlier owner. */
+    listUnsettledExecutors(): ExecutorId[] {
+        return [...this.executorsOfEarlierOwner]
+            .filter(([, { session, tasks }]) => !session.areRunsKnown && tasks?.length !== 0)
+            .map(([executor]) => executor);
+    }
+
     setFencingToken(token: number): void {
         this.fencingToken = token;
         this.records.forEach(record => record.session.setFencingToken(token));
