Order views of the ownership by revision, and give each owner its own epoch

The host acquires epoch 2 and continues, 3 ms later gives it up ("another host acquired the cell"), finds its own record and begins epoch 2 again, isContinued false, and 0.25 s later a third time. The second owner starts tasks of jobs of this epoch that count as never started, with a token that executors take as that of the first; and its batches of ends have the keys of the first one's (waxwing/ends/-), so the third overwrites stored ends and starts their tasks again.

Change: an answer that is older than what is known changes nothing, whether it is a read, a watch or the answer to a commit. A term that is not continued has an epoch above all earlier ones of the process; a host that finds its own record for an ended term acquires a new epoch. LeaseOwnership.beginTerm is the one place that guarantees it.

--- a/packages/cell/src/cell-owner_test.ts
+++ b/packages/cell/src/cell-owner_test.ts
@@ -486,6 +486,32 @@
     });
 
     describe("an owner that continues in a later term", () => {
+        it("starts no task again when an older read of its record overtakes a newer one", async () => {
+            // Guards against a second owner of the same host in the same epoch, for which the tasks of jobs that were
+            // accepted in this epoch have never started.
+            const cell = await openCell({ hosts: 1, planRun: () => ({ workMs: 2_000, outcome: "done" }) });
+            const host = cell.owner!;
+            cell.data.mode = "silent";
+            await cell.advance(3_000);
+            cell.data.expireAllLeases();
+            cell.data.mode = "up";
+            let reads = 0;
+            host.store.chooseAnswerDelayMs = ({ kind }) => kind === "list" && ++reads === 1 ? 300 : 0;
+            void host.verifyOwnership();
+            void host.verifyOwnership();
+            for (let round = 0; round < 15; round++) {
+                await cell.advance(50);
+                void cell.submit(host, `j${round}`, [{ taskCount: 1 }]);
+                // An executor that does not list its runs while the second owner would recover the cell.
+                cell.executors[0]!.isPartitioned = round > 3;
+            }
+            cell.executors[0]!.isPartitioned = false;
+            await cell.advance(12_000);
+            expect(cell.checker.violations).toEqual([]);
+            expect(cell.checker.startCount).toEqual(15);
+            cell.close();
+        });
+
         it("keeps the cell when its own later token overtakes an order with the earlier one", async () => {
             // Guards against an owner that takes its own token for that of a successor: the cell has no owner until the
             // lease of its record has expired.
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -7,10 +7,14 @@
  * cell again; if the epoch is still its own, no other host has owned the cell in between, and it keeps its state in
  * memory.
  *
+ * Answers of the store can be late and overtake each other, so they are ordered by its revision: one that is older than
+ * what is known changes nothing. A term that does not continue the last one of this process has an epoch of its own, so
+ * that within an epoch at most one set of tables decides; `beginTerm` is the only place where a term begins.
+ *
  * Independent of the package `ownership`, which the scheduler and cluster packages use.
  */
 import type { Clock, Failure, NetworkAddress, RandomSource, Result } from "@waxwingroute/core";
-import { Err, Ok } from "@waxwingroute/core";
+import { createFailure, Err, Ok } from "@waxwingroute/core";
 import type { LogWriter, Supervisor } from "@waxwingroute/telemetry";
 import { quorumAnswerMs } from "./executor-quorum.js";
 import { LeaseClock } from "./lease-clock.js";
@@ -116,6 +120,8 @@
     private readonly maxOutageMs: number;
     private term: OwnershipTerm | undefined;
     private lastEpoch = 0;
+    /** The newest revision of the store at which the ownership is known. */
+    private knownRevision = 0;
     private isStopped = false;
     /** Whether this host acquires the cell no more. It still follows other owners. */
     private isResigned = false;
@@ -232,7 +238,7 @@
     /** Checks the owner record after a sign that it is not that of the term; the lease may have expired. */
     async verify(): Promise<void> {
         const view = await this.readOwnership();
-        if (view.ok && this.term !== undefined && view.val.ownerRevision !== this.term.revision) {
+        if (view.ok) {
             await this.reconcileTerm(view.val);
         }
     }
@@ -244,15 +250,15 @@
             return;
         }
         let view = read.val;
-        while (!this.isStopped) {
+        // A commit whose answer was late may begin a term meanwhile.
+        while (!this.isStopped && this.term === undefined) {
             this.options.listener.onOwnerSeen(view.owner, view.storedEpoch);
             if (view.owner === undefined && !this.isResigned) {
                 await this.tryAcquire(view);
                 return;
             }
             if (view.owner?.incarnation === this.options.incarnation && !this.isFenced && !this.isResigned) {
-                // The answer to an earlier acquisition was lost.
-                this.beginTerm(this.toTerm(view.owner, view.ownerRevision, view), false);
+                await this.resumeOwnership(view, view.owner);
                 return;
             }
             const next = await this.watchOwnership(view);
@@ -263,13 +269,26 @@
         }
     }
 
+    /** Owns the cell by its own record, which is stored although this host has no term. */
+    private async resumeOwnership(view: OwnershipView, owner: OwnerRecord): Promise<void> {
+        if (owner.epoch > this.lastEpoch) {
+            // The answer to an earlier acquisition was lost.
+            this.beginTerm(this.toTerm(owner, view.ownerRevision, view), false);
+        }
+        else if (!await this.acquire(view, false)) {
+            await this.options.clock.wait(retryMs);
+        }
+    }
+
     private async watchOwnership(view: OwnershipView): Promise<OwnershipView | undefined> {
         const watched = await this.watchUntilRefresh(view.storeRevision);
         if (watched === undefined || !watched.ok || watched.val.changes.length === 0) {
             // A watch can end without a change that the store has dropped from its history, so the keys are read again.
             return undefined;
         }
-        return updateView(view, watched.val, this.options.logger);
+        return this.acceptRevision(watched.val.storeRevision)
+            ? updateView(view, watched.val, this.options.logger)
+            : undefined;
     }
 
     private async watchUntilRefresh(
@@ -332,7 +351,10 @@
         const committed = await this.options.store.call({
             kind: "commit",
             transaction: {
-                conditions: [{ key: ownerKey, revision: 0 }, { key: epochKey, revision: view.storedEpoch.revision }],
+                conditions: [
+                    { key: ownerKey, revision: view.ownerRevision },
+                    { key: epochKey, revision: view.storedEpoch.revision },
+                ],
                 writes: [
                     { key: ownerKey, value: encodeOwner({ incarnation, host, address, epoch, lease }), lease },
                     { key: epochKey, value: String(epoch) },
@@ -355,6 +377,7 @@
             });
             return false;
         }
+        this.acceptRevision(committed.val.revision);
         this.leaseClock.recordRenewal(sentAt);
         this.beginTerm(this.toTerm({ epoch, lease }, committed.val.revision, view), isContinued);
         return true;
@@ -393,7 +416,15 @@
         return [combined, ...others.slice(1 - maxPossibleOwners)];
     }
 
+    /**
+     * Begins a term, unless it has begun before: its record can be read before the answer to its commit arrives, or again
+     * after the term has ended.
+     */
     private beginTerm(term: OwnershipTerm, isContinued: boolean): void {
+        if (term.epoch <= this.lastEpoch) {
+            this.options.logger.write("info", "acquisition already known", { epoch: term.epoch });
+            return;
+        }
         this.term = term;
         this.lastEpoch = term.epoch;
         this.options.logger.write("info", "cell ownership acquired", { epoch: term.epoch, isContinued });
@@ -466,6 +497,16 @@
         if (!listed.ok) {
             return Err(listed.val);
         }
-        return Ok(decodeView(listed.val, this.options.logger));
+        const view = decodeView(listed.val, this.options.logger);
+        return this.acceptRevision(view.storeRevision)
+            ? Ok(view)
+            : Err(createFailure("ownership-read-overtaken", "a newer answer of the store has arrived before", "ran"));
+    }
+
+    /** Records that the ownership is known at a revision. Returns `false` if it is known at a later one. */
+    private acceptRevision(revision: number): boolean {
+        const isNewest = revision >= this.knownRevision;
+        this.knownRevision = Math.max(this.knownRevision, revision);
+        return isNewest;
     }
 }
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -282,6 +282,65 @@
         host.ownership.abort();
     });
 
+    describe("answers that overtake each other", () => {
+        /** Lets the lease of the only host expire in an outage of the store, and delays the answer to one later call. */
+        async function endOutage(
+            fixture: Fixture,
+            host: Host,
+            isDelayed: (request: StoreRequest) => boolean,
+        ): Promise<void> {
+            await fixture.clock.advance(500);
+            fixture.data.mode = "silent";
+            await fixture.clock.advance(3_000);
+            fixture.data.expireAllLeases();
+            fixture.data.mode = "up";
+            let delays = 0;
+            host.store.chooseAnswerDelayMs = request => isDelayed(request) && delays++ === 0 ? 60 : 0;
+        }
+
+        it("keep a sound term if one is older than the term", async () => {
+            // Guards against two owners in one epoch: the term was given up for a read of before it, and begun again.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            await endOutage(fixture, host, ({ kind }) => kind === "list");
+            void host.ownership.verify();
+            void host.ownership.verify();
+            await fixture.clock.advance(2_000);
+            expect(host.events).toEqual(["acquired 1", "acquired 2 again"]);
+            host.ownership.abort();
+        });
+
+        it("begin a term once, though its record is read before the answer to its commit", async () => {
+            // Guards against a term that an answer begins again after it was begun, or ended, by a newer one.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            await endOutage(fixture, host, ({ kind }) => kind === "commit");
+            for (let round = 0; round < 30; round++) {
+                void host.ownership.verify();
+                await fixture.clock.advance(20);
+            }
+            expect(host.events).toEqual(["acquired 1", "acquired 2 again"]);
+            host.ownership.abort();
+        });
+    });
+
+    describe("a host that has given the cell up while its record is stored", () => {
+        it("owns the cell again only in an epoch of its own", async () => {
+            // Guards against two owners of one process with one fencing token, of which the second starts the tasks again
+            // that the first has started.
+            const fixture = new Fixture();
+            const host = fixture.open("a");
+            await fixture.clock.advance(500);
+            host.ownership.recordSuccessor(2);
+            await fixture.clock.advance(300);
+            expect(host.events).toEqual(["acquired 1", "lost", "acquired 2"]);
+            await fixture.clock.advance(4_000);
+            expect(host.events.length).toEqual(3);
+            expect(host.ownership.isLeaseValid).toEqual(true);
+            host.ownership.abort();
+        });
+    });
+
     describe("an acquisition whose answer is late or lost", () => {
         it("leaves the host with the lease under which its record is stored", async () => {
             // Guards against an owner that renews another lease, and takes itself for the owner once its record is gone.
--- a/packages/cell/src/owner-jobs.ts
+++ b/packages/cell/src/owner-jobs.ts
@@ -175,7 +175,8 @@
         const now = clock.getNow();
         const ageMs = Math.max(0, clock.getWallTime() - record.acceptedAtWallMs);
         // Jobs of earlier epochs are stored on the condition that the epoch is unchanged, and are read after this owner
-        // raised it. So all of them are added before the release.
+        // raised it. So all of them are added before the release. Jobs of its own epochs can have been started by no other
+        // owner, of this process included: `LeaseOwnership.beginTerm` begins no epoch twice.
         scheduler.addJob(now, {
             job,
             queue: record.queue,
--- a/packages/cell/src/random-faults_test.ts
+++ b/packages/cell/src/random-faults_test.ts
@@ -62,6 +62,15 @@
         });
     }
 
+    for (const seed of seeds.slice(0, maxFurtherSeeds)) {
+        it(`has one owner in each epoch beside answers that overtake each other after an outage (seed ${seed})`, async () => {
+            // Guards against an owner that an older answer ends, and that begins again in the same epoch.
+            const result = await runRandomFaults(seed, { hasLapsingOutages: true });
+            expect(result.violations).toEqual([]);
+            expect(result.unfinished).toEqual([]);
+        });
+    }
+
     for (const seed of seeds.slice(0, maxFurtherSeeds)) {
         it(`runs no task beside an owner that is cut off together with executors (seed ${seed})`, async () => {
             // Guards against two owners that act at once, each with the executors that it reaches.
--- a/packages/cell/src/testing/cell-simulation.ts
+++ b/packages/cell/src/testing/cell-simulation.ts
@@ -200,6 +200,11 @@
         return ownership;
     }
 
+    /** Reads the owner record, as after a sign that it is not that of the term. */
+    verifyOwnership(): Promise<void> {
+        return this.ownership.verify();
+    }
+
     /** Gives the cell up because another host has acquired it in this epoch. */
     replaceOwner(epoch: number): void {
         this.ownership.recordSuccessor(epoch);
@@ -207,6 +212,7 @@
 
     private beginTerm(ownership: LeaseOwnership, term: OwnershipTerm, isContinued: boolean): void {
         this.intake.recordEpoch(term);
+        this.simulation.checker.recordOwner(this.name, term.epoch);
         if (isContinued && this.owner !== undefined) {
             this.owner.setTerm(term);
             return;
--- a/packages/cell/src/testing/invariant-checker.ts
+++ b/packages/cell/src/testing/invariant-checker.ts
@@ -43,6 +43,7 @@
     readonly violations: string[] = [];
     private readonly tasks = new Map<TaskKey, TaskRecord>();
     private readonly jobs = new Map<JobId, CheckedJob>();
+    private readonly owners = new Map<number, string>();
 
     constructor(private readonly options: InvariantCheckerOptions) {}
 
@@ -51,6 +52,15 @@
         return [...this.tasks.values()].reduce((sum, task) => sum + task.starts, 0);
     }
 
+    /** Records that an owner begins with an epoch as its fencing token; no other one may ever act with it. */
+    recordOwner(host: string, epoch: number): void {
+        const other = this.owners.get(epoch);
+        if (other !== undefined) {
+            this.violations.push(`epoch ${epoch}: an owner on ${host} after one on ${other}`);
+        }
+        this.owners.set(epoch, host);
+    }
+
     registerJob(job: JobId, checked: CheckedJob): void {
         this.jobs.set(job, checked);
     }
--- a/packages/cell/src/testing/memory-lease-store.ts
+++ b/packages/cell/src/testing/memory-lease-store.ts
@@ -73,6 +73,14 @@
         }
     }
 
+    /** Lets all leases expire, as an outage of the store can do. */
+    expireAllLeases(): void {
+        this.leases.forEach(lease => {
+            lease.endsAt = -Infinity;
+        });
+        this.expireLeases();
+    }
+
     /** Drops the history, so that watches from an earlier revision fail. */
     compact(): void {
         this.compactedBelow = this.revision;
@@ -162,6 +170,8 @@
     lateMs = 2_000;
     /** Returns the delay of the next write with the fault `late`, ms. Default: `lateMs`. */
     chooseLateMs = (): number => this.lateMs;
+    /** Returns the delay of the answer to a call that has been carried out, ms, so that answers can overtake each other. */
+    chooseAnswerDelayMs = (_request: StoreRequest): number => 0;
     /** Returns the fault of the next write. Default: `commitFault`. */
     chooseFault = (): CommitFault => this.commitFault;
 
@@ -193,6 +203,10 @@
             return this.dropAnswer(timeoutMs);
         }
         const result = request.kind === "watch" ? await this.watch(request) : this.data.execute(request);
+        const answerDelayMs = this.chooseAnswerDelayMs(request);
+        if (answerDelayMs > 0) {
+            await clock.wait(answerDelayMs);
+        }
         return result as Result<StoreReply<Request>, Failure>;
     }
 
--- a/packages/cell/src/testing/random-faults.ts
+++ b/packages/cell/src/testing/random-faults.ts
@@ -61,6 +61,11 @@
      * nobody else reaches, beside executors that restart, lose answers or delay orders. Default: no.
      */
     readonly hasIsolatedOwners?: boolean;
+    /**
+     * Whether the faults are outages of the store in which all leases expire, after which answers are late and overtake
+     * each other while jobs arrive, beside executors that are out of reach for a moment. Default: no.
+     */
+    readonly hasLapsingOutages?: boolean;
 }
 
 /** Part by which the clocks of executors may be slower, as the platform documents it. */
@@ -82,6 +87,13 @@
 const maxReplacementDelayMs = 2_000;
 const maxReplacementMs = 8_000;
 
+/** Time after an outage in which jobs arrive and answers overtake each other, ms, and the longest delay of an answer. */
+const returnMs = 300;
+const maxAnswerDelayMs = 250;
+const jobsAtReturn = 4;
+/** Longest time for which an executor is out of reach around the end of an outage, ms. */
+const maxUnreachableMs = 1_500;
+
 /** Shortest and longest time for which an owner is cut off, ms; the longest exceeds the bound of its authority. */
 const minIsolationMs = 1_500;
 const maxIsolationMs = 14_000;
@@ -158,6 +170,9 @@
         else if (options.hasIsolatedOwners === true) {
             applyIsolation(cell, random);
         }
+        else if (options.hasLapsingOutages === true) {
+            applyLapsingOutage(cell, random, `${elapsed}`, accepted);
+        }
         else if (options.hasReplacements === true) {
             applyReplacements(cell, random);
         }
@@ -252,6 +267,44 @@
     }
 }
 
+/** Lets the store be away for a time in which all leases expire; its first answers afterwards overtake each other. */
+function applyLapsingOutage(cell: CellSimulation, random: SeededRandom, name: string, accepted: string[]): void {
+    if (random.getInteger(24) === 0) {
+        cell.owner?.restart();
+    }
+    if (cell.data.mode !== "up" || random.getInteger(4) !== 0) {
+        return;
+    }
+    const { clock, data } = cell;
+    data.mode = random.pickOne(["silent", "refusing"] as const)!;
+    clock.schedule(minOutageMs + random.getInteger(maxOutageMs - minOutageMs), () => {
+        data.expireAllLeases();
+        data.mode = "up";
+        cell.hosts.forEach(({ store }) => {
+            store.chooseAnswerDelayMs = ({ kind }) =>
+                kind !== "watch" && random.getInteger(2) === 0 ? random.getInteger(maxAnswerDelayMs) : 0;
+            // Writes of the outage that were given up and sent again find the owner key changed at the same time.
+            clock.schedule(random.getInteger(returnMs / 2), () => void cell.owner?.verifyOwnership());
+        });
+        for (let index = 0; index < jobsAtReturn; index++) {
+            clock.schedule(
+                random.getInteger(returnMs),
+                () => submitRandomJob(cell, random, `r${name}-${index}`, accepted),
+            );
+        }
+        const executor = random.pickOne(cell.executors)!;
+        clock.schedule(random.getInteger(returnMs), () => {
+            executor.isPartitioned = true;
+        });
+        clock.schedule(returnMs + random.getInteger(maxUnreachableMs), () => {
+            executor.isPartitioned = false;
+            cell.hosts.forEach(({ store }) => {
+                store.chooseAnswerDelayMs = () => 0;
+            });
+        });
+    });
+}
+
 /** Cuts the owner off from the store and the other hosts, with a part of the executors on its side. */
 function applyIsolation(cell: CellSimulation, random: SeededRandom): void {
     const { owner } = cell;
