--- a/packages/cell/src/adaptive-timeout.ts
+++ b/packages/cell/src/adaptive-timeout.ts
@@ -13,10 +13,15 @@
 
 /** Measures the store's answer times and chooses time-outs from them. */
 export class AdaptiveTimeout {
-    private averageMs: number | undefined;
+    private movingAverageMs: number | undefined;
 
     constructor(private readonly clock: Clock, private readonly maxTimeoutMs: number) {}
 
+    /** The moving average of the answer times, ms; `undefined` before the first answer. */
+    get averageMs(): number | undefined {
+        return this.movingAverageMs;
+    }
+
     /** Returns the time to wait, ms. `attempt` counts from 0. Before the first answer this is the longest time-out. */
     choose(attempt: number): number {
         const firstMs = this.averageMs === undefined
@@ -28,8 +33,8 @@
     /** Records that the answer to a call that was sent at `sentAt` has arrived. */
     recordAnswer(sentAt: number): void {
         const tookMs = this.clock.getNow() - sentAt;
-        this.averageMs = this.averageMs === undefined
+        this.movingAverageMs = this.movingAverageMs === undefined
             ? tookMs
-            : this.averageMs + answerWeight * (tookMs - this.averageMs);
+            : this.movingAverageMs + answerWeight * (tookMs - this.movingAverageMs);
     }
 }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,4 +1,5 @@
 /** One cell on a store with leases: ownership, job intake, executor sessions and replication to the hosts. */
+export { AdaptiveTimeout } from "./adaptive-timeout.js";
 export { Advisor } from "./advisor.js";
 export { answerMarginMs, leastServingMs } from "./call-times.js";
 export { CellHost } from "./cell-host.js";
