Replace only this process's own owner record, and confirm executors again after an error

Found by reading the diff: since an acquisition was conditional on whatever revision the owner record had, so a record that cannot be read, as of a later version, was replaced while its host may own the cell. The new test shows it ("acquired 1" in place of no event). Only a record of this process is replaced; else the key must not exist, as before. An error in a confirmation kept a session from asking its executor for another one.

--- a/packages/cell/src/executor-session.ts
+++ b/packages/cell/src/executor-session.ts
@@ -353,8 +353,11 @@
         this.isConfirming = true;
         const { fencingToken, startedAtWallMs: incarnation } = this;
         const sentAt = readClocks(clock);
-        const listed = await client.renew({ fencingToken, acknowledged: 0, incarnation }, answerMarginMs);
-        this.isConfirming = false;
+        const listed = await client.renew({ fencingToken, acknowledged: 0, incarnation }, answerMarginMs).finally(
+            () => {
+                this.isConfirming = false;
+            },
+        );
         if (this.isClosed) {
             return;
         }
--- a/packages/cell/src/lease-ownership.ts
+++ b/packages/cell/src/lease-ownership.ts
@@ -345,6 +345,8 @@
         }
         const epoch = view.storedEpoch.epoch + 1;
         const { host, address, incarnation } = this.options;
+        // A record of another host, or one that cannot be read, is never replaced.
+        const replacedRevision = view.owner?.incarnation === incarnation ? view.ownerRevision : 0;
         const possibleOwners = [...this.listPredecessors(view), this.describeSelf(epoch)];
         const { lease } = granted.val;
         this.isFenced = false;
@@ -352,7 +354,7 @@
             kind: "commit",
             transaction: {
                 conditions: [
-                    { key: ownerKey, revision: view.ownerRevision },
+                    { key: ownerKey, revision: replacedRevision },
                     { key: epochKey, revision: view.storedEpoch.revision },
                 ],
                 writes: [
--- a/packages/cell/src/lease-ownership_test.ts
+++ b/packages/cell/src/lease-ownership_test.ts
@@ -324,6 +324,20 @@
         });
     });
 
+    describe("an owner record that cannot be read", () => {
+        it("is not replaced, since another host may own the cell by it", async () => {
+            // Guards against a host that takes the cell from an owner of a later version.
+            const fixture = new Fixture();
+            const write = { key: "waxwing/lead/owner", value: "{}" };
+            fixture.data.execute({ kind: "commit", transaction: { conditions: [], writes: [write], removals: [] } });
+            const host = fixture.open("a");
+            await fixture.clock.advance(3_000);
+            expect(host.events).toEqual([]);
+            expect(fixture.data.items.get("waxwing/lead/owner")?.value).toEqual("{}");
+            host.ownership.abort();
+        });
+    });
+
     describe("a host that has given the cell up while its record is stored", () => {
         it("owns the cell again only in an epoch of its own", async () => {
             // Guards against two owners of one process with one fencing token, of which the second starts the tasks again
