--- a/packages/cell/src/executor-session_test.ts
+++ b/packages/cell/src/executor-session_test.ts
@@ -149,6 +149,8 @@
     readonly lost: number[] = [];
     readonly executor: Executor;
     readonly ends: string[] = [];
+    /** For each answer, whether it came from a life that had answered while the lease was valid. */
+    readonly answersFromKnownLife: boolean[] = [];
     /** Whether the runs are listed several times a second. */
     isListedOften = false;
     /** Whether runs that the session does not track may go on. */
@@ -184,6 +186,7 @@
             longestLeaseMs: 6_000,
             authority: this.authority,
             needsFrequentListings: () => this.isListedOften,
+            onAnswered: (_, { isFromKnownLife }) => this.answersFromKnownLife.push(isFromKnownLife),
         });
     }
 
@@ -317,6 +320,42 @@
         });
     });
 
+    describe("the answers of an executor to an owner without a valid lease", () => {
+        it("come from a known life until the executor restarts, and then only with a valid lease", async () => {
+            // Guards against an owner that counts on an executor which has forgotten the token of a successor.
+            const fixture = new SessionFixture(clock => new RestartingExecutor(clock));
+            const { answersFromKnownLife, authority, clock, executor, session } = fixture;
+            session.start();
+            await clock.advance(2_000);
+            authority.isLeaseValid = false;
+            await clock.advance(2_000);
+            expect(answersFromKnownLife.every(Boolean)).toEqual(true);
+            executor.life = 2;
+            await clock.advance(2_500);
+            expect(answersFromKnownLife.at(-1)).toEqual(false);
+            authority.isLeaseValid = true;
+            await clock.advance(2_500);
+            expect(answersFromKnownLife.at(-1)).toEqual(true);
+            session.close();
+        });
+
+        it("are asked for at once if the last one is not recent", async () => {
+            // Guards against an owner that stops in an outage because a renewal waits for longer than answers count.
+            const fixture = new SessionFixture(clock => new StubbornExecutor(clock));
+            const { answersFromKnownLife, clock, session } = fixture;
+            session.start();
+            // Renewals are answered after 1 s; the last one has just been.
+            await clock.advance(3_100);
+            const answers = answersFromKnownLife.length;
+            await clock.advance(300);
+            void session.confirmAuthority();
+            void session.confirmAuthority();
+            await clock.advance(30);
+            expect(answersFromKnownLife.length).toEqual(answers + 1);
+            session.close();
+        });
+    });
+
     describe("a run that the new life of its executor has begun before a listing has shown the restart", () => {
         for (const isLeaseValid of [true, false]) {
             for (const isInFirstListing of [true, false]) {
