Soak: outages in which leases expire, with answers that overtake each other

A shape lapses: the store is away for all for 1.5 to 6.9 s, and in the 600 ms afterwards each answer is delayed by up to 250 ms, while jobs arrive and some hosts do not reach some executors.

--- a/packages/soak/src/shapes.ts
+++ b/packages/soak/src/shapes.ts
@@ -14,7 +14,7 @@
 import { LateStartsBesideRestart, PartlyCutExecutors, SlowClocks } from "./partial-executor-troubles.js";
 import { StoppedHosts } from "./planned-stops.js";
 import { RestartsBetweenListings } from "./restart-troubles.js";
-import { StoreAnswersLost, StoreAway, StoreWritesLate } from "./store-troubles.js";
+import { StoreAnswersLost, StoreAway, StoreLapse, StoreWritesLate } from "./store-troubles.js";
 import { RecordWritesLost } from "./store-write-troubles.js";
 import type { Trouble } from "./trouble.js";
 import type { WorkloadOptions } from "./workload.js";
@@ -185,6 +185,13 @@
         executors: 6,
         lanes: 2,
     },
+    /** Outages in which leases expire and after which answers overtake each other, beside executors out of reach. */
+    lapses: {
+        troubles: [[new StoreLapse(), 5], [partlyCutExecutors, 3], [slowClocks, 1], [killedHost, 1]],
+        workload: { jobsPerSecond: 12, cancelShare: 0.05 },
+        executors: 8,
+        lanes: 2,
+    },
     /** Planned stops that overlap, beside gangs with advice, bursts and lost answers of the store. */
     "stops-in-turn": {
         troubles: [
--- a/packages/soak/src/store-front.ts
+++ b/packages/soak/src/store-front.ts
@@ -16,6 +16,8 @@
     readonly mode?: "up" | "silent" | "busy";
     /** Answer time, ms. Default 4. */
     readonly delayMs?: number;
+    /** Longest random delay of an answer after the call was carried out, ms, so that answers overtake each other. Default 0. */
+    readonly maxAnswerDelayMs?: number;
     /** Share of the answers in whose place the connection ends, after the call was carried out. Default 0. */
     readonly lossShare?: number;
     /** Share of the writes that are carried out late. Default 0. */
@@ -88,7 +90,7 @@
     }
 
     private computeMost(
-        field: "delayMs" | "lossShare" | "lateShare" | "maxLateMs",
+        field: "delayMs" | "maxAnswerDelayMs" | "lossShare" | "lateShare" | "maxLateMs",
         base: number,
         request: StoreRequest,
     ): number {
@@ -135,7 +137,9 @@
                 call.onClose(this.state.watch(request, reply => this.reply(call, request, reply)));
             }
             else {
-                this.reply(call, request, this.state.execute(request));
+                const reply = this.state.execute(request);
+                const answerDelayMs = this.random.getFloat() * this.computeMost("maxAnswerDelayMs", 0, request);
+                this.schedule(answerDelayMs, () => this.reply(call, request, reply));
             }
         });
     }
--- a/packages/soak/src/store-troubles.ts
+++ b/packages/soak/src/store-troubles.ts
@@ -3,6 +3,10 @@
 import { Trouble } from "./trouble.js";
 import type { TroubleContext } from "./trouble.js";
 
+/** Time after an outage in which answers overtake each other, and longest delay of one, ms. */
+const overtakingMs = 600;
+const maxAnswerDelayMs = 250;
+
 /** A fault of the store for one host or for all. */
 abstract class StoreTrouble extends Trouble {
     /** Draws the fault and how long it lasts. */
@@ -39,6 +43,25 @@
     }
 }
 
+/** The store is away for all while leases expire; its first answers afterwards overtake each other. */
+export class StoreLapse extends Trouble {
+    readonly name = "store-lapse";
+
+    async run(context: TroubleContext): Promise<void> {
+        const { random, site, wait } = context;
+        const stores = site.listStores(site.hostNames);
+        const awayMs = this.pickMs(random, 1_500, 6_900);
+        const end = this.begin(context, site.hostNames, { awayMs });
+        const restores = stores.map(store => store.addFaults({ mode: "silent" }));
+        await wait(awayMs);
+        restores.forEach(restore => restore());
+        const delays = stores.map(store => store.addFaults({ maxAnswerDelayMs }));
+        await wait(overtakingMs);
+        delays.forEach(restore => restore());
+        end();
+    }
+}
+
 /** Connections end in place of answers, after the call was carried out. */
 export class StoreAnswersLost extends StoreTrouble {
     readonly name = "store-answers-lost";
