--- a/packages/cell/src/call-times.ts
+++ b/packages/cell/src/call-times.ts
@@ -18,7 +18,10 @@
 
 /** Time before the end of a shutdown's serving time at which open calls are answered, so that the answers arrive. */
 export const answerMarginMs = 100;
-/** A call is begun only if this much time is left for it: it is confirmed and tried to be stored once. */
+/**
+ * The most time that has to be left for a call to be begun: it is confirmed and tried to be stored once. Less is enough
+ * where submissions take less on average.
+ */
 export const leastServingMs = configurationConfirmationMs + storeAttemptMs + answerMarginMs;
 /** The same for cancellations that wait for the owner: they are stored, which the answer should say. */
 export const acknowledgementMarginMs = 2 * answerMarginMs;
